--- /dev/null
+++ b/cmd/nutmeglatch/main.go
@@ -0,0 +1,4 @@
+// Command nutmeglatch is the operators' command line tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/tools/doc.go
@@ -0,0 +1,2 @@
+// Package tools pins the development tools of nutmeglatch.
+package tools
