--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,181 @@
+// Package admin serves metrics, status and explanations to operators over
+// HTTP. It only reads; operators change the system through their documents.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	writeTimeout      = 10 * time.Second
+	maxHeaderBytes    = 16 << 10
+)
+
+// Status is the state of an entry host as operators see it.
+type Status struct {
+	ID           string           `json:"id"`
+	DataCentre   string           `json:"data_centre"`
+	Region       string           `json:"region"`
+	Version      string           `json:"version"`
+	UptimeMS     int64            `json:"uptime_ms"`
+	Serving      bool             `json:"serving"`
+	Leaving      bool             `json:"leaving"`
+	Majority     bool             `json:"majority"`
+	Flows        int              `json:"flows"`
+	DataCentres  DataCentreStatus `json:"data_centres"`
+	Hosts        []HostStatus     `json:"entry_hosts"`
+	Services     []ServiceStatus  `json:"services"`
+	Refusals     []Refusal        `json:"refusals"`
+	PlatformRead string           `json:"platform"`
+}
+
+// DataCentreStatus is the accepted data centre state.
+type DataCentreStatus struct {
+	Version uint64   `json:"version"`
+	Out     []string `json:"out"`
+}
+
+// HostStatus is one entry host in the membership.
+type HostStatus struct {
+	ID         string `json:"id"`
+	DataCentre string `json:"data_centre"`
+	State      string `json:"state"`
+}
+
+// ServiceStatus is one accepted service document and its backend servers.
+type ServiceStatus struct {
+	Name     string          `json:"service"`
+	Version  uint64          `json:"version"`
+	Digest   string          `json:"digest"`
+	Backends []BackendStatus `json:"backend_servers"`
+}
+
+// BackendStatus is what this entry host knows of a backend server.
+type BackendStatus struct {
+	Addr       string  `json:"address"`
+	DataCentre string  `json:"data_centre"`
+	Verdict    string  `json:"verdict"`
+	Weight     float64 `json:"weight"`
+	Flows      int     `json:"flows"`
+	Instance   uint64  `json:"instance"`
+}
+
+// Refusal is a value that this entry host refused.
+type Refusal struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Reason  string `json:"reason"`
+	Detail  string `json:"detail"`
+	At      string `json:"at"`
+}
+
+// Query names the flow or command that an operator asks about.
+type Query struct {
+	Source, Destination netip.AddrPort
+	Proto               uint8
+}
+
+// Explanation says where a flow goes and why.
+type Explanation struct {
+	Service   string   `json:"service"`
+	Bucket    int      `json:"bucket"`
+	Primary   string   `json:"primary"`
+	Secondary string   `json:"secondary"`
+	Backend   string   `json:"backend_server,omitempty"`
+	State     string   `json:"state,omitempty"`
+	Steps     []string `json:"steps"`
+}
+
+// Source gives the state that is served.
+type Source interface {
+	Status(ctx context.Context) (Status, error)
+	Explain(ctx context.Context, q Query) (Explanation, error)
+}
+
+// Protocols that a query names.
+var protocols = map[string]uint8{"tcp": 6, "udp": 17}
+
+// ParseQuery reads a query from its text form.
+func ParseQuery(src, dst, proto string) (Query, error) {
+	s, err := netip.ParseAddrPort(src)
+	if err != nil {
+		return Query{}, errors.Wrapf(err, "src %q: want address:port", src)
+	}
+	d, err := netip.ParseAddrPort(dst)
+	if err != nil {
+		return Query{}, errors.Wrapf(err, "dst %q: want address:port", dst)
+	}
+	p, ok := protocols[proto]
+	if !ok {
+		return Query{}, errors.Newf("proto %q: want tcp or udp", proto)
+	}
+	return Query{Source: s, Destination: d, Proto: p}, nil
+}
+
+// Handler returns the HTTP handler of the operators' interface.
+func Handler(src Source) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) {
+		st, err := src.Status(r.Context())
+		if err != nil || !st.Serving || st.Leaving {
+			http.Error(w, "not serving", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
+		st, err := src.Status(r.Context())
+		respond(w, st, err)
+	})
+	mux.HandleFunc("GET /explain", func(w http.ResponseWriter, r *http.Request) {
+		form := r.URL.Query()
+		q, err := ParseQuery(form.Get("src"), form.Get("dst"), form.Get("proto"))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		ex, err := src.Explain(r.Context(), q)
+		respond(w, ex, err)
+	})
+	return mux
+}
+
+func respond(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(v)
+}
+
+// Serve answers requests on the listener until the context ends.
+func Serve(ctx context.Context, l net.Listener, src Source) error {
+	server := &http.Server{
+		Handler:           Handler(src),
+		ReadHeaderTimeout: readHeaderTimeout,
+		WriteTimeout:      writeTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "admin")
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,114 @@
+// Package cli implements the operators' command line tool.
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// Exit statuses of the commands.
+const (
+	ExitOK     = 0
+	ExitFailed = 1 // the work was done and its result is bad, or it failed
+	ExitUsage  = 2 // bad arguments, settings or documents
+)
+
+// exitError carries an exit status; the message was already printed when it
+// is empty.
+type exitError struct {
+	status  int
+	message string
+}
+
+func (e *exitError) Error() string { return e.message }
+
+func usageError(format string, args ...any) error {
+	return &exitError{status: ExitUsage, message: fmt.Sprintf(format, args...)}
+}
+
+// tool holds what the commands share.
+type tool struct {
+	stdout, stderr io.Writer
+}
+
+// Run carries out the command line and returns the exit status.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	t := &tool{stdout: stdout, stderr: stderr}
+	root := t.root()
+	err := root.ParseAndRun(ctx, args)
+	var exit *exitError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, flag.ErrHelp):
+		if len(args) == 0 {
+			return ExitUsage
+		}
+		return ExitOK
+	case errors.As(err, &exit):
+		if exit.message != "" {
+			fmt.Fprintf(stderr, "nutmeglatch: %s\n", exit.message)
+		}
+		return exit.status
+	default:
+		fmt.Fprintf(stderr, "nutmeglatch: %v\n", err)
+		return ExitUsage
+	}
+}
+
+func (t *tool) flagSet(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(t.stderr)
+	return fs
+}
+
+func (t *tool) root() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "nutmeglatch",
+		ShortUsage: "nutmeglatch <command> [flags] [arguments]",
+		ShortHelp:  "Checks, observes and demonstrates nutmeglatch.",
+		FlagSet:    t.flagSet("nutmeglatch"),
+		Subcommands: []*ffcli.Command{
+			t.checkCommand(),
+			t.statusCommand(),
+			t.explainCommand(),
+			t.replayCommand(),
+			t.demoCommand(),
+			t.versionCommand(),
+		},
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return usageError("unknown command %q; see nutmeglatch --help", args[0])
+			}
+			return flag.ErrHelp
+		},
+	}
+}
+
+func (t *tool) versionCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "version",
+		ShortUsage: "nutmeglatch version",
+		ShortHelp:  "Prints the version.",
+		FlagSet:    t.flagSet("nutmeglatch version"),
+		Exec: func(context.Context, []string) error {
+			fmt.Fprintln(t.stdout, "nutmeglatch", Version())
+			return nil
+		},
+	}
+}
+
+// Version returns the module version that is built into the binary.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "devel"
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,183 @@
+// Package daemon runs nutmeglatch on an entry host. One control goroutine owns
+// the control state and publishes immutable snapshots; traffic goroutines read
+// the snapshots and move packets.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/admin"
+	"github.com/nutmeglatch/nutmeglatch/internal/flow"
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
+	"github.com/nutmeglatch/nutmeglatch/internal/platform"
+	"github.com/nutmeglatch/nutmeglatch/internal/route"
+	"github.com/nutmeglatch/nutmeglatch/internal/settings"
+)
+
+// Options configures a Daemon.
+type Options struct {
+	Settings *settings.Settings
+	Version  string
+	Logger   log.Logger
+	Network  Network         // SystemNetwork when nil
+	Source   platform.Source // made from the settings when nil
+}
+
+// Daemon is the process of one entry host.
+type Daemon struct {
+	settings *settings.Settings
+	version  string
+	logger   log.Logger
+	network  Network
+	source   platform.Source
+	key      [16]byte
+	boot     uint64
+	started  time.Time
+
+	gue       PacketConn
+	peerUDP   PacketConn
+	peerTCP   net.Listener
+	adminTCP  net.Listener
+	pool      *peer.Pool
+	replays   *peer.ReplayFilter
+	replaysMu sync.Mutex
+	sequence  atomic.Uint64
+
+	table    *flow.Table
+	router   *route.Router
+	snapshot atomic.Pointer[route.Snapshot]
+	listed   atomic.Pointer[map[string]netip.AddrPort]
+
+	control    *control
+	events     chan event
+	lastPacket atomic.Int64 // time since start in nanoseconds
+}
+
+// New opens the sockets of the entry host. Run must be called afterwards.
+func New(o Options) (*Daemon, error) {
+	d := &Daemon{
+		settings: o.Settings,
+		version:  o.Version,
+		logger:   o.Logger,
+		network:  o.Network,
+		source:   o.Source,
+		key:      o.Settings.PeerKey.Packet(),
+		started:  time.Now(),
+		replays:  peer.NewReplayFilter(),
+		events:   make(chan event, eventQueueLen),
+	}
+	if d.logger == nil {
+		d.logger = log.NewNopLogger()
+	}
+	if d.network == nil {
+		d.network = SystemNetwork{}
+	}
+	if d.source == nil {
+		d.source = newSource(o.Settings)
+	}
+	// A later process of this host must have a greater boot id.
+	d.boot = uint64(d.started.UnixMilli())
+	d.table = flow.NewTable(o.Settings.Limits.MaxFlows)
+	d.router = newRouter(d)
+	d.listed.Store(&map[string]netip.AddrPort{})
+	if err := d.listen(); err != nil {
+		d.closeSockets()
+		return nil, err
+	}
+	d.pool = peer.NewPool(peer.Config{
+		Self:       o.Settings.HostID,
+		Listener:   d.peerTCP,
+		Key:        o.Settings.PeerKey,
+		MaxMessage: o.Settings.Limits.MaxMessage,
+		Dial:       d.network.Dial,
+		Logger:     log.With(d.logger, "part", "peer"),
+	}, d.lookup, peer.HandlerFunc(d.handleCall))
+	d.control = newControl(d)
+	d.snapshot.Store(d.control.buildSnapshot(d.started))
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.gue, err = d.network.ListenUDP(d.settings.GUE); err != nil {
+		return errors.Wrapf(err, "gue %s", d.settings.GUE)
+	}
+	if d.peerUDP, err = d.network.ListenUDP(d.settings.Peer); err != nil {
+		return errors.Wrapf(err, "peer %s", d.settings.Peer)
+	}
+	if d.peerTCP, err = d.network.Listen(d.settings.Peer); err != nil {
+		return errors.Wrapf(err, "peer %s", d.settings.Peer)
+	}
+	// Operators reach the host whatever a test does to its network.
+	d.adminTCP, err = SystemNetwork{}.Listen(d.settings.Admin)
+	return errors.Wrapf(err, "admin %s", d.settings.Admin)
+}
+
+func (d *Daemon) closeSockets() {
+	if d.gue != nil {
+		_ = d.gue.Close()
+	}
+	if d.peerUDP != nil {
+		_ = d.peerUDP.Close()
+	}
+	if d.peerTCP != nil {
+		_ = d.peerTCP.Close()
+	}
+	if d.adminTCP != nil {
+		_ = d.adminTCP.Close()
+	}
+}
+
+// lookup returns the peer address of a listed entry host.
+func (d *Daemon) lookup(id string) (netip.AddrPort, bool) {
+	addr, ok := (*d.listed.Load())[id]
+	return addr, ok
+}
+
+// Kill closes every socket at once, as the death of the process does. Run
+// returns afterwards.
+func (d *Daemon) Kill() {
+	d.closeSockets()
+	d.post(func(c *control, _ time.Time) { c.killed = true })
+}
+
+// Run serves until the context ends, shuts down gracefully and returns.
+func (d *Daemon) Run(ctx context.Context) error {
+	// Work continues during the graceful shutdown, so it has a context of its own.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return d.pool.Serve(work) })
+	g.Go(func() error { return admin.Serve(work, d.adminTCP, d) })
+	g.Go(func() error { return d.control.watchPlatform(work) })
+	g.Go(func() error { return d.sweep(work) })
+	for range d.workers() {
+		g.Go(func() error { return d.serveGUE(work) })
+		g.Go(func() error { return d.servePeer(work) })
+	}
+	g.Go(func() error {
+		// The control loop decides when the shutdown is complete.
+		defer d.closeSockets()
+		defer stop()
+		return d.control.run(work, ctx.Done())
+	})
+	level.Info(d.logger).Log("part", "daemon", "msg", "serving", "host", d.settings.HostID, "gue", d.settings.GUE, "peer", d.settings.Peer)
+	err := g.Wait()
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, context.Canceled) || errors.Is(err, errKilled) {
+		err = nil
+	}
+	level.Info(d.logger).Log("part", "daemon", "msg", "stopped", "err", err)
+	return err
+}
+
+func (d *Daemon) now() route.Time { return route.Time(time.Since(d.started)) }
--- /dev/null
+++ b/internal/daemon/traffic.go
@@ -0,0 +1,201 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"runtime"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/membership"
+	"github.com/nutmeglatch/nutmeglatch/internal/packet"
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
+	"github.com/nutmeglatch/nutmeglatch/internal/route"
+)
+
+// maxDatagramBytes is the largest UDP payload over IPv4.
+const maxDatagramBytes = 65507
+
+// First bytes of the datagrams between entry hosts.
+const forwardVersion = 0x01
+
+func (d *Daemon) workers() int {
+	if d.settings.Workers > 0 {
+		return d.settings.Workers
+	}
+	return runtime.GOMAXPROCS(0)
+}
+
+// worker holds the buffers of one traffic goroutine.
+type worker struct {
+	d      *Daemon
+	parser packet.Parser
+	info   packet.Info
+	header packet.ForwardHeader
+	in     []byte
+	out    []byte
+}
+
+func (d *Daemon) newWorker() *worker {
+	return &worker{
+		d:   d,
+		in:  make([]byte, maxDatagramBytes),
+		out: make([]byte, 0, maxDatagramBytes),
+	}
+}
+
+// read returns the next datagram, or an error when the socket is closed.
+// Errors of single datagrams, such as ICMP answers, are skipped.
+func (w *worker) read(ctx context.Context, conn PacketConn) (int, netip.AddrPort, error) {
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(w.in)
+		switch {
+		case err == nil:
+			return n, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), nil
+		case ctx.Err() != nil:
+			return 0, from, ctx.Err()
+		case isClosed(err):
+			return 0, from, err
+		}
+		counters.socketErrors.Inc()
+	}
+}
+
+// serveGUE handles packets from the fabric and from backend servers.
+func (d *Daemon) serveGUE(ctx context.Context) error {
+	w := d.newWorker()
+	for {
+		n, from, err := w.read(ctx, d.gue)
+		if err != nil {
+			return err
+		}
+		w.handleGUE(w.in[:n], from)
+	}
+}
+
+func (w *worker) handleGUE(inner []byte, from netip.AddrPort) {
+	if err := w.parser.Parse(inner, &w.info); err != nil {
+		countDropped("gue", err)
+		return
+	}
+	d, snap, now := w.d, w.d.snapshot.Load(), w.d.now()
+	if _, ok := snap.Backends[from]; ok {
+		w.fromBackend(snap, from, inner, now)
+		return
+	}
+	d.lastPacket.Store(int64(now))
+	w.perform(snap, d.router.FromFabric(snap, &w.info, now), inner)
+}
+
+func (w *worker) fromBackend(snap *route.Snapshot, from netip.AddrPort, inner []byte, now route.Time) {
+	if w.d.commandReply(snap, from, &w.info, inner) {
+		return
+	}
+	w.perform(snap, w.d.router.FromBackend(snap, from, &w.info, now), inner)
+}
+
+// servePeer handles forwarded packets and probes from other entry hosts.
+func (d *Daemon) servePeer(ctx context.Context) error {
+	w := d.newWorker()
+	for {
+		n, from, err := w.read(ctx, d.peerUDP)
+		if err != nil {
+			return err
+		}
+		switch {
+		case n == 0:
+			countDropped("peer", packet.ErrTruncated)
+		case w.in[0] == peer.DatagramVersion:
+			w.handleProbe(w.in[:n], from)
+		default:
+			w.handleForwarded(w.in[:n])
+		}
+	}
+}
+
+func (w *worker) handleForwarded(b []byte) {
+	d := w.d
+	inner, err := packet.ParseForward(b, &d.key, &w.header)
+	if err != nil {
+		countDropped("peer", err)
+		return
+	}
+	if err := w.parser.Parse(inner, &w.info); err != nil {
+		countDropped("peer", err)
+		return
+	}
+	snap, now := d.snapshot.Load(), d.now()
+	d.lastPacket.Store(int64(now))
+	w.perform(snap, d.router.FromPeer(snap, &w.header, &w.info, now), inner)
+}
+
+func (w *worker) handleProbe(b []byte, from netip.AddrPort) {
+	d := w.d
+	dg, err := peer.OpenDatagram(b, &d.key)
+	if err == nil {
+		err = d.acceptDatagram(&dg)
+	}
+	if err != nil {
+		peer.CountRefusedDatagram(nil, err)
+		return
+	}
+	m, err := membership.DecodeMessage(dg.Body)
+	if err != nil {
+		countDropped("probe", err)
+		return
+	}
+	sender := membership.Sender{ID: dg.From, Boot: dg.Boot, Addr: from}
+	d.tryPost(func(c *control, now time.Time) { c.receiveProbe(now, sender, m) })
+}
+
+func (d *Daemon) acceptDatagram(dg *peer.Datagram) error {
+	d.replaysMu.Lock()
+	defer d.replaysMu.Unlock()
+	return d.replays.Accept(dg)
+}
+
+// perform carries out the router's decision on a packet.
+func (w *worker) perform(snap *route.Snapshot, a route.Action, inner []byte) {
+	d := w.d
+	switch a.Kind {
+	case route.ToBackend:
+		w.write(d.gue, inner, a.Backend.Addr)
+	case route.ToPeer:
+		w.out = packet.AppendForward(w.out[:0], &d.key, &a.Header, inner)
+		w.write(d.peerUDP, w.out, a.Peer)
+	case route.ToCaller:
+		w.write(d.gue, inner, d.settings.FabricReturn)
+	case route.ResetCaller:
+		w.reset(inner)
+	case route.ToCommand:
+		d.commandRequest(snap, &w.info, inner)
+	case route.Drop:
+	}
+	countAction(a)
+}
+
+func (w *worker) reset(inner []byte) {
+	out, err := packet.AppendReset(w.out[:0], inner)
+	if err != nil {
+		countDropped("reset", err)
+		return
+	}
+	w.out = out
+	w.write(w.d.gue, w.out, w.d.settings.FabricReturn)
+}
+
+func (w *worker) write(conn PacketConn, b []byte, to netip.AddrPort) {
+	if _, err := conn.WriteToUDPAddrPort(b, to); err != nil {
+		counters.sendErrors.Inc()
+	}
+}
+
+// sendInner sends an inner packet that this host made.
+func (d *Daemon) sendInner(inner []byte, to netip.AddrPort) {
+	if _, err := d.gue.WriteToUDPAddrPort(inner, to); err != nil {
+		counters.sendErrors.Inc()
+	}
+}
+
+func isClosed(err error) bool { return errors.Is(err, errClosed) }
