--- /dev/null
+++ b/internal/configsync/exchange.go
@@ -0,0 +1,210 @@
+package configsync
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Methods of the messages between entry hosts.
+const (
+	MethodPush     = "config.push"
+	MethodPartial  = "config.partial"
+	MethodVersions = "config.versions"
+	MethodFetch    = "config.fetch"
+)
+
+// ReadersPerDataCentre is the number of hosts per data centre that keep a
+// blocking read open on the platform.
+const ReadersPerDataCentre = 2
+
+// PushMessage carries newly accepted values. It has no result.
+type PushMessage struct {
+	Values []Value `json:"values"`
+}
+
+// PartialMessage is the result of config.partial, which has no parameters.
+type PartialMessage struct {
+	Summary uint64      `json:"summary"`
+	Parts   [256]uint64 `json:"parts"`
+}
+
+// VersionsRequest asks for the versions of the parts that differ. The parts
+// are encoded as base64, as every byte slice in JSON.
+type VersionsRequest struct {
+	Parts []uint8 `json:"parts"`
+}
+
+// VersionsResponse is the result of config.versions.
+type VersionsResponse struct {
+	Versions []Version `json:"versions"`
+}
+
+// FetchRequest asks for values.
+type FetchRequest struct {
+	Keys []string `json:"keys"`
+}
+
+// FetchResponse is the result of config.fetch. It may hold fewer values than
+// were asked for when they exceed the size of one message; the caller asks
+// again for the rest.
+type FetchResponse struct {
+	Values []Value `json:"values"`
+}
+
+// Comparison says which values two hosts should exchange.
+type Comparison struct {
+	Fetch []string // newer at the peer, in the order in which to fetch them
+	Send  []string // newer here
+}
+
+// Compare compares the versions of a peer with those accepted here in the
+// given parts. Versions that were rejected before are not fetched again. An
+// equal version with different content is recorded as rejected.
+func (s *State) Compare(now time.Time, src Source, parts []uint8, theirs []Version) Comparison {
+	var c Comparison
+	listed := make(map[string]bool, len(theirs))
+	for _, v := range theirs {
+		listed[v.Key] = true
+		mine := s.values[v.Key]
+		switch {
+		case mine == nil || v.Version > mine.Version:
+			if !s.knownRefusal(v) {
+				c.Fetch = append(c.Fetch, v.Key)
+			}
+		case v.Version < mine.Version:
+			c.Send = append(c.Send, v.Key)
+		case v.Digest != mine.Digest:
+			err := sameVersionError(v.Version, v.Digest, mine.Digest)
+			s.refusals.add(now, src, truncate(v.Key, maxKeyBytes), RefusalSameVersion, v.Digest, v.Version, err)
+		}
+	}
+	for _, v := range s.Versions(parts) {
+		if !listed[v.Key] {
+			c.Send = append(c.Send, v.Key)
+		}
+	}
+	sortByPriority(c.Fetch, identity)
+	sortByPriority(c.Send, identity)
+	return c
+}
+
+// knownRefusal reports whether fetching v would only reject it once more. A
+// document that is held back is fetched when the peer accepted it without a
+// conflict of its own start.
+func (s *State) knownRefusal(v Version) bool {
+	if held := s.pending[v.Key]; held != nil && held.Digest == v.Digest {
+		return v.Unconfirmed
+	}
+	return s.refusals.known(v.Key, v.Version, v.Digest)
+}
+
+// Values returns the accepted values of keys, in the order in which they are
+// sent, up to the size of one message.
+func (s *State) Values(keys []string) []Value {
+	ordered := slices.Clone(keys)
+	sortByPriority(ordered, identity)
+	ordered = slices.Compact(ordered)
+	var values []Value
+	size := 0
+	for _, key := range ordered {
+		e := s.values[key]
+		if e == nil {
+			continue
+		}
+		size += encodedSize(e.Value)
+		if len(values) > 0 && size > s.cfg.MaxMessage {
+			break
+		}
+		values = append(values, e.Value)
+	}
+	return values
+}
+
+// valueOverhead bounds the JSON encoding of a value without its content.
+const valueOverhead = 256
+
+// encodedSize bounds the size of a value in a message, where base64 turns
+// three bytes into four.
+func encodedSize(v Value) int { return valueOverhead + (len(v.Raw)+2)/3*4 }
+
+// Push is one message of newly accepted values and its receivers.
+type Push struct {
+	To     []string
+	Values []Value
+}
+
+// pushQueue holds the keys of values that wait to be pushed.
+type pushQueue struct {
+	keys map[string]bool
+	rand *rand.Rand
+}
+
+func newPushQueue(seed uint64) pushQueue {
+	return pushQueue{keys: map[string]bool{}, rand: rand.New(rand.NewPCG(seed, seed))}
+}
+
+func (q *pushQueue) add(key string) { q.keys[key] = true }
+
+// TakePushes returns the pushes of the values accepted since the last call,
+// in the order in which they are sent. Data centre state goes to every host
+// of group before everything else; the other values, and data centre state
+// too, go to random hosts of peers. Neither list contains this host.
+func (s *State) TakePushes(group, peers []string) []Push {
+	keys := sortedKeys(s.pushes.keys)
+	s.pushes.keys = map[string]bool{}
+	sortByPriority(keys, identity)
+	var pushes []Push
+	if len(keys) > 0 && priority(keys[0]) == 0 {
+		to := append(slices.Clone(group), s.pushes.pick(peers, s.cfg.Fanout)...)
+		pushes = appendPush(pushes, unique(to), s.Values(keys[:1]))
+		keys = keys[1:]
+	}
+	to := s.pushes.pick(peers, s.cfg.Fanout)
+	for len(keys) > 0 {
+		values := s.Values(keys)
+		pushes = appendPush(pushes, to, values)
+		keys = keys[len(values):]
+	}
+	return pushes
+}
+
+func appendPush(pushes []Push, to []string, values []Value) []Push {
+	if len(to) == 0 || len(values) == 0 {
+		return pushes
+	}
+	return append(pushes, Push{To: to, Values: values})
+}
+
+// pick returns n random hosts of peers.
+func (q *pushQueue) pick(peers []string, n int) []string {
+	picked := slices.Clone(peers)
+	q.rand.Shuffle(len(picked), func(i, j int) { picked[i], picked[j] = picked[j], picked[i] })
+	return picked[:min(n, len(picked))]
+}
+
+// unique removes repeated ids and keeps the order.
+func unique(ids []string) []string {
+	seen := make(map[string]bool, len(ids))
+	return slices.DeleteFunc(ids, func(id string) bool {
+		repeated := seen[id]
+		seen[id] = true
+		return repeated
+	})
+}
+
+// Readers returns the hosts of a data centre that keep a blocking read open
+// on the platform: the highest-ranked of its live hosts by rendezvous hash.
+func Readers(dataCentre string, live []string) []string {
+	ranked := slices.Clone(live)
+	rank := func(id string) uint64 { return xxhash.Sum64String(dataCentre + "\x00" + id) }
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a, b))
+	})
+	return ranked[:min(ReadersPerDataCentre, len(ranked))]
+}
+
+func identity(s string) string { return s }
--- /dev/null
+++ b/internal/configsync/index.go
@@ -0,0 +1,111 @@
+package configsync
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+)
+
+// partCount is the number of partial digests.
+const partCount = 256
+
+// Version names an accepted version without its content.
+type Version struct {
+	Key         string `json:"key"`
+	Version     uint64 `json:"version"`
+	Digest      uint64 `json:"digest"`
+	Unconfirmed bool   `json:"unconfirmed,omitempty"`
+}
+
+// index holds digests of the accepted versions, updated with each change. A
+// partial digest is the exclusive or of the digests of its versions, so the
+// order of changes does not matter.
+type index struct {
+	total    uint64
+	partials [partCount]uint64
+	keys     [partCount][]string // sorted
+}
+
+// partOf returns the partial digest that covers key.
+func partOf(key string) uint8 { return uint8(xxhash.Sum64String(key)) }
+
+// versionDigest covers the key, the version and the content of a value.
+func versionDigest(v Value) uint64 {
+	b := make([]byte, 16, 16+maxKeyBytes)
+	binary.BigEndian.PutUint64(b[0:], v.Version)
+	binary.BigEndian.PutUint64(b[8:], v.Digest)
+	return xxhash.Sum64(append(b, v.Key...))
+}
+
+func (x *index) add(v Value) {
+	part := partOf(v.Key)
+	x.toggle(part, v)
+	if i, found := slices.BinarySearch(x.keys[part], v.Key); !found {
+		x.keys[part] = slices.Insert(x.keys[part], i, v.Key)
+	}
+}
+
+func (x *index) remove(v Value) { x.toggle(partOf(v.Key), v) }
+
+func (x *index) toggle(part uint8, v Value) {
+	d := versionDigest(v)
+	x.total ^= d
+	x.partials[part] ^= d
+}
+
+// Summary returns a digest of all accepted versions, which probes carry.
+func (s *State) Summary() uint64 { return s.index.total }
+
+// Partial returns 256 digests, each of a part of the accepted versions.
+func (s *State) Partial() [256]uint64 { return s.index.partials }
+
+// Versions returns the accepted versions of the given parts.
+func (s *State) Versions(part []uint8) []Version {
+	var versions []Version
+	for _, p := range part {
+		for _, key := range s.index.keys[p] {
+			v := s.values[key].Value
+			versions = append(versions, Version{v.Key, v.Version, v.Digest, v.Unconfirmed})
+		}
+	}
+	sortByPriority(versions, func(v Version) string { return v.Key })
+	return versions
+}
+
+// DifferentParts returns the parts in which two sets of partial digests differ.
+func DifferentParts(a, b [256]uint64) []uint8 {
+	var parts []uint8
+	for i := range a {
+		if a[i] != b[i] {
+			parts = append(parts, uint8(i))
+		}
+	}
+	return parts
+}
+
+// priority orders keys for transfer: data centre state first, because packets
+// for a data centre that is taken out must end soonest, then the host list,
+// then services.
+func priority(key string) int {
+	switch key {
+	case document.DataCentresKey:
+		return 0
+	case document.HostsKey:
+		return 1
+	default:
+		return 2
+	}
+}
+
+func sortByPriority[T any](list []T, key func(T) string) {
+	slices.SortFunc(list, func(a, b T) int {
+		if d := priority(key(a)) - priority(key(b)); d != 0 {
+			return d
+		}
+		return strings.Compare(key(a), key(b))
+	})
+}
--- /dev/null
+++ b/internal/configsync/state.go
@@ -0,0 +1,256 @@
+// Package configsync holds the accepted versions of the platform's values and
+// decides how entry hosts compare and exchange them. It does no I/O and reads
+// no clock; one goroutine owns a State.
+package configsync
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+)
+
+// Config configures a State.
+type Config struct {
+	// Fanout is the number of random peers that a newly accepted value is
+	// pushed to. Default 4.
+	Fanout int
+	// MaxRefusals bounds the records of rejections. Default 64.
+	MaxRefusals int
+	// MaxMessage bounds the encoded size of the values in one message.
+	// Default 1.5 MiB, which leaves room below the peers' limit of 2 MB.
+	MaxMessage int
+	// Seed selects the random peers of pushes.
+	Seed uint64
+}
+
+// Defaults of Config.
+const (
+	DefaultFanout      = 4
+	DefaultMaxRefusals = 64
+	DefaultMaxMessage  = 3 << 19
+)
+
+// Source says where a value came from. The zero value is the platform.
+type Source struct {
+	// Peer is the id of the entry host that sent the value.
+	Peer string
+	// Unconfirmed is set when that host accepted the value at its start
+	// although it conflicts with another one.
+	Unconfirmed bool
+}
+
+// Platform is the source of values read from the platform.
+var Platform = Source{}
+
+// FromPeer returns the source of a value that an entry host sent.
+func FromPeer(id string, v Value) Source {
+	return Source{Peer: id, Unconfirmed: v.Unconfirmed}
+}
+
+// String names the source in records and logs.
+func (s Source) String() string {
+	if s.Peer == "" {
+		return "platform"
+	}
+	return s.Peer
+}
+
+// Refusal is the reason why a value is rejected.
+type Refusal string
+
+// Reasons of rejections. RefusalNone is the reason of accepted values and of
+// values that are in effect already.
+const (
+	RefusalNone            Refusal = ""
+	RefusalMalformed       Refusal = "malformed"
+	RefusalUnknownField    Refusal = "unknown_field"
+	RefusalInvalidValue    Refusal = "invalid_value"
+	RefusalOlderVersion    Refusal = "older_version"
+	RefusalSameVersion     Refusal = "same_version_different_content"
+	RefusalAddressConflict Refusal = "address_conflict"
+	RefusalTooLarge        Refusal = "too_large"
+)
+
+// Result is the outcome of an Offer.
+type Result struct {
+	Accepted bool
+	Refusal  Refusal
+	// Err states every fault of a rejected value.
+	Err error
+	// Push is set when values wait to be pushed to peers.
+	Push bool
+	// Keys are the keys whose values changed: the offered one and those
+	// that an address conflict had held back.
+	Keys []string
+}
+
+// Value is an accepted value, as it is sent to peers.
+type Value struct {
+	Key         string `json:"key"`
+	Version     uint64 `json:"version"`
+	Digest      uint64 `json:"digest"`
+	Raw         []byte `json:"raw"`
+	Unconfirmed bool   `json:"unconfirmed,omitempty"`
+}
+
+// Accepted holds the values in effect. It is immutable.
+type Accepted struct {
+	Services    map[string]*document.Service
+	DataCentres *document.DataCentres // nil until the first one is accepted
+	Hosts       *document.HostList    // nil until the first one is accepted
+	// Conflicted holds the addresses that several accepted services claim.
+	// No service sends to them until a newer version resolves the conflict.
+	Conflicted map[netip.AddrPort]bool
+}
+
+// entry is an accepted or a pending value.
+type entry struct {
+	Value
+	parsed   parsed
+	fromPeer bool
+}
+
+// State holds the accepted values.
+type State struct {
+	cfg      Config
+	starting bool
+	values   map[string]*entry
+	// pending holds, by key, the newest document that is held back because
+	// it claims an address of another service.
+	pending map[string]*entry
+	// claims holds, by address, the keys of the accepted documents that
+	// claim it.
+	claims    map[netip.AddrPort][]string
+	index     index
+	refusals  refusals
+	pushes    pushQueue
+	current   *Accepted
+	conflicts map[netip.AddrPort]bool
+}
+
+// New returns a State without values, in its start phase.
+func New(cfg Config) *State {
+	if cfg.Fanout <= 0 {
+		cfg.Fanout = DefaultFanout
+	}
+	if cfg.MaxRefusals <= 0 {
+		cfg.MaxRefusals = DefaultMaxRefusals
+	}
+	if cfg.MaxMessage <= 0 {
+		cfg.MaxMessage = DefaultMaxMessage
+	}
+	return &State{
+		cfg:       cfg,
+		starting:  true,
+		values:    map[string]*entry{},
+		pending:   map[string]*entry{},
+		claims:    map[netip.AddrPort][]string{},
+		conflicts: map[netip.AddrPort]bool{},
+		refusals:  newRefusals(cfg.MaxRefusals),
+		pushes:    newPushQueue(cfg.Seed),
+	}
+}
+
+// Started ends the start phase: the first values of the peers or of the
+// platform have been offered. From now on a document from the platform that
+// conflicts with an accepted one is rejected.
+func (s *State) Started() { s.starting = false }
+
+// Offer parses and checks a value that was read under key and accepts it when
+// it is newer than the one in effect.
+func (s *State) Offer(now time.Time, src Source, key string, raw []byte) Result {
+	if s.inEffect(key, raw) {
+		s.confirm(key, src)
+		return Result{}
+	}
+	p, err := parse(key, raw)
+	if err != nil {
+		return s.refuse(now, src, key, refusalOf(err), raw, 0, err)
+	}
+	e := &entry{
+		Value:    Value{Key: key, Version: p.version, Digest: document.Digest(raw), Raw: slices.Clone(raw)},
+		parsed:   p,
+		fromPeer: src.Peer != "",
+	}
+	if refusal, err := s.checkVersion(e); err != nil {
+		return s.refuse(now, src, key, refusal, raw, e.Version, err)
+	}
+	if conflicts := s.conflictsOf(e); len(conflicts) > 0 {
+		if !s.acceptsConflict(src, conflicts) {
+			return s.holdBack(now, src, e, conflicts)
+		}
+		e.Unconfirmed = src.Unconfirmed || src.Peer == ""
+	}
+	s.accept(e)
+	keys := append([]string{key}, s.settle()...)
+	return Result{Accepted: true, Push: true, Keys: keys}
+}
+
+// inEffect reports whether raw is the accepted value of key. Most reads of
+// the platform return values that are in effect, so they are not parsed.
+func (s *State) inEffect(key string, raw []byte) bool {
+	e := s.values[key]
+	return e != nil && len(raw) == len(e.Raw) && document.Digest(raw) == e.Digest
+}
+
+// confirm records that a peer accepted the value without a conflict.
+func (s *State) confirm(key string, src Source) {
+	if src.Peer != "" && !src.Unconfirmed {
+		s.values[key].Unconfirmed = false
+		s.values[key].fromPeer = true
+	}
+}
+
+// Current returns the values in effect.
+func (s *State) Current() *Accepted {
+	if s.current != nil {
+		return s.current
+	}
+	a := &Accepted{
+		Services:   make(map[string]*document.Service, len(s.values)),
+		Conflicted: make(map[netip.AddrPort]bool, len(s.conflicts)),
+	}
+	for _, e := range s.values {
+		switch {
+		case e.parsed.service != nil:
+			a.Services[e.parsed.service.Name] = e.parsed.service
+		case e.parsed.dataCentres != nil:
+			a.DataCentres = e.parsed.dataCentres
+		case e.parsed.hosts != nil:
+			a.Hosts = e.parsed.hosts
+		}
+	}
+	for addr := range s.conflicts {
+		a.Conflicted[addr] = true
+	}
+	s.current = a
+	return a
+}
+
+// Get returns the accepted value of key.
+func (s *State) Get(key string) (Value, bool) {
+	e := s.values[key]
+	if e == nil {
+		return Value{}, false
+	}
+	return e.Value, true
+}
+
+// accept puts e into effect in place of the older value of its key.
+func (s *State) accept(e *entry) {
+	if old := s.values[e.Key]; old != nil {
+		s.index.remove(old.Value)
+		s.releaseClaims(old)
+	}
+	if held := s.pending[e.Key]; held != nil && held.Version <= e.Version {
+		delete(s.pending, e.Key)
+	}
+	s.values[e.Key] = e
+	s.index.add(e.Value)
+	s.addClaims(e)
+	s.refusals.resolve(e.Key, e.Version)
+	s.pushes.add(e.Key)
+	s.current = nil
+}
--- a/internal/document/duration.go
+++ b/internal/document/duration.go
@@ -26,3 +26,6 @@
 
 // Std returns the duration as a time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// AllowedText describes the accepted form in error messages.
+func (Duration) AllowedText() string { return "a duration with a unit, such as 5s or 10m" }
