membership, peer: exported interfaces and the main path

Cause: the daemon needs the live entry hosts and calls between them. Change: add a pure membership state machine (SWIM with boot ids) and a pool of authenticated JSON-RPC connections with sealed probe datagrams.

--- /dev/null
+++ b/internal/membership/state.go
@@ -0,0 +1,395 @@
+package membership
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+)
+
+// maxRelays bounds the indirect probes that run for other hosts at a time.
+const maxRelays = 64
+
+// maxGoodbyes is the number of hosts told directly that this host leaves.
+const maxGoodbyes = 8
+
+// State is the membership as one host sees it. It is not safe for concurrent
+// use.
+type State struct {
+	cfg         Config
+	rng         *rand.Rand
+	incarnation uint64
+	leaving     bool
+	superseded  bool
+	digest      uint64
+	seq         uint64
+
+	members  map[string]*member // listed hosts other than this one
+	listed   bool               // a list has been given
+	self     *document.Host     // this host's entry in the list, nil when not listed
+	round    []string           // hosts still to be probed in this round
+	probes   map[uint64]*probe
+	suspects map[string]time.Time // when each suspect is declared dead
+	updates  queue
+
+	lastTick  time.Time
+	nextProbe time.Time
+}
+
+type member struct {
+	host        document.Host
+	boot        uint64
+	incarnation uint64
+	status      Status // Alive, Suspect or Dead
+	leaving     bool
+	// joined is set when the host was listed after the first list. News of such
+	// a host is spread when it is first heard of. For the hosts of the first
+	// list that would spread one update per listed host after every restart.
+	joined bool
+}
+
+// probe is a probe without an answer yet, started by this host or on request.
+type probe struct {
+	target   string
+	deadline time.Time
+	indirect bool    // other hosts have been asked
+	relayFor *Sender // set when another host asked for this probe
+	relaySeq uint64
+}
+
+// New returns a State without listed hosts.
+func New(cfg Config, now time.Time) *State {
+	cfg.setDefaults()
+	return &State{
+		cfg:       cfg,
+		rng:       rand.New(rand.NewPCG(cfg.Seed, cfg.Boot)),
+		members:   make(map[string]*member),
+		probes:    make(map[uint64]*probe),
+		suspects:  make(map[string]time.Time),
+		updates:   queue{byID: make(map[string]*queued)},
+		lastTick:  now,
+		nextProbe: now,
+	}
+}
+
+// SetDigest sets the configuration digest that messages carry.
+func (s *State) SetDigest(digest uint64) { s.digest = digest }
+
+// SetListed replaces the list of hosts. Hosts that stay keep their state.
+func (s *State) SetListed(now time.Time, hosts []document.Host) []Outcome {
+	if len(hosts) == 0 && (len(s.members) > 0 || s.self != nil) {
+		return []Outcome{ListRejected{}}
+	}
+	before := s.Members()
+	old := s.members
+	s.members = make(map[string]*member, len(hosts))
+	s.self = nil
+	for _, h := range hosts {
+		if h.ID == s.cfg.Self.ID {
+			s.self = &h
+			continue
+		}
+		m := old[h.ID]
+		if m == nil {
+			m = &member{joined: s.listed}
+		}
+		m.host = h
+		s.members[h.ID] = m
+	}
+	for id := range old {
+		if s.members[id] == nil {
+			s.updates.remove(id)
+			delete(s.suspects, id)
+		}
+	}
+	s.dropProbesOfUnlisted()
+	s.round = nil
+	s.listed = true
+	if !slices.Equal(before, s.Members()) {
+		return []Outcome{Changed{}}
+	}
+	return nil
+}
+
+func (s *State) dropProbesOfUnlisted() {
+	for seq, p := range s.probes {
+		if s.members[p.target] == nil {
+			delete(s.probes, seq)
+		}
+	}
+}
+
+// Members returns the listed hosts, sorted by id. This host is included when it
+// is listed.
+func (s *State) Members() []Member {
+	out := make([]Member, 0, len(s.members)+1)
+	for _, m := range s.members {
+		out = append(out, m.export())
+	}
+	if s.self != nil {
+		out = append(out, s.selfMember())
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Host.ID < out[j].Host.ID })
+	return out
+}
+
+func (s *State) selfMember() Member {
+	m := member{host: *s.self, boot: s.cfg.Boot, incarnation: s.incarnation, leaving: s.leaving}
+	return m.export()
+}
+
+func (m *member) export() Member {
+	status := m.status
+	if status != Dead && (m.leaving || m.host.State == document.HostLeaving) {
+		status = Leaving
+	}
+	return Member{Host: m.host, Status: status, Incarnation: m.incarnation, Boot: m.boot}
+}
+
+// Majority reports whether more than half of the listed hosts that are neither
+// leaving nor in an excluded data centre are known to be alive. Suspect hosts
+// and hosts of which nothing has been heard do not count as alive. It is false
+// when no host counts.
+func (s *State) Majority(excluded []string) bool {
+	total, alive := 0, 0
+	for _, m := range s.members {
+		e := m.export()
+		count(&e, excluded, &total, &alive)
+	}
+	if s.self != nil && !s.superseded {
+		e := s.selfMember()
+		count(&e, excluded, &total, &alive)
+	}
+	return 2*alive > total
+}
+
+func count(m *Member, excluded []string, total, alive *int) {
+	if m.Status == Leaving || slices.Contains(excluded, m.Host.DataCentre) {
+		return
+	}
+	*total++
+	if m.Status == Alive && m.Confirmed() {
+		*alive++
+	}
+}
+
+// Updates returns what this host knows of every host, for a host that has just
+// started. With thousands of hosts, one round of probes takes many minutes.
+func (s *State) Updates() []Update {
+	out := []Update{{ID: s.cfg.Self.ID, Boot: s.cfg.Boot, Incarnation: s.incarnation, Leaving: s.leaving}}
+	for _, m := range s.members {
+		if m.boot != 0 {
+			out = append(out, m.update())
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Merge takes over the Updates of another host.
+func (s *State) Merge(now time.Time, updates []Update) []Outcome {
+	var out []Outcome
+	for _, u := range updates {
+		out = s.apply(now, u, out)
+	}
+	return dedupChanged(out)
+}
+
+// Leave marks this host as leaving, which is final, and tells other hosts.
+func (s *State) Leave(now time.Time) []Outcome {
+	if s.leaving {
+		return nil
+	}
+	s.leaving = true
+	s.incarnation++
+	out := []Outcome{Changed{}}
+	ids := s.candidates("")
+	for _, id := range ids[:min(len(ids), maxGoodbyes)] {
+		out = append(out, s.startProbe(now, id, probe{}))
+	}
+	return out
+}
+
+// NextTick returns the time at which Tick has something to do.
+func (s *State) NextTick() time.Time {
+	next := s.nextProbe
+	for _, p := range s.probes {
+		if p.deadline.Before(next) {
+			next = p.deadline
+		}
+	}
+	for _, t := range s.suspects {
+		if t.Before(next) {
+			next = t
+		}
+	}
+	return next
+}
+
+// Tick advances time. It must be called more often than PauseLimit.
+func (s *State) Tick(now time.Time) []Outcome {
+	var out []Outcome
+	gap := now.Sub(s.lastTick)
+	s.lastTick = now
+	if gap > s.cfg.PauseLimit {
+		out = append(out, Paused{Gap: gap})
+		s.resume(now)
+	}
+	out = s.expireProbes(now, out)
+	out = s.expireSuspects(now, out)
+	if !now.Before(s.nextProbe) {
+		s.nextProbe = s.nextProbe.Add(s.cfg.ProbeInterval)
+		if !s.nextProbe.After(now) {
+			s.nextProbe = now.Add(s.cfg.ProbeInterval)
+		}
+		if id, ok := s.nextTarget(); ok {
+			out = append(out, s.startProbe(now, id, probe{}))
+		}
+	}
+	return out
+}
+
+// resume discards what was pending during a pause: answers may have been lost
+// while this host did not read them, so they are no evidence about others.
+func (s *State) resume(now time.Time) {
+	clear(s.probes)
+	for id := range s.suspects {
+		s.suspects[id] = now.Add(s.cfg.SuspectFor)
+	}
+	s.nextProbe = now
+}
+
+func (s *State) nextTarget() (string, bool) {
+	if len(s.round) == 0 {
+		s.round = s.candidates("")
+		for id := range s.members {
+			if s.members[id].status == Dead {
+				s.round = append(s.round, id)
+			}
+		}
+		slices.Sort(s.round)
+		s.shuffle(s.round)
+	}
+	if len(s.round) == 0 {
+		return "", false
+	}
+	id := s.round[len(s.round)-1]
+	s.round = s.round[:len(s.round)-1]
+	return id, true
+}
+
+// candidates returns the hosts that are not dead, shuffled, without skip.
+func (s *State) candidates(skip string) []string {
+	ids := make([]string, 0, len(s.members))
+	for id, m := range s.members {
+		if id != skip && m.status != Dead {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	s.shuffle(ids)
+	return ids
+}
+
+func (s *State) shuffle(ids []string) {
+	s.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+}
+
+func (s *State) startProbe(now time.Time, id string, p probe) Send {
+	s.seq++
+	p.target = id
+	p.deadline = now.Add(s.cfg.ProbeTimeout)
+	s.probes[s.seq] = &p
+	return s.send(id, s.members[id].host.PeerAddr(), Message{Kind: Probe, Seq: s.seq})
+}
+
+// send completes a message with this host's state and with updates. What this
+// host believes about the receiver always comes first when it is not Alive, so
+// that the receiver can refute it in its next message.
+func (s *State) send(to string, addr netip.AddrPort, m Message) Send {
+	m.Incarnation = s.incarnation
+	m.Leaving = s.leaving
+	m.Digest = s.digest
+	if r := s.members[to]; r != nil && r.status != Alive {
+		m.Updates = append(m.Updates, r.update())
+	}
+	if t := s.members[m.Target]; t != nil {
+		m.Updates = append(m.Updates, t.update())
+	}
+	for _, id := range s.updates.take(MaxUpdates-len(m.Updates), s.transmissions(), to) {
+		m.Updates = append(m.Updates, s.members[id].update())
+	}
+	return Send{To: to, Addr: addr, Message: m}
+}
+
+// transmissions is the number of times an update is piggybacked: three times
+// the binary logarithm of the number of hosts.
+func (s *State) transmissions() int {
+	return 3 * max(1, bits.Len(uint(len(s.members))))
+}
+
+func (m *member) update() Update {
+	return Update{ID: m.host.ID, Boot: m.boot, Incarnation: m.incarnation, Status: m.status, Leaving: m.leaving}
+}
+
+func (s *State) expireProbes(now time.Time, out []Outcome) []Outcome {
+	for _, seq := range s.expired(now) {
+		p := s.probes[seq]
+		m := s.members[p.target]
+		switch {
+		case p.relayFor != nil || m.status != Alive:
+			delete(s.probes, seq)
+		case !p.indirect:
+			p.indirect = true
+			p.deadline = now.Add(2 * s.cfg.ProbeTimeout)
+			out = s.requestProbes(seq, p, out)
+		default:
+			delete(s.probes, seq)
+			out = s.apply(now, Update{
+				ID: p.target, Boot: m.boot, Incarnation: m.incarnation, Status: Suspect, Leaving: m.leaving,
+			}, out)
+			out = append(out, s.startProbe(now, p.target, probe{}))
+		}
+	}
+	return out
+}
+
+func (s *State) expired(now time.Time) []uint64 {
+	var seqs []uint64
+	for seq, p := range s.probes {
+		if !now.Before(p.deadline) {
+			seqs = append(seqs, seq)
+		}
+	}
+	slices.Sort(seqs)
+	return seqs
+}
+
+func (s *State) requestProbes(seq uint64, p *probe, out []Outcome) []Outcome {
+	helpers := s.candidates(p.target)
+	for _, id := range helpers[:min(len(helpers), s.cfg.IndirectProbes)] {
+		addr := s.members[id].host.PeerAddr()
+		out = append(out, s.send(id, addr, Message{Kind: Request, Seq: seq, Target: p.target}))
+	}
+	return out
+}
+
+func (s *State) expireSuspects(now time.Time, out []Outcome) []Outcome {
+	var ids []string
+	for id, deadline := range s.suspects {
+		if !now.Before(deadline) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		u := s.members[id].update()
+		u.Status = Dead
+		out = s.apply(now, u, out)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peer/counters.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	directionIn  = "in"
+	directionOut = "out"
+
+	reasonUnlisted = "unlisted"
+	reasonDial     = "dial_failed"
+)
+
+// counters names the metrics of this package.
+type counters struct{ set *metrics.Set }
+
+func (c counters) inc(format string, labels ...any) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("nutmeglatch_peer_"+format, labels...)).Inc()
+}
+
+func (c counters) call(outcome string) { c.inc("calls_total{outcome=%q}", outcome) }
+
+func (c counters) retry(reason string) { c.inc("call_retries_total{reason=%q}", reason) }
+
+func (c counters) closed(direction, reason string) {
+	c.inc("connections_closed_total{direction=%q,reason=%q}", direction, reason)
+}
+
+func (c counters) refused(direction, reason string) {
+	c.inc("connections_refused_total{direction=%q,reason=%q}", direction, reason)
+}
+
+func (c counters) request(reason string) { c.inc("requests_refused_total{reason=%q}", reason) }
+
+func handshakeReason(err error) string {
+	switch {
+	case errors.Is(err, errMAC):
+		return "wrong_key"
+	case errors.Is(err, ErrUnlisted):
+		return reasonUnlisted
+	case errors.Is(err, errWrongHost):
+		return "wrong_host"
+	case errors.Is(err, errHandshake):
+		return "malformed"
+	case errors.Is(err, errFrameSize):
+		return "too_large"
+	default:
+		return "handshake_incomplete"
+	}
+}
+
+// datagramReasons are the counter labels of refused datagrams.
+var datagramReasons = []struct {
+	err    error
+	reason string
+}{
+	{ErrShort, "truncated"},
+	{ErrLong, "too_large"},
+	{ErrVersion, "unknown_version"},
+	{ErrSender, "invalid_sender"},
+	{ErrTag, "wrong_tag"},
+	{ErrReplay, "replayed"},
+	{ErrOld, "too_old"},
+	{ErrOldBoot, "old_boot"},
+	{ErrUnlisted, reasonUnlisted},
+}
+
+// CountRefusedDatagram counts a datagram that was refused with err.
+func CountRefusedDatagram(set *metrics.Set, err error) {
+	reason := "malformed"
+	for _, r := range datagramReasons {
+		if errors.Is(err, r.err) {
+			reason = r.reason
+		}
+	}
+	counters{set}.inc("datagrams_refused_total{reason=%q}", reason)
+}
--- /dev/null
+++ b/internal/peer/datagram.go
@@ -0,0 +1,164 @@
+package peer
+
+import (
+	"encoding/binary"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/dchest/siphash"
+)
+
+// DatagramVersion is the first byte of a sealed datagram. Forwarded packets,
+// which arrive on the same port, start with 0x01.
+const DatagramVersion = 0x02
+
+// Sizes of sealed datagrams.
+const (
+	MaxDatagram  = 1200
+	MaxIDBytes   = 64
+	tagBytes     = 8
+	fixedBytes   = 1 + 1 + 8 + 8 // version, id length, boot, sequence
+	windowLength = 64
+)
+
+// Reasons for which a datagram is refused.
+var (
+	ErrShort    = errors.New("datagram is truncated")
+	ErrLong     = errors.New("datagram is longer than 1200 bytes")
+	ErrVersion  = errors.New("datagram has an unknown version")
+	ErrSender   = errors.New("datagram has an invalid sender id")
+	ErrTag      = errors.New("datagram has a wrong tag")
+	ErrReplay   = errors.New("datagram was received before")
+	ErrOld      = errors.New("datagram is older than the replay window")
+	ErrOldBoot  = errors.New("datagram is of a replaced process")
+	ErrUnlisted = errors.New("sender is not on the list of hosts")
+)
+
+// Datagram is an authenticated datagram. Body shares memory with the input.
+type Datagram struct {
+	From string
+	Boot uint64
+	Seq  uint64
+	Body []byte
+}
+
+// SealDatagram appends a datagram with the body to dst. The layout is: version,
+// id length, id, boot, sequence, body, SipHash-2-4 tag over all of it.
+func SealDatagram(dst []byte, key *[16]byte, from string, boot, seq uint64, body []byte) []byte {
+	start := len(dst)
+	dst = append(dst, DatagramVersion, byte(len(from)))
+	dst = append(dst, from...)
+	dst = binary.BigEndian.AppendUint64(dst, boot)
+	dst = binary.BigEndian.AppendUint64(dst, seq)
+	dst = append(dst, body...)
+	return binary.BigEndian.AppendUint64(dst, tag(key, dst[start:]))
+}
+
+// OpenDatagram checks the tag of a datagram and returns its content. Replays
+// are found by a ReplayFilter.
+func OpenDatagram(b []byte, key *[16]byte) (Datagram, error) {
+	if len(b) > MaxDatagram {
+		return Datagram{}, ErrLong
+	}
+	if len(b) < fixedBytes+tagBytes {
+		return Datagram{}, ErrShort
+	}
+	if b[0] != DatagramVersion {
+		return Datagram{}, ErrVersion
+	}
+	idLen := int(b[1])
+	if idLen == 0 || idLen > MaxIDBytes {
+		return Datagram{}, ErrSender
+	}
+	if len(b) < fixedBytes+idLen+tagBytes {
+		return Datagram{}, ErrShort
+	}
+	signed := b[:len(b)-tagBytes]
+	if binary.BigEndian.Uint64(b[len(signed):]) != tag(key, signed) {
+		return Datagram{}, ErrTag
+	}
+	rest := signed[2+idLen:]
+	return Datagram{
+		From: string(signed[2 : 2+idLen]),
+		Boot: binary.BigEndian.Uint64(rest),
+		Seq:  binary.BigEndian.Uint64(rest[8:]),
+		Body: rest[16:],
+	}, nil
+}
+
+func tag(key *[16]byte, b []byte) uint64 {
+	k0 := binary.LittleEndian.Uint64(key[:8])
+	k1 := binary.LittleEndian.Uint64(key[8:])
+	return siphash.Hash(k0, k1, b)
+}
+
+// ReplayFilter refuses datagrams that were received before. It keeps a window
+// of 64 sequence numbers for the newest two boots of each sender: the older one
+// lets a process that was replaced learn of it.
+type ReplayFilter struct {
+	mu      sync.Mutex
+	senders map[string]*[2]window // newest boot first
+}
+
+// NewReplayFilter returns an empty filter.
+func NewReplayFilter() *ReplayFilter {
+	return &ReplayFilter{senders: make(map[string]*[2]window)}
+}
+
+// Accept records the datagram, or returns ErrReplay, ErrOld or ErrOldBoot.
+func (f *ReplayFilter) Accept(d *Datagram) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.senders[d.From]
+	if w == nil {
+		w = new([2]window)
+		f.senders[d.From] = w
+	}
+	if d.Boot > w[0].boot {
+		w[1] = w[0]
+		w[0] = window{boot: d.Boot}
+	}
+	for i := range w {
+		if w[i].boot == d.Boot {
+			return w[i].accept(d.Seq)
+		}
+	}
+	return ErrOldBoot
+}
+
+// Retain forgets the senders that are not listed.
+func (f *ReplayFilter) Retain(listed func(id string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id := range f.senders {
+		if !listed(id) {
+			delete(f.senders, id)
+		}
+	}
+}
+
+// window records which of the last 64 sequence numbers up to last were seen;
+// bit i stands for last-i.
+type window struct {
+	boot uint64
+	last uint64
+	seen uint64
+}
+
+func (w *window) accept(seq uint64) error {
+	if seq > w.last {
+		w.seen <<= seq - w.last
+		w.seen |= 1
+		w.last = seq
+		return nil
+	}
+	age := w.last - seq
+	if age >= windowLength {
+		return ErrOld
+	}
+	if w.seen&(1<<age) != 0 {
+		return ErrReplay
+	}
+	w.seen |= 1 << age
+	return nil
+}
--- /dev/null
+++ b/internal/peer/outgoing.go
@@ -0,0 +1,170 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// pingMethod is the method of heartbeats. The handler does not see it.
+const pingMethod = "peer.ping"
+
+// errConnClosed is an ErrNotSent: the connection ended before the call.
+var errConnClosed = errors.New("connection is closed")
+
+// outgoing is a connection that this host dialled, used for its calls.
+type outgoing struct {
+	pool   *Pool
+	host   string
+	addr   netip.AddrPort
+	stream *stream
+	rpc    *jsonrpc2.Conn
+
+	sending  chan struct{} // serialises requests, see send
+	calls    atomic.Int64  // calls in progress
+	lastCall atomic.Int64  // Unix time in nanoseconds
+	once     sync.Once
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+func (p *Pool) newOutgoing(host string, addr netip.AddrPort, conn net.Conn) (*outgoing, error) {
+	o := &outgoing{
+		pool:    p,
+		host:    host,
+		addr:    addr,
+		sending: make(chan struct{}, 1),
+		stream:  newStream(conn, &p.cfg),
+	}
+	o.touch()
+	o.ctx, o.cancel = context.WithCancel(p.ctx)
+	o.rpc = jsonrpc2.NewConn(o.ctx, o.stream, refuseRequests{o}, jsonrpc2.SetLogger(rpcLogger{p.log}))
+	close(o.stream.ready)
+	if !p.start(o.keepAlive) {
+		o.close("pool_closed")
+		return nil, errClosed
+	}
+	return o, nil
+}
+
+func (o *outgoing) touch() { o.lastCall.Store(time.Now().UnixNano()) }
+
+func (o *outgoing) isClosed() bool {
+	select {
+	case <-o.rpc.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
+// close closes the connection and counts the first reason given.
+func (o *outgoing) close(reason string) {
+	o.once.Do(func() {
+		o.pool.count.closed(directionOut, reason)
+		o.pool.log.Log("msg", "connection closed", "direction", directionOut, "host", o.host, "reason", reason)
+	})
+	o.cancel()
+	o.rpc.Close()
+}
+
+// keepAlive sends heartbeats and closes the connection when one is not answered
+// or when there have been no calls for IdleTimeout.
+func (o *outgoing) keepAlive() {
+	ticker := time.NewTicker(o.pool.cfg.Heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-o.pool.ctx.Done():
+			o.close("pool_closed")
+			return
+		case <-o.rpc.DisconnectNotify():
+			o.close(o.stream.failure())
+			return
+		case <-ticker.C:
+		}
+		idle := time.Since(time.Unix(0, o.lastCall.Load()))
+		if o.calls.Load() == 0 && idle >= o.pool.cfg.IdleTimeout {
+			o.close("idle")
+			return
+		}
+		if err := o.ping(); err != nil {
+			o.close("heartbeat_missed")
+			return
+		}
+	}
+}
+
+func (o *outgoing) ping() error {
+	ctx, cancel := context.WithTimeout(o.ctx, o.pool.cfg.HeartbeatTimeout)
+	defer cancel()
+	waiter, err := o.send(ctx, pingMethod, nil)
+	if err != nil {
+		return err
+	}
+	return waiter.Wait(ctx, nil)
+}
+
+// send writes one request. The error matches ErrNotSent if and only if no byte
+// was passed to the connection; requests are written one at a time so that the
+// stream's flag belongs to this request.
+func (o *outgoing) send(ctx context.Context, method string, params any) (jsonrpc2.Waiter, error) {
+	select {
+	case o.sending <- struct{}{}:
+	case <-ctx.Done():
+		return jsonrpc2.Waiter{}, errors.Mark(ctx.Err(), ErrNotSent)
+	}
+	defer func() { <-o.sending }()
+	o.stream.written.Store(false)
+	waiter, err := o.rpc.DispatchCall(ctx, method, params)
+	if err == nil || o.stream.written.Load() {
+		return waiter, mark(err, ErrUnknown)
+	}
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		err = errConnClosed
+	}
+	return waiter, errors.Mark(err, ErrNotSent)
+}
+
+func mark(err, kind error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Mark(err, kind)
+}
+
+func (o *outgoing) call(ctx context.Context, method string, params, result any) error {
+	o.calls.Add(1)
+	defer o.calls.Add(-1)
+	defer o.touch()
+	waiter, err := o.send(ctx, method, params)
+	if err != nil {
+		return errors.Wrapf(err, "call to %s", o.host)
+	}
+	var raw json.RawMessage
+	err = waiter.Wait(ctx, &raw)
+	var remote *jsonrpc2.Error
+	if errors.As(err, &remote) {
+		return &RemoteError{Code: remote.Code, Message: remote.Message}
+	}
+	if err == nil && result != nil {
+		err = json.Unmarshal(raw, result)
+	}
+	return mark(errors.Wrapf(err, "call to %s", o.host), ErrUnknown)
+}
+
+// refuseRequests closes a connection on which the called host sends requests:
+// each host makes its calls on connections that it dialled.
+type refuseRequests struct{ conn *outgoing }
+
+// Handle implements jsonrpc2.Handler.
+func (r refuseRequests) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {
+	r.conn.close("unexpected_request")
+}
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,212 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+)
+
+var errClosed = errors.New("pool is closed")
+
+// Pool holds the connections to and from other entry hosts.
+type Pool struct {
+	cfg     Config
+	lookup  func(id string) (netip.AddrPort, bool)
+	handler Handler
+	log     log.Logger
+	count   counters
+
+	ctx    context.Context // ends when the pool is closed
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+
+	mu       sync.Mutex
+	closed   bool
+	peers    map[string]*remote
+	incoming map[string]*incoming
+}
+
+// remote is a host that is called. The slot serialises dialling.
+type remote struct {
+	slot chan struct{}
+	conn *outgoing // guarded by slot
+}
+
+// NewPool returns a pool. lookup returns the address of a listed host, and
+// false for a host that is not listed; it is called concurrently.
+func NewPool(cfg Config, lookup func(id string) (netip.AddrPort, bool), handler Handler) *Pool {
+	cfg.setDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Pool{
+		cfg:      cfg,
+		lookup:   lookup,
+		handler:  handler,
+		log:      log.With(cfg.Logger, "part", "peer"),
+		count:    counters{set: cfg.Metrics},
+		ctx:      ctx,
+		cancel:   cancel,
+		peers:    make(map[string]*remote),
+		incoming: make(map[string]*incoming),
+	}
+}
+
+// start runs f in a goroutine that Close waits for. It reports false when the
+// pool is closed.
+func (p *Pool) start(f func()) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.tasks.Go(f)
+	return true
+}
+
+// Close closes all connections and waits for the requests in progress, whose
+// contexts end.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.cancel()
+	p.tasks.Wait()
+}
+
+// Call calls a method of another host. Without an earlier deadline in the
+// context the call ends after CallTimeout. See ErrNotSent, ErrUnknown and
+// RemoteError for the errors.
+func (p *Pool) Call(ctx context.Context, host, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.CallTimeout)
+	defer cancel()
+	for attempt := 1; ; attempt++ {
+		conn, err := p.connect(ctx, host)
+		if err != nil {
+			return p.countCall(errors.Mark(errors.Wrapf(err, "call to %s", host), ErrNotSent))
+		}
+		err = conn.call(ctx, method, params, result)
+		// The connection may have ended while it was not in use.
+		if errors.Is(err, errConnClosed) && attempt == 1 {
+			p.count.retry("connection_closed")
+			continue
+		}
+		return p.countCall(err)
+	}
+}
+
+func (p *Pool) countCall(err error) error {
+	var remote *RemoteError
+	switch {
+	case err == nil:
+		p.count.call("ok")
+	case errors.As(err, &remote):
+		p.count.call("remote_error")
+	case errors.Is(err, ErrNotSent):
+		p.count.call("not_sent")
+	default:
+		p.count.call("unknown")
+	}
+	return err
+}
+
+func (p *Pool) remote(host string) (*remote, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, errClosed
+	}
+	r := p.peers[host]
+	if r == nil {
+		r = &remote{slot: make(chan struct{}, 1)}
+		p.peers[host] = r
+	}
+	return r, nil
+}
+
+// connect returns the open connection to a host or opens one.
+func (p *Pool) connect(ctx context.Context, host string) (*outgoing, error) {
+	addr, listed := p.lookup(host)
+	if !listed {
+		p.count.refused(directionOut, reasonUnlisted)
+		p.forget(host)
+		return nil, ErrUnlisted
+	}
+	r, err := p.remote(host)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case r.slot <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-r.slot }()
+	if r.conn != nil && r.conn.addr == addr && !r.conn.isClosed() {
+		return r.conn, nil
+	}
+	if r.conn != nil {
+		r.conn.close("address_changed")
+		r.conn = nil
+	}
+	r.conn, err = p.dial(ctx, host, addr)
+	return r.conn, err
+}
+
+// forget drops a host that is no longer listed.
+func (p *Pool) forget(host string) {
+	p.mu.Lock()
+	r := p.peers[host]
+	delete(p.peers, host)
+	p.mu.Unlock()
+	if r == nil {
+		return
+	}
+	p.start(func() {
+		r.slot <- struct{}{}
+		if r.conn != nil {
+			r.conn.close(reasonUnlisted)
+		}
+		<-r.slot
+	})
+}
+
+func (p *Pool) dial(ctx context.Context, host string, addr netip.AddrPort) (*outgoing, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.HandshakeTimeout)
+	defer cancel()
+	conn, err := p.cfg.Dial(ctx, addr)
+	if err != nil {
+		p.count.refused(directionOut, reasonDial)
+		return nil, err
+	}
+	stop := closeWhenDone(ctx, conn)
+	err = dialHandshake(conn, p.cfg.Key, p.cfg.Self, host)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		conn.Close()
+		p.refuse(directionOut, host, err)
+		return nil, err
+	}
+	out, err := p.newOutgoing(host, addr, conn)
+	if err != nil {
+		conn.Close()
+	}
+	return out, err
+}
+
+// closeWhenDone closes the connection when the context ends before the returned
+// function is called, which then returns false.
+func closeWhenDone(ctx context.Context, conn net.Conn) func() bool {
+	return context.AfterFunc(ctx, func() { conn.Close() })
+}
+
+// refuse counts and logs a handshake that failed.
+func (p *Pool) refuse(direction, host string, err error) {
+	reason := handshakeReason(err)
+	p.count.refused(direction, reason)
+	p.log.Log("msg", "handshake failed", "direction", direction, "host", host, "reason", reason, "err", err)
+}
