--- /dev/null
+++ b/internal/health/message.go
@@ -0,0 +1,351 @@
+package health
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+// Method is the JSON-RPC method of messages between entry hosts.
+const Method = "health.report"
+
+// Bounds and estimates of messages.
+const (
+	MaxMessageBytes = 256 << 10
+	callOverhead    = 110 // JSON-RPC envelope, answer and packet headers of one call
+	refreshInterval = 30 * time.Second
+	remoteStale     = 2*refreshInterval + 5*time.Second
+)
+
+// Message is the body of health.report: what one host knows first hand about
+// backend servers of one service. Rows holds, for each backend server, its
+// index in address order, flags, and with flagKnown the instance, and with
+// flagCold the age of the cold start in milliseconds. Ages need no common
+// clock; a delay of the message makes the ramp start later, which is safe.
+type Message struct {
+	To      string   `json:"-"`
+	Service string   `json:"s"`
+	Epoch   uint32   `json:"e"` // digest of the backend server addresses
+	Seq     uint64   `json:"n"`
+	Rows    []uint64 `json:"r"`
+}
+
+// Flags of a row.
+const (
+	flagDraining = 1 << iota
+	flagShedding
+	flagForeign
+	flagKnown
+	flagCold
+	flagMask = 1<<iota - 1
+)
+
+// row is the decoded form of a message's row.
+type row struct {
+	flags    uint64
+	instance uint64
+	at       time.Time // receipt
+}
+
+// peer is the state of reports to and from one entry host.
+type peer struct {
+	sent     map[string]*sentReport // by service
+	received map[string]uint64      // newest sequence number by service
+}
+
+type sentReport struct {
+	seq       uint64
+	at        time.Time
+	digest    uint64 // of the rows without ages
+	delivered bool
+}
+
+// ParseMessage decodes and checks the body of a health.report.
+func ParseMessage(raw []byte) (Message, error) {
+	var m Message
+	if len(raw) > MaxMessageBytes {
+		return m, errors.Wrapf(ErrMalformed, "%d bytes, allowed %d", len(raw), MaxMessageBytes)
+	}
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return m, errors.Mark(errors.Wrap(err, "health report"), ErrMalformed)
+	}
+	if m.Service == "" || len(m.Service) > maxServiceName {
+		return m, errors.Wrapf(ErrMalformed, "service name of %d bytes, allowed 1 to %d", len(m.Service), maxServiceName)
+	}
+	return m, m.eachRow(func(uint64, uint64, uint64, time.Duration) {})
+}
+
+// eachRow visits the rows and reports the first fault. Rows before a fault
+// are visited, so callers check a message before they use it.
+func (m *Message) eachRow(visit func(index, flags, instance uint64, age time.Duration)) error {
+	rest := m.Rows
+	for len(rest) > 0 {
+		if len(rest) < 2 {
+			return errors.Wrap(ErrMalformed, "row without flags")
+		}
+		index, flags := rest[0], rest[1]
+		rest = rest[2:]
+		if flags&^flagMask != 0 {
+			return errors.Wrapf(ErrMalformed, "flags %#x, allowed %#x", flags, uint64(flagMask))
+		}
+		var instance, age uint64
+		for _, f := range []struct {
+			flag uint64
+			to   *uint64
+		}{{flagKnown, &instance}, {flagCold, &age}} {
+			if flags&f.flag == 0 {
+				continue
+			}
+			if len(rest) == 0 {
+				return errors.Wrap(ErrMalformed, "row is truncated")
+			}
+			*f.to, rest = rest[0], rest[1:]
+		}
+		if age > maxUptimeMillis {
+			return errors.Wrapf(ErrMalformed, "age of %d ms, allowed %d", age, int64(maxUptimeMillis))
+		}
+		visit(index, flags, instance, time.Duration(age)*time.Millisecond)
+	}
+	return nil
+}
+
+// setPeers forgets hosts that share no owner group with this host.
+func (s *State) setPeers() {
+	old := s.peers
+	s.peers = make(map[string]*peer, len(old))
+	for _, svc := range s.services {
+		for _, id := range svc.group {
+			if id == s.self || s.peers[id] != nil {
+				continue
+			}
+			p := old[id]
+			if p == nil {
+				p = &peer{sent: make(map[string]*sentReport), received: make(map[string]uint64)}
+			}
+			s.peers[id] = p
+		}
+	}
+}
+
+// Messages returns the reports to send now. A report is sent at once when its
+// flags, instances or cold starts change, again every ReportInterval until
+// Delivered confirms it, and every 30 s after that. The rate is limited to
+// ReportBytes per second; what exceeds it is sent later.
+func (s *State) Messages(now time.Time) []Message {
+	s.refillBytes(now)
+	var out []Message
+	for _, name := range s.sortedServices() {
+		svc := s.services[name]
+		rows, digest := s.rows(now, svc)
+		out = s.appendMessages(now, out, svc, rows, digest)
+	}
+	return out
+}
+
+func (s *State) appendMessages(now time.Time, out []Message, svc *service, rows []uint64, digest uint64) []Message {
+	m := Message{Service: svc.name, Epoch: svc.epoch, Rows: rows}
+	size := -1
+	for _, id := range svc.group {
+		if id == s.self {
+			continue
+		}
+		p := s.peers[id]
+		sent := p.sent[svc.name]
+		if sent == nil && len(rows) == 0 || sent != nil && !sent.due(now, digest, s.cfg.ReportInterval) {
+			continue
+		}
+		if size < 0 {
+			size = m.size() + callOverhead
+		}
+		if s.bytes < float64(size) {
+			return out
+		}
+		s.bytes -= float64(size)
+		s.seq = max(s.seq+1, uint64(now.UnixMilli()))
+		m.To, m.Seq = id, s.seq
+		p.sent[svc.name] = &sentReport{seq: m.Seq, at: now, digest: digest}
+		out = append(out, m)
+	}
+	return out
+}
+
+func (r *sentReport) due(now time.Time, digest uint64, interval time.Duration) bool {
+	if r.digest != digest {
+		return true
+	}
+	if r.delivered && digest == 0 {
+		return false
+	}
+	if r.delivered {
+		interval = refreshInterval
+	}
+	return now.Sub(r.at) >= interval
+}
+
+func (m *Message) size() int {
+	raw, err := json.Marshal(m)
+	if err != nil {
+		return MaxMessageBytes
+	}
+	return len(raw)
+}
+
+// Delivered records that the peer answered the call that carried m.
+func (s *State) Delivered(m Message) {
+	p := s.peers[m.To]
+	if p == nil {
+		return
+	}
+	if sent := p.sent[m.Service]; sent != nil && sent.seq == m.Seq {
+		sent.delivered = true
+	}
+}
+
+func (s *State) refillBytes(now time.Time) {
+	burst := float64(s.cfg.ReportBytes) * 10
+	if s.refill.IsZero() {
+		s.bytes = burst
+	}
+	if d := now.Sub(s.refill); !s.refill.IsZero() && d > 0 {
+		s.bytes = min(s.bytes+d.Seconds()*float64(s.cfg.ReportBytes), burst)
+	}
+	s.refill = now
+}
+
+// Receive records another host's report. Result says why it was not used.
+func (s *State) Receive(now time.Time, from string, m Message) Result {
+	svc, p := s.services[m.Service], s.peers[from]
+	switch {
+	case svc == nil:
+		return dropped(dropUnknownService)
+	case !s.reporter(from):
+		return dropped(dropUnknownHost)
+	case m.Epoch != svc.epoch:
+		return dropped(dropEpoch)
+	case m.eachRow(func(uint64, uint64, uint64, time.Duration) {}) != nil:
+		return dropped(dropMalformed)
+	}
+	if p == nil {
+		p = &peer{sent: make(map[string]*sentReport), received: make(map[string]uint64)}
+		s.peers[from] = p
+	}
+	if m.Seq <= p.received[m.Service] {
+		return dropped(dropOld)
+	}
+	p.received[m.Service] = m.Seq
+	s.useRows(now, from, svc, &m)
+	return Result{Accepted: true}
+}
+
+func (s *State) useRows(now time.Time, from string, svc *service, m *Message) {
+	seen := make(map[netip.AddrPort]bool, len(svc.order))
+	_ = m.eachRow(func(index, flags, instance uint64, age time.Duration) {
+		if index >= uint64(len(svc.order)) {
+			countDropped(dropUnknownBackend)
+			return
+		}
+		b := svc.order[index]
+		seen[b.addr] = true
+		b.useRow(now, from, row{flags: flags, instance: instance, at: now}, age)
+	})
+	for _, b := range svc.order {
+		if !seen[b.addr] {
+			delete(b.remote, from)
+		}
+	}
+}
+
+// useRow records one row. The start of a cold ramp is the latest one heard:
+// delays of messages then only make the ramp start later.
+func (b *backend) useRow(now time.Time, from string, r row, age time.Duration) {
+	old, known := b.remote[from]
+	if r.flags&flagCold != 0 {
+		b.heardCold = later(b.heardCold, now.Add(-age))
+	}
+	if r.flags&flagKnown != 0 && (!known || old.instance != r.instance) {
+		b.instance = r.instance
+	}
+	if b.remote == nil {
+		b.remote = make(map[string]row)
+	}
+	b.remote[from] = r
+}
+
+// rows returns what this host knows first hand about the backend servers of a
+// service, and a digest of it that does not depend on now.
+func (s *State) rows(now time.Time, svc *service) ([]uint64, uint64) {
+	var rows []uint64
+	var d xxhash.Digest
+	for i, b := range svc.order {
+		flags := b.flags(now, s.cfg.ReportStaleAfter)
+		if flags == 0 {
+			continue
+		}
+		rows = append(rows, uint64(i), flags)
+		fmt.Fprint(&d, i, flags)
+		if flags&flagKnown != 0 {
+			rows = append(rows, b.load.instance)
+			fmt.Fprint(&d, " i", b.load.instance)
+		}
+		if flags&flagCold != 0 {
+			age := max(now.Sub(b.load.cold), 0)
+			rows = append(rows, uint64(age.Milliseconds()))
+			fmt.Fprint(&d, " c", b.load.cold.UnixNano())
+		}
+	}
+	if len(rows) == 0 {
+		return nil, 0
+	}
+	return rows, d.Sum64()
+}
+
+// flags returns the flags of the row that reports b, 0 for no row.
+func (b *backend) flags(now time.Time, stale time.Duration) uint64 {
+	l := &b.load
+	var f uint64
+	set := func(on bool, flag uint64) {
+		if on {
+			f |= flag
+		}
+	}
+	set(!l.cold.IsZero() && now.Sub(l.cold) < b.ramp, flagCold)
+	if !b.observed || l.at.IsZero() {
+		return f
+	}
+	set(l.report.Draining, flagDraining)
+	set(l.report.Shedding && now.Sub(l.at) <= stale, flagShedding)
+	set(l.foreign, flagForeign)
+	set(l.known && !l.foreign, flagKnown)
+	return f
+}
+
+// reporter reports whether reports of the host are accepted: it must be on
+// the list of live hosts, so that a host that left cannot speak any more.
+func (s *State) reporter(id string) bool {
+	return id != s.self && s.hosts[id]
+}
+
+func (s *State) sortedServices() []string {
+	names := make([]string, 0, len(s.services))
+	for name := range s.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Result says what became of a report.
+type Result struct {
+	Accepted bool
+	Refusal  string // reason of a report that was not used
+}
+
+func dropped(r dropReason) Result {
+	countDropped(r)
+	return Result{Refusal: dropNames[r]}
+}
--- /dev/null
+++ b/internal/health/poller.go
@@ -0,0 +1,135 @@
+package health
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Defaults of PollerConfig.
+const (
+	DefaultPollTimeout     = 800 * time.Millisecond
+	DefaultPollConcurrency = 8
+)
+
+// PollerConfig holds the tunables of a Poller. Zero values select defaults.
+type PollerConfig struct {
+	Timeout     time.Duration // deadline of one poll, connection included
+	Concurrency int           // polls in progress at a time
+	Transport   http.RoundTripper
+}
+
+// Poller reads load URLs. It keeps no state about backend servers.
+type Poller struct {
+	cfg    PollerConfig
+	client *http.Client
+}
+
+// Observation is the outcome of one poll.
+type Observation struct {
+	Backend netip.AddrPort
+	Report  LoadReport
+	Err     error
+}
+
+// NewPoller returns a Poller. Redirects are not followed: the answer of
+// another address says nothing about this backend server.
+func NewPoller(cfg PollerConfig) *Poller {
+	setDefault(&cfg.Timeout, DefaultPollTimeout)
+	setDefault(&cfg.Concurrency, DefaultPollConcurrency)
+	if cfg.Transport == nil {
+		cfg.Transport = &http.Transport{
+			MaxIdleConnsPerHost:    1,
+			IdleConnTimeout:        30 * time.Second,
+			ResponseHeaderTimeout:  cfg.Timeout,
+			MaxResponseHeaderBytes: MaxLoadReportBytes,
+			DisableCompression:     true,
+			DialContext:            (&net.Dialer{Timeout: cfg.Timeout}).DialContext,
+		}
+	}
+	return &Poller{cfg: cfg, client: &http.Client{
+		Transport: cfg.Transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}}
+}
+
+// Poll reads every target once and passes each outcome to deliver, which is
+// called from several goroutines. It returns when all polls have ended.
+func (p *Poller) Poll(ctx context.Context, targets []Target, deliver func(Observation)) {
+	var g errgroup.Group
+	g.SetLimit(p.cfg.Concurrency)
+	for _, t := range targets {
+		if ctx.Err() != nil {
+			break
+		}
+		g.Go(func() error {
+			r, err := p.fetch(ctx, t.URL)
+			deliver(Observation{Backend: t.Backend, Report: r, Err: err})
+			return nil
+		})
+	}
+	_ = g.Wait() // the polls return no error: each outcome is delivered
+}
+
+// Run polls the current targets every interval until ctx ends.
+func (p *Poller) Run(ctx context.Context, interval time.Duration, targets func() []Target, deliver func(Observation)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		p.Poll(ctx, targets(), deliver)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *Poller) fetch(ctx context.Context, url string) (LoadReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return LoadReport{}, pollFailed("connection", err)
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return LoadReport{}, pollFailed(connectionReason(ctx), err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return LoadReport{}, pollFailed("status", errors.Newf("status %d, allowed 200", resp.StatusCode))
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxLoadReportBytes+1))
+	if err != nil {
+		return LoadReport{}, pollFailed(connectionReason(ctx), err)
+	}
+	if len(body) > MaxLoadReportBytes {
+		return LoadReport{}, pollFailed("too_large", errors.Newf("body exceeds the allowed %d bytes", MaxLoadReportBytes))
+	}
+	r, err := ParseLoadReport(body)
+	if err != nil {
+		return LoadReport{}, pollFailed("malformed", err)
+	}
+	return r, nil
+}
+
+func connectionReason(ctx context.Context) string {
+	if ctx.Err() != nil {
+		return "timeout"
+	}
+	return "connection"
+}
+
+func pollFailed(reason string, err error) error {
+	pollTotal[reason].Inc()
+	return errors.Wrapf(err, "poll load URL: %s", reason)
+}
--- /dev/null
+++ b/internal/health/state.go
@@ -0,0 +1,240 @@
+package health
+
+import (
+	"net/netip"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+)
+
+// observersPerBackend is the number of ranked observers of a backend server.
+const observersPerBackend = 2
+
+// State holds what is known about the backend servers of the services whose
+// owner groups this host belongs to, and of those that it observes. It is not
+// safe for concurrent use.
+type State struct {
+	cfg      Config
+	self     string
+	services map[string]*service
+	backends map[netip.AddrPort]*backend
+	targets  []Target
+	out      map[string]bool
+	leaving  map[netip.AddrPort]bool
+	peers    map[string]*peer
+	bytes    float64 // report bytes that may be sent now
+	refill   time.Time
+	seq      uint64
+	hosts    map[string]bool // live entry hosts
+}
+
+type service struct {
+	name  string
+	group []string
+	order []*backend // sorted by address; the position is the index in reports
+	epoch uint32     // digest of the addresses
+}
+
+type backend struct {
+	addr      netip.AddrPort
+	dc        string
+	service   *service
+	draining  bool // by the document
+	ramp      time.Duration
+	observed  bool // this host is one of the ranked observers
+	observers []string
+	load      load
+	evidence  evidence
+	remote    map[string]row // reports of other hosts
+	heardCold time.Time      // latest cold start that other hosts reported
+	instance  uint64         // the one that changed last, over all observers
+}
+
+// load is what load reports say, directly or through an observer's report.
+type load struct {
+	at       time.Time // zero when there is none
+	report   LoadReport
+	foreign  bool
+	instance uint64
+	started  time.Time // now minus the uptime, the latest seen
+	known    bool
+	cold     time.Time
+}
+
+// New returns an empty State.
+func New(cfg Config) *State {
+	return &State{
+		cfg:      cfg.withDefaults(),
+		services: make(map[string]*service),
+		backends: make(map[netip.AddrPort]*backend),
+		peers:    make(map[string]*peer),
+	}
+}
+
+// SetServices replaces the documents, owner groups and live entry hosts.
+// What is known about a backend server stays as long as it is listed.
+func (s *State) SetServices(now time.Time, self string, in Input) {
+	s.self = self
+	s.out, s.leaving = in.Out, in.Leaving
+	old := s.backends
+	s.backends = make(map[netip.AddrPort]*backend, len(old))
+	s.services = make(map[string]*service, len(in.Services))
+	s.targets = s.targets[:0]
+	s.hosts = make(map[string]bool, len(in.Hosts))
+	for i := range in.Hosts {
+		s.hosts[in.Hosts[i].ID] = true
+	}
+	for i := range in.Services {
+		s.addService(&in.Services[i], in.Hosts, old)
+	}
+	sort.Slice(s.targets, func(i, j int) bool { return s.targets[i].Backend.Compare(s.targets[j].Backend) < 0 })
+	s.setPeers()
+}
+
+func (s *State) addService(in *ServiceInput, hosts []document.Host, old map[netip.AddrPort]*backend) {
+	svc := &service{name: in.Doc.Name, group: slices.Clone(in.Group)}
+	slices.Sort(svc.group)
+	s.services[svc.name] = svc
+	for d := range in.Doc.DataCentres {
+		dc := &in.Doc.DataCentres[d]
+		for i := range dc.BackendServers {
+			doc := &dc.BackendServers[i]
+			b := s.keepBackend(doc.AddrPort(), svc, old)
+			b.dc, b.draining, b.ramp = dc.Name, doc.Draining, doc.Cold.Ramp.Std()
+			b.observers = Observers(b.addr, dc.Name, hosts)
+			b.observed = doc.LoadURL != "" && slices.Contains(b.observers, s.self)
+			if b.observed {
+				s.targets = append(s.targets, Target{Backend: b.addr, URL: doc.LoadURL})
+			}
+			svc.order = append(svc.order, b)
+		}
+	}
+	sort.Slice(svc.order, func(i, j int) bool { return svc.order[i].addr.Compare(svc.order[j].addr) < 0 })
+	svc.epoch = orderDigest(svc.order)
+}
+
+// keepBackend carries what is known over to the new document. An address that
+// moved to another service starts without history.
+func (s *State) keepBackend(addr netip.AddrPort, svc *service, old map[netip.AddrPort]*backend) *backend {
+	b := &backend{addr: addr, service: svc}
+	if prev := old[addr]; prev != nil && prev.service.name == svc.name {
+		b.load, b.evidence = prev.load, prev.evidence
+		b.remote, b.heardCold, b.instance = prev.remote, prev.heardCold, prev.instance
+	}
+	s.backends[addr] = b
+	return b
+}
+
+func orderDigest(order []*backend) uint32 {
+	var d xxhash.Digest
+	for _, b := range order {
+		raw, _ := b.addr.MarshalBinary()
+		d.Write(raw)
+	}
+	return uint32(d.Sum64())
+}
+
+// Observers returns the ranked observers of a backend server: the two highest
+// live hosts of its data centre by rendezvous hash, or of the whole list when
+// the data centre has none.
+func Observers(addr netip.AddrPort, dc string, hosts []document.Host) []string {
+	local := rankHosts(addr, dc, hosts)
+	if len(local) == 0 {
+		local = rankHosts(addr, "", hosts)
+	}
+	if len(local) > observersPerBackend {
+		local = local[:observersPerBackend]
+	}
+	return local
+}
+
+func rankHosts(addr netip.AddrPort, dc string, hosts []document.Host) []string {
+	type ranked struct {
+		id   string
+		hash uint64
+	}
+	key := addr.String() + "\x00observer\x00"
+	var list []ranked
+	for i := range hosts {
+		h := &hosts[i]
+		if h.State == document.HostLeaving || dc != "" && h.DataCentre != dc {
+			continue
+		}
+		list = append(list, ranked{h.ID, xxhash.Sum64String(key + h.ID)})
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].hash != list[j].hash {
+			return list[i].hash > list[j].hash
+		}
+		return list[i].id < list[j].id
+	})
+	ids := make([]string, len(list))
+	for i := range list {
+		ids[i] = list[i].id
+	}
+	return ids
+}
+
+// Targets returns the load URLs that this host polls, sorted by address.
+func (s *State) Targets() []Target { return slices.Clone(s.targets) }
+
+// Report records a load report that was read from a backend server at now.
+func (s *State) Report(now time.Time, addr netip.AddrPort, r LoadReport) {
+	b := s.backends[addr]
+	if b == nil {
+		countDropped(dropUnknownBackend)
+		return
+	}
+	if r.Service != b.service.name {
+		countDropped(dropOtherService)
+		b.load.foreign, b.load.at = true, now
+		return
+	}
+	b.load.foreign = false
+	s.trackInstance(now, b, &r)
+	b.load.at, b.load.report = now, r
+}
+
+// trackInstance finds cold starts: a new instance, or an uptime that falls.
+// The start of an instance that is seen first is taken from its uptime, so
+// that an entry host that starts does not take warm backend servers for cold.
+func (s *State) trackInstance(now time.Time, b *backend, r *LoadReport) {
+	l := &b.load
+	started := now.Add(-time.Duration(r.UptimeMillis) * time.Millisecond)
+	switch {
+	case !l.known && (b.instance == 0 || b.instance == r.Instance):
+		l.known = true
+		l.cold = later(l.cold, started)
+	case !l.known || r.Instance != l.instance:
+		s.startCold(now, b, coldInstance)
+	case started.After(l.started.Add(s.cfg.UptimeSlack)):
+		s.startCold(now, b, coldUptime)
+	}
+	if r.Instance != l.instance || b.instance == 0 {
+		b.instance = r.Instance
+		l.started = started
+	}
+	l.instance = r.Instance
+	l.started = later(l.started, started)
+	if r.Shedding && !l.report.Shedding {
+		s.startCold(now, b, coldShedding)
+	}
+}
+
+// startCold starts the ramp again.
+func (s *State) startCold(now time.Time, b *backend, cause coldCause) {
+	countCold(cause)
+	b.load.known = true
+	b.load.cold = now
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
