--- /dev/null
+++ b/internal/daemon/calls.go
@@ -0,0 +1,73 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
+)
+
+// callHandlers maps the methods that peers may call.
+var callHandlers = map[string]func(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error){
+	configsync.MethodPush:     handlePush,
+	configsync.MethodPartial:  handlePartial,
+	configsync.MethodVersions: handleVersions,
+	configsync.MethodFetch:    handleFetch,
+}
+
+// handleCall answers a call of another entry host.
+func (d *Daemon) handleCall(ctx context.Context, from, method string, params json.RawMessage) (any, error) {
+	h, ok := callHandlers[method]
+	if !ok {
+		countDroppedReason("call", "unknown_method")
+		return nil, errors.Newf("unknown method %q", method)
+	}
+	return h(d, ctx, from, params)
+}
+
+// decodeParams decodes the parameters of a call and counts malformed ones.
+func decodeParams[T any](params json.RawMessage) (T, error) {
+	var v T
+	if err := json.Unmarshal(params, &v); err != nil {
+		countDroppedReason("call", "malformed")
+		return v, errors.Wrap(err, "parameters")
+	}
+	return v, nil
+}
+
+// answer decodes the parameters of a call and runs f on the control goroutine.
+func answer[P, R any](d *Daemon, ctx context.Context, params json.RawMessage, f func(c *control, now time.Time, p P) R) (any, error) {
+	p, err := decodeParams[P](params)
+	if err != nil {
+		return nil, err
+	}
+	return ask(ctx, d, func(c *control, now time.Time) R { return f(c, now, p) })
+}
+
+func handlePush(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
+	return answer(d, ctx, params, func(c *control, now time.Time, p configsync.PushMessage) bool {
+		c.offer(now, from, p.Values)
+		return true
+	})
+}
+
+func handlePartial(d *Daemon, ctx context.Context, _ string, _ json.RawMessage) (any, error) {
+	return ask(ctx, d, func(c *control, _ time.Time) configsync.PartialMessage {
+		return configsync.PartialMessage{Summary: c.config.Summary(), Parts: c.config.Partial()}
+	})
+}
+
+func handleVersions(d *Daemon, ctx context.Context, _ string, params json.RawMessage) (any, error) {
+	return answer(d, ctx, params, func(c *control, _ time.Time, p configsync.VersionsRequest) configsync.VersionsResponse {
+		return configsync.VersionsResponse{Versions: c.config.Versions(p.Parts)}
+	})
+}
+
+func handleFetch(d *Daemon, ctx context.Context, _ string, params json.RawMessage) (any, error) {
+	return answer(d, ctx, params, func(c *control, _ time.Time, p configsync.FetchRequest) configsync.FetchResponse {
+		return configsync.FetchResponse{Values: c.config.Values(p.Keys)}
+	})
+}
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,274 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/membership"
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
+	"github.com/nutmeglatch/nutmeglatch/internal/route"
+)
+
+// Intervals and sizes of the control loop.
+const (
+	tickInterval  = 50 * time.Millisecond
+	eventQueueLen = 4096
+)
+
+// errKilled ends the control loop of a daemon that was killed.
+var errKilled = errors.New("killed")
+
+// event is work for the control goroutine.
+type event func(c *control, now time.Time)
+
+// control is the state that the control goroutine owns.
+type control struct {
+	d      *Daemon
+	logger log.Logger
+	ctx    context.Context
+
+	members *membership.State
+	config  *configsync.State
+	builder *route.Builder
+	sync    syncState
+
+	serving   bool
+	leaving   bool
+	leftAt    time.Time
+	killed    bool
+	dirty     bool
+	lastError string // of the platform
+	readers   chan bool
+	isReader  bool
+}
+
+func newControl(d *Daemon) *control {
+	s := d.settings
+	seed := d.boot ^ uint64(len(s.HostID))<<56
+	c := &control{
+		d:      d,
+		logger: log.With(d.logger, "part", "control"),
+		ctx:    context.Background(),
+		members: membership.New(membership.Config{
+			Self:           selfHost(d),
+			Boot:           d.boot,
+			ProbeInterval:  s.Probe.Interval.Std(),
+			ProbeTimeout:   s.Probe.Timeout.Std(),
+			SuspectFor:     s.Probe.SuspectFor.Std(),
+			PauseLimit:     s.PauseLimit.Std(),
+			IndirectProbes: s.Probe.IndirectProbes,
+			Seed:           seed,
+		}, d.started),
+		config:  configsync.New(configsync.Config{Seed: seed}),
+		builder: route.NewBuilder(s.HostID, s.DataCentre, s.Limits.GroupSize),
+		readers: make(chan bool, 1),
+	}
+	c.sync.begin(d.started, s.StartCheck.Std())
+	return c
+}
+
+func selfHost(d *Daemon) document.Host {
+	s := d.settings
+	return document.Host{
+		ID:         s.HostID,
+		DataCentre: s.DataCentre,
+		Region:     s.Region,
+		Address:    s.Peer.Addr(),
+		PeerPort:   s.Peer.Port(),
+		GUEPort:    s.GUE.Port(),
+		State:      document.HostLive,
+	}
+}
+
+// post hands work to the control goroutine and waits for room in its queue.
+func (d *Daemon) post(e event) { d.events <- e }
+
+// tryPost hands work to the control goroutine, or drops and counts it when
+// the queue is full, so that traffic goroutines never wait.
+func (d *Daemon) tryPost(e event) {
+	select {
+	case d.events <- e:
+	default:
+		counters.eventsDropped.Inc()
+	}
+}
+
+// ask runs f on the control goroutine and returns its result.
+func ask[T any](ctx context.Context, d *Daemon, f func(c *control, now time.Time) T) (T, error) {
+	result := make(chan T, 1)
+	select {
+	case d.events <- func(c *control, now time.Time) { result <- f(c, now) }:
+	case <-ctx.Done():
+		var zero T
+		return zero, ctx.Err()
+	}
+	select {
+	case v := <-result:
+		return v, nil
+	case <-ctx.Done():
+		var zero T
+		return zero, ctx.Err()
+	}
+}
+
+// run is the control loop. It returns when the graceful shutdown that leave
+// starts is complete, or with an error when the daemon was killed.
+func (c *control) run(ctx context.Context, leave <-chan struct{}) error {
+	c.ctx = ctx
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-leave:
+			leave = nil
+			c.leave(time.Now())
+		case e := <-c.d.events:
+			e(c, time.Now())
+		case now := <-ticker.C:
+			c.tick(now)
+		}
+		if c.killed {
+			return errKilled
+		}
+		if c.left(time.Now()) {
+			return nil
+		}
+		c.publish(time.Now())
+	}
+}
+
+func (c *control) tick(now time.Time) {
+	c.carryOut(now, c.members.Tick(now))
+	c.startCheck(now)
+}
+
+// carryOut performs the outcomes of the membership.
+func (c *control) carryOut(now time.Time, outcomes []membership.Outcome) {
+	for _, o := range outcomes {
+		switch o := o.(type) {
+		case membership.Send:
+			c.sendProbe(o)
+		case membership.Changed:
+			c.membersChanged(now)
+		case membership.Paused:
+			c.paused(now, o.Gap)
+		case membership.PeerDigest:
+			c.compareDigest(now, o)
+		case membership.Superseded:
+			level.Error(c.logger).Log("msg", "another process runs under this host id; stopping", "boot", o.Boot)
+			c.leave(now)
+		case membership.ListRejected:
+			level.Warn(c.logger).Log("msg", "empty host list rejected")
+		}
+	}
+}
+
+func (c *control) sendProbe(s membership.Send) {
+	s.Message.Digest = c.config.Summary()
+	body, err := s.Message.Encode()
+	if err != nil {
+		counters.sendErrors.Inc()
+		return
+	}
+	d := c.d
+	out := peer.SealDatagram(nil, &d.key, d.settings.HostID, d.boot, d.sequence.Add(1), body)
+	if _, err := d.peerUDP.WriteToUDPAddrPort(out, s.Addr); err != nil {
+		counters.sendErrors.Inc()
+	}
+}
+
+func (c *control) receiveProbe(now time.Time, from membership.Sender, m membership.Message) {
+	c.carryOut(now, c.members.Receive(now, from, m))
+}
+
+// membersChanged applies the membership to the owners of flows and to the
+// choice of the platform's readers.
+func (c *control) membersChanged(now time.Time) {
+	c.dirty = true
+	addrs := map[string]netip.AddrPort{}
+	for _, m := range c.members.Members() {
+		addrs[m.Host.ID] = m.Host.PeerAddr()
+	}
+	c.d.listed.Store(&addrs)
+	c.d.replaysMu.Lock()
+	c.d.replays.Retain(func(id string) bool { _, ok := addrs[id]; return ok })
+	c.d.replaysMu.Unlock()
+	c.chooseReaders()
+}
+
+// paused stops serving after this process was not run for a while: its view
+// of documents and members may be old.
+func (c *control) paused(now time.Time, gap time.Duration) {
+	counters.pauses.Inc()
+	level.Warn(c.logger).Log("msg", "process was paused; comparing versions before serving", "gap", gap)
+	c.serving, c.dirty = false, true
+	c.sync.begin(now, c.d.settings.StartCheck.Std())
+}
+
+// leave starts the graceful shutdown.
+func (c *control) leave(now time.Time) {
+	if c.leaving {
+		return
+	}
+	c.leaving, c.leftAt, c.dirty = true, now, true
+	level.Info(c.logger).Log("msg", "leaving")
+	c.carryOut(now, c.members.Leave(now))
+}
+
+// left reports whether the graceful shutdown is complete.
+func (c *control) left(now time.Time) bool {
+	if !c.leaving {
+		return false
+	}
+	s := c.d.settings.Shutdown
+	if now.Sub(c.leftAt) >= s.Limit.Std() {
+		level.Warn(c.logger).Log("msg", "shutdown limit reached")
+		return true
+	}
+	lastPacket := c.d.started.Add(time.Duration(c.d.lastPacket.Load()))
+	quiet := now.Sub(lastPacket) >= s.QuietFor.Std() && now.Sub(c.leftAt) >= s.QuietFor.Std()
+	return quiet && c.commandsInProgress() == 0
+}
+
+func (c *control) commandsInProgress() int { return 0 }
+
+// live returns the ids of the members that own flows.
+func (c *control) live(filter func(*membership.Member) bool) []string {
+	var ids []string
+	for _, m := range c.members.Members() {
+		if isLive(m.Status) && m.Host.ID != c.d.settings.HostID && filter(&m) {
+			ids = append(ids, m.Host.ID)
+		}
+	}
+	return ids
+}
+
+func isLive(s membership.Status) bool { return s == membership.Alive || s == membership.Suspect }
+
+// chooseReaders decides whether this host keeps a blocking read open on the
+// platform.
+func (c *control) chooseReaders() {
+	dc := c.d.settings.DataCentre
+	ids := c.live(func(m *membership.Member) bool { return m.Host.DataCentre == dc && m.Status == membership.Alive })
+	ids = append(ids, c.d.settings.HostID)
+	isReader := slices.Contains(configsync.Readers(dc, ids), c.d.settings.HostID)
+	if isReader == c.isReader {
+		return
+	}
+	c.isReader = isReader
+	select {
+	case <-c.readers:
+	default:
+	}
+	c.readers <- isReader
+}
--- /dev/null
+++ b/internal/daemon/platform.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/platform"
+	"github.com/nutmeglatch/nutmeglatch/internal/settings"
+)
+
+const hostsKey = document.HostsKey
+
+// newSource returns the source that the settings name.
+func newSource(s *settings.Settings) platform.Source {
+	if s.Platform.Type == settings.PlatformDirectory {
+		return platform.NewDirectory(platform.DirectoryConfig{Path: s.Platform.Path})
+	}
+	return platform.NewHTTP(platform.HTTPConfig{
+		URL:  s.Platform.URL,
+		Wait: s.Platform.Wait.Std(),
+		Poll: s.Platform.Poll.Std(),
+	})
+}
+
+// watchPlatform passes the platform's values to the control goroutine.
+func (c *control) watchPlatform(ctx context.Context) error {
+	updates := make(chan platform.Update)
+	failed := make(chan error, 1)
+	go func() { failed <- c.d.source.Watch(ctx, c.d.settings.Platform.Prefix, updates) }()
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case u := <-updates:
+			if _, err := ask(ctx, c.d, func(c *control, now time.Time) bool { c.platformUpdate(now, u); return true }); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (c *control) platformUpdate(now time.Time, u platform.Update) {
+	if u.Err != nil {
+		if c.lastError == "" {
+			level.Warn(c.logger).Log("msg", "platform cannot be read; accepted values stay in effect", "err", u.Err)
+		}
+		c.lastError = u.Err.Error()
+		return
+	}
+	if c.lastError != "" {
+		level.Info(c.logger).Log("msg", "platform can be read again")
+		c.lastError = ""
+	}
+	for _, kv := range u.Values {
+		c.offered(now, kv.Key, c.config.Offer(now, configsync.Platform, kv.Key, kv.Value))
+	}
+	c.push()
+}
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,129 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/admin"
+	"github.com/nutmeglatch/nutmeglatch/internal/flow"
+	"github.com/nutmeglatch/nutmeglatch/internal/packet"
+	"github.com/nutmeglatch/nutmeglatch/internal/route"
+)
+
+// Status returns the state of this entry host for operators.
+func (d *Daemon) Status(ctx context.Context) (admin.Status, error) {
+	return ask(ctx, d, func(c *control, now time.Time) admin.Status { return c.status(now) })
+}
+
+func (c *control) status(now time.Time) admin.Status {
+	s, d := c.d.settings, c.d
+	accepted := c.config.Current()
+	st := admin.Status{
+		ID:           s.HostID,
+		DataCentre:   s.DataCentre,
+		Region:       s.Region,
+		Version:      d.version,
+		UptimeMS:     now.Sub(d.started).Milliseconds(),
+		Serving:      c.serving,
+		Leaving:      c.leaving,
+		Majority:     c.members.Majority(c.dataCentresOut()),
+		Flows:        d.table.Len(),
+		PlatformRead: "ok",
+	}
+	if c.lastError != "" {
+		st.PlatformRead = c.lastError
+	}
+	if dc := accepted.DataCentres; dc != nil {
+		st.DataCentres = admin.DataCentreStatus{Version: dc.Version, Out: dc.Out}
+	}
+	for _, m := range c.members.Members() {
+		st.Hosts = append(st.Hosts, admin.HostStatus{ID: m.Host.ID, DataCentre: m.Host.DataCentre, State: m.Status.String()})
+	}
+	for name := range accepted.Services {
+		st.Services = append(st.Services, c.serviceStatus(name))
+	}
+	slices.SortFunc(st.Services, func(a, b admin.ServiceStatus) int { return compareStrings(a.Name, b.Name) })
+	for _, r := range c.config.Refusals() {
+		st.Refusals = append(st.Refusals, admin.Refusal{
+			Key: r.Key, Version: r.Version, Reason: string(r.Refusal), Detail: r.Err, At: r.Last.UTC().Format(time.RFC3339),
+		})
+	}
+	return st
+}
+
+func (c *control) serviceStatus(name string) admin.ServiceStatus {
+	doc := c.config.Current().Services[name]
+	st := admin.ServiceStatus{Name: name, Version: doc.Version}
+	if v, ok := c.config.Get(serviceKey(name)); ok {
+		st.Digest = fmt.Sprintf("%016x", v.Digest)
+	}
+	snap := c.d.snapshot.Load()
+	svc := snap.ByName.Get(name)
+	if svc == nil {
+		return st
+	}
+	for _, b := range svc.Backends {
+		st.Backends = append(st.Backends, c.backendStatus(b))
+	}
+	return st
+}
+
+// dataCentresOut returns the data centres that are out of service.
+func (c *control) dataCentresOut() []string {
+	if dc := c.config.Current().DataCentres; dc != nil {
+		return dc.Out
+	}
+	return nil
+}
+
+// Explain says where a flow goes and why.
+func (d *Daemon) Explain(_ context.Context, q admin.Query) (admin.Explanation, error) {
+	snap := d.snapshot.Load()
+	k := packet.NewKey(q.Source, q.Destination, q.Proto)
+	var ex admin.Explanation
+	step := func(format string, args ...any) { ex.Steps = append(ex.Steps, fmt.Sprintf(format, args...)) }
+	if !snap.Serving {
+		step("this entry host drops traffic: it has not compared versions with a peer yet")
+	}
+	svc := snap.Services.Get(route.ServiceAddr{Addr: q.Destination.Addr(), Port: q.Destination.Port(), Proto: q.Proto})
+	if svc == nil {
+		step("no accepted document names %s; packets are dropped as no_service", q.Destination)
+		return ex, nil
+	}
+	ex.Service = svc.Name
+	ex.Bucket = int(k.Hash() % route.Buckets)
+	ex.Primary, ex.Secondary = hostName(snap, svc.Primary(k)), hostName(snap, svc.Secondary(k))
+	step("service %s, bucket %d", svc.Name, ex.Bucket)
+	step("primary owner %s, secondary owner %s", ex.Primary, ex.Secondary)
+	if svc.CommandAddr.Addr == q.Destination.Addr() && svc.CommandAddr.Port == q.Destination.Port() {
+		step("commands of this caller are claimed at the primary owner and run through the admitting host of the chosen backend server")
+		return ex, nil
+	}
+	e, ok := d.table.Peek(k, k.Hash())
+	if !ok {
+		step("no entry here; packets are looked up at the owners")
+		return ex, nil
+	}
+	ex.State, ex.Backend = stateName(e.State), netip.AddrPortFrom(netip.AddrFrom16(e.Addr).Unmap(), e.Port).String()
+	step("entry here: %s, backend server %s, instance %d", ex.State, ex.Backend, e.Instance)
+	return ex, nil
+}
+
+func hostName(s *route.Snapshot, i uint16) string {
+	if i == route.NoHost {
+		return "none"
+	}
+	return s.Hosts[i].ID
+}
+
+var stateNames = map[flow.State]string{
+	flow.Guess:     "guess",
+	flow.Tentative: "tentative",
+	flow.Settled:   "settled",
+	flow.Proven:    "proven",
+}
+
+func stateName(s flow.State) string { return stateNames[s] }
--- /dev/null
+++ b/internal/daemon/sync.go
@@ -0,0 +1,228 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
+	"github.com/nutmeglatch/nutmeglatch/internal/membership"
+)
+
+// Limits of comparisons with peers.
+const (
+	startCheckPeers    = 3
+	compareInterval    = time.Second // per peer
+	configCallTimeout  = 2 * time.Second
+	startCheckInterval = 300 * time.Millisecond
+)
+
+// syncState tracks the comparison of versions with peers.
+type syncState struct {
+	checking bool      // serving waits for a comparison
+	deadline time.Time // of the check; serving starts afterwards in any case
+	nextTry  time.Time
+	next     int                  // position in the list of peers
+	last     map[string]time.Time // newest comparison by peer
+}
+
+// begin starts a check that must pass before this host serves.
+func (s *syncState) begin(now time.Time, limit time.Duration) {
+	s.checking = true
+	s.deadline = now.Add(limit)
+	s.nextTry = now
+	if s.last == nil {
+		s.last = map[string]time.Time{}
+	}
+}
+
+// startCheck asks peers for their newest values until one comparison is
+// complete or the time limit has passed.
+func (c *control) startCheck(now time.Time) {
+	if !c.sync.checking {
+		return
+	}
+	if !now.Before(c.sync.deadline) {
+		c.checked(now, "no peer answered")
+		return
+	}
+	if now.Before(c.sync.nextTry) {
+		return
+	}
+	c.sync.nextTry = now.Add(startCheckInterval)
+	peers := c.live(func(*membership.Member) bool { return true })
+	for i := range min(startCheckPeers, len(peers)) {
+		c.compareWith(now, peers[(c.sync.next+i)%len(peers)])
+	}
+	c.sync.next += startCheckPeers
+}
+
+// checked ends the check and starts serving.
+func (c *control) checked(now time.Time, how string) {
+	if !c.sync.checking {
+		return
+	}
+	c.sync.checking = false
+	c.config.Started()
+	c.serving, c.dirty = true, true
+	level.Info(c.logger).Log("msg", "serving after the check of versions", "how", how)
+}
+
+// compareDigest starts a comparison with a peer whose accepted versions differ.
+func (c *control) compareDigest(now time.Time, p membership.PeerDigest) {
+	if p.Digest != c.config.Summary() && now.Sub(c.sync.last[p.From]) >= compareInterval {
+		c.compareWith(now, p.From)
+	}
+}
+
+// compareWith exchanges versions and values with a peer in the background.
+func (c *control) compareWith(now time.Time, id string) {
+	c.sync.last[id] = now
+	d, ctx := c.d, c.ctx
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, configCallTimeout)
+		defer cancel()
+		if err := d.compare(ctx, id); err != nil {
+			counters.compareFailures.Inc()
+			return
+		}
+		d.post(func(c *control, now time.Time) { c.checked(now, "compared with "+id) })
+	}()
+}
+
+// compare fetches what is newer at the peer and pushes what is newer here.
+func (d *Daemon) compare(ctx context.Context, id string) error {
+	var theirs configsync.PartialMessage
+	if err := d.pool.Call(ctx, id, configsync.MethodPartial, nil, &theirs); err != nil {
+		return err
+	}
+	parts, err := ask(ctx, d, func(c *control, _ time.Time) []uint8 { return differing(c.config.Partial(), theirs.Parts) })
+	if err != nil || len(parts) == 0 {
+		return err
+	}
+	var versions configsync.VersionsResponse
+	if err := d.pool.Call(ctx, id, configsync.MethodVersions, configsync.VersionsRequest{Parts: parts}, &versions); err != nil {
+		return err
+	}
+	comparison, err := ask(ctx, d, func(c *control, now time.Time) configsync.Comparison {
+		return c.config.Compare(now, configsync.Source{Peer: id}, parts, versions.Versions)
+	})
+	if err != nil {
+		return err
+	}
+	if err := d.fetch(ctx, id, comparison.Fetch); err != nil {
+		return err
+	}
+	return d.sendValues(ctx, id, comparison.Send)
+}
+
+func differing(a, b [256]uint64) []uint8 {
+	var parts []uint8
+	for i := range a {
+		if a[i] != b[i] {
+			parts = append(parts, uint8(i))
+		}
+	}
+	return parts
+}
+
+// fetch reads values of a peer. A response may hold only some of them, so it
+// asks again for the rest as long as something arrives.
+func (d *Daemon) fetch(ctx context.Context, id string, keys []string) error {
+	for len(keys) > 0 {
+		var resp configsync.FetchResponse
+		if err := d.pool.Call(ctx, id, configsync.MethodFetch, configsync.FetchRequest{Keys: keys}, &resp); err != nil {
+			return err
+		}
+		if len(resp.Values) == 0 {
+			return nil
+		}
+		got := map[string]bool{}
+		for _, v := range resp.Values {
+			got[v.Key] = true
+		}
+		if _, err := ask(ctx, d, func(c *control, now time.Time) bool { c.offer(now, id, resp.Values); return true }); err != nil {
+			return err
+		}
+		rest := keys[:0:0]
+		for _, k := range keys {
+			if !got[k] {
+				rest = append(rest, k)
+			}
+		}
+		keys = rest
+	}
+	return nil
+}
+
+func (d *Daemon) sendValues(ctx context.Context, id string, keys []string) error {
+	if len(keys) == 0 {
+		return nil
+	}
+	values, err := ask(ctx, d, func(c *control, _ time.Time) []configsync.Value { return c.config.Values(keys) })
+	if err != nil {
+		return err
+	}
+	return d.pool.Call(ctx, id, configsync.MethodPush, configsync.PushMessage{Values: values}, nil)
+}
+
+// offer gives values of a peer to the configuration.
+func (c *control) offer(now time.Time, from string, values []configsync.Value) {
+	for _, v := range values {
+		c.offered(now, v.Key, c.config.Offer(now, configsync.FromPeer(from, v), v.Key, v.Raw))
+	}
+	c.push()
+}
+
+// offered logs and counts the outcome of an offer.
+func (c *control) offered(now time.Time, key string, r configsync.Result) {
+	switch {
+	case r.Accepted:
+		counters.accepted.Inc()
+		level.Info(c.logger).Log("msg", "value accepted", "key", key)
+		c.configChanged(now, r.Keys)
+	case r.Err != nil:
+		countRefused(string(r.Refusal))
+		level.Warn(c.logger).Log("msg", "value refused; the one in effect stays", "key", key, "reason", r.Refusal, "err", r.Err)
+	}
+}
+
+// push sends newly accepted values to the owner groups and random peers.
+func (c *control) push() {
+	peers := c.live(func(*membership.Member) bool { return true })
+	group := peers[:min(len(peers), c.d.settings.Limits.GroupSize)]
+	for _, p := range c.config.TakePushes(group, peers) {
+		for _, id := range p.To {
+			c.call(id, configsync.MethodPush, configsync.PushMessage{Values: p.Values}, nil)
+		}
+	}
+}
+
+// call calls a peer in the background when the result is not needed.
+func (c *control) call(id, method string, params any, done func(c *control, now time.Time, err error)) {
+	d, ctx := c.d, c.ctx
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, configCallTimeout)
+		defer cancel()
+		err := d.pool.Call(ctx, id, method, params, nil)
+		if err != nil {
+			countCallFailure(method)
+		}
+		if done != nil {
+			d.post(func(c *control, now time.Time) { done(c, now, err) })
+		}
+	}()
+}
+
+// configChanged applies newly accepted values.
+func (c *control) configChanged(now time.Time, keys []string) {
+	c.dirty = true
+	current := c.config.Current()
+	for _, key := range keys {
+		if key == hostsKey && current.Hosts != nil {
+			c.carryOut(now, c.members.SetListed(now, current.Hosts.Hosts))
+			c.membersChanged(now)
+		}
+	}
+}
