--- /dev/null
+++ b/internal/route/fabric.go
@@ -0,0 +1,189 @@
+package route
+
+import (
+	"github.com/nutmeglatch/nutmeglatch/internal/flow"
+	"github.com/nutmeglatch/nutmeglatch/internal/packet"
+)
+
+// FromFabric decides about a caller's packet that arrived at this host.
+func (r *Router) FromFabric(s *Snapshot, info *packet.Info, now Time) Action {
+	if !s.Serving {
+		return drop(ReasonNotServing)
+	}
+	addr := destination(info.Key)
+	svc := s.Services.Get(addr)
+	if svc == nil {
+		return drop(ReasonNoService)
+	}
+	q := newQuery(s, svc, info, info.Key, now)
+	h := q.origin()
+	if addr == svc.CommandAddr {
+		return q.command(&h)
+	}
+	e, b, reason := r.lookup(&q)
+	if reason != ReasonNone && !q.opens() {
+		return ended(info, reason)
+	}
+	if b != nil && e.State != flow.Guess {
+		return r.local(&q, &h, &e, b)
+	}
+	return r.ask(&q, &h)
+}
+
+// local sends a packet by the entry of this host.
+func (r *Router) local(q *query, h *packet.ForwardHeader, e *flow.Entry, b *Backend) Action {
+	self := q.s.SelfIndex
+	owner := self == q.primary() || self == q.secondary()
+	if e.State == flow.Tentative && self == q.primary() {
+		return r.primary(q, h)
+	}
+	reopened := q.info.SYN() && !owner
+	if !reopened && !q.refreshDue(e) {
+		return toBackend(b)
+	}
+	other, flags := q.primary(), packet.ChoiceFlags(0)
+	if self == other {
+		other, flags = q.secondary(), packet.FlagSecondary
+	}
+	refreshed := *e
+	refreshed.Since = q.now.milliseconds()
+	if !q.available(other) {
+		if other == NoHost {
+			refreshed.Epoch = q.epoch()
+		}
+		r.Table.Update(q.key, q.hash, *e, refreshed)
+		return toBackend(b)
+	}
+	r.Table.Update(q.key, q.hash, *e, refreshed)
+	return q.forwardTo(h, other, packet.KindRefresh, choiceOf(e, flags))
+}
+
+// ask forwards a packet without an entry to its primary owner, or acts as
+// the primary when this host is it or no owner can be asked.
+func (r *Router) ask(q *query, h *packet.ForwardHeader) Action {
+	for _, owner := range q.svc.Owners[q.bucket] {
+		if owner == q.s.SelfIndex {
+			break
+		}
+		if q.available(owner) {
+			return q.forwardTo(h, owner, packet.KindLookup, packet.Choice{})
+		}
+	}
+	return r.primary(q, h)
+}
+
+// arbiter returns the owner that decides about new flows, when it is not this
+// host and can be asked.
+func (q *query) arbiter() (uint16, bool) {
+	other := q.secondary()
+	return other, q.s.SelfIndex != other && q.available(other)
+}
+
+// primary decides as the primary owner.
+func (r *Router) primary(q *query, h *packet.ForwardHeader) Action {
+	e, b, reason := r.lookup(q)
+	if reason != ReasonNone && !q.opens() {
+		return ended(q.info, reason)
+	}
+	arbiter, present := q.arbiter()
+	if b != nil && e.State != flow.Guess {
+		if e.State == flow.Tentative {
+			if present && (q.info.SYN() || r.young(q, &e)) {
+				return q.forwardTo(h, arbiter, packet.KindPropose, choiceOf(&e, packet.FlagSecondary))
+			}
+			if !r.young(q, &e) {
+				settled := e
+				settled.State = flow.Settled
+				r.Table.Update(q.key, q.hash, e, settled)
+			}
+		}
+		return q.answer(h, &e, b)
+	}
+	if q.opens() {
+		return r.admit(q, h)
+	}
+	if present {
+		return q.forwardTo(h, arbiter, packet.KindLookup, packet.Choice{Flags: packet.FlagSecondary})
+	}
+	return r.noChoice(q, h)
+}
+
+// admit chooses a backend server for a new flow.
+func (r *Router) admit(q *query, h *packet.ForwardHeader) Action {
+	prefer := ""
+	if r.PreferLocal {
+		prefer = q.s.SelfDC
+	}
+	b, refusal := Choose(q.svc, q.hash, prefer)
+	if b == nil {
+		return drop(refusal.reason())
+	}
+	e := q.entry(b.Addr, b.Instance, flow.Tentative)
+	e.Epoch = q.replicated()
+	e, result := r.Table.Put(q.key, q.hash, e)
+	if result == flow.Full {
+		return drop(ReasonTableFull)
+	}
+	if result == flow.Kept {
+		var reason Reason
+		if b, reason = q.check(e.AddrPort(), e.Instance); b == nil {
+			return drop(reason)
+		}
+	}
+	if arbiter, present := q.arbiter(); present {
+		return q.forwardTo(h, arbiter, packet.KindPropose, choiceOf(&e, packet.FlagSecondary))
+	}
+	return q.answer(h, &e, b)
+}
+
+// answer returns a packet with its choice to the arrival host.
+func (q *query) answer(h *packet.ForwardHeader, e *flow.Entry, b *Backend) Action {
+	if q.isOrigin(h) {
+		return toBackend(b)
+	}
+	return q.forward(h, h.Origin, packet.KindAnswer, agreed(e))
+}
+
+// noChoice handles a packet of a flow that no owner knows.
+func (r *Router) noChoice(q *query, h *packet.ForwardHeader) Action {
+	if !q.isOrigin(h) {
+		return q.forward(h, h.Origin, packet.KindAnswer, packet.Choice{})
+	}
+	return r.guess(q)
+}
+
+// guess sends a TCP packet to the backend server that most probably serves
+// its flow. A reset from there leads to the next one.
+func (r *Router) guess(q *query) Action {
+	if q.opens() {
+		return drop(ReasonNoChoice)
+	}
+	e, b, _ := r.lookup(q)
+	if b != nil {
+		return toBackend(b)
+	}
+	b = nextGuess(q.svc, q.hash, nil)
+	if b == nil {
+		return drop(ReasonNoCandidate)
+	}
+	e, result := r.Table.Put(q.key, q.hash, q.entry(b.Addr, b.Instance, flow.Guess))
+	if result == flow.Kept {
+		var reason Reason
+		if b, reason = q.check(e.AddrPort(), e.Instance); b == nil {
+			return drop(reason)
+		}
+	}
+	return toBackend(b)
+}
+
+// command passes a command to the primary owner of its bucket.
+func (q *query) command(h *packet.ForwardHeader) Action {
+	primary := q.primary()
+	if primary == q.s.SelfIndex && primary != NoHost {
+		return Action{Kind: ToCommand}
+	}
+	if primary == NoHost || h.Sender != h.Origin {
+		return drop(ReasonNotOwner)
+	}
+	return q.forwardTo(h, primary, packet.KindCommand, packet.Choice{})
+}
--- /dev/null
+++ b/internal/route/peers.go
@@ -0,0 +1,194 @@
+package route
+
+import (
+	"github.com/nutmeglatch/nutmeglatch/internal/flow"
+	"github.com/nutmeglatch/nutmeglatch/internal/packet"
+)
+
+// FromPeer decides about a packet that another entry host forwarded.
+func (r *Router) FromPeer(s *Snapshot, h *packet.ForwardHeader, info *packet.Info, now Time) Action {
+	if !s.Serving {
+		return drop(ReasonNotServing)
+	}
+	key := info.Key
+	if h.Kind == packet.KindReset {
+		key = key.Reverse()
+	}
+	addr := destination(key)
+	svc := s.Services.Get(addr)
+	if svc == nil {
+		return drop(ReasonNoService)
+	}
+	if (addr == svc.CommandAddr) != (h.Kind == packet.KindCommand) {
+		return drop(ReasonBadKind)
+	}
+	q := newQuery(s, svc, info, key, now)
+	secondary := h.Choice.Flags&packet.FlagSecondary != 0
+	switch h.Kind {
+	case packet.KindLookup:
+		if secondary {
+			return r.secondaryLookup(&q, h)
+		}
+		return r.primaryLookup(&q, h)
+	case packet.KindCommand:
+		return q.command(h)
+	case packet.KindReset:
+		return r.ownerReset(&q, h)
+	case packet.KindAnswer:
+		return r.accept(&q, h)
+	}
+	if !h.Choice.Addr.IsValid() {
+		return drop(ReasonBadKind)
+	}
+	switch h.Kind {
+	case packet.KindPropose:
+		return r.propose(&q, h)
+	case packet.KindRefresh:
+		if q.isOrigin(h) && !secondary {
+			return q.send(h) // the primary could not store it
+		}
+		return r.refresh(&q, h, secondary)
+	case packet.KindConflict:
+		return r.conflict(&q, h)
+	}
+	return drop(ReasonBadKind)
+}
+
+// primaryLookup answers as the primary. A host that is not the primary in its
+// own view, which may be newer than the sender's, answers what it knows and
+// otherwise forwards to the primary, once.
+func (r *Router) primaryLookup(q *query, h *packet.ForwardHeader) Action {
+	primary := q.primary()
+	if primary == q.s.SelfIndex || h.Sender != h.Origin || !q.available(primary) || q.s.Hosts[primary].Peer == h.Origin {
+		return r.primary(q, h)
+	}
+	e, b, _ := r.lookup(q)
+	if b != nil && e.State >= flow.Settled {
+		return q.answer(h, &e, b)
+	}
+	return q.forwardTo(h, primary, packet.KindLookup, packet.Choice{})
+}
+
+// secondaryLookup answers the primary's question about a flow that it does
+// not know. The answer passes the primary, so that it stores the choice too.
+func (r *Router) secondaryLookup(q *query, h *packet.ForwardHeader) Action {
+	e, b, reason := r.lookup(q)
+	if reason != ReasonNone && !q.opens() {
+		return ended(q.info, reason)
+	}
+	if b == nil || e.State == flow.Guess {
+		return r.noChoice(q, h)
+	}
+	if h.Sender != h.Origin {
+		return q.forward(h, h.Sender, packet.KindAnswer, agreed(&e))
+	}
+	return q.answer(h, &e, b)
+}
+
+// propose decides as the secondary owner: the stronger of its own entry and
+// the proposal wins, and its own on a tie.
+func (r *Router) propose(q *query, h *packet.ForwardHeader) Action {
+	b, _ := q.check(h.Choice.Addr, h.Choice.Instance)
+	if _, own, _ := r.lookup(q); b == nil && own == nil {
+		// The proposer's documents are newer or older. The arrival host checks the choice itself.
+		return q.send(h)
+	}
+	var e flow.Entry
+	if b != nil {
+		proposal := q.entry(h.Choice.Addr, h.Choice.Instance, stateOf(&h.Choice))
+		proposal.Epoch = q.replicated()
+		e, _ = r.Table.Put(q.key, q.hash, proposal)
+	} else {
+		e, _ = r.Table.Peek(q.key, q.hash)
+	}
+	b, reason := q.check(e.AddrPort(), e.Instance)
+	if b == nil {
+		return drop(reason)
+	}
+	if e.AddrPort() != h.Choice.Addr && h.Sender != q.s.SelfPeer {
+		return q.forward(h, h.Sender, packet.KindConflict, choiceOf(&e, 0))
+	}
+	return q.answer(h, &e, b)
+}
+
+// conflict stores the secondary owner's entry instead of this host's proposal
+// and returns the packet to the arrival host.
+func (r *Router) conflict(q *query, h *packet.ForwardHeader) Action {
+	if b, _ := q.check(h.Choice.Addr, h.Choice.Instance); b == nil {
+		return q.send(h)
+	}
+	return r.store(q, h, stateOf(&h.Choice))
+}
+
+// accept handles the owners' answer, at the arrival host or at a primary that
+// it passes.
+func (r *Router) accept(q *query, h *packet.ForwardHeader) Action {
+	if !h.Choice.Addr.IsValid() {
+		return r.noChoice(q, h)
+	}
+	if b, reason := q.check(h.Choice.Addr, h.Choice.Instance); b == nil {
+		return q.unusable(h, reason)
+	}
+	return r.store(q, h, max(flow.Settled, stateOf(&h.Choice)))
+}
+
+// store keeps a choice that the owners made and passes the packet on with the
+// entry that this host then holds.
+func (r *Router) store(q *query, h *packet.ForwardHeader, state flow.State) Action {
+	e := q.entry(h.Choice.Addr, h.Choice.Instance, state)
+	e.Epoch = q.replicated()
+	e, _ = r.Table.Replace(q.key, q.hash, e)
+	b, reason := q.check(e.AddrPort(), e.Instance)
+	if b == nil {
+		return drop(reason)
+	}
+	return q.answer(h, &e, b)
+}
+
+// send passes a packet on by the choice in its header, which this host does
+// not store.
+func (q *query) send(h *packet.ForwardHeader) Action {
+	if !q.isOrigin(h) {
+		c := h.Choice
+		c.Flags &^= packet.FlagTentative | packet.FlagSecondary
+		return q.forward(h, h.Origin, packet.KindAnswer, c)
+	}
+	b, reason := q.check(h.Choice.Addr, h.Choice.Instance)
+	if b == nil {
+		return q.unusable(h, reason)
+	}
+	return toBackend(b)
+}
+
+// unusable handles a choice that fails the check here. A choice that is
+// unknown here may be newer than this host's documents, so that the caller is
+// not reset; a retransmission finds newer documents.
+func (q *query) unusable(h *packet.ForwardHeader, reason Reason) Action {
+	if !q.isOrigin(h) {
+		return q.forward(h, h.Origin, packet.KindAnswer, h.Choice)
+	}
+	if q.opens() || reason == ReasonBackendRemoved || reason == ReasonAddressReassigned {
+		return drop(ReasonUnknownBackend)
+	}
+	return ended(q.info, reason)
+}
+
+// refresh stores the choice of an established flow as an owner.
+func (r *Router) refresh(q *query, h *packet.ForwardHeader, secondary bool) Action {
+	if b, _ := q.check(h.Choice.Addr, h.Choice.Instance); b == nil {
+		return q.forward(h, h.Origin, packet.KindRefresh, h.Choice)
+	}
+	r.lookup(q) // removes an entry that is not valid any more
+	e := q.entry(h.Choice.Addr, h.Choice.Instance, stateOf(&h.Choice))
+	e.Epoch = q.replicated()
+	e, _ = r.Table.Put(q.key, q.hash, e)
+	b, reason := q.check(e.AddrPort(), e.Instance)
+	if b == nil {
+		return drop(reason)
+	}
+	arbiter, present := q.arbiter()
+	if secondary || !present || q.s.Hosts[arbiter].Peer == h.Origin {
+		return q.answer(h, &e, b)
+	}
+	return q.forwardTo(h, arbiter, packet.KindRefresh, choiceOf(&e, packet.FlagSecondary))
+}
--- /dev/null
+++ b/internal/route/replies.go
@@ -0,0 +1,100 @@
+package route
+
+import (
+	"net/netip"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/flow"
+	"github.com/nutmeglatch/nutmeglatch/internal/packet"
+)
+
+// FromBackend decides about a packet from the backend server at GUE address
+// from, on its way to the caller.
+func (r *Router) FromBackend(s *Snapshot, from netip.AddrPort, info *packet.Info, now Time) Action {
+	if !s.Serving {
+		return drop(ReasonNotServing)
+	}
+	key := info.Key.Reverse()
+	addr := destination(key)
+	svc := s.Services.Get(addr)
+	if svc == nil {
+		return drop(ReasonNoService)
+	}
+	b := s.Backends.Get(from)
+	if b == nil {
+		return drop(ReasonUnknownBackend)
+	}
+	if b.Service.Index != svc.Index {
+		return drop(ReasonForeignBackend)
+	}
+	if addr == svc.CommandAddr {
+		return Action{Kind: ToCommand, Backend: b}
+	}
+	q := newQuery(s, svc, info, key, now)
+	if info.RST() {
+		return r.backendReset(&q, b)
+	}
+	if !b.Out && !b.Unusable {
+		r.prove(&q, b)
+	}
+	return Action{Kind: ToCaller, Backend: b}
+}
+
+// prove records that a backend server serves a flow.
+func (r *Router) prove(q *query, b *Backend) {
+	old, ok := r.Table.Get(q.key, q.hash, q.now.seconds())
+	same := ok && old.Service == q.svc.Index && old.AddrPort() == b.Addr && old.Instance >= b.Instance
+	if same && old.State == flow.Proven {
+		return
+	}
+	e := q.entry(b.Addr, b.Instance, flow.Proven)
+	e.Since -= refreshInterval // the next packet tells the owners at once
+	if same && old.State != flow.Guess {
+		e.Epoch, e.Since, e.Instance = old.Epoch, old.Since, old.Instance
+	}
+	if ok && !same {
+		r.lookup(q) // removes an entry that is not valid any more
+	}
+	r.Table.Put(q.key, q.hash, e)
+}
+
+// backendReset handles a reset. Only the flow's own backend server may end
+// it; a backend server that was guessed wrongly is excluded instead.
+func (r *Router) backendReset(q *query, b *Backend) Action {
+	e, ok := r.Table.Peek(q.key, q.hash)
+	if !ok {
+		primary := q.primary()
+		if !q.available(primary) {
+			return drop(ReasonUnknownFlowReset)
+		}
+		h := q.origin()
+		return q.forwardTo(&h, primary, packet.KindReset, packet.Choice{Addr: b.Addr, Instance: b.Instance})
+	}
+	if e.AddrPort() != b.Addr {
+		return drop(ReasonOtherBackendReset)
+	}
+	if e.State != flow.Guess {
+		return Action{Kind: ToCaller, Backend: b}
+	}
+	next := nextGuess(q.svc, q.hash, b)
+	if next == nil {
+		r.Table.DeleteIf(q.key, q.hash, e)
+		return Action{Kind: ToCaller, Backend: b}
+	}
+	other := q.entry(next.Addr, next.Instance, flow.Guess)
+	other.Excluded = e.Excluded + 1
+	r.Table.Update(q.key, q.hash, e, other)
+	return drop(ReasonGuessReset)
+}
+
+// ownerReset passes on a reset that arrived at a host without an entry, if
+// the owner's entry names the backend server that sent it.
+func (r *Router) ownerReset(q *query, h *packet.ForwardHeader) Action {
+	e, ok := r.Table.Peek(q.key, q.hash)
+	switch {
+	case !ok || e.State == flow.Guess:
+		return drop(ReasonUnknownFlowReset)
+	case e.AddrPort() != h.Choice.Addr:
+		return drop(ReasonOtherBackendReset)
+	}
+	return Action{Kind: ToCaller, Backend: q.s.Backends.Get(h.Choice.Addr)}
+}
--- /dev/null
+++ b/internal/route/router.go
@@ -0,0 +1,199 @@
+package route
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/flow"
+	"github.com/nutmeglatch/nutmeglatch/internal/packet"
+)
+
+const (
+	// maxHops allows the longest path: arrival host, host of an older view,
+	// primary, secondary, primary, arrival host.
+	maxHops = 6
+
+	// DefaultTentativeFor is how long the secondary owner remains the arbiter
+	// of a new flow.
+	DefaultTentativeFor = time.Second
+
+	// refreshInterval limits refreshes of one flow, so that a lost refresh
+	// delays one packet and not every packet of the flow.
+	refreshInterval = 200 // milliseconds
+
+	// keepaliveParts is how many times within FlowIdle an entry in use is
+	// refreshed, so that the owners do not remove it as idle.
+	keepaliveParts = 3
+)
+
+// Router decides where packets go. It is safe for concurrent use.
+type Router struct {
+	Table        *flow.Table
+	TentativeFor time.Duration // DefaultTentativeFor when zero
+	PreferLocal  bool          // new flows prefer the primary owner's data centre
+}
+
+// query is one packet with everything that decisions about it need.
+type query struct {
+	s      *Snapshot
+	svc    *Service
+	info   *packet.Info
+	key    packet.Key // of the direction from the caller
+	hash   uint64
+	bucket int
+	now    Time
+}
+
+func newQuery(s *Snapshot, svc *Service, info *packet.Info, key packet.Key, now Time) query {
+	hash := key.Hash()
+	return query{s: s, svc: svc, info: info, key: key, hash: hash, bucket: bucketOf(hash), now: now}
+}
+
+func (q *query) primary() uint16   { return q.svc.Owners[q.bucket][0] }
+func (q *query) secondary() uint16 { return q.svc.Owners[q.bucket][1] }
+func (q *query) epoch() uint16     { return q.svc.Epochs[q.bucket] }
+
+// available reports whether another host can be asked.
+func (q *query) available(host uint16) bool {
+	return host != NoHost && host != q.s.SelfIndex && !q.s.Hosts[host].Suspect
+}
+
+func (q *query) suspect(host uint16) bool {
+	return host != NoHost && q.s.Hosts[host].Suspect
+}
+
+// replicated is the epoch of an entry that the owners have just stored. While
+// an owner is suspect, the second copy may be missing.
+func (q *query) replicated() uint16 {
+	if q.suspect(q.primary()) || q.suspect(q.secondary()) {
+		return 0
+	}
+	return q.epoch()
+}
+
+// opens reports whether the packet may start a flow.
+func (q *query) opens() bool {
+	return q.key.Proto != packet.ProtoTCP || q.info.SYN()
+}
+
+// origin is the header of a packet that arrived here.
+func (q *query) origin() packet.ForwardHeader {
+	return packet.ForwardHeader{Hops: maxHops + 1, Origin: q.s.SelfPeer, Sender: q.s.SelfPeer}
+}
+
+func (q *query) isOrigin(h *packet.ForwardHeader) bool { return h.Origin == q.s.SelfPeer }
+
+// forward sends a packet on, with the origin of h.
+func (q *query) forward(h *packet.ForwardHeader, to netip.AddrPort, kind packet.Kind, c packet.Choice) Action {
+	if h.Hops <= 1 {
+		return drop(ReasonHopLimit)
+	}
+	return Action{
+		Kind: ToPeer,
+		Peer: to,
+		Header: packet.ForwardHeader{
+			Kind: kind, Hops: h.Hops - 1, Origin: h.Origin, Sender: q.s.SelfPeer, Choice: c,
+		},
+	}
+}
+
+func (q *query) forwardTo(h *packet.ForwardHeader, host uint16, kind packet.Kind, c packet.Choice) Action {
+	return q.forward(h, q.s.Hosts[host].Peer, kind, c)
+}
+
+// check returns the backend server at an address if the flow may use it.
+func (q *query) check(addr netip.AddrPort, instance uint64) (*Backend, Reason) {
+	b := q.s.Backends.Get(addr)
+	switch {
+	case b == nil:
+		return nil, ReasonBackendRemoved
+	case b.Service.Index != q.svc.Index:
+		return nil, ReasonAddressReassigned
+	case b.Out:
+		return nil, ReasonDataCentreOut
+	case b.Unusable:
+		return nil, ReasonBackendUnusable
+	case instance != 0 && instance < b.Instance:
+		return nil, ReasonInstanceReplaced
+	}
+	return b, ReasonNone
+}
+
+// lookup returns the flow's entry and its backend server after checking them
+// against the snapshot. An entry that fails is removed and the reason returned.
+func (r *Router) lookup(q *query) (flow.Entry, *Backend, Reason) {
+	e, ok := r.Table.Get(q.key, q.hash, q.now.seconds())
+	if !ok {
+		return e, nil, ReasonNone
+	}
+	reason := ReasonServiceChanged
+	var b *Backend
+	if e.Service == q.svc.Index {
+		b, reason = q.check(e.AddrPort(), e.Instance)
+	}
+	if b == nil {
+		r.Table.DeleteIf(q.key, q.hash, e)
+		return e, nil, reason
+	}
+	if e.Instance == 0 && b.Instance != 0 {
+		learned := e
+		learned.Instance = b.Instance
+		r.Table.Update(q.key, q.hash, e, learned)
+		e = learned
+	}
+	return e, b, ReasonNone
+}
+
+// entry returns a new entry for a backend server.
+func (q *query) entry(addr netip.AddrPort, instance uint64, state flow.State) flow.Entry {
+	return flow.Entry{
+		Addr: addr.Addr().As16(), Port: addr.Port(), Instance: instance,
+		Service: q.svc.Index, LastSeen: q.now.seconds(), Since: q.now.milliseconds(), State: state,
+	}
+}
+
+func choiceOf(e *flow.Entry, flags packet.ChoiceFlags) packet.Choice {
+	switch e.State {
+	case flow.Proven:
+		flags |= packet.FlagProven
+	case flow.Tentative:
+		flags |= packet.FlagTentative
+	}
+	return packet.Choice{Addr: e.AddrPort(), Instance: e.Instance, Flags: flags}
+}
+
+// agreed is the choice of an answer: the owners agreed on it.
+func agreed(e *flow.Entry) packet.Choice {
+	c := choiceOf(e, 0)
+	c.Flags &^= packet.FlagTentative
+	return c
+}
+
+func stateOf(c *packet.Choice) flow.State {
+	switch {
+	case c.Flags&packet.FlagProven != 0:
+		return flow.Proven
+	case c.Flags&packet.FlagTentative != 0:
+		return flow.Tentative
+	}
+	return flow.Settled
+}
+
+// young reports whether a tentative entry is still the secondary's to decide.
+func (r *Router) young(q *query, e *flow.Entry) bool {
+	limit := r.TentativeFor
+	if limit == 0 {
+		limit = DefaultTentativeFor
+	}
+	return q.now.milliseconds()-e.Since < uint32(limit/time.Millisecond)
+}
+
+// refreshDue reports whether the owners should be told of an entry in use.
+func (q *query) refreshDue(e *flow.Entry) bool {
+	age := q.now.milliseconds() - e.Since
+	if e.Epoch != q.epoch() && age >= refreshInterval {
+		return true
+	}
+	idle := uint32(q.svc.FlowIdle / time.Millisecond)
+	return idle != 0 && age >= idle/keepaliveParts
+}
