command: add claims, owner state and runner

Cause: the daemon needs the command package's signatures and main path. Change: parse requests, hold claims at both owners of a bucket, run commands through the backend server's admitting host, and pass claims to new owners. Conclusion: the signatures are meant to be final.

--- /dev/null
+++ b/internal/command/message.go
@@ -0,0 +1,147 @@
+package command
+
+import (
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/packet"
+)
+
+// Methods of the messages between entry hosts.
+const (
+	MethodClaim    = "command.claim"
+	MethodRun      = "command.run"
+	MethodComplete = "command.complete"
+	MethodReply    = "command.reply"
+	MethodTransfer = "command.transfer"
+)
+
+// ClaimKey names a request of a caller.
+type ClaimKey struct {
+	Service string         `json:"service"`
+	Caller  netip.AddrPort `json:"caller"`
+	ID      string         `json:"id"`
+}
+
+// ClaimOwner identifies the run that a claim allows: Origin is the host that may start the command, and Nonce
+// distinguishes its claims over its restarts.
+type ClaimOwner struct {
+	Origin string `json:"origin"`
+	Nonce  uint64 `json:"nonce"`
+}
+
+// ClaimState is the state of a claim.
+type ClaimState uint8
+
+// States of claims.
+const (
+	Pending ClaimState = iota + 1
+	Answered
+	Unknown
+)
+
+// ClaimRecord is a claim as it is sent between hosts. An Answered claim
+// without an answer is one whose answer was not passed on.
+type ClaimRecord struct {
+	ClaimKey
+	ClaimOwner
+	Bucket      uint8           `json:"bucket"`
+	Digest      uint64          `json:"digest"`
+	State       ClaimState      `json:"state"`
+	RemainingMS int64           `json:"remaining_ms,omitempty"`
+	Answer      json.RawMessage `json:"answer,omitempty"`
+	Reason      Reason          `json:"reason,omitempty"`
+}
+
+// ClaimRequest asks the other owner of a bucket to store a claim.
+type ClaimRequest struct {
+	ClaimRecord
+}
+
+// ClaimReply answers a ClaimRequest. Known is the claim that the other owner
+// already had for another run of the request. Complete says that the other
+// owner has held every claim of the bucket for the retention period.
+type ClaimReply struct {
+	Stored   bool         `json:"stored,omitempty"`
+	Complete bool         `json:"complete,omitempty"`
+	Known    *ClaimRecord `json:"known,omitempty"`
+	Refused  Reason       `json:"refused,omitempty"`
+}
+
+// RunRequest asks the admitting host of a backend server to run a command.
+type RunRequest struct {
+	ClaimKey
+	ClaimOwner
+	Digest     uint64          `json:"digest"`
+	Target     netip.AddrPort  `json:"target"` // command address of the service
+	Backend    netip.AddrPort  `json:"backend"`
+	Attempt    int             `json:"attempt"`
+	Idempotent bool            `json:"idempotent,omitempty"`
+	Method     string          `json:"method"`
+	Params     json.RawMessage `json:"params,omitempty"`
+	DeadlineMS int64           `json:"deadline_ms"`
+	// Expires is the deadline on the admitting host's clock in Unix
+	// milliseconds, 0 when the owner does not know that clock yet.
+	Expires int64 `json:"expires,omitempty"`
+}
+
+// flow returns the flow of the caller's packets.
+func (m *RunRequest) flow() packet.Key {
+	return packet.NewKey(m.Caller, m.Target, packet.ProtoUDP)
+}
+
+// RunOutcome says how a run ended.
+type RunOutcome uint8
+
+// Outcomes of runs. RunNotRun is surely not run.
+const (
+	RunAnswered RunOutcome = iota + 1
+	RunNotRun
+	RunUnknown
+	RunMismatch
+)
+
+// RunReply answers a RunRequest. Clock is the admitting host's clock in Unix
+// milliseconds.
+type RunReply struct {
+	Outcome RunOutcome      `json:"outcome"`
+	Reason  Reason          `json:"reason,omitempty"`
+	Answer  json.RawMessage `json:"answer,omitempty"`
+	Clock   int64           `json:"clock"`
+}
+
+// CompleteRequest tells the other owner how a command ended.
+type CompleteRequest struct {
+	ClaimRecord
+}
+
+// ReplyRequest passes a backend server's reply to its admitting host.
+type ReplyRequest struct {
+	Backend netip.AddrPort  `json:"backend"`
+	Caller  netip.AddrPort  `json:"caller"`
+	Target  netip.AddrPort  `json:"target"`
+	Body    json.RawMessage `json:"body"`
+}
+
+// Flow returns the flow of the caller's packets.
+func (m *ReplyRequest) Flow() packet.Key {
+	return packet.NewKey(m.Caller, m.Target, packet.ProtoUDP)
+}
+
+// TransferRequest passes claims to a new owner. Done lists the buckets whose
+// claims have all been passed; they cover the last AgeMS milliseconds.
+type TransferRequest struct {
+	Service string        `json:"service"`
+	Claims  []ClaimRecord `json:"claims,omitempty"`
+	Done    []uint8       `json:"done,omitempty"`
+	AgeMS   int64         `json:"age_ms,omitempty"`
+}
+
+// TransferReply answers a TransferRequest. Refused holds the reason when it
+// must be repeated.
+type TransferReply struct {
+	Refused Reason `json:"refused,omitempty"`
+}
+
+func milliseconds(d time.Duration) int64 { return max(0, d.Milliseconds()) }
--- /dev/null
+++ b/internal/command/reason.go
@@ -0,0 +1,66 @@
+package command
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Reason names why a request, run, claim or reply was refused or retried. It
+// is the value of the counters' reason label and of data.reason in answers.
+type Reason string
+
+// Reasons.
+const (
+	ReasonMalformed     Reason = "malformed"
+	ReasonTooLarge      Reason = "too_large"
+	ReasonDepth         Reason = "too_deep"
+	ReasonBatch         Reason = "batch"
+	ReasonNotification  Reason = "notification"
+	ReasonIDType        Reason = "id_type"
+	ReasonVersion       Reason = "version"
+	ReasonMethod        Reason = "method"
+	ReasonParams        Reason = "params"
+	ReasonDeadlineValue Reason = "deadline_value"
+
+	ReasonNotServing     Reason = "not_serving"
+	ReasonLeaving        Reason = "leaving"
+	ReasonNotOwner       Reason = "not_owner"
+	ReasonNoMajority     Reason = "no_majority"
+	ReasonIncomplete     Reason = "claims_incomplete"
+	ReasonClaimNotStored Reason = "claim_not_stored"
+	ReasonClaimsFull     Reason = "claims_full"
+	ReasonMismatch       Reason = "digest_mismatch"
+	ReasonPending        Reason = "pending"
+	ReasonReplayed       Reason = "replayed"
+	ReasonNoBackend      Reason = "no_backend_server"
+	ReasonRetryBudget    Reason = "retry_budget"
+	ReasonDeadline       Reason = "deadline"
+	ReasonNotSent        Reason = "not_sent"
+	ReasonCallLost       Reason = "call_lost"
+	ReasonNoAnswer       Reason = "no_answer"
+	ReasonAnswerTooLarge Reason = "answer_too_large"
+
+	ReasonShed        Reason = "shed"
+	ReasonNotAdmitted Reason = "not_admitting_host"
+	ReasonNoSlot      Reason = "no_slot"
+	ReasonSeen        Reason = "already_seen"
+	ReasonTried       Reason = "backend_server_tried"
+	ReasonSeenFull    Reason = "seen_full"
+	ReasonLate        Reason = "late"
+	ReasonUnmatched   Reason = "unmatched"
+)
+
+func count(what string, reason Reason) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`nutmeglatch_command_%s_total{reason=%q}`, what, string(reason))).Inc()
+}
+
+func countRequestRefused(r Reason) { count("request_refused", r) }
+func countNotRun(r Reason)         { count("not_run", r) }
+func countUnknown(r Reason)        { count("unknown", r) }
+func countRepeat(r Reason)         { count("repeat", r) }
+func countRetry(r Reason)          { count("retry", r) }
+func countClaimRefused(r Reason)   { count("claim_refused", r) }
+func countRunRefused(r Reason)     { count("run_refused", r) }
+func countReplyDropped(r Reason)   { count("reply_dropped", r) }
+func countResultDropped(r Reason)  { count("result_dropped", r) }
--- /dev/null
+++ b/internal/command/runner.go
@@ -0,0 +1,288 @@
+package command
+
+import (
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/packet"
+)
+
+// Token identifies a slot of a backend server.
+type Token uint64
+
+// Refusal says why no slot was given, empty when one was.
+type Refusal string
+
+// Slots gives out the command slots of backend servers.
+type Slots interface {
+	Acquire(now time.Time, backend netip.AddrPort, deadline time.Time) (Token, Refusal)
+	Release(Token)
+}
+
+const (
+	// cancelGrace is the time that a backend server has to stop a cancelled
+	// command before its slot is given to another one.
+	cancelGrace = 500 * time.Millisecond
+	// MaxSeen bounds the runs that a Runner remembers.
+	MaxSeen = 40000
+)
+
+// runKey matches replies.
+type runKey struct {
+	backend netip.AddrPort
+	flow    packet.Key
+	id      string
+}
+
+// run is one request at a backend server.
+type run struct {
+	key        runKey
+	claim      ClaimKey
+	digest     uint64
+	idempotent bool
+	calls      []uint64 // command.run calls that wait for the result
+	deadline   time.Time
+	cancelled  bool
+	token      Token
+}
+
+// seen is what a Runner remembers of the runs of a non-idempotent command.
+type seen struct {
+	digest  uint64
+	owner   ClaimOwner
+	running *run
+	mayRun  bool // a run was started and not surely rejected
+	tried   []netip.AddrPort
+	expires time.Time
+}
+
+// Runner is the admitting host's side of commands.
+type Runner struct {
+	cfg   Config
+	slots Slots
+	runs  map[runKey]*run
+	order []*run
+	seen  map[ClaimKey]*seen
+	queue []expiry
+	out   []Outcome
+}
+
+// NewRunner returns a Runner without commands in progress.
+func NewRunner(cfg Config, slots Slots) *Runner {
+	cfg.setDefaults()
+	return &Runner{cfg: cfg, slots: slots, runs: make(map[runKey]*run), seen: make(map[ClaimKey]*seen)}
+}
+
+// InProgress returns the number of commands at backend servers.
+func (r *Runner) InProgress() int { return len(r.runs) }
+
+func (r *Runner) take() []Outcome {
+	out := r.out
+	r.out = nil
+	return out
+}
+
+func (r *Runner) finish(now time.Time, call uint64, reply RunReply) {
+	reply.Clock = now.UnixMilli()
+	r.out = append(r.out, Finish{call, reply})
+}
+
+func (r *Runner) refuse(now time.Time, call uint64, outcome RunOutcome, reason Reason) []Outcome {
+	countRunRefused(reason)
+	r.finish(now, call, RunReply{Outcome: outcome, Reason: reason})
+	return r.take()
+}
+
+// Run handles a command.run call. admits says whether this host is the
+// admitting host of the backend server and the backend server belongs to the
+// service.
+func (r *Runner) Run(now time.Time, call uint64, m RunRequest, admits bool) []Outcome {
+	key := runKey{m.Backend, m.flow(), m.ID}
+	deadline := now.Add(time.Duration(m.DeadlineMS) * time.Millisecond)
+	if m.Expires != 0 {
+		if end := time.UnixMilli(m.Expires); end.Before(deadline) {
+			deadline = end
+		}
+	}
+	if current := r.runs[key]; current != nil && !current.cancelled {
+		return r.join(now, call, &m, current)
+	}
+	s := r.seen[m.ClaimKey]
+	if s != nil && !m.Idempotent {
+		if outcome, reason := s.refuses(&m); reason != "" {
+			if s.running != nil && outcome == RunUnknown {
+				return r.join(now, call, &m, s.running)
+			}
+			return r.refuse(now, call, outcome, reason)
+		}
+	}
+	switch {
+	case deadline.Sub(now) < minAttempt/2:
+		return r.refuse(now, call, RunNotRun, ReasonDeadline)
+	case !admits:
+		return r.refuse(now, call, RunNotRun, ReasonNotAdmitted)
+	case r.runs[key] != nil:
+		return r.refuse(now, call, RunNotRun, ReasonTried)
+	case s == nil && !m.Idempotent && len(r.seen) >= MaxSeen:
+		return r.refuse(now, call, RunNotRun, ReasonSeenFull)
+	}
+	token, refusal := r.slots.Acquire(now, m.Backend, deadline.Add(cancelGrace))
+	if refusal != "" {
+		return r.refuse(now, call, RunNotRun, ReasonNoSlot)
+	}
+	r.send(now, call, &m, key, deadline, token)
+	return r.take()
+}
+
+// refuses says why a non-idempotent command that was seen before is not run.
+func (s *seen) refuses(m *RunRequest) (RunOutcome, Reason) {
+	switch {
+	case s.digest != m.Digest:
+		return RunMismatch, ReasonMismatch
+	case s.mayRun || s.owner != m.ClaimOwner:
+		return RunUnknown, ReasonSeen
+	}
+	for _, b := range s.tried {
+		// A duplicate of the earlier rejection would be taken for a rejection
+		// of this run.
+		if b == m.Backend {
+			return RunNotRun, ReasonTried
+		}
+	}
+	return 0, ""
+}
+
+// join lets a repeated call wait for the run in progress.
+func (r *Runner) join(now time.Time, call uint64, m *RunRequest, current *run) []Outcome {
+	if current.digest != m.Digest || current.claim != m.ClaimKey {
+		return r.refuse(now, call, RunMismatch, ReasonMismatch)
+	}
+	countRepeat(ReasonPending)
+	current.calls = append(current.calls, call)
+	return r.take()
+}
+
+func (r *Runner) send(now time.Time, call uint64, m *RunRequest, key runKey, deadline time.Time, token Token) {
+	current := &run{
+		key: key, claim: m.ClaimKey, digest: m.Digest, idempotent: m.Idempotent,
+		calls: []uint64{call}, deadline: deadline, token: token,
+	}
+	r.runs[key] = current
+	r.order = append(r.order, current)
+	if !m.Idempotent {
+		r.remember(now, m, current)
+	}
+	r.out = append(r.out, SendBackend{m.Backend, key.flow, backendRequest(m, deadline.Sub(now))})
+}
+
+func (r *Runner) remember(now time.Time, m *RunRequest, current *run) {
+	s := r.seen[m.ClaimKey]
+	if s == nil {
+		s = &seen{digest: m.Digest, owner: m.ClaimOwner}
+		r.seen[m.ClaimKey] = s
+		r.queue = append(r.queue, expiry{m.ClaimKey, now.Add(r.cfg.Retention)})
+	}
+	s.running, s.mayRun, s.tried = current, true, append(s.tried, m.Backend)
+	s.expires = current.deadline.Add(r.cfg.Retention)
+}
+
+// Reply handles a packet of flow that a backend server sent to the caller.
+// passOn says that another host is the backend server's admitting host and the
+// reply has not been passed on yet.
+func (r *Runner) Reply(now time.Time, backend netip.AddrPort, flow packet.Key, body []byte, passOn bool) []Outcome {
+	p, ok := parseReply(body)
+	if !ok {
+		countReplyDropped(ReasonMalformed)
+		return nil
+	}
+	current := r.runs[runKey{backend, flow, p.id}]
+	switch {
+	case current == nil && passOn:
+		r.out = append(r.out, PassReply{ReplyRequest{backend, flow.Source(), flow.Destination(), body}})
+		return r.take()
+	case current == nil:
+		countReplyDropped(ReasonUnmatched)
+		return nil
+	case current.cancelled:
+		countReplyDropped(ReasonLate)
+		r.release(current)
+		return nil
+	}
+	r.end(now, current, r.result(p, body))
+	r.release(current)
+	return r.take()
+}
+
+// result returns what a matching reply says about the run.
+func (r *Runner) result(p reply, body []byte) RunReply {
+	switch {
+	case p.shed:
+		return RunReply{Outcome: RunNotRun, Reason: ReasonShed}
+	case len(body) > r.cfg.MaxAnswer:
+		return RunReply{Outcome: RunUnknown, Reason: ReasonAnswerTooLarge}
+	}
+	return RunReply{Outcome: RunAnswered, Answer: json.RawMessage(body)}
+}
+
+// end answers the calls that wait for a run.
+func (r *Runner) end(now time.Time, current *run, reply RunReply) {
+	for _, call := range current.calls {
+		r.finish(now, call, reply)
+	}
+	current.calls = nil
+	if s := r.seen[current.claim]; s != nil && s.running == current {
+		s.running = nil
+		s.mayRun = reply.Outcome != RunNotRun
+	}
+}
+
+func (r *Runner) release(current *run) {
+	delete(r.runs, current.key)
+	r.slots.Release(current.token)
+}
+
+// Expire cancels runs whose deadline has passed and forgets old claims. It
+// must be called several times per second.
+func (r *Runner) Expire(now time.Time) []Outcome {
+	kept := r.order[:0]
+	for _, current := range r.order {
+		if r.runs[current.key] != current {
+			continue
+		}
+		r.expireRun(now, current)
+		if r.runs[current.key] == current {
+			kept = append(kept, current)
+		}
+	}
+	clear(r.order[len(kept):])
+	r.order = kept
+	r.forget(now)
+	return r.take()
+}
+
+func (r *Runner) expireRun(now time.Time, current *run) {
+	switch {
+	case current.cancelled && !now.Before(current.deadline.Add(cancelGrace)):
+		r.release(current)
+	case !current.cancelled && !now.Before(current.deadline):
+		current.cancelled = true
+		r.out = append(r.out, Cancel{current.key.backend, current.key.flow, cancelNotification(current.key.id)})
+		countRunRefused(ReasonNoAnswer)
+		r.end(now, current, RunReply{Outcome: RunUnknown, Reason: ReasonNoAnswer})
+	}
+}
+
+func (r *Runner) forget(now time.Time) {
+	n := 0
+	for ; n < len(r.queue) && !r.queue[n].at.After(now); n++ {
+		key := r.queue[n].key
+		s := r.seen[key]
+		if s.expires.After(now) {
+			r.queue = append(r.queue, expiry{key, s.expires})
+			continue
+		}
+		delete(r.seen, key)
+	}
+	r.queue = r.queue[n:]
+}
--- /dev/null
+++ b/internal/command/state.go
@@ -0,0 +1,285 @@
+package command
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/packet"
+)
+
+// Config holds the settings of a State and a Runner. Zero values select the
+// defaults.
+type Config struct {
+	Self string
+	// Boot distinguishes the runs of this process from those of an earlier one.
+	Boot uint64
+	// Retention must be at least twice the longest command deadline.
+	Retention time.Duration
+	// ClaimTimeout bounds the wait for the other owner to store a claim.
+	ClaimTimeout time.Duration
+	// PauseLimit is the gap between two calls after which the host no longer
+	// counts as having seen every claim.
+	PauseLimit    time.Duration
+	MaxClaims     int
+	MaxClaimBytes int
+	MaxAnswer     int
+	// TransferRate is the budget for passing claims to new owners, in bytes
+	// per second.
+	TransferRate int
+}
+
+// Defaults of Config.
+const (
+	DefaultRetention     = 30 * time.Second
+	DefaultClaimTimeout  = time.Second
+	DefaultPauseLimit    = time.Second
+	DefaultMaxClaims     = 20000
+	DefaultMaxClaimBytes = 24 << 20
+	DefaultTransferRate  = 2048
+)
+
+const (
+	claimRetryAfter = 100 * time.Millisecond
+	// runMargin is left of the deadline for the admitting host's answer.
+	runMargin = 100 * time.Millisecond
+	// minAttempt is the shortest time in which a command is given a chance.
+	minAttempt = 50 * time.Millisecond
+	// maxCandidates bounds the runs of one request.
+	maxCandidates = 4
+)
+
+func (c *Config) setDefaults() {
+	setDefault(&c.Retention, DefaultRetention)
+	setDefault(&c.ClaimTimeout, DefaultClaimTimeout)
+	setDefault(&c.PauseLimit, DefaultPauseLimit)
+	setDefault(&c.MaxClaims, DefaultMaxClaims)
+	setDefault(&c.MaxClaimBytes, DefaultMaxClaimBytes)
+	setDefault(&c.MaxAnswer, MaxAnswerBytes)
+	setDefault(&c.TransferRate, DefaultTransferRate)
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// Conditions are what a host knows about its place in the fleet. Majority says
+// that it sees a majority of the listed entry hosts as alive.
+type Conditions struct{ Majority, Serving bool }
+
+// Candidate is a backend server that may run a command, and its admitting host.
+type Candidate struct {
+	Backend netip.AddrPort
+	Host    string
+}
+
+// Input is what the owner knows about a request. Candidates are in order of
+// preference; each is tried at most once, and at most four of them.
+type Input struct {
+	Service    string
+	Bucket     uint8
+	Flow       packet.Key // of the caller's packet
+	Idempotent bool
+	Deadline   time.Duration // of the service's document
+	Candidates []Candidate
+}
+
+// State is the owner side of commands.
+type State struct {
+	cfg        Config
+	table      claimTable
+	conditions Conditions
+	leaving    bool
+	services   map[string]*serviceOwners
+	transfers  []*transfer
+	transferBy tokens
+	retries    tokens
+	nonce      uint64
+	clocks     map[string]time.Duration // admitting hosts' clocks minus this host's
+	last       time.Time
+	out        []Outcome
+}
+
+// New returns a State that owns no bucket and starts no non-idempotent command
+// until SetConditions and SetOwners are called.
+func New(cfg Config, now time.Time) *State {
+	cfg.setDefaults()
+	return &State{
+		cfg: cfg, table: newClaimTable(&cfg), services: make(map[string]*serviceOwners),
+		transferBy: tokens{rate: float64(cfg.TransferRate), burst: float64(cfg.TransferRate), last: now},
+		retries:    tokens{level: retryBurst, rate: retryPerSecond, burst: retryBurst, last: now},
+		nonce:      cfg.Boot, clocks: make(map[string]time.Duration), last: now,
+	}
+}
+
+// begin notes the time of an event. After a pause other hosts may have run
+// commands for this host's buckets, so it no longer counts as complete, and it
+// starts nothing until SetConditions is called again.
+func (s *State) begin(now time.Time) {
+	if now.Sub(s.last) > s.cfg.PauseLimit {
+		s.conditions = Conditions{}
+		s.resetAges()
+	}
+	s.last = laterOf(now, s.last)
+}
+
+func (s *State) emit(o Outcome) { s.out = append(s.out, o) }
+
+func (s *State) take() []Outcome {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+// SetConditions must be called after each change of the membership and after
+// each pause.
+func (s *State) SetConditions(now time.Time, c Conditions) {
+	s.begin(now)
+	if !c.Majority || !c.Serving {
+		s.resetAges()
+	} else if s.conditions != c {
+		s.startAges(now)
+	}
+	s.conditions = c
+}
+
+// Leave stops the start of new requests; those in progress finish.
+func (s *State) Leave() { s.leaving = true }
+
+// InProgress returns the number of commands that this host has yet to finish.
+func (s *State) InProgress() int {
+	n := 0
+	for _, c := range s.table.open {
+		if c.state == Pending && c.run != nil {
+			n++
+		}
+	}
+	return n + len(s.transfers)
+}
+
+// Claims returns the number of claims held and an estimate of their memory.
+func (s *State) Claims() (n, bytes int) { return len(s.table.claims), s.table.bytes }
+
+// Request handles a caller's request that reached this host as the owner of
+// its bucket.
+func (s *State) Request(now time.Time, in Input, req Request) []Outcome {
+	s.begin(now)
+	s.retries.refill(now)
+	s.retries.add(retryShare)
+	key := ClaimKey{Service: in.Service, Caller: in.Flow.Source(), ID: req.ID}
+	if c := s.table.claims[key]; c != nil {
+		s.repeat(now, c, in, req)
+	} else {
+		s.first(now, key, in, req)
+	}
+	return s.take()
+}
+
+func (s *State) repeat(now time.Time, c *claim, in Input, req Request) {
+	if c.digest != req.Digest {
+		countRepeat(ReasonMismatch)
+		s.emit(Answer{in.Flow, ErrorResponse(req.ID, CodeMismatch, ReasonMismatch)})
+		return
+	}
+	s.table.touch(now, c)
+	c.flow = in.Flow
+	if c.state == Pending {
+		countRepeat(ReasonPending)
+		c.waiting = true
+		return
+	}
+	countRepeat(ReasonReplayed)
+	s.emit(Answer{c.flow, s.answerFor(c)})
+	if now.Sub(c.synced) >= s.cfg.Retention/4 {
+		s.tellOthers(now, c, "")
+	}
+}
+
+// answerFor returns what the caller of a settled claim is told.
+func (s *State) answerFor(c *claim) []byte {
+	if c.state == Answered && len(c.answer) > 0 {
+		return c.answer
+	}
+	reason := c.reason
+	if reason == "" {
+		reason = ReasonNoAnswer
+	}
+	return ErrorResponse(c.key.ID, CodeUnknown, reason)
+}
+
+func (s *State) first(now time.Time, key ClaimKey, in Input, req Request) {
+	owners := s.owners(in.Service, in.Bucket)
+	if s.leaving || !owners.has(s.cfg.Self) || owners.Primary != s.cfg.Self {
+		s.elsewhere(owners, in, req)
+		return
+	}
+	if reason, ok := s.mayStart(now, in); !ok {
+		s.reject(in, req, reason)
+		return
+	}
+	deadline := in.Deadline
+	if req.Deadline > 0 {
+		deadline = min(deadline, req.Deadline)
+	}
+	s.nonce++
+	c := &claim{
+		key: key, owner: ClaimOwner{s.cfg.Self, s.nonce}, bucket: in.Bucket, digest: req.Digest,
+		state: Pending, flow: in.Flow, waiting: true, deadline: now.Add(deadline),
+		run: &runState{
+			request: req, idempotent: in.Idempotent, created: now,
+			candidates: append([]Candidate(nil), in.Candidates[:min(maxCandidates, len(in.Candidates))]...),
+		},
+	}
+	s.table.insert(now, c)
+	if c.run.idempotent || owners.other(s.cfg.Self) == "" {
+		s.start(now, c)
+		return
+	}
+	c.run.phase = phaseClaiming
+	s.storeClaim(now, c, owners.other(s.cfg.Self))
+}
+
+// mayStart checks what can be checked before the claim is stored.
+func (s *State) mayStart(now time.Time, in Input) (Reason, bool) {
+	switch {
+	case !s.conditions.Serving:
+		return ReasonNotServing, false
+	case s.table.full():
+		return ReasonClaimsFull, false
+	case !in.Idempotent && !s.conditions.Majority:
+		return ReasonNoMajority, false
+	}
+	return "", true
+}
+
+// reject answers a request for which no claim is held. A delayed duplicate of
+// a non-idempotent request could still run, so "not run" would be a guess.
+func (s *State) reject(in Input, req Request, reason Reason) {
+	code := CodeUnknown
+	if in.Idempotent {
+		code = CodeNotRun
+		countNotRun(reason)
+	} else {
+		countUnknown(reason)
+	}
+	s.emit(Answer{in.Flow, ErrorResponse(req.ID, code, reason)})
+}
+
+func (s *State) elsewhere(owners Owners, in Input, req Request) {
+	to := owners.Primary
+	if to == s.cfg.Self {
+		to = owners.Secondary
+	}
+	reason := ReasonNotOwner
+	if s.leaving {
+		reason = ReasonLeaving
+	}
+	if to == "" {
+		s.reject(in, req, reason)
+		return
+	}
+	count("forwarded", reason)
+	s.emit(Forward{to})
+}
--- /dev/null
+++ b/internal/command/transfer.go
@@ -0,0 +1,219 @@
+package command
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	transferTimeout = 5 * time.Second
+	// transferOverhead is the size of a message and of a record without their
+	// variable parts.
+	transferOverhead = 200
+	// maxTransferAnswer is the longest answer that is passed on; repeats of
+	// longer ones are told that the outcome is unknown.
+	maxTransferAnswer = 1024
+)
+
+// transfer passes the claims of buckets to their new owner. One message is in
+// progress at a time, so that a bucket is reported as done only after its
+// claims have arrived.
+type transfer struct {
+	to, service string
+	buckets     []uint8    // not yet reported as done, in order
+	claims      []ClaimKey // of the first buckets, not yet sent
+	loaded      int        // number of leading buckets whose claims are in claims or sent
+	sent        int        // claims in the message in progress
+	done        int        // buckets in the message in progress
+	waiting     bool
+	sentAt      time.Time
+}
+
+func (s *State) dropTransfers(drop func(*transfer) bool) {
+	kept := s.transfers[:0]
+	for _, t := range s.transfers {
+		if !drop(t) {
+			kept = append(kept, t)
+		}
+	}
+	clear(s.transfers[len(kept):])
+	s.transfers = kept
+}
+
+// planTransfers replaces the transfers of a service: those in progress are
+// restarted for the buckets whose owners are still the same.
+func (s *State) planTransfers(service string, so *serviceOwners, changed map[uint8]string) {
+	for _, t := range s.transfers {
+		if t.service != service {
+			continue
+		}
+		for _, b := range t.buckets {
+			if _, ok := changed[b]; !ok && so.owners[b].other(s.cfg.Self) == t.to {
+				changed[b] = t.to
+			}
+		}
+	}
+	s.dropTransfers(func(t *transfer) bool { return t.service == service })
+	byHost := make(map[string][]uint8)
+	for b, to := range changed {
+		byHost[to] = append(byHost[to], b)
+	}
+	for to, list := range byHost {
+		sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
+		s.transfers = append(s.transfers, &transfer{to: to, service: service, buckets: list})
+	}
+	sort.SliceStable(s.transfers, func(i, j int) bool {
+		a, b := s.transfers[i], s.transfers[j]
+		return a.service < b.service || a.service == b.service && a.to < b.to
+	})
+}
+
+func (s *State) continueTransfers(now time.Time) {
+	s.transferBy.refill(now)
+	for _, t := range s.transfers {
+		if t.waiting && now.Sub(t.sentAt) < transferTimeout {
+			continue
+		}
+		if s.transferBy.level < transferOverhead {
+			return
+		}
+		if !s.conditions.Serving {
+			return
+		}
+		s.load(t)
+		s.sendTransfer(now, t)
+	}
+}
+
+// load collects the claims of the buckets, the first time that it is called.
+func (s *State) load(t *transfer) {
+	if t.loaded == len(t.buckets) {
+		return
+	}
+	var wanted [buckets]bool
+	for _, b := range t.buckets {
+		wanted[b] = true
+	}
+	t.loaded, t.claims = len(t.buckets), nil
+	for _, c := range s.table.claims {
+		if c.key.Service == t.service && wanted[c.bucket] {
+			t.claims = append(t.claims, c.key)
+		}
+	}
+	sort.Slice(t.claims, func(i, j int) bool {
+		a, b := s.table.claims[t.claims[i]], s.table.claims[t.claims[j]]
+		if a.bucket != b.bucket {
+			return a.bucket < b.bucket
+		}
+		return a.owner.Nonce < b.owner.Nonce || a.owner.Nonce == b.owner.Nonce && a.key.ID < b.key.ID
+	})
+}
+
+// sendTransfer sends as many claims as the budget allows, and the buckets that
+// are complete with them.
+func (s *State) sendTransfer(now time.Time, t *transfer) {
+	m := TransferRequest{Service: t.service}
+	budget := s.transferBy.level - transferOverhead
+	t.sent = 0
+	for _, key := range t.claims {
+		c := s.table.claims[key]
+		if c != nil && !(c.run != nil && c.run.idempotent) {
+			r := c.record(now)
+			if len(r.Answer) > maxTransferAnswer {
+				r.Answer, r.Reason = nil, ReasonAnswerTooLarge
+			}
+			size := recordBytes(&r)
+			if budget < size && len(m.Claims) > 0 {
+				break
+			}
+			budget -= size
+			m.Claims = append(m.Claims, r)
+		}
+		t.sent++
+	}
+	m.Done, m.AgeMS = s.doneBuckets(now, t)
+	t.done = len(m.Done)
+	s.transferBy.level = budget // below zero after a record larger than the budget
+	t.waiting, t.sentAt = true, now
+	s.emit(Transfer{To: t.to, Message: m})
+}
+
+// doneBuckets returns the buckets of which no claim is left after the message.
+func (s *State) doneBuckets(now time.Time, t *transfer) ([]uint8, int64) {
+	rest := buckets
+	for _, key := range t.claims[t.sent:] {
+		if c := s.table.claims[key]; c != nil {
+			rest = int(c.bucket)
+			break
+		}
+	}
+	n := 0
+	oldest := s.cfg.Retention
+	for n < len(t.buckets) && int(t.buckets[n]) < rest {
+		age, _ := s.age(now, t.service, t.buckets[n])
+		oldest = min(oldest, age)
+		n++
+	}
+	return t.buckets[:n:n], milliseconds(oldest)
+}
+
+func recordBytes(r *ClaimRecord) float64 {
+	return float64(transferOverhead + len(r.Service) + len(r.ID) + len(r.Answer))
+}
+
+// TransferResult handles the result of a Transfer call.
+func (s *State) TransferResult(now time.Time, to, service string, reply TransferReply, status CallStatus) []Outcome {
+	s.begin(now)
+	for _, t := range s.transfers {
+		if t.to != to || t.service != service || !t.waiting {
+			continue
+		}
+		if status != CallDone || reply.Refused != "" {
+			countRetry(ReasonNotSent)
+			return nil // repeated after transferTimeout
+		}
+		t.waiting = false
+		t.claims = t.claims[t.sent:]
+		t.buckets = t.buckets[t.done:]
+		t.loaded = len(t.buckets)
+		t.sent, t.done = 0, 0
+	}
+	s.dropTransfers(func(t *transfer) bool { return len(t.buckets) == 0 })
+	return s.take()
+}
+
+// Transfer handles a TransferRequest of host from.
+func (s *State) Transfer(now time.Time, from string, m TransferRequest) (TransferReply, []Outcome) {
+	s.begin(now)
+	so := s.services[m.Service]
+	if so == nil || !s.conditions.Serving {
+		return s.refuseTransfer(ReasonNotServing)
+	}
+	for i := range m.Claims {
+		r := &m.Claims[i]
+		if r.Service != m.Service || r.State < Pending || r.State > Unknown {
+			return s.refuseTransfer(ReasonMalformed)
+		}
+		if so.owners[r.Bucket].other(s.cfg.Self) != from {
+			return s.refuseTransfer(ReasonNotOwner)
+		}
+		if !s.merge(now, from, r) {
+			return s.refuseTransfer(ReasonClaimsFull)
+		}
+	}
+	since := now.Add(-time.Duration(min(m.AgeMS, s.cfg.Retention.Milliseconds())) * time.Millisecond)
+	for _, b := range m.Done {
+		if so.owners[b].other(s.cfg.Self) != from {
+			return s.refuseTransfer(ReasonNotOwner)
+		}
+		if !so.since[b].IsZero() && since.Before(so.since[b]) {
+			so.since[b] = since
+		}
+	}
+	return TransferReply{}, s.take()
+}
+
+func (s *State) refuseTransfer(r Reason) (TransferReply, []Outcome) {
+	countClaimRefused(r)
+	return TransferReply{Refused: r}, s.take()
+}
