Serve a request end to end through separate processes

Cause: the slices had no process that joins them. Change: nutmeglatchd with its control loop, traffic goroutines, comparison of versions with peers and commands; a process test that starts three daemons between the stand-ins. limits.command_deadline bounds the documents' command deadlines, so that the claim retention and the shutdown limit follow from it. Before: no path. Conclusion: the thin path works; limits and health are not connected yet.

--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -7,15 +7,24 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/nutmeglatch/nutmeglatch/internal/command"
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
 )
 
+// callHandler answers one method.
+type callHandler func(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error)
+
 // callHandlers maps the methods that peers may call.
-var callHandlers = map[string]func(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error){
+var callHandlers = map[string]callHandler{
 	configsync.MethodPush:     handlePush,
 	configsync.MethodPartial:  handlePartial,
 	configsync.MethodVersions: handleVersions,
 	configsync.MethodFetch:    handleFetch,
+	command.MethodClaim:       handleClaim,
+	command.MethodRun:         handleRun,
+	command.MethodComplete:    handleComplete,
+	command.MethodReply:       handleReply,
+	command.MethodTransfer:    handleTransfer,
 }
 
 // handleCall answers a call of another entry host.
--- /dev/null
+++ b/internal/daemon/commands.go
@@ -0,0 +1,327 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/command"
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/membership"
+	"github.com/nutmeglatch/nutmeglatch/internal/packet"
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
+	"github.com/nutmeglatch/nutmeglatch/internal/route"
+)
+
+// claimCallTimeout bounds the calls that store or pass on claims. The owner
+// repeats them as long as the command's deadline allows.
+const claimCallTimeout = time.Second
+
+// runCallMargin is added to a command's deadline for the call to its
+// admitting host, so that the host's answer about the deadline still arrives.
+const runCallMargin = 250 * time.Millisecond
+
+// commandRequest hands a command that this host owns to the control goroutine.
+func (d *Daemon) commandRequest(snap *route.Snapshot, info *packet.Info, inner []byte) {
+	svc := snap.Services.Get(serviceAddr(info.Key))
+	if svc == nil {
+		countDroppedReason("command", "no_service")
+		return
+	}
+	payload := inner[info.PayloadOffset : info.PayloadOffset+info.PayloadLen]
+	k, name := info.Key, svc.Name
+	req, err := command.ParseRequest(payload)
+	if err != nil {
+		d.refuseCommand(k, err)
+		return
+	}
+	d.tryPost(func(c *control, now time.Time) { c.command(now, name, k, req) })
+}
+
+func serviceAddr(k packet.Key) route.ServiceAddr {
+	dst := k.Destination()
+	return route.ServiceAddr{Addr: dst.Addr(), Port: dst.Port(), Proto: k.Proto}
+}
+
+// refuseCommand answers a request that cannot be parsed.
+func (d *Daemon) refuseCommand(k packet.Key, err error) {
+	var re *command.RequestError
+	if !errors.As(err, &re) {
+		return
+	}
+	countDroppedReason("command", string(re.Reason))
+	if body := re.Response(); body != nil {
+		d.answerCaller(k, body)
+	}
+}
+
+func (d *Daemon) answerCaller(k packet.Key, body []byte) {
+	d.sendInner(packet.AppendUDP(nil, k.Reverse(), body), d.settings.FabricReturn)
+}
+
+// commandReply hands a backend server's answer to a command to the control
+// goroutine. It returns false for packets of flows.
+func (d *Daemon) commandReply(snap *route.Snapshot, from netip.AddrPort, info *packet.Info, inner []byte) bool {
+	k := info.Key.Reverse()
+	svc := snap.Services.Get(serviceAddr(k))
+	if svc == nil || svc.CommandAddr != serviceAddr(k) {
+		return false
+	}
+	body := slices.Clone(inner[info.PayloadOffset : info.PayloadOffset+info.PayloadLen])
+	d.tryPost(func(c *control, now time.Time) {
+		passOn := c.admittingHost(from) != c.d.settings.HostID
+		c.performCommands(now, c.runner.Reply(now, from, k, body, passOn))
+	})
+	return true
+}
+
+// command handles a caller's request at the owner of its bucket.
+func (c *control) command(now time.Time, service string, k packet.Key, req command.Request) {
+	doc := c.config.Current().Services[service]
+	if doc == nil || doc.Commands == nil {
+		countDroppedReason("command", "no_service")
+		return
+	}
+	in := command.Input{
+		Service:    service,
+		Bucket:     uint8(k.Hash() % route.Buckets),
+		Flow:       k,
+		Idempotent: slices.Contains(doc.Commands.IdempotentMethods, req.Method),
+		Deadline:   min(doc.Commands.Deadline.Std(), c.d.settings.Limits.CommandDeadline.Std()),
+		Candidates: c.candidates(service, k.Hash()^uint64(now.UnixNano())),
+	}
+	c.performCommands(now, c.commands.Request(now, in, req))
+}
+
+// candidates returns the backend servers that may run a command, in an order
+// that the seed decides.
+func (c *control) candidates(service string, seed uint64) []command.Candidate {
+	svc := c.d.snapshot.Load().ByName.Get(service)
+	if svc == nil {
+		return nil
+	}
+	usable := slices.DeleteFunc(slices.Clone(svc.Backends), func(b *route.Backend) bool {
+		return b.Weight <= 0 || b.Out || b.Draining || b.Unusable
+	})
+	slices.SortFunc(usable, func(a, b *route.Backend) int {
+		return cmp.Compare(hashAddrPort(a.Addr, seed), hashAddrPort(b.Addr, seed))
+	})
+	out := make([]command.Candidate, 0, len(usable))
+	for _, b := range usable {
+		if host := c.admittingHost(b.Addr); host != "" {
+			out = append(out, command.Candidate{Backend: b.Addr, Host: host})
+		}
+	}
+	return out
+}
+
+func hashAddrPort(a netip.AddrPort, seed uint64) uint64 {
+	b, _ := a.MarshalBinary()
+	d := xxhash.NewWithSeed(seed)
+	_, _ = d.Write(b)
+	return d.Sum64()
+}
+
+// admittingHost returns the host that admits a backend server's commands: the
+// highest in rendezvous order among the live hosts of its data centre, or of
+// all data centres when it has none.
+func (c *control) admittingHost(backend netip.AddrPort) string {
+	b := c.d.snapshot.Load().Backends.Get(backend)
+	if b == nil {
+		return ""
+	}
+	best, bestScore, bestNear := "", uint64(0), false
+	for _, m := range c.members.Members() {
+		if !c.mayAdmit(&m) {
+			continue
+		}
+		near := m.Host.DataCentre == b.DataCentre
+		score := hashAddrPort(backend, xxhash.Sum64String(m.Host.ID))
+		if best == "" || near && !bestNear || near == bestNear && score > bestScore {
+			best, bestScore, bestNear = m.Host.ID, score, near
+		}
+	}
+	return best
+}
+
+func (c *control) mayAdmit(m *membership.Member) bool {
+	if m.Host.ID == c.d.settings.HostID {
+		return !c.leaving
+	}
+	return isLive(m.Status) && m.Confirmed() && m.Host.State != document.HostLeaving
+}
+
+// performCommands carries out the outcomes of the command slice.
+func (c *control) performCommands(now time.Time, outcomes []command.Outcome) {
+	for _, o := range outcomes {
+		switch o := o.(type) {
+		case command.Answer:
+			c.d.answerCaller(o.Flow, o.Body)
+		case command.SendBackend:
+			c.d.sendInner(packet.AppendUDP(nil, o.Flow, o.Body), o.Backend)
+		case command.Cancel:
+			c.d.sendInner(packet.AppendUDP(nil, o.Flow, o.Body), o.Backend)
+		case command.StoreClaim:
+			c.storeClaim(o)
+		case command.Run:
+			c.runCommand(now, o)
+		case command.Finish:
+			c.finishRun(o)
+		case command.Complete:
+			c.call(o.To, command.MethodComplete, o.Message, nil)
+		case command.Transfer:
+			c.transferClaims(o)
+		case command.PassReply:
+			if host := c.admittingHost(o.Message.Backend); host != "" {
+				c.call(host, command.MethodReply, o.Message, nil)
+			}
+		case command.Forward:
+			countDroppedReason("command", "not_owner")
+		}
+	}
+}
+
+func (c *control) storeClaim(o command.StoreClaim) {
+	callPeer(c, o.To, command.MethodClaim, claimCallTimeout, o.Message,
+		func(c *control, now time.Time, reply command.ClaimReply, status command.CallStatus) {
+			c.performCommands(now, c.commands.ClaimResult(now, o.To, o.Ref, reply, status))
+		})
+}
+
+func (c *control) transferClaims(o command.Transfer) {
+	callPeer(c, o.To, command.MethodTransfer, claimCallTimeout, o.Message,
+		func(c *control, now time.Time, reply command.TransferReply, status command.CallStatus) {
+			c.performCommands(now, c.commands.TransferResult(now, o.To, o.Message.Service, reply, status))
+		})
+}
+
+// runCommand runs a command through the admitting host of its backend server.
+func (c *control) runCommand(now time.Time, o command.Run) {
+	if o.Host == c.d.settings.HostID {
+		c.acceptRun(now, o.Message, func(c *control, now time.Time, reply command.RunReply) {
+			c.performCommands(now, c.commands.RunResult(now, o.Host, o.Ref, reply, command.CallDone))
+		})
+		return
+	}
+	timeout := time.Duration(o.Message.DeadlineMS)*time.Millisecond + runCallMargin
+	callPeer(c, o.Host, command.MethodRun, timeout, o.Message,
+		func(c *control, now time.Time, reply command.RunReply, status command.CallStatus) {
+			c.performCommands(now, c.commands.RunResult(now, o.Host, o.Ref, reply, status))
+		})
+}
+
+// runDone receives the result of a run.
+type runDone func(c *control, now time.Time, reply command.RunReply)
+
+// acceptRun gives a run to the local runner and remembers who waits for it.
+func (c *control) acceptRun(now time.Time, m command.RunRequest, done runDone) {
+	c.nextCall++
+	c.runCalls[c.nextCall] = done
+	admits := c.serving && c.admittingHost(m.Backend) == c.d.settings.HostID && c.servesCommands(&m)
+	c.performCommands(now, c.runner.Run(now, c.nextCall, m, admits))
+}
+
+// servesCommands reports whether the backend server belongs to the service.
+func (c *control) servesCommands(m *command.RunRequest) bool {
+	b := c.d.snapshot.Load().Backends.Get(m.Backend)
+	return b != nil && b.Service.Name == m.Service && !b.Out && !b.Unusable
+}
+
+func (c *control) finishRun(o command.Finish) {
+	done, ok := c.runCalls[o.Call]
+	if !ok {
+		return
+	}
+	delete(c.runCalls, o.Call)
+	// The event is queued, not run here, because the slices are not reentrant.
+	d, reply := c.d, o.Reply
+	go d.post(func(c *control, now time.Time) { done(c, now, reply) })
+}
+
+// callPeer calls a peer in the background and hands the typed result to the
+// control goroutine.
+func callPeer[R any](c *control, id, method string, timeout time.Duration, params any, done func(c *control, now time.Time, reply R, status command.CallStatus)) {
+	d, ctx := c.d, c.ctx
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		var reply R
+		status := callStatus(d.pool.Call(ctx, id, method, params, &reply))
+		if status != command.CallDone {
+			countCallFailure(method)
+		}
+		d.post(func(c *control, now time.Time) { done(c, now, reply, status) })
+	}()
+}
+
+// callStatus says what is known about a call. An error that the called host
+// returned before its handler ran counts as not sent.
+func callStatus(err error) command.CallStatus {
+	var remote *peer.RemoteError
+	switch {
+	case err == nil:
+		return command.CallDone
+	case errors.Is(err, peer.ErrNotSent):
+		return command.CallNotSent
+	case errors.As(err, &remote) && (remote.Code == peer.CodeBusy || remote.Code == peer.CodeUnlisted):
+		return command.CallNotSent
+	default:
+		return command.CallLost
+	}
+}
+
+func handleClaim(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
+	return answer(d, ctx, params, func(c *control, now time.Time, m command.ClaimRequest) command.ClaimReply {
+		return c.commands.Claim(now, from, m)
+	})
+}
+
+func handleComplete(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
+	return answer(d, ctx, params, func(c *control, now time.Time, m command.CompleteRequest) bool {
+		c.performCommands(now, c.commands.Complete(now, from, m))
+		return true
+	})
+}
+
+func handleTransfer(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
+	return answer(d, ctx, params, func(c *control, now time.Time, m command.TransferRequest) command.TransferReply {
+		reply, outcomes := c.commands.Transfer(now, from, m)
+		c.performCommands(now, outcomes)
+		return reply
+	})
+}
+
+func handleReply(d *Daemon, ctx context.Context, _ string, params json.RawMessage) (any, error) {
+	return answer(d, ctx, params, func(c *control, now time.Time, m command.ReplyRequest) bool {
+		c.performCommands(now, c.runner.Reply(now, m.Backend, m.Flow(), m.Body, false))
+		return true
+	})
+}
+
+// handleRun answers when the run has ended.
+func handleRun(d *Daemon, ctx context.Context, _ string, params json.RawMessage) (any, error) {
+	m, err := decodeParams[command.RunRequest](params)
+	if err != nil {
+		return nil, err
+	}
+	result := make(chan command.RunReply, 1)
+	_, err = ask(ctx, d, func(c *control, now time.Time) bool {
+		c.acceptRun(now, m, func(_ *control, _ time.Time, reply command.RunReply) { result <- reply })
+		return true
+	})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case reply := <-result:
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/nutmeglatch/nutmeglatch/internal/command"
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
@@ -40,14 +41,19 @@
 	builder *route.Builder
 	sync    syncState
 
-	serving   bool
-	leaving   bool
-	leftAt    time.Time
-	killed    bool
-	dirty     bool
-	lastError string // of the platform
-	readers   chan bool
-	isReader  bool
+	commands *command.State
+	runner   *command.Runner
+	runCalls map[uint64]runDone // runs that a caller waits for
+	nextCall uint64
+	owned    map[string]*route.Service // services as last given to commands
+
+	serving    bool
+	leaving    bool
+	leftAt     time.Time
+	killed     bool
+	dirty      bool
+	lastError  string // of the platform
+	flowCounts map[netip.AddrPort]int
 }
 
 func newControl(d *Daemon) *control {
@@ -69,8 +75,12 @@
 		}, d.started),
 		config:  configsync.New(configsync.Config{Seed: seed}),
 		builder: route.NewBuilder(s.HostID, s.DataCentre, s.Limits.GroupSize),
-		readers: make(chan bool, 1),
 	}
+	cfg := command.Config{Self: s.HostID, Boot: d.boot, Retention: s.Limits.ClaimRetention.Std(), PauseLimit: s.PauseLimit.Std()}
+	c.commands = command.New(cfg, d.started)
+	c.runner = command.NewRunner(cfg, newSlots(c))
+	c.runCalls = map[uint64]runDone{}
+	c.owned = map[string]*route.Service{}
 	c.sync.begin(d.started, s.StartCheck.Std())
 	return c
 }
@@ -150,6 +160,8 @@
 func (c *control) tick(now time.Time) {
 	c.carryOut(now, c.members.Tick(now))
 	c.startCheck(now)
+	c.performCommands(now, c.commands.Expire(now))
+	c.performCommands(now, c.runner.Expire(now))
 }
 
 // carryOut performs the outcomes of the membership.
@@ -222,6 +234,7 @@
 	}
 	c.leaving, c.leftAt, c.dirty = true, now, true
 	level.Info(c.logger).Log("msg", "leaving")
+	c.commands.Leave()
 	c.carryOut(now, c.members.Leave(now))
 }
 
@@ -240,7 +253,9 @@
 	return quiet && c.commandsInProgress() == 0
 }
 
-func (c *control) commandsInProgress() int { return 0 }
+func (c *control) commandsInProgress() int {
+	return c.commands.InProgress() + c.runner.InProgress()
+}
 
 // live returns the ids of the members that own flows.
 func (c *control) live(filter func(*membership.Member) bool) []string {
@@ -261,14 +276,5 @@
 	dc := c.d.settings.DataCentre
 	ids := c.live(func(m *membership.Member) bool { return m.Host.DataCentre == dc && m.Status == membership.Alive })
 	ids = append(ids, c.d.settings.HostID)
-	isReader := slices.Contains(configsync.Readers(dc, ids), c.d.settings.HostID)
-	if isReader == c.isReader {
-		return
-	}
-	c.isReader = isReader
-	select {
-	case <-c.readers:
-	default:
-	}
-	c.readers <- isReader
+	c.d.reader.Store(slices.Contains(configsync.Readers(dc, ids), c.d.settings.HostID))
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,6 +61,7 @@
 	control    *control
 	events     chan event
 	lastPacket atomic.Int64 // time since start in nanoseconds
+	reader     atomic.Bool  // keeps a blocking read open on the platform
 }
 
 // New opens the sockets of the entry host. Run must be called afterwards.
@@ -83,12 +84,12 @@
 		d.network = SystemNetwork{}
 	}
 	if d.source == nil {
-		d.source = newSource(o.Settings)
+		d.source = d.newSource()
 	}
 	// A later process of this host must have a greater boot id.
 	d.boot = uint64(d.started.UnixMilli())
 	d.table = flow.NewTable(o.Settings.Limits.MaxFlows)
-	d.router = newRouter(d)
+	d.router = &route.Router{Table: d.table, TentativeFor: o.Settings.Limits.TentativeFor.Std(), PreferLocal: true}
 	d.listed.Store(&map[string]netip.AddrPort{})
 	if err := d.listen(); err != nil {
 		d.closeSockets()
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 	"net"
-	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
+	"github.com/nutmeglatch/nutmeglatch/internal/packet"
 	"github.com/nutmeglatch/nutmeglatch/internal/route"
 )
 
@@ -24,23 +25,14 @@
 	compareFailures: metrics.NewCounter("nutmeglatch_configsync_compare_failures_total"),
 }
 
-// actionNames are the label values of the counters of packets.
-var actionNames = map[route.ActionKind]string{
-	route.ToBackend:   "to_backend_server",
-	route.ToPeer:      "to_entry_host",
-	route.ToCaller:    "to_caller",
-	route.ResetCaller: "reset_caller",
-	route.ToCommand:   "command",
-	route.Drop:        "drop",
-}
-
 // packetCounters are indexed by action and reason, so that counting a packet
 // needs no lookup by name.
 var packetCounters = newPacketCounters()
 
-func newPacketCounters() map[route.ActionKind][]*metrics.Counter {
-	all := map[route.ActionKind][]*metrics.Counter{}
-	for kind, name := range actionNames {
+func newPacketCounters() [][]*metrics.Counter {
+	all := make([][]*metrics.Counter, route.ToCommand+1)
+	for kind := range all {
+		name := route.ActionKind(kind).String()
 		for _, r := range route.Reasons() {
 			metric := fmt.Sprintf(`nutmeglatch_route_packets_total{action=%q,reason=%q}`, name, r)
 			all[kind] = append(all[kind], metrics.GetOrCreateCounter(metric))
@@ -51,9 +43,31 @@
 
 func countAction(a route.Action) { packetCounters[a.Kind][a.Reason].Inc() }
 
-// countDropped counts bad input by port and error.
+// dropReasons names the errors of bad input for the counters.
+var dropReasons = []struct {
+	err  error
+	name string
+}{
+	{packet.ErrTruncated, "truncated"},
+	{packet.ErrVersion, "ip_version"},
+	{packet.ErrProtocol, "protocol"},
+	{packet.ErrFragment, "fragment"},
+	{packet.ErrLength, "length"},
+	{packet.ErrTag, "tag"},
+	{packet.ErrForwardVersion, "version"},
+	{packet.ErrKind, "kind"},
+	{packet.ErrHops, "hop_limit"},
+}
+
+// countDropped counts bad input by port and reason.
 func countDropped(port string, err error) {
-	countDroppedReason(port, strings.ReplaceAll(err.Error(), " ", "_"))
+	for _, r := range dropReasons {
+		if errors.Is(err, r.err) {
+			countDroppedReason(port, r.name)
+			return
+		}
+	}
+	countDroppedReason(port, "malformed")
 }
 
 func countDroppedReason(port, reason string) {
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net"
+	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
@@ -15,17 +18,28 @@
 const hostsKey = document.HostsKey
 
 // newSource returns the source that the settings name.
-func newSource(s *settings.Settings) platform.Source {
-	if s.Platform.Type == settings.PlatformDirectory {
-		return platform.NewDirectory(platform.DirectoryConfig{Path: s.Platform.Path})
+func (d *Daemon) newSource() platform.Source {
+	s := d.settings.Platform
+	if s.Type == settings.PlatformDirectory {
+		return platform.NewDirectory(platform.DirectoryConfig{Path: s.Path})
 	}
 	return platform.NewHTTP(platform.HTTPConfig{
-		URL:  s.Platform.URL,
-		Wait: s.Platform.Wait.Std(),
-		Poll: s.Platform.Poll.Std(),
+		URL:    s.URL,
+		Wait:   s.Wait.Std(),
+		Poll:   s.Poll.Std(),
+		Reader: d.reader.Load,
+		Dial:   d.dialPlatform,
 	})
 }
 
+func (d *Daemon) dialPlatform(ctx context.Context, _, addr string) (net.Conn, error) {
+	to, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "platform address")
+	}
+	return d.network.Dial(ctx, to)
+}
+
 // watchPlatform passes the platform's values to the control goroutine.
 func (c *control) watchPlatform(ctx context.Context) error {
 	updates := make(chan platform.Update)
--- a/internal/daemon/snapshot.go
+++ b/internal/daemon/snapshot.go
@@ -5,7 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/nutmeglatch/nutmeglatch/internal/command"
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/membership"
 	"github.com/nutmeglatch/nutmeglatch/internal/packet"
 	"github.com/nutmeglatch/nutmeglatch/internal/route"
 )
@@ -17,7 +19,34 @@
 		return
 	}
 	c.dirty = false
-	c.d.snapshot.Store(c.buildSnapshot(now))
+	snap := c.buildSnapshot(now)
+	c.d.snapshot.Store(snap)
+	c.ownersChanged(now, snap)
+}
+
+// ownersChanged tells the command slice who owns which bucket and whether this
+// host sees a majority.
+func (c *control) ownersChanged(now time.Time, snap *route.Snapshot) {
+	c.commands.SetConditions(now, command.Conditions{Majority: c.members.Majority(c.dataCentresOut()), Serving: c.serving})
+	for name, svc := range snap.ByName.All() {
+		if svc.CommandAddr == (route.ServiceAddr{}) || c.owned[name] == svc {
+			continue
+		}
+		c.owned[name] = svc
+		var owners [route.Buckets]command.Owners
+		for b, o := range svc.Owners {
+			owners[b] = command.Owners{Primary: hostID(snap, o[0]), Secondary: hostID(snap, o[1])}
+		}
+		c.performCommands(now, c.commands.SetOwners(now, name, &owners))
+	}
+}
+
+// hostID returns the id of a host, empty for none.
+func hostID(s *route.Snapshot, i uint16) string {
+	if i == route.NoHost {
+		return ""
+	}
+	return s.Hosts[i].ID
 }
 
 func (c *control) buildSnapshot(now time.Time) *route.Snapshot {
@@ -49,7 +78,7 @@
 			Region:     m.Host.Region,
 			Peer:       m.Host.PeerAddr(),
 			Leaving:    isSelf && c.leaving || m.Host.State == document.HostLeaving || slices.Contains(out, m.Host.DataCentre),
-			Suspect:    m.Status == suspect,
+			Suspect:    m.Status == membership.Suspect,
 		})
 	}
 	return hosts
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/admin"
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/flow"
 	"github.com/nutmeglatch/nutmeglatch/internal/packet"
 	"github.com/nutmeglatch/nutmeglatch/internal/route"
@@ -45,10 +47,10 @@
 	for name := range accepted.Services {
 		st.Services = append(st.Services, c.serviceStatus(name))
 	}
-	slices.SortFunc(st.Services, func(a, b admin.ServiceStatus) int { return compareStrings(a.Name, b.Name) })
+	slices.SortFunc(st.Services, func(a, b admin.ServiceStatus) int { return strings.Compare(a.Name, b.Name) })
 	for _, r := range c.config.Refusals() {
 		st.Refusals = append(st.Refusals, admin.Refusal{
-			Key: r.Key, Version: r.Version, Reason: string(r.Refusal), Detail: r.Err, At: r.Last.UTC().Format(time.RFC3339),
+			Key: r.Key, Version: r.Version, Reason: string(r.Reason), Detail: r.Error, At: r.Last.UTC().Format(time.RFC3339),
 		})
 	}
 	return st
@@ -57,7 +59,7 @@
 func (c *control) serviceStatus(name string) admin.ServiceStatus {
 	doc := c.config.Current().Services[name]
 	st := admin.ServiceStatus{Name: name, Version: doc.Version}
-	if v, ok := c.config.Get(serviceKey(name)); ok {
+	if v, ok := c.config.Get(document.ServiceKeyPrefix + name); ok {
 		st.Digest = fmt.Sprintf("%016x", v.Digest)
 	}
 	snap := c.d.snapshot.Load()
@@ -113,10 +115,10 @@
 }
 
 func hostName(s *route.Snapshot, i uint16) string {
-	if i == route.NoHost {
-		return "none"
+	if id := hostID(s, i); id != "" {
+		return id
 	}
-	return s.Hosts[i].ID
+	return "none"
 }
 
 var stateNames = map[flow.State]string{
@@ -126,4 +128,14 @@
 	flow.Proven:    "proven",
 }
 
+func (c *control) backendStatus(b *route.Backend) admin.BackendStatus {
+	return admin.BackendStatus{
+		Addr:       b.Addr.String(),
+		DataCentre: b.DataCentre,
+		Verdict:    "usable",
+		Weight:     b.Weight,
+		Instance:   b.Instance,
+	}
+}
+
 func stateName(s flow.State) string { return stateNames[s] }
--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -17,9 +17,6 @@
 // maxDatagramBytes is the largest UDP payload over IPv4.
 const maxDatagramBytes = 65507
 
-// First bytes of the datagrams between entry hosts.
-const forwardVersion = 0x01
-
 func (d *Daemon) workers() int {
 	if d.settings.Workers > 0 {
 		return d.settings.Workers
@@ -80,7 +77,7 @@
 		return
 	}
 	d, snap, now := w.d, w.d.snapshot.Load(), w.d.now()
-	if _, ok := snap.Backends[from]; ok {
+	if snap.Backends.Get(from) != nil {
 		w.fromBackend(snap, from, inner, now)
 		return
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -14,10 +14,11 @@
 
 // Bounds of settings.
 const (
-	// MinShutdownLimit lets every command in progress end.
-	MinShutdownLimit = document.MaxCommandDeadline + time.Second
-	// MinClaimRetention is twice the longest command deadline.
-	MinClaimRetention = 2 * document.MaxCommandDeadline
+	// ShutdownMargin is added to the longest command deadline, so that every
+	// command in progress can end before a graceful shutdown does.
+	ShutdownMargin = time.Second
+	// RetentionDeadlines is the least claim retention in command deadlines.
+	RetentionDeadlines = 2
 	// MinMaxMessage holds the largest value of the platform in base64.
 	MinMaxMessage = 3 << 19
 	MaxMaxMessage = 2 << 20
@@ -84,7 +85,7 @@
 	c.duration("pause_limit", s.PauseLimit, 100*time.Millisecond, time.Minute)
 	c.duration("start_check", s.StartCheck, 100*time.Millisecond, time.Minute)
 	c.duration("shutdown.quiet_for", s.Shutdown.QuietFor, 100*time.Millisecond, time.Minute)
-	c.duration("shutdown.limit", s.Shutdown.Limit, MinShutdownLimit, 10*time.Minute)
+	c.duration("shutdown.limit", s.Shutdown.Limit, s.Limits.CommandDeadline.Std()+ShutdownMargin, 10*time.Minute)
 	c.between("workers", s.Workers, 0, MaxWorkers)
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
@@ -128,7 +129,8 @@
 func (l *Limits) check(c *checker) {
 	c.between("limits.max_flows", l.MaxFlows, MinMaxFlows, MaxMaxFlows)
 	c.between("limits.max_message", l.MaxMessage, MinMaxMessage, MaxMaxMessage)
-	c.duration("limits.claim_retention", l.ClaimRetention, MinClaimRetention, time.Hour)
+	c.duration("limits.command_deadline", l.CommandDeadline, 100*time.Millisecond, document.MaxCommandDeadline)
+	c.duration("limits.claim_retention", l.ClaimRetention, RetentionDeadlines*l.CommandDeadline.Std(), time.Hour)
 	c.duration("limits.tentative_for", l.TentativeFor, 100*time.Millisecond, time.Minute)
 	c.between("limits.group_size", l.GroupSize, 1, MaxGroupSize)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,11 +67,13 @@
 
 // Limits bounds the state that the process holds.
 type Limits struct {
-	MaxFlows       int               `yaml:"max_flows"`
-	MaxMessage     int               `yaml:"max_message"`
-	ClaimRetention document.Duration `yaml:"claim_retention"`
-	TentativeFor   document.Duration `yaml:"tentative_for"`
-	GroupSize      int               `yaml:"group_size"`
+	MaxFlows   int `yaml:"max_flows"`
+	MaxMessage int `yaml:"max_message"`
+	// CommandDeadline bounds the deadlines that documents give to commands.
+	CommandDeadline document.Duration `yaml:"command_deadline"`
+	ClaimRetention  document.Duration `yaml:"claim_retention"`
+	TentativeFor    document.Duration `yaml:"tentative_for"`
+	GroupSize       int               `yaml:"group_size"`
 }
 
 // Probe holds the intervals of failure detection.
@@ -99,11 +101,12 @@
 			Poll:   seconds(60),
 		},
 		Limits: Limits{
-			MaxFlows:       1_000_000,
-			MaxMessage:     2 << 20,
-			ClaimRetention: seconds(30),
-			TentativeFor:   seconds(1),
-			GroupSize:      8,
+			MaxFlows:        1_000_000,
+			MaxMessage:      2 << 20,
+			CommandDeadline: document.Duration(document.MaxCommandDeadline),
+			ClaimRetention:  seconds(30),
+			TentativeFor:    seconds(1),
+			GroupSize:       8,
 		},
 		Probe: Probe{
 			Interval:       document.Duration(200 * time.Millisecond),
