Add the platform client with contract tests for both sources

Cause: documents are read from a service that may be stale, down, slow or silent, and whose index may go backwards. Change: a Consul KV HTTP client with a blocking read and a slow poll on separate connections, deadlines on every read, growing delays with jitter, bounds on bodies and elements, and counters; a directory source; one set of contract tests for both, on a synthetic clock.

--- /dev/null
+++ b/internal/platform/contract_test.go
@@ -0,0 +1,493 @@
+package platform
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+)
+
+// fault is a way in which a platform misbehaves.
+type fault string
+
+const (
+	none      fault = "none"
+	down      fault = "down"
+	slow      fault = "slow"
+	silent    fault = "silent"
+	stalled   fault = "stalled"
+	malformed fault = "malformed"
+	endless   fault = "endless"
+	redirect  fault = "redirect"
+	noIndex   fault = "no index"
+)
+
+// backing is a platform that a source reads.
+type backing interface {
+	set(key, value string)
+	misbehave(f fault)
+	source(m *metrics.Set) Source
+}
+
+// pipeListener connects clients and a server in one process, so that time is
+// the test's own.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 8500} }
+
+func (l *pipeListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	client, server := net.Pipe()
+	select {
+	case l.conns <- server:
+		return client, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// httpBacking is a stand-in of the Consul KV HTTP API.
+type httpBacking struct {
+	listener *pipeListener
+	reader   func() bool
+	maxBody  int64
+
+	mu      sync.Mutex
+	index   uint64
+	values  map[string]string
+	fault   fault
+	changed chan struct{}
+}
+
+func newHTTPBacking(t *testing.T) *httpBacking {
+	b := &httpBacking{
+		listener: &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})},
+		maxBody:  256 << 10,
+		index:    10, values: map[string]string{}, fault: none, changed: make(chan struct{}),
+	}
+	server := httptest.NewUnstartedServer(b)
+	server.Listener = b.listener
+	server.Start()
+	t.Cleanup(server.Close)
+	return b
+}
+
+func (b *httpBacking) set(key, value string) {
+	b.change(func() { b.values[key] = value; b.index++ })
+}
+
+func (b *httpBacking) misbehave(f fault) { b.change(func() { b.fault = f }) }
+
+// change applies f and ends the blocking reads.
+func (b *httpBacking) change(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f()
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+func (b *httpBacking) state() (fault, uint64, chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fault, b.index, b.changed
+}
+
+func (b *httpBacking) source(m *metrics.Set) Source {
+	return NewHTTP(HTTPConfig{URL: "http://platform.test/", Dial: b.listener.dial, Metrics: m, MaxBody: b.maxBody, Reader: b.reader})
+}
+
+func (b *httpBacking) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	current, index, changed := b.state()
+	if query.Get("index") == fmt.Sprint(index) && current == none {
+		wait, _ := time.ParseDuration(query.Get("wait"))
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	current, index, _ = b.state()
+	w.Header().Set("X-Consul-Index", fmt.Sprint(index+1))
+	switch current {
+	case down:
+		http.Error(w, "no leader", http.StatusInternalServerError)
+	case redirect:
+		http.Redirect(w, r, "http://elsewhere.test/", http.StatusFound)
+	case silent:
+		<-r.Context().Done()
+	case stalled:
+		fmt.Fprint(w, `[{"Key":`)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	case malformed:
+		fmt.Fprint(w, `[{"Key": 7}]`)
+	case endless:
+		chunk := []byte(`{"Key":"n/services/x","Value":"` + strings.Repeat("x", 1<<14) + `"},`)
+		for _, err := w.Write([]byte("[")); err == nil; {
+			_, err = w.Write(chunk)
+		}
+	case noIndex:
+		w.Header().Set("X-Consul-Index", "0")
+		fmt.Fprint(w, `[]`)
+	case slow:
+		time.Sleep(5 * time.Second)
+		b.respond(w)
+	default:
+		b.respond(w)
+	}
+}
+
+func (b *httpBacking) respond(w http.ResponseWriter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w.Header().Set("X-Consul-Index", fmt.Sprint(b.index))
+	if len(b.values) == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	entries := []string{`{"Key":"n/","Value":null}`, `{"Key":"elsewhere","Value":"eA=="}`, `{"Key":"n/bad","Value":"?"}`}
+	for key, value := range b.values {
+		entries = append(entries, fmt.Sprintf(`{"Key":"n/%s","ModifyIndex":1,"Value":%q}`, key, base64.StdEncoding.EncodeToString([]byte(value))))
+	}
+	fmt.Fprintf(w, "[%s]", strings.Join(entries, ","))
+}
+
+// dirBacking is a directory of values.
+type dirBacking struct {
+	t    *testing.T
+	root string
+}
+
+func newDirBacking(t *testing.T) *dirBacking {
+	b := &dirBacking{t, filepath.Join(t.TempDir(), "values")}
+	b.must(os.MkdirAll(filepath.Join(b.root, "n", "services"), 0o755))
+	return b
+}
+
+func (b *dirBacking) must(err error) {
+	b.t.Helper()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+func (b *dirBacking) set(key, value string) {
+	b.must(os.WriteFile(filepath.Join(b.root, "n", key+FileExtension), []byte(value), 0o644))
+}
+
+// misbehave makes the directory unreadable for every fault but the slow one,
+// which a directory does not have.
+func (b *dirBacking) misbehave(f fault) {
+	away := b.root + ".away"
+	switch f {
+	case none:
+		if _, err := os.Stat(away); err == nil {
+			b.must(os.Rename(away, b.root))
+		}
+	case slow:
+	default:
+		b.must(os.Rename(b.root, away))
+	}
+}
+
+func (b *dirBacking) source(m *metrics.Set) Source {
+	return NewDirectory(DirectoryConfig{Path: b.root, Metrics: m})
+}
+
+// watched collects the updates of a source.
+type watched struct {
+	t       *testing.T
+	updates []Update
+	done    chan error
+}
+
+func watch(t *testing.T, b backing, m *metrics.Set) *watched {
+	ctx, cancel := context.WithCancel(t.Context())
+	out := make(chan Update)
+	w := &watched{t: t, done: make(chan error, 1)}
+	go func() { w.done <- b.source(m).Watch(ctx, "n/", out) }()
+	go func() {
+		for {
+			select {
+			case u := <-out:
+				w.updates = append(w.updates, u)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-w.done; !errors.Is(err, context.Canceled) {
+			t.Errorf("Watch returned %v, want the error of the context", err)
+		}
+	})
+	return w
+}
+
+// after lets d pass and returns the values and the error reported meanwhile.
+func (w *watched) after(d time.Duration) (map[string]string, error) {
+	time.Sleep(d)
+	synctest.Wait()
+	values := map[string]string{}
+	var failure error
+	for _, u := range w.updates {
+		for _, v := range u.Values {
+			values[v.Key] = string(v.Value)
+		}
+		if u.Err != nil {
+			failure = u.Err
+		}
+	}
+	w.updates = nil
+	return values, failure
+}
+
+var backings = map[string]func(*testing.T) backing{
+	"http":      func(t *testing.T) backing { return newHTTPBacking(t) },
+	"directory": func(t *testing.T) backing { return newDirBacking(t) },
+}
+
+// longestGap covers the deadline of a blocking read and the longest backoff.
+const longestGap = 2 * time.Minute
+
+// TestContract runs the same expectations against both sources: values and
+// changes arrive, a fault is reported and ends, and nothing is lost by it.
+func TestContract(t *testing.T) {
+	faults := []fault{none, down, slow, silent, stalled, malformed, endless, redirect, noIndex}
+	for name, start := range backings {
+		for _, f := range faults {
+			t.Run(name+"/"+string(f), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b := start(t)
+					b.set("services/a", "one")
+					b.set("datacentres", "two")
+					w := watch(t, b, nil)
+					values, err := w.after(time.Second / 2)
+					if err != nil || len(values) != 2 || values["services/a"] != "one" {
+						t.Fatalf("first read: %v, %v", values, err)
+					}
+					b.misbehave(f)
+					values, err = w.after(longestGap)
+					if wantErr := f != none && f != slow; (err != nil) != wantErr || len(values) != 0 {
+						t.Errorf("during the fault: values %v, error %v", values, err)
+					}
+					b.misbehave(none)
+					b.set("services/a", "three")
+					values, _ = w.after(longestGap)
+					if len(values) != 1 || values["services/a"] != "three" {
+						t.Errorf("after the fault: %v", values)
+					}
+					if values, err = w.after(longestGap); err != nil || len(values) != 0 {
+						t.Errorf("unchanged values were reported again: %v, %v", values, err)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestRevertedValues guards against a source that hides an older value: it is
+// the receiver that rejects it, and reports it.
+func TestRevertedValues(t *testing.T) {
+	for name, start := range backings {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := start(t)
+				b.set("services/a", "new")
+				w := watch(t, b, nil)
+				w.after(longestGap)
+				b.set("services/a", "old")
+				if values, _ := w.after(longestGap); values["services/a"] != "old" {
+					t.Errorf("reverted value: %v", values)
+				}
+			})
+		})
+	}
+}
+
+// TestOversizedValue guards against values that exceed the platform's limit
+// and are either lost in silence or held in full.
+func TestOversizedValue(t *testing.T) {
+	for name, start := range backings {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := start(t)
+				if h, ok := b.(*httpBacking); ok {
+					h.maxBody = 4 << 20
+				}
+				b.set("services/a", strings.Repeat("x", document.MaxValueBytes+100))
+				b.set("hosts", "small")
+				values, err := watch(t, b, nil).after(time.Second)
+				if err != nil || len(values["services/a"]) != document.MaxValueBytes+1 || values["hosts"] != "small" {
+					t.Errorf("lengths %d and %d, error %v", len(values["services/a"]), len(values["hosts"]), err)
+				}
+			})
+		})
+	}
+}
+
+// TestNoValues guards against an empty platform that counts as a failure.
+func TestNoValues(t *testing.T) {
+	for name, start := range backings {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := watch(t, start(t), nil)
+				time.Sleep(time.Second / 2)
+				synctest.Wait()
+				if len(w.updates) == 0 || w.updates[0].Err != nil || len(w.updates[0].Values) != 0 {
+					t.Errorf("updates %+v, want an empty one", w.updates)
+				}
+			})
+		})
+	}
+}
+
+// counter returns the value of a counter.
+func counter(m *metrics.Set, name string) uint64 { return m.GetOrCreateCounter(name).Get() }
+
+// TestReadLoad guards against reads that exceed the platform's rate: one
+// blocking read per wait, a slow poll beside it, and a growing delay while the
+// platform fails.
+func TestReadLoad(t *testing.T) {
+	rows := []struct {
+		name        string
+		fault       fault
+		reader      bool
+		watch, poll uint64 // at most, in 10 minutes
+	}{
+		{"reader", none, true, 13, 12},
+		{"not a reader", none, false, 1, 12},
+		{"down", down, true, 50, 13},
+		{"silent", silent, true, 35, 13},
+		{"no index", noIndex, true, 50, 13},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newHTTPBacking(t)
+				b.reader = func() bool { return row.reader }
+				b.set("hosts", "x")
+				b.misbehave(row.fault)
+				m := metrics.NewSet()
+				watch(t, b, m).after(10 * time.Minute)
+				watches := counter(m, `nutmeglatch_platform_reads_total{kind="watch"}`)
+				polls := counter(m, `nutmeglatch_platform_reads_total{kind="poll"}`)
+				if watches > row.watch || polls > row.poll || watches == 0 || polls < 7 {
+					t.Errorf("%d watches and %d polls, want at most %d and %d", watches, polls, row.watch, row.poll)
+				}
+			})
+		})
+	}
+}
+
+// TestIndexGoesBackwards guards against a watch that waits for the old index
+// of a service that was restored from a copy.
+func TestIndexGoesBackwards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHTTPBacking(t)
+		b.index = 100
+		b.set("hosts", "old")
+		m := metrics.NewSet()
+		w := watch(t, b, m)
+		w.after(time.Second)
+		b.change(func() { b.index, b.values["hosts"] = 3, "restored" })
+		if values, _ := w.after(time.Second); values["hosts"] != "restored" {
+			t.Errorf("values after the restore: %v", values)
+		}
+		if n := counter(m, "nutmeglatch_platform_index_resets_total"); n != 1 {
+			t.Errorf("%d resets, want 1", n)
+		}
+		b.set("hosts", "next")
+		if values, _ := w.after(time.Second); values["hosts"] != "next" {
+			t.Errorf("values after the next change: %v", values)
+		}
+	})
+}
+
+// TestSilentWatch guards against a watch whose connection stops delivering
+// data: the poll's own connection reports the change.
+func TestSilentWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHTTPBacking(t)
+		b.set("hosts", "old")
+		w := watch(t, b, nil)
+		w.after(time.Second)
+		b.mu.Lock()
+		b.values["hosts"] = "new" // without the end of the blocking read
+		b.index++
+		b.mu.Unlock()
+		values, err := w.after(DefaultPoll * 5 / 4)
+		if err != nil || values["hosts"] != "new" {
+			t.Errorf("values %v, error %v", values, err)
+		}
+	})
+}
+
+// TestFailureReasons guards against failures that are counted under another
+// reason, so that an operator looks in the wrong place.
+func TestFailureReasons(t *testing.T) {
+	reasons := map[fault]Reason{
+		down: ReasonStatus, redirect: ReasonStatus, silent: ReasonTimeout, stalled: ReasonTimeout,
+		malformed: ReasonMalformed, endless: ReasonTooLarge, noIndex: ReasonIndex,
+	}
+	for f, want := range reasons {
+		synctest.Test(t, func(t *testing.T) {
+			b := newHTTPBacking(t)
+			b.misbehave(f)
+			_, err := watch(t, b, nil).after(15 * time.Second)
+			var re *ReadError
+			if !errors.As(err, &re) || re.Reason != want {
+				t.Errorf("%s: got %v, want reason %s", f, err, want)
+			}
+		})
+	}
+}
+
+// FuzzDecoder guards against responses that panic the decoder.
+func FuzzDecoder(f *testing.F) {
+	f.Add([]byte(`[{"Key":"n/hosts","ModifyIndex":1,"Value":"eA=="}]`))
+	f.Add([]byte(`[{"Key":null,"Value":[[[`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		d := newDecoder(strings.NewReader(string(raw)), int64(len(raw)))
+		n := 0
+		err := d.each(func(kvEntry) { n++ })
+		var re *ReadError
+		if err != nil && !errors.As(err, &re) {
+			t.Errorf("error %v has no reason", err)
+		}
+		if n > len(raw) {
+			t.Errorf("%d elements in %d bytes", n, len(raw))
+		}
+	})
+}
--- /dev/null
+++ b/internal/platform/decode.go
@@ -0,0 +1,101 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+)
+
+// maxEntryBytes bounds one element of a response: a value somewhat above the
+// platform's limit in base64, so that a value just above the limit reaches the
+// parser that rejects it by name.
+const maxEntryBytes = 2 * document.MaxValueBytes
+
+// kvEntry is an element of a response. Value is in base64.
+type kvEntry struct {
+	Key   string
+	Value string
+}
+
+// decoder reads a response element by element, so that its memory does not
+// depend on the length of the response.
+type decoder struct {
+	json   *json.Decoder
+	budget *budgetReader
+}
+
+func newDecoder(body io.Reader, maxBody int64) *decoder {
+	b := &budgetReader{r: body, total: maxBody, element: maxEntryBytes}
+	return &decoder{json.NewDecoder(b), b}
+}
+
+// each calls visit for every element. An error leaves it open how many
+// elements were visited.
+func (d *decoder) each(visit func(kvEntry)) error {
+	if err := d.delimiter('['); err != nil {
+		return err
+	}
+	for d.more() {
+		var e kvEntry
+		if err := d.json.Decode(&e); err != nil {
+			return d.fail(err)
+		}
+		visit(e)
+	}
+	return d.delimiter(']')
+}
+
+// more renews the budget of an element and reports whether there is another.
+func (d *decoder) more() bool {
+	d.budget.element = maxEntryBytes
+	return d.json.More()
+}
+
+func (d *decoder) delimiter(want json.Delim) error {
+	d.budget.element = maxEntryBytes
+	t, err := d.json.Token()
+	if err != nil {
+		return d.fail(err)
+	}
+	if t != want {
+		return readError(ReasonMalformed, "%v; allowed: a JSON array of objects with Key and Value", t)
+	}
+	return nil
+}
+
+// fail names the reason of a decoding error.
+func (d *decoder) fail(err error) error {
+	var syntax *json.SyntaxError
+	var unmarshal *json.UnmarshalTypeError
+	switch {
+	case errors.Is(err, errBudget):
+		return wrapRead(ReasonTooLarge, err)
+	case errors.As(err, &syntax), errors.As(err, &unmarshal), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return wrapRead(ReasonMalformed, err)
+	default:
+		return wrapRead(ReasonConnect, err)
+	}
+}
+
+var errBudget = errors.New("response is too large")
+
+// budgetReader bounds the bytes of a response and of one element of it. The
+// JSON decoder reads ahead, so the bound of an element is approximate.
+type budgetReader struct {
+	r              io.Reader
+	total, element int64
+}
+
+func (b *budgetReader) Read(p []byte) (int, error) {
+	limit := min(b.total, b.element)
+	if limit <= 0 {
+		return 0, errBudget
+	}
+	n, err := b.r.Read(p[:min(int64(len(p)), limit)])
+	b.total -= int64(n)
+	b.element -= int64(n)
+	return n, err
+}
--- /dev/null
+++ b/internal/platform/directory.go
@@ -0,0 +1,161 @@
+package platform
+
+import (
+	"context"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+)
+
+// FileExtension is the extension of the files that hold values.
+const FileExtension = ".yaml"
+
+// DefaultDirectoryInterval is the default of DirectoryConfig.Interval.
+const DefaultDirectoryInterval = time.Second
+
+// DirectoryConfig configures a source that reads a local directory. The value
+// of a key is in the file of that name with the extension .yaml; other files,
+// such as settings, are ignored.
+type DirectoryConfig struct {
+	Path string
+	// Interval is the time between two reads. Default 1 s.
+	Interval time.Duration
+	// BackoffMax bounds the delay after a failed read. Default 30 s.
+	BackoffMax time.Duration
+	// Metrics receives the counters. Default none.
+	Metrics *metrics.Set
+}
+
+type directorySource struct {
+	cfg      DirectoryConfig
+	counters counters
+}
+
+// NewDirectory returns a source that reads a local directory.
+func NewDirectory(cfg DirectoryConfig) Source {
+	setDefault(&cfg.Interval, DefaultDirectoryInterval)
+	setDefault(&cfg.BackoffMax, DefaultBackoffMax)
+	return &directorySource{cfg, newCounters(cfg.Metrics)}
+}
+
+// Watch reads the directory at regular intervals. Index counts the reads.
+func (d *directorySource) Watch(ctx context.Context, prefix string, out chan<- Update) error {
+	root := filepath.Join(d.cfg.Path, filepath.FromSlash(prefix))
+	seen := map[string]uint64{}
+	wait := backoff{min: d.cfg.Interval, max: max(d.cfg.Interval, d.cfg.BackoffMax)}
+	healthy := false
+	for index := uint64(1); ; index++ {
+		d.counters.read("directory")
+		values, err := d.read(root, seen)
+		delay := d.cfg.Interval
+		if err != nil {
+			d.counters.failed(err)
+			delay = wait.next()
+		} else {
+			wait.reset()
+		}
+		recovered := err == nil && !healthy
+		healthy = err == nil
+		if len(values) > 0 || err != nil || recovered {
+			if err := send(ctx, out, Update{Values: values, Index: index, Err: err}); err != nil {
+				return err
+			}
+		}
+		if err := sleep(ctx, delay); err != nil {
+			return err
+		}
+	}
+}
+
+// read returns the values that changed. The readable ones are returned even
+// when others fail.
+func (d *directorySource) read(root string, seen map[string]uint64) ([]KeyValue, error) {
+	files, err := Files(root)
+	if err != nil {
+		return nil, wrapRead(ReasonFile, err)
+	}
+	var values []KeyValue
+	var failed error
+	for _, f := range files {
+		raw, err := ReadFile(f.Path, document.MaxValueBytes+1)
+		if errors.Is(err, fs.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			failed = errors.CombineErrors(failed, err)
+			continue
+		}
+		digest := xxhash.Sum64(raw)
+		if last, known := seen[f.Key]; known && last == digest {
+			continue
+		}
+		seen[f.Key] = digest
+		values = append(values, KeyValue{f.Key, raw})
+	}
+	if failed != nil {
+		return values, wrapRead(ReasonFile, failed)
+	}
+	return values, nil
+}
+
+// File is a file that holds a value.
+type File struct{ Key, Path string }
+
+// Files returns the files of a directory that hold values, data centre state
+// and host list first.
+func Files(root string) ([]File, error) {
+	info, err := os.Stat(root)
+	if err != nil {
+		return nil, err
+	}
+	if !info.IsDir() {
+		return nil, errors.Newf("%s is not a directory", root)
+	}
+	var files []File
+	for _, key := range []string{document.DataCentresKey, document.HostsKey} {
+		path := filepath.Join(root, key+FileExtension)
+		if _, err := os.Stat(path); err == nil {
+			files = append(files, File{key, path})
+		}
+	}
+	entries, err := os.ReadDir(filepath.Join(root, filepath.FromSlash(document.ServiceKeyPrefix)))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, err
+	}
+	for _, e := range entries {
+		name, isValue := strings.CutSuffix(e.Name(), FileExtension)
+		if !isValue || strings.HasPrefix(name, ".") {
+			continue
+		}
+		path := filepath.Join(root, filepath.FromSlash(document.ServiceKeyPrefix), e.Name())
+		files = append(files, File{document.ServiceKeyPrefix + name, path})
+	}
+	return files, nil
+}
+
+// ReadFile reads at most limit bytes of a regular file. It rejects other files
+// before opening them, because opening a named pipe blocks.
+func ReadFile(path string, limit int64) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if !info.Mode().IsRegular() {
+		return nil, errors.Newf("%s: %s; allowed: a regular file", path, info.Mode().Type())
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, limit))
+}
--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,349 @@
+package platform
+
+import (
+	"context"
+	"encoding/base64"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// HTTPConfig configures a source that speaks the Consul KV HTTP API. Zero
+// fields have defaults, except URL.
+type HTTPConfig struct {
+	// URL is the base URL of the service, such as http://192.0.2.1:8500.
+	URL string
+	// Wait is the longest time that the service holds a blocking read.
+	// Default 55 s.
+	Wait time.Duration
+	// Poll is the mean interval of the slow poll. Default 60 s.
+	Poll time.Duration
+	// ReadTimeout bounds a read that does not block, and the time that a
+	// blocking read takes beyond its wait. Default 10 s.
+	ReadTimeout time.Duration
+	// MinInterval is the shortest interval between the starts of blocking
+	// reads, which bounds the load when values change all the time.
+	// Default 250 ms.
+	MinInterval time.Duration
+	// BackoffMin and BackoffMax bound the delay after a failed read.
+	// Defaults 500 ms and 30 s.
+	BackoffMin, BackoffMax time.Duration
+	// MaxBody bounds the body of a response. Default 64 MiB.
+	MaxBody int64
+	// Reader reports whether this host keeps a blocking read open. When it
+	// returns false, the host reads once and then only polls. Default true.
+	Reader func() bool
+	// Dial opens connections. Default net.Dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Metrics receives the counters. Default none.
+	Metrics *metrics.Set
+}
+
+// Defaults of HTTPConfig.
+const (
+	DefaultWait        = 55 * time.Second
+	DefaultPoll        = 60 * time.Second
+	DefaultReadTimeout = 10 * time.Second
+	DefaultMinInterval = 250 * time.Millisecond
+	DefaultBackoffMin  = 500 * time.Millisecond
+	DefaultBackoffMax  = 30 * time.Second
+	DefaultMaxBody     = 64 << 20
+)
+
+const (
+	dialTimeout    = 3 * time.Second
+	maxHeaderBytes = 64 << 10
+	// readerCheck is the interval at which a host that does not keep a
+	// blocking read open checks whether it should.
+	readerCheck = time.Second
+	// waitSlack is the fraction of the wait that the service may add to it.
+	waitSlack = 16
+)
+
+type httpSource struct {
+	cfg      HTTPConfig
+	counters counters
+}
+
+// NewHTTP returns a source that speaks the Consul KV HTTP API.
+func NewHTTP(cfg HTTPConfig) Source {
+	cfg.URL = strings.TrimSuffix(cfg.URL, "/")
+	setDefault(&cfg.Wait, DefaultWait)
+	setDefault(&cfg.Poll, DefaultPoll)
+	setDefault(&cfg.ReadTimeout, DefaultReadTimeout)
+	setDefault(&cfg.MinInterval, DefaultMinInterval)
+	setDefault(&cfg.BackoffMin, DefaultBackoffMin)
+	setDefault(&cfg.BackoffMax, DefaultBackoffMax)
+	setDefault(&cfg.MaxBody, DefaultMaxBody)
+	if cfg.Reader == nil {
+		cfg.Reader = func() bool { return true }
+	}
+	if cfg.Dial == nil {
+		cfg.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &httpSource{cfg: cfg, counters: newCounters(cfg.Metrics)}
+}
+
+func setDefault[T ~int64](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// Watch keeps a blocking read open and polls at long intervals beside it. The
+// two use separate connections, so that the poll still works when the
+// connection of the blocking read stops delivering data.
+func (h *httpSource) Watch(ctx context.Context, prefix string, out chan<- Update) error {
+	g, ctx := errgroup.WithContext(ctx)
+	seen := &digests{byKey: map[string]uint64{}}
+	g.Go(func() error { return h.newReader("watch", prefix, seen, out).watch(ctx) })
+	g.Go(func() error { return h.newReader("poll", prefix, seen, out).poll(ctx) })
+	return g.Wait()
+}
+
+// reader is one of the two loops of a source.
+type reader struct {
+	*httpSource
+	kind    string
+	prefix  string
+	out     chan<- Update
+	client  *http.Client
+	backoff backoff
+	index   uint64 // of the last read; 0 when the next one does not block
+	seen    *digests
+	healthy bool // whether the last read succeeded
+}
+
+// digests holds, by key, a digest of the last value that was read. The two
+// loops of a source share it.
+type digests struct {
+	mu    sync.Mutex
+	byKey map[string]uint64
+}
+
+func (d *digests) has(key string, digest uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last, known := d.byKey[key]
+	return known && last == digest
+}
+
+func (d *digests) add(changed map[string]uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.Copy(d.byKey, changed)
+}
+
+func (h *httpSource) newReader(kind, prefix string, seen *digests, out chan<- Update) *reader {
+	transport := &http.Transport{
+		DialContext:            h.cfg.Dial,
+		MaxIdleConnsPerHost:    1,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+	refuseRedirects := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &reader{
+		httpSource: h,
+		kind:       kind,
+		prefix:     prefix,
+		out:        out,
+		client:     &http.Client{Transport: transport, CheckRedirect: refuseRedirects},
+		backoff:    backoff{min: h.cfg.BackoffMin, max: h.cfg.BackoffMax},
+		seen:       seen,
+	}
+}
+
+// watch reads the values once and then keeps a blocking read open whenever
+// this host is a reader of its data centre.
+func (r *reader) watch(ctx context.Context) error {
+	defer r.client.CloseIdleConnections()
+	for {
+		start := time.Now()
+		if err := r.step(ctx, r.index > 0); err != nil {
+			return err
+		}
+		if err := sleep(ctx, r.cfg.MinInterval-time.Since(start)); err != nil {
+			return err
+		}
+		for r.index > 0 && !r.cfg.Reader() {
+			if err := sleep(ctx, readerCheck); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// poll reads the values at long intervals.
+func (r *reader) poll(ctx context.Context) error {
+	defer r.client.CloseIdleConnections()
+	for {
+		if err := sleep(ctx, r.cfg.Poll/4+jitter(r.cfg.Poll)); err != nil {
+			return err
+		}
+		if err := r.step(ctx, false); err != nil {
+			return err
+		}
+	}
+}
+
+// step performs one read, sends its outcome, and waits after a failure. It
+// returns only the error of ctx.
+func (r *reader) step(ctx context.Context, blocking bool) error {
+	r.counters.read(r.kind)
+	values, err := r.read(ctx, blocking)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if err != nil {
+		r.counters.failed(err)
+		r.healthy = false
+		r.client.CloseIdleConnections()
+		if err := send(ctx, r.out, Update{Index: r.index, Err: err}); err != nil {
+			return err
+		}
+		return sleep(ctx, r.backoff.next())
+	}
+	r.backoff.reset()
+	recovered := !r.healthy
+	r.healthy = true
+	if len(values) == 0 && !recovered {
+		return nil
+	}
+	return send(ctx, r.out, Update{Values: values, Index: r.index})
+}
+
+// errDeadline is the cause of a read that was cancelled at its deadline.
+var errDeadline = errors.New("deadline exceeded")
+
+// read performs one read and returns the values that changed. The response
+// must start before the wait and the read timeout are over, and its body must
+// end within another read timeout.
+func (r *reader) read(ctx context.Context, blocking bool) ([]KeyValue, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := r.cfg.ReadTimeout
+	if blocking {
+		limit += r.cfg.Wait + r.cfg.Wait/waitSlack
+	}
+	timer := time.AfterFunc(limit, func() { cancel(errDeadline) })
+	defer timer.Stop()
+	values, err := r.exchange(ctx, blocking, func() { timer.Reset(r.cfg.ReadTimeout) })
+	if err != nil && errors.Is(context.Cause(ctx), errDeadline) {
+		return nil, wrapRead(ReasonTimeout, errDeadline)
+	}
+	return values, err
+}
+
+// exchange sends the request and reads the response. It calls started when
+// the headers of the response have arrived.
+func (r *reader) exchange(ctx context.Context, blocking bool, started func()) ([]KeyValue, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.url(blocking), nil)
+	if err != nil {
+		return nil, wrapRead(ReasonConnect, err)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return nil, wrapRead(ReasonConnect, err)
+	}
+	defer resp.Body.Close()
+	started()
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusNotFound {
+		return nil, readError(ReasonStatus, "status %d; allowed: 200, or 404 when there are no values", resp.StatusCode)
+	}
+	header := resp.Header.Get("X-Consul-Index")
+	index, err := strconv.ParseUint(header, 10, 64)
+	if err != nil || index == 0 {
+		return nil, readError(ReasonIndex, "X-Consul-Index %q; allowed: an integer from 1", header)
+	}
+	if index == r.index {
+		r.counters.unchanged()
+		return nil, r.skipBody(resp)
+	}
+	if resp.StatusCode == http.StatusNotFound {
+		r.advance(index)
+		return nil, nil
+	}
+	return r.changed(resp, index)
+}
+
+// maxDrain is the length of a body that is read to its end only to keep the
+// connection. Longer ones are cheaper to abandon with the connection.
+const maxDrain = 64 << 10
+
+// skipBody handles a response whose index shows that nothing has changed, as
+// at the end of a blocking read and in most polls.
+func (r *reader) skipBody(resp *http.Response) error {
+	if resp.ContentLength < 0 || resp.ContentLength > maxDrain {
+		return nil
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return wrapRead(ReasonConnect, err)
+	}
+	return nil
+}
+
+// changed decodes a body and records its index once it is complete.
+func (r *reader) changed(resp *http.Response, index uint64) ([]KeyValue, error) {
+	d := newDecoder(resp.Body, r.cfg.MaxBody)
+	var values []KeyValue
+	changed := make(map[string]uint64)
+	err := d.each(func(e kvEntry) {
+		key, ok := strings.CutPrefix(e.Key, r.prefix)
+		if !ok || key == "" {
+			r.counters.entrySkipped("key")
+			return
+		}
+		digest := xxhash.Sum64String(e.Value)
+		if r.seen.has(key, digest) {
+			return
+		}
+		value, err := base64.StdEncoding.DecodeString(e.Value)
+		if err != nil {
+			r.counters.entrySkipped("base64")
+			return
+		}
+		values = append(values, KeyValue{key, cutValue(value)})
+		changed[key] = digest
+	})
+	if err != nil {
+		return nil, err
+	}
+	r.seen.add(changed)
+	r.advance(index)
+	return values, nil
+}
+
+// advance records the index of a read. An index that goes backwards means
+// that the service was restored or restarted: the next read does not block,
+// because the service could hold it until the old index is reached.
+func (r *reader) advance(index uint64) {
+	if index < r.index {
+		r.counters.indexReset()
+		r.index = 0
+		return
+	}
+	r.index = index
+}
+
+// url returns the request URL. A read with an index blocks until a value
+// changes or the wait is over.
+func (r *reader) url(blocking bool) string {
+	query := url.Values{"recurse": {"true"}}
+	if blocking {
+		query.Set("index", strconv.FormatUint(r.index, 10))
+		query.Set("wait", strconv.FormatInt(r.cfg.Wait.Milliseconds(), 10)+"ms")
+	}
+	path := (&url.URL{Path: "/v1/kv/" + r.prefix}).EscapedPath()
+	return r.cfg.URL + path + "?" + query.Encode()
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -32,66 +32,43 @@
 	maxPrefixBytes = 256
 )
 
-type checker struct{ faults strictyaml.Faults }
-
-func (c *checker) require(ok bool, field, value, allowed string) {
-	if !ok {
-		c.faults.Invalid(field, value, allowed)
-	}
-}
-
-func (c *checker) between(field string, value, low, high int) {
-	c.require(value >= low && value <= high, field, strconv.Itoa(value), fmt.Sprintf("%d to %d", low, high))
-}
-
-func (c *checker) duration(field string, value document.Duration, low, high time.Duration) {
-	ok := value.Std() >= low && value.Std() <= high
-	c.require(ok, field, value.Std().String(), fmt.Sprintf("%v to %v", low, high))
-}
-
-func (c *checker) name(field, value string) {
-	text := ""
-	if value != "" {
-		text = strconv.Quote(value)
-	}
-	c.require(document.ValidName(value), field, text, "1 to 63 lower-case letters, digits and hyphens, starting and ending with a letter or digit")
-}
+type checker struct{ strictyaml.Checker }
 
 func (c *checker) address(field string, value netip.AddrPort) {
 	text := ""
 	if value.IsValid() {
 		text = value.String()
 	}
-	c.require(document.ValidAddress(value.Addr()) && value.Port() > 0, field, text, "a unicast IP address and a port, such as 192.0.2.1:6080")
+	c.Require(document.ValidAddress(value.Addr()) && value.Port() > 0, field, text, "a unicast IP address and a port, such as 192.0.2.1:6080")
 }
 
 func (s *Settings) check() strictyaml.Faults {
 	c := &checker{}
-	c.name("host_id", s.HostID)
-	c.name("data_centre", s.DataCentre)
-	c.name("region", s.Region)
+	c.Name("host_id", s.HostID)
+	c.Name("data_centre", s.DataCentre)
+	c.Name("region", s.Region)
 	s.checkAddresses(c)
 	if len(s.PeerKey) < MinKeyBytes {
 		text := ""
 		if len(s.PeerKey) > 0 {
 			text = fmt.Sprintf("%d bytes", len(s.PeerKey))
 		}
-		c.faults.Invalid("peer_key", text, s.PeerKey.AllowedText())
+		c.Faults.Invalid("peer_key", text, s.PeerKey.AllowedText())
 	}
 	s.Platform.check(c)
 	s.Limits.check(c)
 	s.Probe.check(c)
-	c.duration("pause_limit", s.PauseLimit, 100*time.Millisecond, time.Minute)
-	c.duration("start_check", s.StartCheck, 100*time.Millisecond, time.Minute)
-	c.duration("shutdown.quiet_for", s.Shutdown.QuietFor, 100*time.Millisecond, time.Minute)
-	c.duration("shutdown.limit", s.Shutdown.Limit, MinShutdownLimit, 10*time.Minute)
-	c.between("workers", s.Workers, 0, MaxWorkers)
+	c.Duration("pause_limit", s.PauseLimit.Std(), 100*time.Millisecond, time.Minute)
+	c.Duration("start_check", s.StartCheck.Std(), 100*time.Millisecond, time.Minute)
+	c.Duration("shutdown.quiet_for", s.Shutdown.QuietFor.Std(), 100*time.Millisecond, time.Minute)
+	c.Duration("shutdown.limit", s.Shutdown.Limit.Std(), MinShutdownLimit, 10*time.Minute)
+	c.Between("workers", s.Workers, 0, MaxWorkers)
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
-		c.faults.Invalid("log_level", strconv.Quote(s.LogLevel), "debug, info, warn or error")
+		c.Faults.Invalid("log_level", strconv.Quote(s.LogLevel), "debug, info, warn or error")
 	}
-	return c.faults
+	return c.Faults
 }
 
 func (s *Settings) checkAddresses(c *checker) {
@@ -102,42 +79,42 @@
 	if !s.GUE.IsValid() || !s.Peer.IsValid() {
 		return
 	}
-	c.require(s.GUE.Addr() == s.Peer.Addr(), "peer", s.Peer.String(), "the address of gue, because the host list has one address per host")
-	c.require(s.GUE.Port() != s.Peer.Port(), "peer", s.Peer.String(), "another port than that of gue")
-	c.require(s.Admin != s.Peer, "admin", s.Admin.String(), "another port than that of peer")
-	c.require(s.FabricReturn != s.GUE, "fabric_return", s.FabricReturn.String(), "another address than gue")
+	c.Require(s.GUE.Addr() == s.Peer.Addr(), "peer", s.Peer.String(), "the address of gue, because the host list has one address per host")
+	c.Require(s.GUE.Port() != s.Peer.Port(), "peer", s.Peer.String(), "another port than that of gue")
+	c.Require(s.Admin != s.Peer, "admin", s.Admin.String(), "another port than that of peer")
+	c.Require(s.FabricReturn != s.GUE, "fabric_return", s.FabricReturn.String(), "another address than gue")
 }
 
 func (p *Platform) check(c *checker) {
 	switch p.Type {
 	case PlatformHTTP:
-		c.require(validURL(p.URL), "platform.url", quote(p.URL), "an http or https URL with a host, without query and user information, for type http")
-		c.require(p.Path == "", "platform.path", quote(p.Path), "not set for type http")
+		c.Require(validURL(p.URL), "platform.url", strictyaml.Quote(p.URL), "an http or https URL with a host, without query and user information, for type http")
+		c.Require(p.Path == "", "platform.path", strictyaml.Quote(p.Path), "not set for type http")
 	case PlatformDirectory:
-		c.require(p.Path != "", "platform.path", "", "a directory for type directory")
-		c.require(p.URL == "", "platform.url", quote(p.URL), "not set for type directory")
+		c.Require(p.Path != "", "platform.path", "", "a directory for type directory")
+		c.Require(p.URL == "", "platform.url", strictyaml.Quote(p.URL), "not set for type directory")
 	default:
-		c.faults.Invalid("platform.type", quote(string(p.Type)), "http or directory")
+		c.Faults.Invalid("platform.type", strictyaml.Quote(string(p.Type)), "http or directory")
 	}
 	ok := len(p.Prefix) <= maxPrefixBytes && (p.Prefix == "" || strings.HasSuffix(p.Prefix, "/")) && !strings.HasPrefix(p.Prefix, "/")
-	c.require(ok, "platform.prefix", quote(p.Prefix), "empty, or text that ends with a slash and does not start with one")
-	c.duration("platform.wait", p.Wait, time.Second, MaxWait)
-	c.duration("platform.poll", p.Poll, time.Second, time.Hour)
+	c.Require(ok, "platform.prefix", strictyaml.Quote(p.Prefix), "empty, or text that ends with a slash and does not start with one")
+	c.Duration("platform.wait", p.Wait.Std(), time.Second, MaxWait)
+	c.Duration("platform.poll", p.Poll.Std(), time.Second, time.Hour)
 }
 
 func (l *Limits) check(c *checker) {
-	c.between("limits.max_flows", l.MaxFlows, MinMaxFlows, MaxMaxFlows)
-	c.between("limits.max_message", l.MaxMessage, MinMaxMessage, MaxMaxMessage)
-	c.duration("limits.claim_retention", l.ClaimRetention, MinClaimRetention, time.Hour)
-	c.duration("limits.tentative_for", l.TentativeFor, 100*time.Millisecond, time.Minute)
-	c.between("limits.group_size", l.GroupSize, 1, MaxGroupSize)
+	c.Between("limits.max_flows", l.MaxFlows, MinMaxFlows, MaxMaxFlows)
+	c.Between("limits.max_message", l.MaxMessage, MinMaxMessage, MaxMaxMessage)
+	c.Duration("limits.claim_retention", l.ClaimRetention.Std(), MinClaimRetention, time.Hour)
+	c.Duration("limits.tentative_for", l.TentativeFor.Std(), 100*time.Millisecond, time.Minute)
+	c.Between("limits.group_size", l.GroupSize, 1, MaxGroupSize)
 }
 
 func (p *Probe) check(c *checker) {
-	c.duration("probe.interval", p.Interval, 20*time.Millisecond, 10*time.Second)
-	c.duration("probe.timeout", p.Timeout, 5*time.Millisecond, max(p.Interval.Std(), 5*time.Millisecond))
-	c.duration("probe.suspect_for", p.SuspectFor, 100*time.Millisecond, time.Minute)
-	c.between("probe.indirect_probes", p.IndirectProbes, 0, MaxIndirect)
+	c.Duration("probe.interval", p.Interval.Std(), 20*time.Millisecond, 10*time.Second)
+	c.Duration("probe.timeout", p.Timeout.Std(), 5*time.Millisecond, max(p.Interval.Std(), 5*time.Millisecond))
+	c.Duration("probe.suspect_for", p.SuspectFor.Std(), 100*time.Millisecond, time.Minute)
+	c.Between("probe.indirect_probes", p.IndirectProbes, 0, MaxIndirect)
 }
 
 func validURL(text string) bool {
@@ -147,10 +124,3 @@
 	}
 	return (u.Scheme == "http" || u.Scheme == "https") && u.Hostname() != "" && u.User == nil && u.RawQuery == "" && u.Fragment == ""
 }
-
-func quote(text string) string {
-	if text == "" {
-		return ""
-	}
-	return strconv.Quote(text)
-}
