--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -105,8 +106,9 @@
 // connection of the blocking read stops delivering data.
 func (h *httpSource) Watch(ctx context.Context, prefix string, out chan<- Update) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return h.newReader("watch", prefix, out).watch(ctx) })
-	g.Go(func() error { return h.newReader("poll", prefix, out).poll(ctx) })
+	seen := &digests{byKey: map[string]uint64{}}
+	g.Go(func() error { return h.newReader("watch", prefix, seen, out).watch(ctx) })
+	g.Go(func() error { return h.newReader("poll", prefix, seen, out).poll(ctx) })
 	return g.Wait()
 }
 
@@ -118,18 +120,32 @@
 	out     chan<- Update
 	client  *http.Client
 	backoff backoff
-	cursor  cursor
+	index   uint64 // of the last read; 0 when the next one does not block
+	seen    *digests
 	healthy bool // whether the last read succeeded
 }
 
-// cursor is the position of a reader in the service's history.
-type cursor struct {
-	index uint64
-	// seen holds a digest of the last value sent for each key.
-	seen map[string]uint64
+// digests holds, by key, a digest of the last value that was read. The two
+// loops of a source share it.
+type digests struct {
+	mu    sync.Mutex
+	byKey map[string]uint64
 }
 
-func (h *httpSource) newReader(kind, prefix string, out chan<- Update) *reader {
+func (d *digests) has(key string, digest uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last, known := d.byKey[key]
+	return known && last == digest
+}
+
+func (d *digests) add(changed map[string]uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.Copy(d.byKey, changed)
+}
+
+func (h *httpSource) newReader(kind, prefix string, seen *digests, out chan<- Update) *reader {
 	transport := &http.Transport{
 		DialContext:            h.cfg.Dial,
 		MaxIdleConnsPerHost:    1,
@@ -144,7 +160,7 @@
 		out:        out,
 		client:     &http.Client{Transport: transport, CheckRedirect: refuseRedirects},
 		backoff:    backoff{min: h.cfg.BackoffMin, max: h.cfg.BackoffMax},
-		cursor:     cursor{seen: map[string]uint64{}},
+		seen:       seen,
 	}
 }
 
@@ -154,13 +170,13 @@
 	defer r.client.CloseIdleConnections()
 	for {
 		start := time.Now()
-		if err := r.step(ctx, r.cursor.index > 0); err != nil {
+		if err := r.step(ctx, r.index > 0); err != nil {
 			return err
 		}
 		if err := sleep(ctx, r.cfg.MinInterval-time.Since(start)); err != nil {
 			return err
 		}
-		for r.cursor.index > 0 && !r.cfg.Reader() {
+		for r.index > 0 && !r.cfg.Reader() {
 			if err := sleep(ctx, readerCheck); err != nil {
 				return err
 			}
@@ -193,7 +209,7 @@
 		r.counters.failed(err)
 		r.healthy = false
 		r.client.CloseIdleConnections()
-		if err := send(ctx, r.out, Update{Index: r.cursor.index, Err: err}); err != nil {
+		if err := send(ctx, r.out, Update{Index: r.index, Err: err}); err != nil {
 			return err
 		}
 		return sleep(ctx, r.backoff.next())
@@ -204,7 +220,7 @@
 	if len(values) == 0 && !recovered {
 		return nil
 	}
-	return send(ctx, r.out, Update{Values: values, Index: r.cursor.index})
+	return send(ctx, r.out, Update{Values: values, Index: r.index})
 }
 
 // errDeadline is the cause of a read that was cancelled at its deadline.
@@ -250,7 +266,7 @@
 	if err != nil || index == 0 {
 		return nil, readError(ReasonIndex, "X-Consul-Index %q; allowed: an integer from 1", header)
 	}
-	if index == r.cursor.index {
+	if index == r.index {
 		r.counters.unchanged()
 		return nil, r.skipBody(resp)
 	}
@@ -277,11 +293,11 @@
 	return nil
 }
 
-// changed decodes a body and moves the cursor once it is complete.
+// changed decodes a body and records its index once it is complete.
 func (r *reader) changed(resp *http.Response, index uint64) ([]KeyValue, error) {
 	d := newDecoder(resp.Body, r.cfg.MaxBody)
 	var values []KeyValue
-	digests := make(map[string]uint64)
+	changed := make(map[string]uint64)
 	err := d.each(func(e kvEntry) {
 		key, ok := strings.CutPrefix(e.Key, r.prefix)
 		if !ok || key == "" {
@@ -289,7 +305,7 @@
 			return
 		}
 		digest := xxhash.Sum64String(e.Value)
-		if last, known := r.cursor.seen[key]; known && last == digest {
+		if r.seen.has(key, digest) {
 			return
 		}
 		value, err := base64.StdEncoding.DecodeString(e.Value)
@@ -298,12 +314,12 @@
 			return
 		}
 		values = append(values, KeyValue{key, cutValue(value)})
-		digests[key] = digest
+		changed[key] = digest
 	})
 	if err != nil {
 		return nil, err
 	}
-	maps.Copy(r.cursor.seen, digests)
+	r.seen.add(changed)
 	r.advance(index)
 	return values, nil
 }
@@ -312,12 +328,12 @@
 // that the service was restored or restarted: the next read does not block,
 // because the service could hold it until the old index is reached.
 func (r *reader) advance(index uint64) {
-	if index < r.cursor.index {
+	if index < r.index {
 		r.counters.indexReset()
-		r.cursor.index = 0
+		r.index = 0
 		return
 	}
-	r.cursor.index = index
+	r.index = index
 }
 
 // url returns the request URL. A read with an index blocks until a value
@@ -325,7 +341,7 @@
 func (r *reader) url(blocking bool) string {
 	query := url.Values{"recurse": {"true"}}
 	if blocking {
-		query.Set("index", strconv.FormatUint(r.cursor.index, 10))
+		query.Set("index", strconv.FormatUint(r.index, 10))
 		query.Set("wait", strconv.FormatInt(r.cfg.Wait.Milliseconds(), 10)+"ms")
 	}
 	path := (&url.URL{Path: "/v1/kv/" + r.prefix}).EscapedPath()
