admission: divide allowances between entry hosts, admit command slots

Cause: the daemon needs shares per backend server and slots for commands. Change: State with shares by bucket counts, cold ramp, loans, retained charges and confirmed handover of buckets; Slots for the admitting host.

--- /dev/null
+++ b/internal/admission/charge.go
@@ -0,0 +1,125 @@
+package admission
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Admitted records the flows that this host admitted since the last call. The
+// caller empties the budgets first, so that none is admitted between the two.
+// Without this call every granted flow counts as admitted until the next
+// Charged.
+func (s *State) Admitted(now time.Time, counts map[netip.AddrPort]int) {
+	for addr, n := range counts {
+		if s.backends[addr] == nil {
+			countDropped(dropUnknownBackend)
+			continue
+		}
+		s.backends[addr].since += max(n, 0)
+	}
+	for _, b := range s.backends {
+		b.granted, b.unreported = 0, 0
+	}
+}
+
+// StartSweep announces a sweep whose result a later Charged reports. Flows
+// admitted after it count in addition to that result. A caller that never
+// calls it vouches that its sweeps are atomic.
+func (s *State) StartSweep(now time.Time) {
+	s.sweeping = true
+	for _, g := range s.groups {
+		g.freshSweep = true
+	}
+	for _, b := range s.backends {
+		b.mark = b.since
+	}
+}
+
+// Charged records the number of flow table entries per backend server whose
+// bucket's primary is this host. Backend servers that are missing have none.
+func (s *State) Charged(now time.Time, counts map[netip.AddrPort]int) {
+	for _, g := range s.groups {
+		if s.sweeping && !g.freshSweep {
+			continue // the buckets changed during the sweep
+		}
+		moving := g.awaitSweep
+		g.awaitSweep = false
+		for _, b := range g.order {
+			s.setCharged(now, b, max(counts[b.addr], 0), moving)
+		}
+		s.advance(now, g)
+	}
+}
+
+func (s *State) setCharged(now time.Time, b *backend, n int, moving bool) {
+	before := b.counted()
+	b.charged = n
+	b.unreported = 0
+	if s.sweeping {
+		b.since -= b.mark
+	} else {
+		b.since = 0
+	}
+	b.mark = 0
+	if after := b.counted() - b.granted; moving {
+		s.moveCharges(now, b, max(before-after, 0))
+	}
+	b.replaceRetained(n - before)
+}
+
+// counted is the number of flows that the last sweep found or that may have
+// been admitted since.
+func (b *backend) counted() int {
+	return b.charged + b.since + b.unreported + b.granted
+}
+
+// occupied is the part of the allowance that this host cannot admit to.
+func (b *backend) occupied(now time.Time) int {
+	return b.counted() + b.retainedFlows(now) + b.lentFlows(now)
+}
+
+// moveCharges decides what becomes of flows that are no longer counted here
+// after a loss of buckets. As much as the share falls goes to the hosts that
+// gained the buckets, and the rest stays charged here, so that no host's
+// charges exceed what its share and its loans allow.
+func (s *State) moveCharges(now time.Time, b *backend, lost int) {
+	level, _ := s.level(now, b)
+	share := b.share(s.self, level)
+	drop := max(b.baseShare(s.self, level)-share-b.moved, 0)
+	excess := b.occupied(now) + lost - share - b.heldLoans()
+	transfer := min(max(lost, excess, 0), drop)
+	b.moved += transfer
+	b.retain(now, lost-transfer)
+}
+
+func (b *backend) retain(now time.Time, flows int) {
+	if flows > 0 {
+		b.retained = append(b.retained, retention{flows: flows, until: now.Add(b.group.flowIdle)})
+	}
+}
+
+// retainedFlows sums the retained charges and drops those of idle flows.
+func (b *backend) retainedFlows(now time.Time) int {
+	sum, kept := 0, b.retained[:0]
+	for _, r := range b.retained {
+		if r.flows > 0 && now.Before(r.until) {
+			kept = append(kept, r)
+			sum += r.flows
+		}
+	}
+	b.retained = kept
+	return sum
+}
+
+// replaceRetained removes retained charges for flows that are counted now and
+// were not admitted here: refreshes brought their entries.
+func (b *backend) replaceRetained(flows int) {
+	for i := range b.retained {
+		if flows <= 0 {
+			return
+		}
+		n := min(flows, b.retained[i].flows)
+		b.retained[i].flows -= n
+		flows -= n
+	}
+}
--- /dev/null
+++ b/internal/admission/handover.go
@@ -0,0 +1,101 @@
+package admission
+
+import "time"
+
+// setView starts a handover when the bucket counts change. Own losses take
+// effect at once; own gains wait until every member has confirmed the view.
+func (s *State) setView(now time.Time, g *group, v *view, lost int) {
+	mine := v.buckets(s.self)
+	if lost > 0 || mine < g.view.buckets(s.self) {
+		g.awaitSweep, g.freshSweep = true, false
+	}
+	if g.view != nil && g.view.epoch == v.epoch {
+		return
+	}
+	if g.complete {
+		g.base, g.least = g.view, g.view.buckets(s.self)
+	}
+	g.least = min(g.least, mine)
+	g.view, g.complete, g.changed = v, false, now
+	s.setPeers(now, g)
+	s.advance(now, g)
+}
+
+// setPeers starts the exchange with the members of the new view. What hosts
+// that are gone had charged stays charged at those that took their buckets.
+func (s *State) setPeers(now time.Time, g *group) {
+	old := g.peers
+	g.peers = make(map[string]*peer, len(g.view.hosts))
+	for i := range g.view.hosts {
+		id := g.view.hosts[i].id
+		if id == s.self {
+			continue
+		}
+		p := old[id]
+		if p == nil {
+			p = newPeer()
+		}
+		p.restart()
+		g.peers[id] = p
+		delete(old, id)
+	}
+	for _, p := range old {
+		s.retainGone(now, g, p)
+	}
+}
+
+// retainGone charges this host's part of the last reported charges of a host
+// that cannot report them any more.
+func (s *State) retainGone(now time.Time, g *group, p *peer) {
+	num, den := g.view.gain(g.base, s.self)
+	if num == 0 {
+		return
+	}
+	for _, b := range g.order {
+		b.retain(now, ceilDiv(p.rows[b.addr].charged*num, den))
+	}
+}
+
+// retainMoved charges this host's part of what a member handed over. Views
+// that members confirmed differently cannot be compared bucket by bucket; the
+// whole charge is then kept.
+func (s *State) retainMoved(now time.Time, g *group, p *peer, base uint32) {
+	num, den := g.view.gain(g.base, s.self)
+	if num == 0 {
+		return
+	}
+	if g.base == nil || g.base.epoch != base {
+		num, den = 1, 1
+	}
+	for _, b := range g.order {
+		b.retain(now, ceilDiv(p.rows[b.addr].moved*num, den))
+	}
+}
+
+// advance completes the handover when every member has confirmed the view.
+// A member that stays silent for HandoverHold counts as gone.
+func (s *State) advance(now time.Time, g *group) {
+	if g.complete || g.awaitSweep {
+		return
+	}
+	held := now.Sub(g.changed) >= s.cfg.HandoverHold
+	for _, p := range g.peers {
+		if !p.confirmed && !held {
+			return
+		}
+	}
+	for _, p := range g.peers {
+		if !p.confirmed && !p.movedSeen {
+			countHandover(handoverTimeout)
+			s.retainGone(now, g, p)
+		}
+		p.confirmed, p.movedSeen = true, true
+	}
+	countHandover(handoverComplete)
+	g.base, g.least, g.complete = g.view, g.view.buckets(s.self), true
+	for _, b := range g.order {
+		b.moved, b.shareLevel = 0, -1
+	}
+}
+
+func ceilDiv(a, b int) int { return (a + b - 1) / b }
--- /dev/null
+++ b/internal/admission/message.go
@@ -0,0 +1,145 @@
+package admission
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Method is the JSON-RPC method of reports between entry hosts.
+const Method = "admission.report"
+
+// Bounds on reports. Larger figures are rejected as malformed.
+const (
+	MaxReportBytes = 256 << 10
+	maxServiceName = 253
+	maxFlows       = 1 << 30
+)
+
+// ErrMalformed is returned for reports that cannot be used.
+var ErrMalformed = errors.New("malformed admission report")
+
+// Report is the body of admission.report, from one host of an owner group to
+// another. It carries what changed since the receiver last acknowledged.
+type Report struct {
+	To      string `json:"-"`
+	Service string `json:"s"`
+	Epoch   uint32 `json:"e"`           // digest of document version and bucket counts
+	Base    uint32 `json:"b,omitempty"` // the last view that every member confirmed
+	Seq     uint64 `json:"n"`
+	Ack     uint64 `json:"a,omitempty"` // newest accepted report of the receiver
+	Flags   uint8  `json:"f,omitempty"`
+	// Rows holds for each backend server its index in address order times 32
+	// plus a mask of the fields that follow.
+	Rows []int `json:"r,omitempty"`
+}
+
+// Flags of a report.
+const (
+	flagReady = 1 << iota // the sender has given up the buckets that it lost
+	flagWait              // the sender waits for the receiver's confirmation
+	flagFull              // fields that are missing are 0
+	flagMask  = 1<<iota - 1
+)
+
+// Fields of a row, in the order of their values.
+const (
+	fieldCharged = iota
+	fieldWant
+	fieldOwed  // of the receiver's loans
+	fieldMoved // charges handed over with lost buckets
+	fieldLoan  // to the receiver
+	fieldLevel // allowance for which the loan holds
+	fieldCount
+
+	rowIndexFactor = 32
+	loanMask       = 1<<fieldLoan | 1<<fieldLevel
+)
+
+// maxIndex bounds the number of backend servers of a service.
+const maxIndex = 1 << 20
+
+// fields are the values of one row.
+type fields [fieldCount]int
+
+// ParseReport decodes and checks the body of an admission.report.
+func ParseReport(raw []byte) (Report, error) {
+	var r Report
+	if len(raw) > MaxReportBytes {
+		return r, errors.Wrapf(ErrMalformed, "%d bytes, allowed %d", len(raw), MaxReportBytes)
+	}
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return r, errors.Mark(errors.Wrap(err, "admission report"), ErrMalformed)
+	}
+	return r, r.check()
+}
+
+func (r *Report) check() error {
+	if r.Service == "" || len(r.Service) > maxServiceName {
+		return errors.Wrapf(ErrMalformed, "service name of %d bytes, allowed 1 to %d", len(r.Service), maxServiceName)
+	}
+	if r.Flags&^flagMask != 0 {
+		return errors.Wrapf(ErrMalformed, "flags %#x, allowed %#x", r.Flags, flagMask)
+	}
+	return r.eachRow(func(int, int, *fields) {})
+}
+
+// eachRow visits the rows and reports the first fault. Rows before a fault
+// are visited, so callers check a report before they use it.
+func (r *Report) eachRow(visit func(index, mask int, f *fields)) error {
+	rest := r.Rows
+	for len(rest) > 0 {
+		index, mask := rest[0]/rowIndexFactor, rest[0]%rowIndexFactor
+		if rest[0] < 0 || index >= maxIndex {
+			return errors.Wrapf(ErrMalformed, "row header %d, allowed 0 to %d", rest[0], maxIndex*rowIndexFactor-1)
+		}
+		mask = rowMask(mask)
+		rest = rest[1:]
+		var f fields
+		for i := range f {
+			if mask&(1<<i) == 0 {
+				continue
+			}
+			if len(rest) == 0 {
+				return errors.Wrap(ErrMalformed, "row is truncated")
+			}
+			if rest[0] < 0 || rest[0] > maxFlows {
+				return errors.Wrapf(ErrMalformed, "figure %d, allowed 0 to %d", rest[0], maxFlows)
+			}
+			f[i], rest = rest[0], rest[1:]
+		}
+		visit(index, mask, &f)
+	}
+	return nil
+}
+
+// rowMask adds the level, which follows every loan and has no bit of its own.
+func rowMask(mask int) int {
+	if mask&(1<<fieldLoan) != 0 {
+		mask |= 1 << fieldLevel
+	}
+	return mask
+}
+
+// appendRow encodes one row, or nothing when mask is 0.
+func appendRow(rows []int, index, mask int, f *fields) []int {
+	if mask == 0 {
+		return rows
+	}
+	mask = rowMask(mask)
+	rows = append(rows, index*rowIndexFactor+mask&^(1<<fieldLevel))
+	for i := range f {
+		if mask&(1<<i) != 0 {
+			rows = append(rows, f[i])
+		}
+	}
+	return rows
+}
+
+func (r *Report) size() int {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return MaxReportBytes
+	}
+	return len(raw)
+}
