--- a/internal/command/message.go
+++ b/internal/command/message.go
@@ -131,17 +131,21 @@
 
 // TransferRequest passes claims to a new owner. Done lists the buckets whose
 // claims have all been passed; they cover the last AgeMS milliseconds.
+// Generation is that of the receiver's last reply, 0 in the first message.
 type TransferRequest struct {
-	Service string        `json:"service"`
-	Claims  []ClaimRecord `json:"claims,omitempty"`
-	Done    []uint8       `json:"done,omitempty"`
-	AgeMS   int64         `json:"age_ms,omitempty"`
+	Service    string        `json:"service"`
+	Generation uint64        `json:"generation,omitempty"`
+	Claims     []ClaimRecord `json:"claims,omitempty"`
+	Done       []uint8       `json:"done,omitempty"`
+	AgeMS      int64         `json:"age_ms,omitempty"`
 }
 
 // TransferReply answers a TransferRequest. Refused holds the reason when it
-// must be repeated.
+// must be repeated. Generation changes when the receiver starts, gains buckets
+// or is interrupted: claims passed before may be missing then.
 type TransferReply struct {
-	Refused Reason `json:"refused,omitempty"`
+	Generation uint64 `json:"generation,omitempty"`
+	Refused    Reason `json:"refused,omitempty"`
 }
 
 func milliseconds(d time.Duration) int64 { return max(0, d.Milliseconds()) }
--- a/internal/command/outcome.go
+++ b/internal/command/outcome.go
@@ -56,6 +56,7 @@
 // Transfer asks for a command.transfer call; its result goes to TransferResult.
 type Transfer struct {
 	To      string
+	Seq     uint64
 	Message TransferRequest
 }
 
--- a/internal/command/owners.go
+++ b/internal/command/owners.go
@@ -29,6 +29,8 @@
 type serviceOwners struct {
 	owners [buckets]Owners
 	since  [buckets]time.Time
+	// generation changes when since starts again for any bucket.
+	generation uint64
 }
 
 func (s *State) owners(service string, bucket uint8) Owners {
@@ -56,6 +58,7 @@
 func (s *State) resetAges() {
 	for _, so := range s.services {
 		so.since = [buckets]time.Time{}
+		so.generation = s.nextNonce()
 	}
 }
 
@@ -83,7 +86,7 @@
 	}
 	so := s.services[service]
 	if so == nil {
-		so = &serviceOwners{}
+		so = &serviceOwners{generation: s.nextNonce()}
 		s.services[service] = so
 	}
 	changed := s.replaceOwners(now, so, owners)
@@ -102,7 +105,11 @@
 	changed := make(map[uint8]string)
 	for b, o := range owners {
 		old := so.owners[b]
+		if old == o {
+			continue
+		}
 		so.owners[b] = o
+		so.generation = s.nextNonce()
 		switch {
 		case !o.has(s.cfg.Self):
 			so.since[b] = time.Time{}
--- a/internal/command/peer.go
+++ b/internal/command/peer.go
@@ -10,6 +10,8 @@
 	s.begin(now)
 	owners := s.owners(m.Service, m.Bucket)
 	switch {
+	case m.State != Pending:
+		return s.refuseClaim(ReasonMalformed)
 	case !s.conditions.Serving:
 		return s.refuseClaim(ReasonNotServing)
 	case m.Origin != from || from == s.cfg.Self || !owners.has(s.cfg.Self) || owners.other(s.cfg.Self) != from:
@@ -37,15 +39,21 @@
 
 // insertForeign stores a claim that another host may run.
 func (s *State) insertForeign(now time.Time, r *ClaimRecord) *claim {
-	remaining := min(time.Duration(r.RemainingMS)*time.Millisecond, s.cfg.Retention)
 	c := &claim{
 		key: r.ClaimKey, owner: r.ClaimOwner, bucket: r.Bucket, digest: r.Digest, state: r.State,
-		reason: r.Reason, answer: r.Answer, deadline: now.Add(remaining), synced: now,
+		reason: r.Reason, answer: r.Answer, deadline: now.Add(s.remaining(r)), synced: now,
 	}
 	s.table.insert(now, c)
 	return c
 }
 
+// remaining returns how long to wait for another host's run. The grace is for
+// the message that tells the result.
+func (s *State) remaining(r *ClaimRecord) time.Duration {
+	ms := min(max(0, r.RemainingMS), s.cfg.Retention.Milliseconds())
+	return time.Duration(ms)*time.Millisecond + foreignGrace
+}
+
 // Complete handles a CompleteRequest of host from.
 func (s *State) Complete(now time.Time, from string, m CompleteRequest) []Outcome {
 	s.begin(now)
--- /dev/null
+++ b/internal/command/property_test.go
@@ -0,0 +1,171 @@
+package command
+
+import (
+	"fmt"
+	"math/rand"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// fleet drives a sim with five hosts whose views of each other lag.
+type fleet struct {
+	*sim
+	ids  []string
+	side map[string]int
+}
+
+func newFleet(t *testing.T, seed int64) *fleet {
+	ids := []string{"a", "b", "c", "d", "e"}
+	f := &fleet{sim: newSim(t, ids...), ids: ids, side: make(map[string]int)}
+	f.rand = rand.New(rand.NewSource(seed))
+	for _, id := range ids {
+		f.look(id)
+	}
+	f.runTo(DefaultRetention + time.Second)
+	f.fault = f.randomFault
+	return f
+}
+
+func (f *fleet) chance(p float64) bool { return f.rand.Float64() < p }
+
+func (f *fleet) upTo(d time.Duration) time.Duration { return time.Duration(f.rand.Int63n(int64(d))) }
+
+func (f *fleet) randomFault(_, from, to string) simFault {
+	fault := simFault{lost: f.chance(0.07), duplicate: f.chance(0.1), delay: f.upTo(5 * time.Millisecond)}
+	if f.chance(0.1) {
+		fault.delay = f.upTo(3 * time.Second)
+	}
+	if from != "" && to != "" && f.side[from] != f.side[to] {
+		fault.lost = true
+	}
+	return fault
+}
+
+func (f *fleet) reaches(from, to string) bool {
+	h := f.hosts[to]
+	return from == to || !h.dead && !h.paused.After(f.now) && f.side[from] == f.side[to]
+}
+
+// look gives a host a view that agrees with the present state of the fleet.
+func (f *fleet) look(id string) {
+	var alive []string
+	for _, other := range f.ids {
+		if f.reaches(id, other) {
+			alive = append(alive, other)
+		}
+	}
+	o := Owners{Primary: alive[0]}
+	if len(alive) > 1 {
+		o.Secondary = alive[1]
+	}
+	f.setView(id, o, 2*len(alive) > len(f.ids))
+}
+
+// changed lets each host notice a change after a time of its own.
+func (f *fleet) changed() {
+	for _, id := range f.ids {
+		f.at(f.now.Add(time.Second+f.upTo(1500*time.Millisecond)), f.hosts[id], func() { f.look(id) })
+	}
+}
+
+func (f *fleet) event(kind, n int) {
+	id := f.ids[n%len(f.ids)]
+	h := f.hosts[id]
+	switch kind {
+	case 0:
+		h.dead = true
+	case 1:
+		f.restart(id)
+		f.at(f.now.Add(f.upTo(time.Second)), h, func() { f.look(id) })
+	case 2:
+		h.paused = f.now.Add(f.upTo(4 * time.Second))
+		f.at(h.paused, nil, f.changed)
+	case 3:
+		f.side[id] = 1 - f.side[id]
+	case 4:
+		clear(f.side)
+	case 5:
+		f.fleetCommand(id, "shutoff", n%7)
+		return
+	default:
+		f.fleetCommand(id, "shutoff", n%3) // often the same request at several hosts
+		return
+	}
+	f.changed()
+}
+
+func (f *fleet) fleetCommand(host, method string, id int) {
+	f.request(host, fmt.Sprint(id), method,
+		Candidate{f.backend(1), "c"}, Candidate{f.backend(2), "d"}, Candidate{f.backend(3), "b"})
+}
+
+// play runs the events of a case, spread over less than the retention, and
+// returns what is wrong.
+func (f *fleet) play(events []uint16) string {
+	t0 := f.now.Sub(testStart)
+	for n := 1; n <= 3; n++ {
+		f.setup(n, simBackend{sheds: f.rand.Intn(3), service: f.upTo(2 * time.Second)})
+	}
+	at := make([]time.Duration, len(events))
+	for i := range at {
+		at[i] = t0 + f.upTo(20*time.Second)
+	}
+	sort.Slice(at, func(i, j int) bool { return at[i] < at[j] })
+	for i, e := range events {
+		f.after(at[i], func() { f.event(int(e%11), int(e/11)) })
+	}
+	f.runTo(t0 + 29*time.Second)
+	return f.check()
+}
+
+func (f *fleet) check() string {
+	for id := range f.methods {
+		ran := f.ran(id)
+		if ran > 1 {
+			return fmt.Sprintf("request %s ran %d times", id, ran)
+		}
+		for _, a := range f.answers[id] {
+			if a.code == CodeNotRun && ran != 0 {
+				return fmt.Sprintf("request %s ran, but the caller was told %s", id, a.body)
+			}
+			if a.code == 0 && ran != 1 {
+				return fmt.Sprintf("request %s was answered without a run: %s", id, a.body)
+			}
+		}
+	}
+	return ""
+}
+
+// TestAtMostOnce guards P6 and P7 under any interleaving of losses,
+// duplicates, delays, deaths, restarts, pauses, partitions and repeats.
+func TestAtMostOnce(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(7)
+	parameters.MinSuccessfulTests = 200
+	told := make(map[int]int)
+	properties := gopter.NewProperties(parameters)
+	properties.Property("non-idempotent commands run at most once and not run is true", prop.ForAll(
+		func(seed int64, events []uint16) string {
+			f := newFleet(t, seed)
+			fault := f.play(events)
+			for _, answers := range f.answers {
+				for _, a := range answers {
+					told[a.code]++
+				}
+			}
+			return fault
+		},
+		gen.Int64(), gen.SliceOfN(25, gen.UInt16()),
+	))
+	properties.TestingRun(t)
+	t.Logf("answers by code: %v", told)
+	for _, code := range []int{0, CodeNotRun, CodeUnknown} {
+		if told[code] < 50 {
+			t.Errorf("only %d answers with code %d: the cases show little", told[code], code)
+		}
+	}
+}
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -67,7 +67,7 @@
 	if r.State == Pending {
 		countRepeat(ReasonPending)
 		c.run = nil
-		c.deadline = now.Add(time.Duration(r.RemainingMS) * time.Millisecond)
+		c.deadline = now.Add(s.remaining(r))
 		return
 	}
 	countRepeat(ReasonReplayed)
@@ -152,6 +152,9 @@
 func (s *State) RunResult(now time.Time, from string, ref Ref, reply RunReply, status CallStatus) []Outcome {
 	s.begin(now)
 	if status == CallDone && reply.Clock != 0 {
+		if len(s.clocks) >= maxClocks {
+			clear(s.clocks)
+		}
 		s.clocks[from] = time.UnixMilli(reply.Clock).Sub(now)
 	}
 	c := s.current(ref)
@@ -190,6 +193,7 @@
 // lost handles a run that may have happened.
 func (s *State) lost(now time.Time, c *claim, reason Reason) {
 	if c.run.idempotent {
+		c.run.mayHaveRun = true
 		s.retry(now, c, reason)
 		return
 	}
@@ -225,6 +229,10 @@
 // notRun tells the caller that the command was not run. The claim is kept, so
 // that a delayed duplicate of the request is not run either.
 func (s *State) notRun(now time.Time, c *claim, reason Reason) {
+	if c.run.mayHaveRun {
+		s.unknown(now, c, reason)
+		return
+	}
 	if !c.run.idempotent {
 		if why, ok := s.allowed(now, c); !ok {
 			s.unknown(now, c, why)
@@ -242,11 +250,8 @@
 		c.waiting = false
 		s.emit(Answer{c.flow, s.told(c, answer)})
 	}
-	switch {
-	case !idempotent:
+	if !idempotent {
 		s.tellOthers(now, c, "")
-	case state == Unknown || reason != "":
-		s.table.remove(c) // a repeat may run again
 	}
 }
 
@@ -285,7 +290,7 @@
 	case r.phase == phaseRunning && !now.Before(c.deadline):
 		s.unknown(now, c, ReasonNoAnswer)
 	case r.phase == phaseRunning && r.idempotent && !now.Before(r.attemptEnds):
-		s.retry(now, c, ReasonNoAnswer)
+		s.lost(now, c, ReasonNoAnswer)
 	}
 	s.repeatClaim(now, c, other)
 }
--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -41,7 +41,10 @@
 const (
 	claimRetryAfter = 100 * time.Millisecond
 	// runMargin is left of the deadline for the admitting host's answer.
-	runMargin = 100 * time.Millisecond
+	runMargin    = 100 * time.Millisecond
+	foreignGrace = 250 * time.Millisecond
+	// maxClocks bounds the clocks kept of admitting hosts.
+	maxClocks = 1024
 	// minAttempt is the shortest time in which a command is given a chance.
 	minAttempt = 50 * time.Millisecond
 	// maxCandidates bounds the runs of one request.
@@ -125,6 +128,11 @@
 	s.last = laterOf(now, s.last)
 }
 
+func (s *State) nextNonce() uint64 {
+	s.nonce++
+	return s.nonce
+}
+
 func (s *State) emit(o Outcome) { s.out = append(s.out, o) }
 
 func (s *State) take() []Outcome {
@@ -133,8 +141,9 @@
 	return out
 }
 
-// SetConditions must be called after each change of the membership and after
-// each pause.
+// SetConditions must be called after each change of the membership and with
+// each Expire. A host that learns that others had declared it dead must call it
+// once with Serving false, since they may have run commands without it.
 func (s *State) SetConditions(now time.Time, c Conditions) {
 	s.begin(now)
 	if !c.Majority || !c.Serving {
@@ -169,10 +178,14 @@
 	s.retries.refill(now)
 	s.retries.add(retryShare)
 	key := ClaimKey{Service: in.Service, Caller: in.Flow.Source(), ID: req.ID}
-	if c := s.table.claims[key]; c != nil {
+	switch c := s.table.claims[key]; {
+	case c == nil:
+		s.first(now, key, in, req, false)
+	case in.Idempotent && c.state == Unknown && c.digest == req.Digest:
+		s.table.remove(c)
+		s.first(now, key, in, req, true)
+	default:
 		s.repeat(now, c, in, req)
-	} else {
-		s.first(now, key, in, req)
 	}
 	return s.take()
 }
@@ -209,9 +222,11 @@
 	return ErrorResponse(c.key.ID, CodeUnknown, reason)
 }
 
-func (s *State) first(now time.Time, key ClaimKey, in Input, req Request) {
+// first handles a request without a claim. mayHaveRun says that an earlier run
+// of the idempotent command was lost.
+func (s *State) first(now time.Time, key ClaimKey, in Input, req Request, mayHaveRun bool) {
 	owners := s.owners(in.Service, in.Bucket)
-	if s.leaving || !owners.has(s.cfg.Self) || owners.Primary != s.cfg.Self {
+	if s.leaving || owners.Primary != s.cfg.Self {
 		s.elsewhere(owners, in, req)
 		return
 	}
@@ -223,12 +238,11 @@
 	if req.Deadline > 0 {
 		deadline = min(deadline, req.Deadline)
 	}
-	s.nonce++
 	c := &claim{
-		key: key, owner: ClaimOwner{s.cfg.Self, s.nonce}, bucket: in.Bucket, digest: req.Digest,
+		key: key, owner: ClaimOwner{s.cfg.Self, s.nextNonce()}, bucket: in.Bucket, digest: req.Digest,
 		state: Pending, flow: in.Flow, waiting: true, deadline: now.Add(deadline),
 		run: &runState{
-			request: req, idempotent: in.Idempotent, created: now,
+			request: req, idempotent: in.Idempotent, created: now, mayHaveRun: mayHaveRun,
 			candidates: append([]Candidate(nil), in.Candidates[:min(maxCandidates, len(in.Candidates))]...),
 		},
 	}
--- a/internal/command/transfer.go
+++ b/internal/command/transfer.go
@@ -20,11 +20,14 @@
 // claims have arrived.
 type transfer struct {
 	to, service string
+	all         []uint8    // in order
 	buckets     []uint8    // not yet reported as done, in order
+	generation  uint64     // of the receiver, 0 until its first reply
 	claims      []ClaimKey // of the first buckets, not yet sent
 	loaded      int        // number of leading buckets whose claims are in claims or sent
 	sent        int        // claims in the message in progress
 	done        int        // buckets in the message in progress
+	seq         uint64     // of the message in progress
 	waiting     bool
 	sentAt      time.Time
 }
@@ -47,7 +50,7 @@
 		if t.service != service {
 			continue
 		}
-		for _, b := range t.buckets {
+		for _, b := range t.all {
 			if _, ok := changed[b]; !ok && so.owners[b].other(s.cfg.Self) == t.to {
 				changed[b] = t.to
 			}
@@ -60,7 +63,7 @@
 	}
 	for to, list := range byHost {
 		sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
-		s.transfers = append(s.transfers, &transfer{to: to, service: service, buckets: list})
+		s.transfers = append(s.transfers, &transfer{to: to, service: service, all: list, buckets: list})
 	}
 	sort.SliceStable(s.transfers, func(i, j int) bool {
 		a, b := s.transfers[i], s.transfers[j]
@@ -112,7 +115,7 @@
 // sendTransfer sends as many claims as the budget allows, and the buckets that
 // are complete with them.
 func (s *State) sendTransfer(now time.Time, t *transfer) {
-	m := TransferRequest{Service: t.service}
+	m := TransferRequest{Service: t.service, Generation: t.generation}
 	budget := s.transferBy.level - transferOverhead
 	t.sent = 0
 	for _, key := range t.claims {
@@ -131,11 +134,13 @@
 		}
 		t.sent++
 	}
-	m.Done, m.AgeMS = s.doneBuckets(now, t)
+	if t.generation != 0 {
+		m.Done, m.AgeMS = s.doneBuckets(now, t)
+	}
 	t.done = len(m.Done)
 	s.transferBy.level = budget // below zero after a record larger than the budget
-	t.waiting, t.sentAt = true, now
-	s.emit(Transfer{To: t.to, Message: m})
+	t.waiting, t.sentAt, t.seq = true, now, s.nextNonce()
+	s.emit(Transfer{To: t.to, Seq: t.seq, Message: m})
 }
 
 // doneBuckets returns the buckets of which no claim is left after the message.
@@ -161,11 +166,11 @@
 	return float64(transferOverhead + len(r.Service) + len(r.ID) + len(r.Answer))
 }
 
-// TransferResult handles the result of a Transfer call.
-func (s *State) TransferResult(now time.Time, to, service string, reply TransferReply, status CallStatus) []Outcome {
+// TransferResult handles the result of the Transfer call seq.
+func (s *State) TransferResult(now time.Time, seq uint64, reply TransferReply, status CallStatus) []Outcome {
 	s.begin(now)
 	for _, t := range s.transfers {
-		if t.to != to || t.service != service || !t.waiting {
+		if t.seq != seq || !t.waiting {
 			continue
 		}
 		if status != CallDone || reply.Refused != "" {
@@ -173,6 +178,10 @@
 			return nil // repeated after transferTimeout
 		}
 		t.waiting = false
+		if reply.Generation != t.generation {
+			s.restart(t, reply.Generation)
+			continue
+		}
 		t.claims = t.claims[t.sent:]
 		t.buckets = t.buckets[t.done:]
 		t.loaded = len(t.buckets)
@@ -182,6 +191,19 @@
 	return s.take()
 }
 
+// restart begins a transfer for a generation of the receiver. The claims of the
+// first message are kept as sent when the receiver has had only one generation.
+func (s *State) restart(t *transfer, generation uint64) {
+	first := t.generation == 0
+	t.generation = generation
+	if first {
+		t.claims = t.claims[t.sent:]
+	} else {
+		t.buckets, t.loaded, t.claims = t.all, 0, nil
+	}
+	t.sent, t.done = 0, 0
+}
+
 // Transfer handles a TransferRequest of host from.
 func (s *State) Transfer(now time.Time, from string, m TransferRequest) (TransferReply, []Outcome) {
 	s.begin(now)
@@ -201,6 +223,9 @@
 			return s.refuseTransfer(ReasonClaimsFull)
 		}
 	}
+	if m.Generation != so.generation {
+		return TransferReply{Generation: so.generation}, s.take()
+	}
 	since := now.Add(-time.Duration(min(m.AgeMS, s.cfg.Retention.Milliseconds())) * time.Millisecond)
 	for _, b := range m.Done {
 		if so.owners[b].other(s.cfg.Self) != from {
@@ -210,7 +235,7 @@
 			so.since[b] = since
 		}
 	}
-	return TransferReply{}, s.take()
+	return TransferReply{Generation: so.generation}, s.take()
 }
 
 func (s *State) refuseTransfer(r Reason) (TransferReply, []Outcome) {
