--- a/internal/packet/forward.go
+++ b/internal/packet/forward.go
@@ -91,10 +91,15 @@
 	dst = appendAddrPort(dst, h.Choice.Addr)
 	dst = binary.BigEndian.AppendUint64(dst, h.Choice.Instance)
 	dst = append(dst, inner...)
-	binary.BigEndian.PutUint64(dst[start:], tag(key, dst[start:]))
+	putTag(key, dst[start:])
 	return dst
 }
 
+// putTag authenticates a forwarded packet.
+func putTag(key *[16]byte, b []byte) {
+	binary.BigEndian.PutUint64(b, tag(key, b))
+}
+
 // ParseForward checks the tag and decodes the header. The inner packet is a
 // part of b.
 func ParseForward(b []byte, key *[16]byte, h *ForwardHeader) (inner []byte, err error) {
