daemon: connect limits, health and slots

Cause: the thin path admitted flows without limits and ran commands without slots. Change: budgets refilled every 100 ms from the shares, weights and cold starts from the verdicts, load polls, evidence from the traffic, slots for commands. A refused datagram was counted in a nil metric set, which ended the process; counters now go to the default set.

--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -7,8 +7,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/nutmeglatch/nutmeglatch/internal/admission"
 	"github.com/nutmeglatch/nutmeglatch/internal/command"
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
+	"github.com/nutmeglatch/nutmeglatch/internal/health"
 )
 
 // callHandler answers one method.
@@ -25,6 +27,8 @@
 	command.MethodComplete:    handleComplete,
 	command.MethodReply:       handleReply,
 	command.MethodTransfer:    handleTransfer,
+	admission.Method:          handleAdmission,
+	health.Method:             handleHealth,
 }
 
 // handleCall answers a call of another entry host.
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -11,9 +11,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/nutmeglatch/nutmeglatch/internal/admission"
 	"github.com/nutmeglatch/nutmeglatch/internal/command"
-	"github.com/nutmeglatch/nutmeglatch/internal/document"
-	"github.com/nutmeglatch/nutmeglatch/internal/membership"
 	"github.com/nutmeglatch/nutmeglatch/internal/packet"
 	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 	"github.com/nutmeglatch/nutmeglatch/internal/route"
@@ -128,33 +127,14 @@
 	return d.Sum64()
 }
 
-// admittingHost returns the host that admits a backend server's commands: the
-// highest in rendezvous order among the live hosts of its data centre, or of
-// all data centres when it has none.
+// admittingHost returns the host that admits a backend server's commands.
 func (c *control) admittingHost(backend netip.AddrPort) string {
 	b := c.d.snapshot.Load().Backends.Get(backend)
 	if b == nil {
 		return ""
 	}
-	best, bestScore, bestNear := "", uint64(0), false
-	for _, m := range c.members.Members() {
-		if !c.mayAdmit(&m) {
-			continue
-		}
-		near := m.Host.DataCentre == b.DataCentre
-		score := hashAddrPort(backend, xxhash.Sum64String(m.Host.ID))
-		if best == "" || near && !bestNear || near == bestNear && score > bestScore {
-			best, bestScore, bestNear = m.Host.ID, score, near
-		}
-	}
-	return best
-}
-
-func (c *control) mayAdmit(m *membership.Member) bool {
-	if m.Host.ID == c.d.settings.HostID {
-		return !c.leaving
-	}
-	return isLive(m.Status) && m.Confirmed() && m.Host.State != document.HostLeaving
+	id, _ := admission.AdmittingHost(backend, b.DataCentre, c.liveHosts())
+	return id
 }
 
 // performCommands carries out the outcomes of the command slice.
@@ -197,7 +177,7 @@
 func (c *control) transferClaims(o command.Transfer) {
 	callPeer(c, o.To, command.MethodTransfer, claimCallTimeout, o.Message,
 		func(c *control, now time.Time, reply command.TransferReply, status command.CallStatus) {
-			c.performCommands(now, c.commands.TransferResult(now, o.To, o.Message.Service, reply, status))
+			c.performCommands(now, c.commands.TransferResult(now, o.Seq, reply, status))
 		})
 }
 
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -47,13 +47,13 @@
 	nextCall uint64
 	owned    map[string]*route.Service // services as last given to commands
 
-	serving    bool
-	leaving    bool
-	leftAt     time.Time
-	killed     bool
-	dirty      bool
-	lastError  string // of the platform
-	flowCounts map[netip.AddrPort]int
+	serving   bool
+	leaving   bool
+	leftAt    time.Time
+	killed    bool
+	dirty     bool
+	lastError string // of the platform
+	limits    *limits
 }
 
 func newControl(d *Daemon) *control {
@@ -78,7 +78,8 @@
 	}
 	cfg := command.Config{Self: s.HostID, Boot: d.boot, Retention: s.Limits.ClaimRetention.Std(), PauseLimit: s.PauseLimit.Std()}
 	c.commands = command.New(cfg, d.started)
-	c.runner = command.NewRunner(cfg, newSlots(c))
+	c.limits = newLimits()
+	c.runner = command.NewRunner(cfg, &commandSlots{slots: c.limits.slots})
 	c.runCalls = map[uint64]runDone{}
 	c.owned = map[string]*route.Service{}
 	c.sync.begin(d.started, s.StartCheck.Std())
@@ -162,6 +163,7 @@
 	c.startCheck(now)
 	c.performCommands(now, c.commands.Expire(now))
 	c.performCommands(now, c.runner.Expire(now))
+	c.limitRound(now)
 }
 
 // carryOut performs the outcomes of the membership.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -101,7 +102,8 @@
 		Key:        o.Settings.PeerKey,
 		MaxMessage: o.Settings.Limits.MaxMessage,
 		Dial:       d.network.Dial,
-		Logger:     log.With(d.logger, "part", "peer"),
+		Logger:     d.logger,
+		Metrics:    metrics.GetDefaultSet(),
 	}, d.lookup, peer.HandlerFunc(d.handleCall))
 	d.control = newControl(d)
 	d.snapshot.Store(d.control.buildSnapshot(d.started))
@@ -162,6 +164,7 @@
 	g.Go(func() error { return admin.Serve(work, d.adminTCP, d) })
 	g.Go(func() error { return d.control.watchPlatform(work) })
 	g.Go(func() error { return d.sweep(work) })
+	g.Go(func() error { return d.pollLoad(work) })
 	for range d.workers() {
 		g.Go(func() error { return d.serveGUE(work) })
 		g.Go(func() error { return d.servePeer(work) })
--- /dev/null
+++ b/internal/daemon/limits.go
@@ -0,0 +1,375 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/admission"
+	"github.com/nutmeglatch/nutmeglatch/internal/command"
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/health"
+	"github.com/nutmeglatch/nutmeglatch/internal/route"
+)
+
+// Intervals of the limits.
+const (
+	limitInterval = 100 * time.Millisecond
+	pollInterval  = time.Second
+	// evidenceInterval is long enough that a working backend server has
+	// replied to a packet that was sent at its start.
+	evidenceInterval = time.Second
+)
+
+// weightSteps is the resolution of weights. Coarse weights keep a ramp from
+// publishing a snapshot in every round.
+const weightSteps = 20
+
+// backendLimit is what this host may admit to a backend server.
+type backendLimit struct {
+	budget  route.Budget
+	traffic route.Traffic
+	granted int // budget after the last refill
+	charged int // flows that this host is charged with
+	weight  float64
+	cold    bool
+}
+
+// limits joins the health and admission slices.
+type limits struct {
+	health   *health.State
+	shares   *admission.State
+	slots    *admission.Slots
+	poller   *health.Poller
+	backends map[netip.AddrPort]*backendLimit
+	verdicts map[netip.AddrPort]health.Verdict
+	owners   map[string][route.Buckets][2]uint16 // by service, as last given to the shares
+	polled   map[netip.AddrPort]time.Time        // start of the newest poll
+
+	lastRound, lastEvidence time.Time
+}
+
+func newLimits() *limits {
+	return &limits{
+		health:   health.New(health.Config{}),
+		shares:   admission.New(admission.Config{}),
+		slots:    admission.NewSlots(admission.SlotsConfig{}),
+		poller:   health.NewPoller(health.PollerConfig{}),
+		backends: map[netip.AddrPort]*backendLimit{},
+		verdicts: map[netip.AddrPort]health.Verdict{},
+		owners:   map[string][route.Buckets][2]uint16{},
+	}
+}
+
+func (l *limits) backend(addr netip.AddrPort) *backendLimit {
+	b := l.backends[addr]
+	if b == nil {
+		b = &backendLimit{}
+		l.backends[addr] = b
+	}
+	return b
+}
+
+// limitInput gives documents, members and owners to the slices and refills the
+// budgets.
+func (c *control) limitInput(now time.Time, snap *route.Snapshot) {
+	accepted := c.config.Current()
+	hosts := c.liveHosts()
+	out, leaving := c.outSet(), c.leavingBackends()
+	var services []health.ServiceInput
+	shares := admission.Input{Out: out, Leaving: leaving}
+	for name, doc := range accepted.Services {
+		svc := snap.ByName.Get(name)
+		if svc == nil {
+			continue
+		}
+		in := c.bucketInput(snap, svc, doc)
+		services = append(services, health.ServiceInput{Doc: doc, Group: keys(in.Buckets)})
+		if _, member := in.Buckets[snap.Self]; member {
+			shares.Services = append(shares.Services, in)
+		}
+	}
+	c.limits.health.SetServices(now, snap.Self, health.Input{Services: services, Hosts: hosts, Out: out, Leaving: leaving})
+	c.limits.verdicts = c.limits.health.Verdicts(now)
+	shares.Verdicts = c.limits.verdicts
+	c.limits.shares.SetServices(now, snap.Self, shares)
+	c.slotInput(now, hosts, out, leaving)
+	c.refill(now)
+}
+
+// bucketInput counts the buckets of each host of a service's owner group.
+func (c *control) bucketInput(snap *route.Snapshot, svc *route.Service, doc *document.Service) admission.ServiceInput {
+	in := admission.ServiceInput{Doc: doc, Buckets: map[string]int{}}
+	previous, known := c.limits.owners[svc.Name]
+	for b, o := range svc.Owners {
+		for i, host := range o {
+			if id := hostID(snap, host); id != "" {
+				in.Buckets[id] += 1 - i
+			}
+		}
+		if known && snap.SelfIndex != route.NoHost && previous[b][0] == snap.SelfIndex && o[0] != snap.SelfIndex {
+			in.Lost++
+		}
+	}
+	// A host that leaves still answers and is still charged with its flows.
+	for i := range snap.Hosts {
+		if h := &snap.Hosts[i]; h.Leaving && h.ID != "" && h.Region == svc.Region {
+			in.Buckets[h.ID] += 0
+		}
+	}
+	c.limits.owners[svc.Name] = svc.Owners
+	return in
+}
+
+// slotInput tells which backend servers' commands this host admits.
+func (c *control) slotInput(now time.Time, hosts []document.Host, out map[string]bool, leaving map[netip.AddrPort]bool) {
+	in := map[netip.AddrPort]admission.SlotInput{}
+	self := c.d.settings.HostID
+	for _, doc := range c.config.Current().Services {
+		if doc.Commands == nil {
+			continue
+		}
+		for _, dc := range doc.DataCentres {
+			for _, b := range dc.BackendServers {
+				addr := b.AddrPort()
+				if id, ok := admission.AdmittingHost(addr, dc.Name, hosts); ok && id == self {
+					in[addr] = admission.SlotInput{
+						Doc:      b,
+						Deadline: min(doc.Commands.Deadline.Std(), c.d.settings.Limits.CommandDeadline.Std()),
+						Verdict:  c.limits.verdicts[addr],
+						Out:      out[dc.Name] || leaving[addr],
+					}
+				}
+			}
+		}
+	}
+	c.limits.slots.SetBackends(now, in)
+}
+
+// limitRound reads the evidence of the traffic, sends reports and refills the
+// budgets.
+func (c *control) limitRound(now time.Time) {
+	l := c.limits
+	if now.Sub(l.lastRound) < limitInterval {
+		return
+	}
+	l.lastRound = now
+	if now.Sub(l.lastEvidence) >= evidenceInterval {
+		l.lastEvidence = now
+		c.readEvidence(now)
+	}
+	verdicts := l.health.Verdicts(now)
+	if changed(l.verdicts, verdicts) {
+		c.dirty = true
+	}
+	l.verdicts = verdicts
+	l.shares.SetVerdicts(verdicts)
+	c.admitted(now)
+	for _, r := range l.shares.Report(now) {
+		c.call(r.To, admission.Method, r, nil)
+	}
+	for _, m := range l.health.Messages(now) {
+		c.call(m.To, health.Method, m, func(c *control, _ time.Time, err error) {
+			if err == nil {
+				c.limits.health.Delivered(m)
+			}
+		})
+	}
+	c.refill(now)
+}
+
+// admitted tells the shares how many flows were admitted since the last call.
+func (c *control) admitted(now time.Time) {
+	counts := map[netip.AddrPort]int{}
+	for addr, b := range c.limits.backends {
+		left := b.budget.Left()
+		counts[addr] = b.granted - left
+		b.granted = left
+	}
+	c.limits.shares.Admitted(now, counts)
+}
+
+// refill gives the traffic goroutines new budgets and weights.
+func (c *control) refill(now time.Time) {
+	allowances := c.limits.shares.Allowances(now)
+	for addr, b := range c.limits.backends {
+		a := allowances[addr]
+		// Flows may have been admitted since granted was read; they stay
+		// subtracted from the budget.
+		b.budget.Add(a.NewFlows - b.granted)
+		b.granted = a.NewFlows
+		weight := float64(int(a.Weight*weightSteps+0.5)) / weightSteps
+		if a.Weight > 0 {
+			weight = max(weight, 1.0/weightSteps)
+		}
+		if weight != b.weight || a.Cold != b.cold {
+			b.weight, b.cold, c.dirty = weight, a.Cold, true
+		}
+	}
+}
+
+// readEvidence passes what the traffic showed about the backend servers.
+func (c *control) readEvidence(now time.Time) {
+	for addr, b := range c.limits.backends {
+		e := health.Evidence{
+			Replies: int(b.traffic.Replies.Swap(0)),
+			Resets:  int(b.traffic.Resets.Swap(0)),
+		}
+		if opened := int(b.traffic.Opened.Swap(0)); e.Replies == 0 && e.Resets == 0 {
+			e.Unanswered = opened
+		}
+		if e != (health.Evidence{}) {
+			c.limits.health.Evidence(now, addr, e)
+		}
+	}
+}
+
+// charged takes over the counts of a sweep.
+func (c *control) charged(now time.Time, counts map[netip.AddrPort]int) {
+	for addr, b := range c.limits.backends {
+		b.charged = counts[addr]
+	}
+	c.limits.shares.Charged(now, counts)
+}
+
+// changed reports whether verdicts differ in what snapshots depend on.
+func changed(a, b map[netip.AddrPort]health.Verdict) bool {
+	if len(a) != len(b) {
+		return true
+	}
+	for addr, v := range b {
+		old, ok := a[addr]
+		if !ok || old.Usable != v.Usable || old.Draining != v.Draining || old.Foreign != v.Foreign ||
+			old.Instance != v.Instance || !old.ColdSince.Equal(v.ColdSince) {
+			return true
+		}
+	}
+	return false
+}
+
+// pollLoad reads the load reports of the backend servers that this host observes.
+func (d *Daemon) pollLoad(ctx context.Context) error {
+	targets := func() []health.Target {
+		t, err := ask(ctx, d, func(c *control, now time.Time) []health.Target {
+			t := c.limits.health.Targets()
+			c.limits.polled = map[netip.AddrPort]time.Time{}
+			for _, target := range t {
+				c.limits.polled[target.Backend] = now
+			}
+			return t
+		})
+		if err != nil {
+			return nil
+		}
+		return t
+	}
+	d.control.limits.poller.Run(ctx, pollInterval, targets, func(o health.Observation) {
+		d.tryPost(func(c *control, now time.Time) { c.observed(now, o) })
+	})
+	return ctx.Err()
+}
+
+func (c *control) observed(now time.Time, o health.Observation) {
+	if o.Err != nil {
+		level.Debug(c.logger).Log("msg", "load report could not be read", "backend", o.Backend, "err", o.Err)
+		return
+	}
+	c.limits.health.Report(now, o.Backend, o.Report)
+	if started, ok := c.limits.polled[o.Backend]; ok {
+		c.limits.slots.Observed(now, started, o.Backend, o.Report.SlotsBusy)
+	}
+}
+
+// liveHosts returns this host and the members that are live and not leaving.
+func (c *control) liveHosts() []document.Host {
+	var hosts []document.Host
+	out := c.dataCentresOut()
+	for _, m := range c.members.Members() {
+		self := m.Host.ID == c.d.settings.HostID
+		live := self && !c.leaving || !self && isLive(m.Status) && m.Confirmed() && m.Host.State != document.HostLeaving
+		if live && !slices.Contains(out, m.Host.DataCentre) {
+			hosts = append(hosts, m.Host)
+		}
+	}
+	return hosts
+}
+
+func (c *control) outSet() map[string]bool {
+	out := map[string]bool{}
+	for _, dc := range c.dataCentresOut() {
+		out[dc] = true
+	}
+	return out
+}
+
+func (c *control) leavingBackends() map[netip.AddrPort]bool {
+	leaving := map[netip.AddrPort]bool{}
+	if hosts := c.config.Current().Hosts; hosts != nil {
+		for _, addr := range hosts.LeavingBackends {
+			leaving[addr] = true
+		}
+	}
+	return leaving
+}
+
+func keys(m map[string]int) []string {
+	ids := make([]string, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// commandSlots adapts the admission slots to the command runner.
+type commandSlots struct {
+	slots *admission.Slots
+	next  command.Token
+	held  map[command.Token]admission.Token
+}
+
+// Acquire takes a slot of a backend server.
+func (s *commandSlots) Acquire(now time.Time, backend netip.AddrPort, deadline time.Time) (command.Token, command.Refusal) {
+	token, refusal := s.slots.Acquire(now, backend, deadline)
+	if refusal != admission.Granted {
+		return 0, command.Refusal(refusal.String())
+	}
+	if s.held == nil {
+		s.held = map[command.Token]admission.Token{}
+	}
+	s.next++
+	s.held[s.next] = token
+	return s.next, ""
+}
+
+// Release returns a slot.
+func (s *commandSlots) Release(t command.Token) {
+	s.slots.Release(s.held[t])
+	delete(s.held, t)
+}
+
+func handleAdmission(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
+	r, err := admission.ParseReport(params)
+	if err != nil {
+		countDroppedReason("call", "malformed")
+		return nil, err
+	}
+	return ask(ctx, d, func(c *control, now time.Time) bool {
+		return c.limits.shares.Receive(now, from, r).Accepted
+	})
+}
+
+func handleHealth(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
+	m, err := health.ParseMessage(params)
+	if err != nil {
+		countDroppedReason("call", "malformed")
+		return nil, err
+	}
+	return ask(ctx, d, func(c *control, now time.Time) bool {
+		return c.limits.health.Receive(now, from, m).Accepted
+	})
+}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 
@@ -21,14 +22,15 @@
 func (d *Daemon) newSource() platform.Source {
 	s := d.settings.Platform
 	if s.Type == settings.PlatformDirectory {
-		return platform.NewDirectory(platform.DirectoryConfig{Path: s.Path})
+		return platform.NewDirectory(platform.DirectoryConfig{Path: s.Path, Metrics: metrics.GetDefaultSet()})
 	}
 	return platform.NewHTTP(platform.HTTPConfig{
-		URL:    s.URL,
-		Wait:   s.Wait.Std(),
-		Poll:   s.Poll.Std(),
-		Reader: d.reader.Load,
-		Dial:   d.dialPlatform,
+		URL:     s.URL,
+		Wait:    s.Wait.Std(),
+		Poll:    s.Poll.Std(),
+		Reader:  d.reader.Load,
+		Dial:    d.dialPlatform,
+		Metrics: metrics.GetDefaultSet(),
 	})
 }
 
--- a/internal/daemon/snapshot.go
+++ b/internal/daemon/snapshot.go
@@ -13,13 +13,16 @@
 )
 
 // publish gives the traffic goroutines a new snapshot when control state has
-// changed.
+// changed. Limits depend on the owners in the snapshot and the snapshot on the
+// limits, so a change of the owners is published in two steps.
 func (c *control) publish(now time.Time) {
 	if !c.dirty {
 		return
 	}
 	c.dirty = false
 	snap := c.buildSnapshot(now)
+	c.limitInput(now, snap)
+	snap = c.buildSnapshot(now)
 	c.d.snapshot.Store(snap)
 	c.ownersChanged(now, snap)
 }
@@ -104,14 +107,20 @@
 }
 
 func (c *control) backendConfig(b *document.BackendServer, dc string, out, conflicted bool) route.BackendConfig {
+	addr := b.AddrPort()
+	limit := c.limits.backend(addr)
+	verdict := c.limits.verdicts[addr]
 	return route.BackendConfig{
-		Addr:       b.AddrPort(),
+		Addr:       addr,
 		DataCentre: dc,
+		Instance:   verdict.Instance,
 		Out:        out,
-		Draining:   b.Draining,
-		Stable:     true,
-		Unusable:   conflicted,
-		Weight:     1,
+		Draining:   b.Draining || verdict.Draining,
+		Stable:     !limit.cold,
+		Unusable:   conflicted || verdict.Foreign,
+		Weight:     limit.weight,
+		Admit:      &limit.budget,
+		Traffic:    &limit.traffic,
 	}
 }
 
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -11,6 +11,7 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/admin"
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/flow"
+	"github.com/nutmeglatch/nutmeglatch/internal/health"
 	"github.com/nutmeglatch/nutmeglatch/internal/packet"
 	"github.com/nutmeglatch/nutmeglatch/internal/route"
 )
@@ -129,13 +130,25 @@
 }
 
 func (c *control) backendStatus(b *route.Backend) admin.BackendStatus {
+	limit := c.limits.backend(b.Addr)
 	return admin.BackendStatus{
 		Addr:       b.Addr.String(),
 		DataCentre: b.DataCentre,
-		Verdict:    "usable",
+		Verdict:    verdictText(c.limits.verdicts[b.Addr]),
+		Flows:      limit.charged,
 		Weight:     b.Weight,
 		Instance:   b.Instance,
 	}
 }
 
 func stateName(s flow.State) string { return stateNames[s] }
+
+func verdictText(v health.Verdict) string {
+	if v.Usable && v.Reason == health.ReasonNone {
+		return "usable"
+	}
+	if v.Usable {
+		return "usable, " + v.Reason.String()
+	}
+	return v.Reason.String()
+}
--- a/internal/daemon/sweep.go
+++ b/internal/daemon/sweep.go
@@ -27,6 +27,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+			if _, err := ask(ctx, d, func(c *control, now time.Time) bool { c.limits.shares.StartSweep(now); return true }); err != nil {
+				return err
+			}
 			counts := d.sweepOnce(d.snapshot.Load())
 			d.tryPost(func(c *control, now time.Time) { c.charged(now, counts) })
 		}
@@ -54,6 +57,3 @@
 		})
 	return counts
 }
-
-// charged takes over the counts of a sweep.
-func (c *control) charged(_ time.Time, counts map[netip.AddrPort]int) { c.flowCounts = counts }
--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
@@ -77,7 +78,8 @@
 		return
 	}
 	d, snap, now := w.d, w.d.snapshot.Load(), w.d.now()
-	if snap.Backends.Get(from) != nil {
+	if b := snap.Backends.Get(from); b != nil {
+		countReply(b, &w.info)
 		w.fromBackend(snap, from, inner, now)
 		return
 	}
@@ -134,7 +136,7 @@
 		err = d.acceptDatagram(&dg)
 	}
 	if err != nil {
-		peer.CountRefusedDatagram(nil, err)
+		peer.CountRefusedDatagram(metrics.GetDefaultSet(), err)
 		return
 	}
 	m, err := membership.DecodeMessage(dg.Body)
@@ -157,6 +159,7 @@
 	d := w.d
 	switch a.Kind {
 	case route.ToBackend:
+		countOpened(a.Backend, &w.info)
 		w.write(d.gue, inner, a.Backend.Addr)
 	case route.ToPeer:
 		w.out = packet.AppendForward(w.out[:0], &d.key, &a.Header, inner)
@@ -196,3 +199,18 @@
 }
 
 func isClosed(err error) bool { return errors.Is(err, errClosed) }
+
+// countReply counts passive evidence about a backend server.
+func countReply(b *route.Backend, info *packet.Info) {
+	if info.RST() {
+		b.Traffic.Resets.Add(1)
+		return
+	}
+	b.Traffic.Replies.Add(1)
+}
+
+func countOpened(b *route.Backend, info *packet.Info) {
+	if info.SYN() {
+		b.Traffic.Opened.Add(1)
+	}
+}
--- a/internal/route/build.go
+++ b/internal/route/build.go
@@ -26,6 +26,7 @@
 	Out, Draining, Stable, Unusable bool
 	Weight                          float64
 	Admit                           *Budget
+	Traffic                         *Traffic
 }
 
 // Builder makes snapshots. A change costs in proportion to the services that
@@ -238,7 +239,7 @@
 	return Backend{
 		Addr: c.Addr, Service: s, DataCentre: c.DataCentre, Instance: c.Instance,
 		Out: c.Out, Draining: c.Draining, Stable: c.Stable, Unusable: c.Unusable,
-		Weight: c.Weight, Admit: c.Admit,
+		Weight: c.Weight, Admit: c.Admit, Traffic: c.Traffic,
 		seed: mix(mix(s.Seed^hi^uint64(c.Addr.Port())) ^ bits.RotateLeft64(lo, 32)),
 	}
 }
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -29,6 +29,10 @@
 // Set replaces what is left.
 func (b *Budget) Set(n int) { b.left.Store(int64(n)) }
 
+// Add changes what is left. It may become negative when flows were admitted
+// since the caller decided on n; the next refill takes them into account.
+func (b *Budget) Add(n int) { b.left.Add(int64(n)) }
+
 // Left returns what is left.
 func (b *Budget) Left() int { return int(b.left.Load()) }
 
--- a/internal/route/snapshot.go
+++ b/internal/route/snapshot.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/packet"
@@ -84,5 +85,14 @@
 	Unusable   bool // it identified itself as another service
 	Weight     float64
 	Admit      *Budget // nil admits without limit
+	Traffic    *Traffic
 	seed       uint64
 }
+
+// Traffic counts what passed between this host and a backend server. The
+// goroutines that move packets count; the control loop reads.
+type Traffic struct {
+	Opened  atomic.Int64 // packets that open a flow
+	Replies atomic.Int64
+	Resets  atomic.Int64
+}
