membership: verify the majority against partitions; fault tests

Cause: a partition is noticed host by host, so the smaller side could see a majority while owners were already declared dead. Change: up to 16 hosts, Majority counts hosts that answered since the latest suspicion; above that, at most 3 of the latest 8 probes may have failed. Add counters, suspects are probed until they answer, id checks, tables of faults, the agreement property and a fuzz target. peer: write deadlines per chunk, least key length, limited logging.

--- /dev/null
+++ b/internal/membership/fault_test.go
@@ -0,0 +1,368 @@
+package membership
+
+import (
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
+)
+
+func (c *cluster) setList(n *node, hosts ...document.Host) { c.handle(n, n.SetListed(c.now, hosts)) }
+
+func (c *cluster) partition(side func(*node) bool) {
+	c.lost = func(a, b *node) bool { return side(a) != side(b) }
+}
+
+func (c *cluster) others(skip *node) []*node {
+	return slices.DeleteFunc(slices.Clone(c.nodes), func(n *node) bool { return n == skip || n.down })
+}
+
+func hasEvent[T Outcome](n *node) bool {
+	return slices.ContainsFunc(n.events, func(o Outcome) bool { _, ok := o.(T); return ok })
+}
+
+// Each case is one failure from the design's failure table: what happens to a
+// fleet that has run undisturbed, and what the hosts must then see.
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name string
+		size int
+		run  func(c *cluster)
+	}{
+		{"leaving host stays leaving, then dies", 7, func(c *cluster) {
+			c.handle(c.nodes[2], c.nodes[2].Leave(c.now))
+			c.run(step * 3)
+			c.expect(Leaving, "entry-2", c.nodes...)
+			stale := []Update{{ID: "entry-2", Boot: 1000, Incarnation: 1, Status: Alive}}
+			c.handle(c.nodes[0], c.nodes[0].Merge(c.now, stale))
+			c.expect(Leaving, "entry-2", c.nodes[0])
+			c.run(3 * time.Second)
+			c.expect(Leaving, "entry-2", c.nodes...)
+			c.nodes[2].down = true
+			c.run(5 * time.Second)
+			c.expect(Dead, "entry-2", c.others(nil)...)
+		}},
+		{"direct path lost, indirect probes succeed", 7, func(c *cluster) {
+			c.lost = func(a, b *node) bool {
+				return a == c.nodes[0] && b == c.nodes[1] || a == c.nodes[1] && b == c.nodes[0]
+			}
+			c.run(20 * time.Second)
+			c.expect(Alive, "entry-1", c.nodes...)
+			c.expect(Alive, "entry-0", c.nodes...)
+			if n := c.nodes[0].Counters(); n.IndirectProbes == 0 || n.Suspicions != 0 {
+				c.t.Errorf("counters %+v, want indirect probes and no suspicions", n)
+			}
+		}},
+		{"suspicion is refuted", 7, func(c *cluster) {
+			c.handle(c.nodes[0], c.nodes[0].Merge(c.now, []Update{{ID: "entry-1", Boot: 1000, Status: Suspect}}))
+			c.run(3 * time.Second)
+			c.expect(Alive, "entry-1", c.nodes...)
+			if c.nodes[1].Counters().Refutations == 0 {
+				c.t.Error("the suspected host did not refute")
+			}
+		}},
+		{"false death is refuted", 3, func(c *cluster) {
+			c.handle(c.nodes[0], c.nodes[0].Merge(c.now, []Update{{ID: "entry-1", Boot: 1000, Status: Dead}}))
+			c.expect(Dead, "entry-1", c.nodes[0])
+			c.run(3 * time.Second)
+			c.expect(Alive, "entry-1", c.nodes...)
+		}},
+		{"paused host reports the pause and accuses nobody", 7, func(c *cluster) {
+			p := c.nodes[4]
+			c.lost = func(_, to *node) bool { return to == p }
+			c.run(350 * time.Millisecond) // a probe waits for indirect answers
+			c.lost = nil
+			p.down = true
+			c.run(6 * time.Second)
+			c.expect(Dead, "entry-4", c.others(p)...)
+			p.down = false
+			c.run(step)
+			if !hasEvent[Paused](p) {
+				c.t.Error("no Paused outcome")
+			}
+			if p.Majority(nil) {
+				c.t.Error("majority right after a pause, want none until hosts have answered")
+			}
+			c.run(4 * time.Second)
+			for _, n := range c.nodes {
+				c.expect(Alive, n.host.ID, c.nodes...)
+			}
+			if p.Counters().Suspicions != 0 || !p.Majority(nil) {
+				c.t.Errorf("suspicions %d, majority %v", p.Counters().Suspicions, p.Majority(nil))
+			}
+		}},
+		{"partition and heal", 7, func(c *cluster) {
+			small := func(n *node) bool { return n.host.ID < "entry-3" }
+			c.partition(small)
+			c.run(10 * time.Second)
+			for _, n := range c.nodes {
+				if n.Majority(nil) == small(n) {
+					c.t.Errorf("%s: majority %v", n.host.ID, n.Majority(nil))
+				}
+			}
+			c.expect(Dead, "entry-5", c.nodes[:3]...)
+			c.expect(Dead, "entry-1", c.nodes[3:]...)
+			c.lost = nil
+			c.run(5 * time.Second)
+			for _, n := range c.nodes {
+				c.expect(Alive, n.host.ID, c.nodes...)
+			}
+		}},
+		{"empty list is rejected", 3, func(c *cluster) {
+			c.setList(c.nodes[0])
+			if !hasEvent[ListRejected](c.nodes[0]) || len(c.nodes[0].Members()) != 3 {
+				c.t.Error("the empty list was accepted")
+			}
+		}},
+		{"list lags: it holds a dead host, and it drops a live one", 4, func(c *cluster) {
+			c.nodes[3].down = true
+			c.run(5 * time.Second)
+			c.setList(c.nodes[0], c.list...)
+			c.expect(Dead, "entry-3", c.nodes[:3]...)
+			c.setList(c.nodes[0], c.list[:2]...)
+			c.run(3 * time.Second)
+			c.expect(statusNone, "entry-2", c.nodes[0])
+			c.expect(Alive, "entry-2", c.nodes[1])
+			c.expect(Alive, "entry-0", c.nodes[2])
+		}},
+		{"replaced host under the same id, the old process wakes", 5, func(c *cluster) {
+			old := c.nodes[1]
+			old.down = true
+			c.run(4 * time.Second)
+			c.list[1].PeerPort++
+			c.start(1, 2000)
+			for _, n := range c.others(nil) {
+				c.setList(n, c.list...)
+			}
+			c.run(3 * time.Second)
+			c.expect(Alive, "entry-1", c.others(old)...)
+			old.down = false
+			c.run(4 * time.Second)
+			c.expect(Alive, "entry-1", c.others(old)...)
+			for _, m := range c.nodes[0].Members() {
+				if m.Host.ID == "entry-1" && m.Boot != 2000 {
+					c.t.Errorf("boot %d, want 2000", m.Boot)
+				}
+			}
+			if !hasEvent[Superseded](old) || old.Majority(nil) {
+				c.t.Error("the replaced process was not told")
+			}
+		}},
+		{"join of a host that is not yet listed everywhere", 4, func(c *cluster) {
+			c.list = append(c.list, host(4))
+			j := c.start(4, 1000)
+			c.setList(c.nodes[0], c.list...)
+			c.run(6 * time.Second)
+			c.expect(Alive, "entry-4", c.nodes[0])
+			c.expect(statusNone, "entry-4", c.nodes[1:4]...)
+			for i := range 4 {
+				c.expect(Alive, host(i).ID, j)
+			}
+			for _, n := range c.nodes {
+				c.setList(n, c.list...)
+			}
+			c.run(2 * time.Second)
+			c.expect(Alive, "entry-4", c.nodes...)
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(t, tc.size)
+			c.encode = true
+			c.run(5 * time.Second)
+			tc.run(c)
+		})
+	}
+}
+
+// Majority must not count leaving hosts, excluded data centres, suspects, or
+// hosts of which nothing has been heard.
+func TestMajority(t *testing.T) {
+	c := newCluster(t, 7)
+	n := c.nodes[0]
+	if n.Majority(nil) {
+		t.Error("majority before anything was heard")
+	}
+	c.run(5 * time.Second)
+	if !n.Majority(nil) {
+		t.Error("no majority with all hosts alive")
+	}
+	for _, i := range []int{1, 2, 4, 5} { // all of dc-1 and dc-2
+		c.nodes[i].down = true
+	}
+	c.run(5 * time.Second)
+	if n.Majority(nil) || !n.Majority([]string{"dc-1", "dc-2"}) {
+		t.Error("want a majority only when the data centres that are out do not count")
+	}
+	if n.Majority([]string{"dc-0", "dc-1", "dc-2"}) {
+		t.Error("majority of no hosts")
+	}
+}
+
+// A host of the smaller side that still saw a majority after the larger side had
+// declared an owner dead would run commands that the larger side runs too.
+func TestOneMajority(t *testing.T) {
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		c := newCluster(t, 7)
+		c.run(3*time.Second + time.Duration(rng.IntN(200))*step)
+		mask := 1 + rng.IntN(126)
+		side := func(n *node) bool { return mask>>(n.host.ID[6]-'0')&1 == 1 }
+		c.partition(side)
+		for range 400 {
+			c.run(step)
+			died, sides := false, map[bool]bool{}
+			for _, n := range c.nodes {
+				for _, m := range n.Members() {
+					died = died || m.Status == Dead
+				}
+				if n.Majority(nil) {
+					sides[side(n)] = true
+				}
+			}
+			if died && len(sides) > 1 {
+				t.Fatalf("seed %d, sides %07b: both see a majority %v after the partition", seed, mask, c.now.Sub(start))
+			}
+		}
+	}
+}
+
+// After messages stop being lost, every live host must see the same members,
+// whatever was lost, paused, killed, replaced or leaving before.
+func TestAgreement(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(1)
+	params.MinSuccessfulTests = 60
+	properties := gopter.NewProperties(params)
+	properties.Property("all hosts agree", prop.ForAll(func(size int, seed uint64) bool {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		c := newCluster(t, size)
+		for range 12 {
+			disturb(c, rng)
+			c.run(time.Duration(rng.IntN(250)) * step)
+		}
+		c.lost = nil
+		c.run(15 * time.Second)
+		return agree(c, seed)
+	}, gen.IntRange(2, 9), gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+func disturb(c *cluster, rng *rand.Rand) {
+	i := rng.IntN(len(c.list))
+	n := c.nodes[i]
+	switch rng.IntN(6) {
+	case 0:
+		n.down = true
+	case 1:
+		n.down = false
+	case 2:
+		n.down = true
+		boot := n.boot + 1
+		fresh := c.start(i, boot)
+		c.nodes = c.nodes[:len(c.nodes)-1]
+		c.nodes[i] = fresh
+	case 3:
+		if !n.down && rng.IntN(3) == 0 {
+			c.handle(n, n.Leave(c.now))
+		}
+	case 4:
+		mask := rng.Uint32()
+		c.partition(func(n *node) bool { return mask>>(n.host.ID[6]-'0')&1 == 1 })
+	case 5:
+		loss := rng.Float64()
+		c.lost = func(_, _ *node) bool { return rng.Float64() < loss }
+	}
+}
+
+func agree(c *cluster, seed uint64) bool {
+	for i, subject := range c.nodes {
+		want := Alive
+		switch {
+		case subject.down:
+			want = Dead
+		case subject.leaving:
+			want = Leaving
+		}
+		for _, n := range c.nodes {
+			if got := n.status(host(i).ID); !n.down && got != want {
+				c.t.Logf("seed %d: %s sees %s as %v, want %v", seed, n.host.ID, host(i).ID, got, want)
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// The largest message must fit in a datagram.
+func TestLargestMessage(t *testing.T) {
+	id := strings.Repeat("x", MaxIDBytes)
+	u := Update{ID: id, Boot: math.MaxUint64, Incarnation: math.MaxUint64, Status: Dead, Leaving: true}
+	m := Message{
+		Kind: Request, Seq: math.MaxUint64, Target: id, Incarnation: math.MaxUint64,
+		Leaving: true, Digest: math.MaxUint64, Updates: slices.Repeat([]Update{u}, MaxUpdates),
+	}
+	b, err := m.Encode()
+	if err != nil || len(b) > MaxMessageBytes {
+		t.Fatalf("%d bytes, %v", len(b), err)
+	}
+	if n := len(peer.SealDatagram(nil, new([16]byte), id, 1, 1, b)); n > peer.MaxDatagram {
+		t.Fatalf("datagram of %d bytes", n)
+	}
+	if got, err := DecodeMessage(b); err != nil || !reflect.DeepEqual(got, m) {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+}
+
+// A message that breaks a limit must be rejected as a whole.
+func TestDecodeMessageRejects(t *testing.T) {
+	const head = `{"jsonrpc":"2.0","method":`
+	for _, text := range []string{
+		``, `null`, head, head + `"ack","params":{"seq":1}} {}`, head + `"ack","params":{"seq":-1}}`,
+		head + `"probe.request","params":{"seq":1}}`, head + `"other","params":{"seq":1}}`,
+		head + `"ack","params":{"seq":1,"other":1}}`, head + `"ack","params":{"seq":1,"up":[["a",1,1]]}}`,
+		head + `"ack","params":{"seq":1,"up":[["a",1,1,3]]}}`, head + `"ack","params":{"seq":1,"up":[["",1,1,0]]}}`,
+		head + `"ack","params":{"seq":1,"up":[["a b",1,1,0]]}}`,
+		`{"jsonrpc":"1.0","method":"ack","params":{"seq":1}}`,
+		head + `"ack","params":{"seq":1,"up":[` + strings.Repeat(`["a",1,1,0],`, MaxUpdates) + `["a",1,1,0]]}}`,
+		head + `"ack","params":{"seq":1,"target":"` + strings.Repeat("x", MaxIDBytes+1) + `"}}`,
+		strings.Repeat(" ", MaxMessageBytes) + head + `"ack","params":{"seq":1}}`,
+	} {
+		if m, err := DecodeMessage([]byte(text)); err == nil {
+			t.Errorf("%.80s: accepted as %+v", text, m)
+		}
+	}
+}
+
+func FuzzDecodeMessage(f *testing.F) {
+	m := Message{Kind: Request, Seq: 1, Target: "a", Digest: 1 << 63, Updates: []Update{{ID: "b", Boot: 2, Status: Dead, Leaving: true}}}
+	b, err := m.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Add([]byte(`{"jsonrpc":"2.0","method":"ack","params":{"seq":1,"up":[["a",0,0,9]]}}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := DecodeMessage(b)
+		if err != nil {
+			return
+		}
+		again, err := m.Encode()
+		if err != nil || len(again) > MaxMessageBytes {
+			t.Fatalf("%d bytes, %v", len(again), err)
+		}
+		s := New(Config{Self: host(0), Boot: 1}, start)
+		s.SetListed(start, []document.Host{host(0), host(1), {ID: "a"}, {ID: "b"}})
+		s.Receive(start, Sender{ID: "a", Boot: 1}, m)
+		s.Tick(start.Add(time.Second))
+	})
+}
--- /dev/null
+++ b/internal/membership/majority.go
@@ -0,0 +1,67 @@
+package membership
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// Bounds of the two forms of the majority rule, see Majority.
+const (
+	verifyHosts     = 16 // up to this many hosts, each must have answered
+	recentResults   = 8  // latest probes considered above that
+	recentFailLimit = 3  // of those, probes that may have failed
+)
+
+// majority is the evidence that Majority uses beside the states of the hosts.
+type majority struct {
+	since  time.Time // start of the latest trouble
+	failed uint8     // the latest probes of hosts not dead, 1 for no answer
+}
+
+func (m *majority) record(answered bool) {
+	m.failed <<= 1
+	if !answered {
+		m.failed |= 1
+	}
+}
+
+// trouble starts a new check of who answers. The probe whose loss caused a
+// suspicion was sent three probe timeouts earlier, and a partition had started
+// when its answer was due, so answers after that time came from this side.
+func (m *majority) trouble(now time.Time, probeTimeout time.Duration) {
+	m.since = now.Add(-2 * probeTimeout)
+}
+
+// Majority reports whether more than half of the listed hosts that are neither
+// leaving nor in an excluded data centre are known to be alive. Suspect hosts
+// and hosts of which nothing has been heard do not count as alive. It is false
+// when no host counts.
+//
+// A partition is noticed host by host, so the states alone would let the smaller
+// side see a majority while it already has declared some hosts dead. Up to 16
+// hosts, a host counts only if it has answered a probe of this host since the
+// latest suspicion. With more hosts this would take too long; then at most 3 of
+// the latest 8 probes may have failed.
+func (s *State) Majority(excluded []string) bool {
+	total, alive := 0, 0
+	strict := len(s.members) < verifyHosts
+	for _, m := range s.members {
+		e := m.export()
+		if e.Status == Leaving || slices.Contains(excluded, m.host.DataCentre) {
+			continue
+		}
+		total++
+		if e.Status == Alive && e.Confirmed() && (!strict || !m.answered.Before(s.majority.since)) {
+			alive++
+		}
+	}
+	if s.self != nil && !slices.Contains(excluded, s.self.DataCentre) && s.selfMember().Status == Alive {
+		total++
+		alive++
+	}
+	if !strict && bits.OnesCount8(s.majority.failed) > recentFailLimit {
+		return false
+	}
+	return 2*alive > total && !s.superseded
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -114,6 +114,19 @@
 	Digest uint64
 }
 
+// Counters counts what a State refused or retried, by reason.
+type Counters struct {
+	UnlistedSenders uint64 // messages of hosts that are not listed
+	ReplacedSenders uint64 // messages of processes that another one replaced
+	UnmatchedAcks   uint64 // late, repeated or unexpected answers
+	RelaysRefused   uint64 // indirect probes above the limit, or for unknown hosts
+	IndirectProbes  uint64 // probes without a direct answer in time
+	Suspicions      uint64 // probes without any answer in time
+	Refutations     uint64 // suspicions of this host that it refuted
+	EmptyLists      uint64 // empty lists rejected
+	InvalidHostIDs  uint64 // listed hosts ignored because of their id
+}
+
 // Superseded reports that another process with a greater boot runs, or ran,
 // under this host's id. This process must stop; a restarted one gets a greater
 // boot.
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -3,15 +3,17 @@
 import (
 	"bytes"
 	"encoding/json"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
 // Limits of one message. With them every encoded message, sealed, fits in a
-// datagram of 1,200 bytes.
+// datagram of 1,200 bytes. Six updates keep the traffic of a host that has news
+// in every message near 4 KB per second with ids of usual length.
 const (
 	MaxIDBytes      = 64
-	MaxUpdates      = 8
+	MaxUpdates      = 6
 	MaxMessageBytes = 1100
 )
 
@@ -94,10 +96,17 @@
 	return checkID(u.ID)
 }
 
+// checkID accepts the ids whose JSON form is as long as the id, so that the
+// limits above bound the size of a message.
 func checkID(id string) error {
 	if id == "" || len(id) > MaxIDBytes {
 		return errors.Newf("host id has %d bytes, want 1 to %d", len(id), MaxIDBytes)
 	}
+	for _, c := range []byte(id) {
+		if c <= ' ' || c > '~' || strings.IndexByte("\"\\<>&", c) >= 0 {
+			return errors.Newf("host id %q has byte %q, want printable ASCII without \"\\<>& and space", id, c)
+		}
+	}
 	return nil
 }
 
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -13,9 +13,12 @@
 	var out []Outcome
 	sender := s.members[from.ID]
 	if sender != nil && from.Boot < sender.boot {
+		s.counters.ReplacedSenders++
 		return s.answerReplaced(from, m)
 	}
-	if sender != nil {
+	if sender == nil {
+		s.counters.UnlistedSenders++
+	} else {
 		out = append(out, PeerDigest{From: from.ID, Digest: m.Digest})
 		out = s.apply(now, Update{
 			ID: from.ID, Boot: from.Boot, Incarnation: m.Incarnation, Status: Alive, Leaving: m.Leaving,
@@ -57,6 +60,7 @@
 
 func (s *State) relay(now time.Time, from Sender, m Message, out []Outcome) []Outcome {
 	if s.members[from.ID] == nil || s.members[m.Target] == nil || len(s.probes) >= maxRelays {
+		s.counters.RelaysRefused++
 		return out
 	}
 	return append(out, s.startProbe(now, m.Target, probe{relayFor: &from, relaySeq: m.Seq}))
@@ -64,19 +68,23 @@
 
 func (s *State) receiveAck(now time.Time, from Sender, m Message, out []Outcome) []Outcome {
 	p := s.probes[m.Seq]
-	if p == nil {
-		return out
-	}
-	if from.ID != p.target && (m.Target != p.target || !p.indirect) {
+	direct := p != nil && from.ID == p.target && m.Target == ""
+	if !direct && (p == nil || m.Target != p.target || !p.indirect) {
+		s.counters.UnmatchedAcks++
 		return out
 	}
 	delete(s.probes, m.Seq)
+	target := s.members[p.target]
+	if direct {
+		target.answered = now
+	}
 	if p.relayFor != nil {
 		return s.answerRelay(p, out)
 	}
+	s.majority.record(true)
 	// The answer may be older than the suspicion. Another probe carries the
 	// suspicion to the host, which can then refute it before it is declared dead.
-	if s.members[p.target].status == Suspect {
+	if target.status == Suspect {
 		out = append(out, s.startProbe(now, p.target, probe{}))
 	}
 	return out
@@ -107,6 +115,12 @@
 	if before.Confirmed() || m.joined || u.Status != Alive || u.Leaving {
 		s.updates.add(u.ID)
 	}
+	if m.boot != before.Boot {
+		m.answered = time.Time{}
+	}
+	if before.Status == Alive && m.status != Alive {
+		s.majority.trouble(now, s.cfg.ProbeTimeout)
+	}
 	if m.status != Suspect {
 		delete(s.suspects, u.ID)
 	} else {
@@ -144,6 +158,7 @@
 	}
 	if u.Boot == s.cfg.Boot && u.Status != Alive && u.Incarnation >= s.incarnation {
 		s.incarnation = u.Incarnation + 1
+		s.counters.Refutations++
 		return append(out, Changed{})
 	}
 	return out
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -14,6 +14,11 @@
 // maxRelays bounds the indirect probes that run for other hosts at a time.
 const maxRelays = 64
 
+// maxSuspectProbes bounds the suspects that are probed again until they answer
+// or are declared dead. With more suspects a partition is likely, and probes of
+// all of them would exceed the traffic allowed.
+const maxSuspectProbes = 8
+
 // maxGoodbyes is the number of hosts told directly that this host leaves.
 const maxGoodbyes = 8
 
@@ -27,6 +32,7 @@
 	superseded  bool
 	digest      uint64
 	seq         uint64
+	counters    Counters
 
 	members  map[string]*member // listed hosts other than this one
 	listed   bool               // a list has been given
@@ -35,6 +41,7 @@
 	probes   map[uint64]*probe
 	suspects map[string]time.Time // when each suspect is declared dead
 	updates  queue
+	majority majority
 
 	lastTick  time.Time
 	nextProbe time.Time
@@ -50,6 +57,8 @@
 	// a host is spread when it is first heard of. For the hosts of the first
 	// list that would spread one update per listed host after every restart.
 	joined bool
+	// answered is when the host last answered a probe of this host directly.
+	answered time.Time
 }
 
 // probe is a probe without an answer yet, started by this host or on request.
@@ -64,9 +73,12 @@
 // New returns a State without listed hosts.
 func New(cfg Config, now time.Time) *State {
 	cfg.setDefaults()
+	rng := rand.New(rand.NewPCG(cfg.Seed, cfg.Boot))
 	return &State{
 		cfg:       cfg,
-		rng:       rand.New(rand.NewPCG(cfg.Seed, cfg.Boot)),
+		rng:       rng,
+		seq:       uint64(rng.Uint32()), // an answer to an earlier process must not match
+		majority:  majority{since: now},
 		members:   make(map[string]*member),
 		probes:    make(map[uint64]*probe),
 		suspects:  make(map[string]time.Time),
@@ -76,12 +88,16 @@
 	}
 }
 
+// Counters returns the counters since New.
+func (s *State) Counters() Counters { return s.counters }
+
 // SetDigest sets the configuration digest that messages carry.
 func (s *State) SetDigest(digest uint64) { s.digest = digest }
 
 // SetListed replaces the list of hosts. Hosts that stay keep their state.
 func (s *State) SetListed(now time.Time, hosts []document.Host) []Outcome {
 	if len(hosts) == 0 && (len(s.members) > 0 || s.self != nil) {
+		s.counters.EmptyLists++
 		return []Outcome{ListRejected{}}
 	}
 	before := s.Members()
@@ -89,6 +105,10 @@
 	s.members = make(map[string]*member, len(hosts))
 	s.self = nil
 	for _, h := range hosts {
+		if checkID(h.ID) != nil {
+			s.counters.InvalidHostIDs++
+			continue
+		}
 		if h.ID == s.cfg.Self.ID {
 			s.self = &h
 			continue
@@ -108,7 +128,7 @@
 	}
 	s.dropProbesOfUnlisted()
 	s.round = nil
-	s.listed = true
+	s.listed = len(hosts) > 0
 	if !slices.Equal(before, s.Members()) {
 		return []Outcome{Changed{}}
 	}
@@ -150,33 +170,6 @@
 	return Member{Host: m.host, Status: status, Incarnation: m.incarnation, Boot: m.boot}
 }
 
-// Majority reports whether more than half of the listed hosts that are neither
-// leaving nor in an excluded data centre are known to be alive. Suspect hosts
-// and hosts of which nothing has been heard do not count as alive. It is false
-// when no host counts.
-func (s *State) Majority(excluded []string) bool {
-	total, alive := 0, 0
-	for _, m := range s.members {
-		e := m.export()
-		count(&e, excluded, &total, &alive)
-	}
-	if s.self != nil && !s.superseded {
-		e := s.selfMember()
-		count(&e, excluded, &total, &alive)
-	}
-	return 2*alive > total
-}
-
-func count(m *Member, excluded []string, total, alive *int) {
-	if m.Status == Leaving || slices.Contains(excluded, m.Host.DataCentre) {
-		return
-	}
-	*total++
-	if m.Status == Alive && m.Confirmed() {
-		*alive++
-	}
-}
-
 // Updates returns what this host knows of every host, for a host that has just
 // started. With thousands of hosts, one round of probes takes many minutes.
 func (s *State) Updates() []Update {
@@ -261,6 +254,7 @@
 		s.suspects[id] = now.Add(s.cfg.SuspectFor)
 	}
 	s.nextProbe = now
+	s.majority.since = now
 }
 
 func (s *State) nextTarget() (string, bool) {
@@ -341,18 +335,20 @@
 		p := s.probes[seq]
 		m := s.members[p.target]
 		switch {
-		case p.relayFor != nil || m.status != Alive:
+		case p.relayFor != nil || m.status == Dead:
 			delete(s.probes, seq)
+		case m.status == Suspect:
+			delete(s.probes, seq)
+			if len(s.suspects) <= maxSuspectProbes {
+				out = append(out, s.startProbe(now, p.target, probe{}))
+			}
 		case !p.indirect:
 			p.indirect = true
 			p.deadline = now.Add(2 * s.cfg.ProbeTimeout)
 			out = s.requestProbes(seq, p, out)
 		default:
 			delete(s.probes, seq)
-			out = s.apply(now, Update{
-				ID: p.target, Boot: m.boot, Incarnation: m.incarnation, Status: Suspect, Leaving: m.leaving,
-			}, out)
-			out = append(out, s.startProbe(now, p.target, probe{}))
+			out = s.suspect(now, m, out)
 		}
 	}
 	return out
@@ -369,7 +365,19 @@
 	return seqs
 }
 
+// suspect records that a host did not answer and probes it once more with the
+// suspicion, which it can then refute.
+func (s *State) suspect(now time.Time, m *member, out []Outcome) []Outcome {
+	s.counters.Suspicions++
+	s.majority.record(false)
+	u := m.update()
+	u.Status = Suspect
+	out = s.apply(now, u, out)
+	return append(out, s.startProbe(now, m.host.ID, probe{}))
+}
+
 func (s *State) requestProbes(seq uint64, p *probe, out []Outcome) []Outcome {
+	s.counters.IndirectProbes++
 	helpers := s.candidates(p.target)
 	for _, id := range helpers[:min(len(helpers), s.cfg.IndirectProbes)] {
 		addr := s.members[id].host.PeerAddr()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,10 @@
 
 const frameHeaderBytes = 4
 
+// writeChunk is the number of bytes that must be written within the write
+// timeout, so that a large message over a slow path is not cut.
+const writeChunk = 64 << 10
+
 var errFrameSize = errors.New("message exceeds the size limit")
 
 // readFrame reads a message preceded by its length in 4 bytes. Memory grows
@@ -97,11 +102,8 @@
 	if len(b) > s.limit {
 		return errFrameSize
 	}
-	if err := s.conn.SetWriteDeadline(time.Now().Add(s.writeTimeout)); err != nil {
-		return err
-	}
 	s.written.Store(true)
-	if err := writeFrame(s.conn, b); err != nil {
+	if err := writeFrame(chunkWriter{s}, b); err != nil {
 		// A partial frame cannot be followed by another one.
 		s.conn.Close()
 		return err
@@ -109,6 +111,24 @@
 	return nil
 }
 
+// chunkWriter writes with a deadline per chunk.
+type chunkWriter struct{ stream *stream }
+
+func (w chunkWriter) Write(b []byte) (int, error) {
+	written := 0
+	for chunk := range slices.Chunk(b, writeChunk) {
+		if err := w.stream.conn.SetWriteDeadline(time.Now().Add(w.stream.writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := w.stream.conn.Write(chunk)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
 // Close implements jsonrpc2.ObjectStream.
 func (s *stream) Close() error { return s.conn.Close() }
 
--- a/internal/peer/incoming.go
+++ b/internal/peer/incoming.go
@@ -30,6 +30,9 @@
 // Serve accepts connections until the context ends, then closes the pool.
 func (p *Pool) Serve(ctx context.Context) error {
 	defer p.Close()
+	if len(p.cfg.Key) < minKeyBytes {
+		return errKey
+	}
 	listener := p.cfg.Listener
 	if listener == nil {
 		var lc net.ListenConfig
@@ -179,6 +182,11 @@
 		params = *req.Params
 	}
 	result, err := in.pool.handler.Handle(ctx, in.host, req.Method, params)
+	var remote *RemoteError
+	if errors.As(err, &remote) && remote.NotRun() {
+		// The handler may pass on what a third host refused; it did run itself.
+		err = &RemoteError{Code: CodeHandler, Message: remote.Message}
+	}
 	in.reply(ctx, req, result, err)
 }
 
--- a/internal/peer/outgoing.go
+++ b/internal/peer/outgoing.go
@@ -95,21 +95,32 @@
 			o.close("idle")
 			return
 		}
-		if err := o.ping(); err != nil {
+		if err := o.ping(); err != nil && !o.isClosed() {
 			o.close("heartbeat_missed")
 			return
 		}
 	}
 }
 
+// ping sends a heartbeat and waits for the reply. Data that arrives meanwhile
+// is as good as a reply, which a long message may delay. While a request is
+// being written its write deadline takes the place of the heartbeat.
 func (o *outgoing) ping() error {
 	ctx, cancel := context.WithTimeout(o.ctx, o.pool.cfg.HeartbeatTimeout)
 	defer cancel()
+	started := time.Now().UnixNano()
 	waiter, err := o.send(ctx, pingMethod, nil)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
-	return waiter.Wait(ctx, nil)
+	err = waiter.Wait(ctx, nil)
+	if o.stream.lastRead.Load() > started {
+		return nil
+	}
+	return err
 }
 
 // send writes one request. The error matches ErrNotSent if and only if no byte
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -38,7 +38,7 @@
 	Listen netip.AddrPort
 	// Listener is used instead of Listen when it is not nil.
 	Listener net.Listener
-	Key      []byte
+	Key      []byte // at least 16 bytes, the same on every host
 
 	CallTimeout      time.Duration // for calls whose context has no earlier deadline
 	Heartbeat        time.Duration
@@ -107,6 +107,10 @@
 // Error returns the message of the called host.
 func (e *RemoteError) Error() string { return e.Message }
 
+// NotRun reports whether the called host refused the request before its
+// Handler started.
+func (e *RemoteError) NotRun() bool { return e.Code == CodeBusy || e.Code == CodeUnlisted }
+
 // Handler answers the requests of other hosts. It may be called concurrently. A
 // *RemoteError is returned to the calling host with its code.
 type Handler interface {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -5,12 +5,23 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 )
 
-var errClosed = errors.New("pool is closed")
+// minKeyBytes is the least length of the key: an empty key would accept anyone.
+const minKeyBytes = 16
+
+// logInterval is the least time between two log lines about refused
+// handshakes, which anyone can cause. The counters count all of them.
+const logInterval = time.Second
+
+var (
+	errClosed = errors.New("pool is closed")
+	errKey    = errors.Newf("key is shorter than %d bytes", minKeyBytes)
+)
 
 // Pool holds the connections to and from other entry hosts.
 type Pool struct {
@@ -28,6 +39,7 @@
 	closed   bool
 	peers    map[string]*remote
 	incoming map[string]*incoming
+	lastLog  time.Time // of a refused handshake
 }
 
 // remote is a host that is called. The slot serialises dialling.
@@ -118,6 +130,9 @@
 	if p.closed {
 		return nil, errClosed
 	}
+	if len(p.cfg.Key) < minKeyBytes {
+		return nil, errKey
+	}
 	r := p.peers[host]
 	if r == nil {
 		r = &remote{slot: make(chan struct{}, 1)}
@@ -208,5 +223,15 @@
 func (p *Pool) refuse(direction, host string, err error) {
 	reason := handshakeReason(err)
 	p.count.refused(direction, reason)
+	p.mu.Lock()
+	now := time.Now()
+	silent := now.Sub(p.lastLog) < logInterval
+	if !silent {
+		p.lastLog = now
+	}
+	p.mu.Unlock()
+	if silent {
+		return
+	}
 	p.log.Log("msg", "handshake failed", "direction", direction, "host", host, "reason", reason, "err", err)
 }
