--- /dev/null
+++ b/internal/command/bench_test.go
@@ -0,0 +1,117 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// pair is a primary, its secondary and an admitting host, without delays.
+type pair struct {
+	primary, secondary *State
+	runner             *Runner
+	bytes              int // JSON bytes of the messages, counted when counting
+	counting           bool
+}
+
+func newPair(retention time.Duration, claims int) *pair {
+	cfg := func(id string) Config {
+		return Config{Self: id, Retention: retention, MaxClaims: claims, MaxClaimBytes: 1 << 30}
+	}
+	p := &pair{New(cfg("a"), testStart), New(cfg("b"), testStart), NewRunner(cfg("c"), &freeSlots{}), 0, false}
+	var owners [buckets]Owners
+	for b := range owners {
+		owners[b] = ab
+	}
+	for _, s := range []*State{p.primary, p.secondary} {
+		s.SetConditions(testStart, Conditions{true, true})
+		s.SetOwners(testStart, testService, &owners)
+		s.begin(testStart.Add(time.Second))
+	}
+	return p
+}
+
+func (p *pair) count(messages ...any) {
+	if !p.counting {
+		return
+	}
+	for _, m := range messages {
+		b, _ := json.Marshal(m)
+		p.bytes += len(b)
+	}
+}
+
+func (p *pair) command(now time.Time, id int, answer string) {
+	body := fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%d,"method":"shutoff","params":{"meter":"GA-%d","reason":"unpaid"}}`, id, id)
+	req, _ := ParseRequest(body)
+	in := testInput([]Candidate{{backendOne, "c"}})
+	stored := p.primary.Request(now, in, req)[0].(StoreClaim)
+	reply := p.secondary.Claim(now, "a", stored.Message)
+	run := p.primary.ClaimResult(now, "b", stored.Ref, reply, CallDone)[0].(Run)
+	sent := p.runner.Run(now, 1, run.Message, true)[0].(SendBackend)
+	answerBody := fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%d,"result":%q}`, id, answer)
+	finish := p.runner.Reply(now, sent.Backend, sent.Flow, answerBody, false)[0].(Finish)
+	p.count(stored.Message, reply, run.Message, finish.Reply)
+	for _, o := range p.primary.RunResult(now, "c", run.Ref, finish.Reply, CallDone) {
+		if c, ok := o.(Complete); ok {
+			p.count(c.Message)
+			p.secondary.Complete(now, "a", c.Message)
+		}
+	}
+}
+
+func BenchmarkCommand(b *testing.B) {
+	p := newPair(time.Millisecond, 1<<20)
+	now := testStart.Add(time.Second)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Microsecond)
+		p.command(now, i, "done")
+		if i%1024 == 0 {
+			p.primary.Expire(now)
+			p.secondary.Expire(now)
+			p.runner.Expire(now)
+		}
+	}
+}
+
+func BenchmarkBytesBetweenHosts(b *testing.B) {
+	p := newPair(time.Millisecond, 1<<20)
+	p.counting = true
+	i := 0
+	for ; b.Loop(); i++ {
+		p.command(testStart.Add(time.Second), i, "done")
+	}
+	b.ReportMetric(float64(p.bytes)/float64(i), "bytes/command")
+}
+
+func BenchmarkBytesPerClaim(b *testing.B) {
+	const claims = 20000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		p := newPair(time.Millisecond, claims)
+		for i := range claims {
+			p.command(testStart.Add(time.Second), i, "done")
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		_, estimate := p.primary.Claims()
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/claims, "bytes/claim+copy+run")
+		b.ReportMetric(float64(estimate)/claims, "estimate-bytes/claim")
+		runtime.KeepAlive(p)
+	}
+}
+
+func BenchmarkParseRequest(b *testing.B) {
+	body := []byte(`{"jsonrpc":"2.0","id":17,"method":"shutoff","params":{"meter":"GA-17","reason":"unpaid"}}`)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := ParseRequest(body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/command/owners_test.go
@@ -0,0 +1,132 @@
+package command
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+)
+
+// TestTransferIsPaced guards against a burst of control traffic when owners
+// change, and against a bucket that is called complete before its claims arrive.
+func TestTransferIsPaced(t *testing.T) {
+	const claims = 150
+	p := newPair(DefaultRetention, 1000)
+	now := testStart
+	for now.Sub(testStart) < DefaultRetention+time.Second {
+		now = now.Add(500 * time.Millisecond)
+		p.primary.SetConditions(now, Conditions{true, true})
+		p.secondary.SetConditions(now, Conditions{true, true})
+	}
+	for i := range claims {
+		p.command(now, i, "done")
+	}
+	next := New(Config{Self: "c"}, now)
+	owners := [buckets]Owners{}
+	for b := range owners {
+		owners[b] = bc
+	}
+	next.SetConditions(now, Conditions{true, true})
+	next.SetOwners(now, testService, &owners)
+	p.secondary.SetOwners(now, testService, &owners)
+	changed, sent := now, 0
+	for next.services[testService].since[255].Equal(changed) && now.Sub(changed) < DefaultRetention {
+		now = now.Add(100 * time.Millisecond)
+		next.SetConditions(now, Conditions{true, true})
+		for _, o := range p.secondary.Expire(now) {
+			m := o.(Transfer)
+			raw, _ := json.Marshal(m.Message)
+			sent += len(raw)
+			if limit := DefaultTransferRate * (1 + now.Sub(changed).Seconds()); float64(sent) > limit+2*transferOverhead {
+				t.Fatalf("%d bytes after %s, allowed: %.0f", sent, now.Sub(changed), limit)
+			}
+			reply, _ := next.Transfer(now, "b", m.Message)
+			p.secondary.TransferResult(now, m.Seq, reply, CallDone)
+		}
+	}
+	if n, _ := next.Claims(); n != claims {
+		t.Errorf("%d claims arrived, want %d", n, claims)
+	}
+	if !next.complete(now, testService, 7) || !next.complete(now, testService, 255) {
+		t.Errorf("the new owner is not complete after %s and %d bytes", now.Sub(changed), sent)
+	}
+	if p.secondary.InProgress() != 0 {
+		t.Errorf("%d transfers left", p.secondary.InProgress())
+	}
+}
+
+// TestComplete guards against a host that starts non-idempotent commands
+// although it may have missed claims.
+func TestComplete(t *testing.T) {
+	full := func(o Owners) *[buckets]Owners {
+		var owners [buckets]Owners
+		for b := range owners {
+			owners[b] = o
+		}
+		return &owners
+	}
+	fit := Conditions{Majority: true, Serving: true}
+	tests := []struct {
+		name string
+		play func(s *State, at func(time.Duration) time.Time)
+		want bool
+	}{
+		{"undisturbed", func(*State, func(time.Duration) time.Time) {}, true},
+		{"other owner changed", func(s *State, at func(time.Duration) time.Time) {
+			s.SetOwners(at(20*time.Second), testService, full(Owners{"c", "a"}))
+		}, true},
+		{"majority lost for a moment", func(s *State, at func(time.Duration) time.Time) {
+			s.SetConditions(at(20*time.Second), Conditions{Serving: true})
+		}, false},
+		{"not an owner for a moment", func(s *State, at func(time.Duration) time.Time) {
+			s.SetOwners(at(20*time.Second), testService, full(bc))
+			s.SetOwners(at(20*time.Second), testService, full(ab))
+		}, false},
+		{"paused", func(s *State, at func(time.Duration) time.Time) { s.Expire(s.last.Add(2 * time.Second)) }, false},
+		{"message of an earlier generation", func(s *State, at func(time.Duration) time.Time) {
+			old := s.services[testService].generation
+			s.SetConditions(at(20*time.Second), Conditions{Serving: true})
+			s.SetConditions(at(20*time.Second), fit)
+			s.Transfer(at(20*time.Second), "b", TransferRequest{Service: testService, Generation: old, Done: []uint8{7}, AgeMS: 30000})
+		}, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			s := New(Config{Self: "a"}, testStart)
+			at := func(d time.Duration) time.Time {
+				for s.last.Before(testStart.Add(d)) {
+					s.SetConditions(s.last.Add(500*time.Millisecond), fit)
+				}
+				return s.last
+			}
+			s.SetConditions(testStart, fit)
+			s.SetOwners(testStart, testService, full(ab))
+			tc.play(s, at)
+			if got := s.complete(at(31*time.Second), testService, 7); got != tc.want {
+				t.Errorf("complete %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestRetryBudget guards against retries that multiply the load of a service
+// whose backend servers all reject commands.
+func TestRetryBudget(t *testing.T) {
+	s := newSim(t, "a", "b", "c")
+	s.warm(ab)
+	const requests = 1000
+	retries := 0
+	for i := range requests {
+		req := Request{ID: string(rune('0'+i%10)) + string(rune('0'+i/10)), Method: "status"}
+		in := testInput(candidates(s))
+		in.Idempotent = true
+		run := s.hosts["a"].state.Request(s.now, in, req)[0].(Run)
+		for _, o := range s.hosts["a"].state.RunResult(s.now, "c", run.Ref, RunReply{Outcome: RunNotRun, Reason: ReasonShed}, CallDone) {
+			if _, ok := o.(Run); ok {
+				retries++
+			}
+		}
+	}
+	if limit := retryBurst + requests*retryShare; retries > int(limit) || retries < requests/10 {
+		t.Errorf("%d retries of %d requests, allowed: %.0f", retries, requests, limit)
+	}
+}
--- a/internal/command/property_test.go
+++ b/internal/command/property_test.go
@@ -109,7 +109,7 @@
 func (f *fleet) play(events []uint16) string {
 	t0 := f.now.Sub(testStart)
 	for n := 1; n <= 3; n++ {
-		f.setup(n, simBackend{sheds: f.rand.Intn(3), service: f.upTo(2 * time.Second)})
+		f.setup(n, simBackend{sheds: f.rand.Intn(6), service: f.upTo(2 * time.Second)})
 	}
 	at := make([]time.Duration, len(events))
 	for i := range at {
--- a/internal/command/transfer.go
+++ b/internal/command/transfer.go
@@ -77,13 +77,15 @@
 		if t.waiting && now.Sub(t.sentAt) < transferTimeout {
 			continue
 		}
-		if s.transferBy.level < transferOverhead {
-			return
-		}
 		if !s.conditions.Serving {
 			return
 		}
 		s.load(t)
+		// Larger messages spend less of the budget on their envelopes.
+		wanted := float64(transferOverhead * (1 + len(t.claims)))
+		if s.transferBy.level < min(s.transferBy.burst/2, wanted) {
+			return
+		}
 		s.sendTransfer(now, t)
 	}
 }
@@ -138,6 +140,7 @@
 		m.Done, m.AgeMS = s.doneBuckets(now, t)
 	}
 	t.done = len(m.Done)
+	budget -= 2 * float64(t.done)
 	s.transferBy.level = budget // below zero after a record larger than the budget
 	t.waiting, t.sentAt, t.seq = true, now, s.nextNonce()
 	s.emit(Transfer{To: t.to, Seq: t.seq, Message: m})
