command: refuse runs while leaving and keep idempotent claims local

Cause: a run accepted by a leaving host could outlast its shutdown limit, and idempotent claims, which the other owner does not hold, were passed on. Change: Runner.Leave; idempotent claims are neither told nor transferred; InProgress counts callers that wait for another host's run; the driver of the tests passes messages as JSON.

--- a/internal/command/claim.go
+++ b/internal/command/claim.go
@@ -31,6 +31,8 @@
 	answer json.RawMessage
 	size   int
 
+	idempotent bool // the other owner does not hold the claim
+
 	flow    packet.Key
 	waiting bool // the caller waits at this host
 
@@ -45,7 +47,6 @@
 type runState struct {
 	phase        phase
 	request      Request
-	idempotent   bool
 	candidates   []Candidate
 	attempt      int
 	created      time.Time
--- a/internal/command/fault_test.go
+++ b/internal/command/fault_test.go
@@ -16,7 +16,7 @@
 	told int    // number of answers
 }
 
-var ab, bc, ba = Owners{"a", "b"}, Owners{"b", "c"}, Owners{"b", "a"}
+var ab, bc = Owners{"a", "b"}, Owners{"b", "c"}
 
 func candidates(s *sim) []Candidate {
 	return []Candidate{{s.backend(1), "c"}, {s.backend(2), "c"}}
@@ -214,6 +214,18 @@
 		s.after(t0+3100*ms, func() { s.views(ab, "a") }) // its view is still stale
 		s.after(t0+3200*ms, func() { s.command("a") })
 	}, "-32002 claim_not_stored", 1, 3},
+	{"majority lost", func(s *sim, t0 time.Duration) {
+		s.setView("a", ab, false)
+		s.command("a")
+	}, "-32002 no_majority", 0, 1},
+	{"majority lost while waiting for the claim", func(s *sim, t0 time.Duration) {
+		s.command("a")
+		s.after(t0+2*ms, func() { s.setView("a", ab, false) })
+	}, "-32002 no_majority", 0, 1},
+	{"admitting host is leaving", func(s *sim, t0 time.Duration) {
+		s.hosts["c"].runner.Leave()
+		s.command("a")
+	}, "-32001 leaving", 0, 1},
 	{"minority side of a partition", func(s *sim, t0 time.Duration) {
 		s.cut("a")
 		s.setView("a", Owners{"a", ""}, false)
--- a/internal/command/property_test.go
+++ b/internal/command/property_test.go
@@ -89,27 +89,20 @@
 		f.side[id] = 1 - f.side[id]
 	case 4:
 		clear(f.side)
-	case 5:
-		f.fleetCommand(id, "shutoff", n%7)
-		return
-	default:
-		f.fleetCommand(id, "shutoff", n%3) // often the same request at several hosts
+	default: // often the same request at several hosts
+		f.request(id, fmt.Sprint(n%(kind-4)), "shutoff",
+			Candidate{f.backend(1), "c"}, Candidate{f.backend(2), "d"}, Candidate{f.backend(3), "b"})
 		return
 	}
 	f.changed()
 }
 
-func (f *fleet) fleetCommand(host, method string, id int) {
-	f.request(host, fmt.Sprint(id), method,
-		Candidate{f.backend(1), "c"}, Candidate{f.backend(2), "d"}, Candidate{f.backend(3), "b"})
-}
-
 // play runs the events of a case, spread over less than the retention, and
 // returns what is wrong.
 func (f *fleet) play(events []uint16) string {
 	t0 := f.now.Sub(testStart)
 	for n := 1; n <= 3; n++ {
-		f.setup(n, simBackend{sheds: f.rand.Intn(6), service: f.upTo(2 * time.Second)})
+		f.setup(n, simBackend{sheds: f.rand.Intn(8), service: f.upTo(2 * time.Second)})
 	}
 	at := make([]time.Duration, len(events))
 	for i := range at {
@@ -117,14 +110,15 @@
 	}
 	sort.Slice(at, func(i, j int) bool { return at[i] < at[j] })
 	for i, e := range events {
-		f.after(at[i], func() { f.event(int(e%11), int(e/11)) })
+		f.after(at[i], func() { f.event(int(e%13), int(e/13)) })
 	}
 	f.runTo(t0 + 29*time.Second)
 	return f.check()
 }
 
 func (f *fleet) check() string {
-	for id := range f.methods {
+	for n := range 8 {
+		id := fmt.Sprint(n)
 		ran := f.ran(id)
 		if ran > 1 {
 			return fmt.Sprintf("request %s ran %d times", id, ran)
--- a/internal/command/reason.go
+++ b/internal/command/reason.go
@@ -51,6 +51,11 @@
 	ReasonUnmatched   Reason = "unmatched"
 )
 
+var (
+	requests = metrics.NewCounter("nutmeglatch_command_requests_total")
+	answers  = metrics.NewCounter("nutmeglatch_command_answers_total")
+)
+
 func count(what string, reason Reason) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`nutmeglatch_command_%s_total{reason=%q}`, what, string(reason))).Inc()
 }
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -102,7 +102,7 @@
 }
 
 func (s *State) start(now time.Time, c *claim) {
-	if !c.run.idempotent {
+	if !c.idempotent {
 		if reason, ok := s.allowed(now, c); !ok {
 			s.unknown(now, c, reason)
 			return
@@ -124,7 +124,7 @@
 		s.notRun(now, c, last)
 		return
 	}
-	if r.idempotent && r.attempt+1 < len(r.candidates) {
+	if c.idempotent && r.attempt+1 < len(r.candidates) {
 		remaining = max(minAttempt, remaining/2)
 	}
 	candidate := r.candidates[r.attempt]
@@ -133,7 +133,7 @@
 	r.attemptEnds = now.Add(remaining + runMargin)
 	s.emit(Run{Host: candidate.Host, Ref: s.ref(c), Message: RunRequest{
 		ClaimKey: c.key, ClaimOwner: c.owner, Digest: c.digest, Target: c.flow.Destination(),
-		Backend: candidate.Backend, Attempt: r.attempt, Idempotent: r.idempotent,
+		Backend: candidate.Backend, Attempt: r.attempt, Idempotent: c.idempotent,
 		Method: r.request.Method, Params: r.request.Params, DeadlineMS: milliseconds(remaining),
 		Expires: s.expires(candidate.Host, now.Add(remaining)),
 	}})
@@ -161,7 +161,7 @@
 	if c == nil {
 		return nil
 	}
-	if c.run.attempt != ref.Attempt && !(c.run.idempotent && reply.Outcome == RunAnswered) {
+	if c.run.attempt != ref.Attempt && !(c.idempotent && reply.Outcome == RunAnswered) {
 		countResultDropped(ReasonLate)
 		return nil
 	}
@@ -192,7 +192,7 @@
 
 // lost handles a run that may have happened.
 func (s *State) lost(now time.Time, c *claim, reason Reason) {
-	if c.run.idempotent {
+	if c.idempotent {
 		c.run.mayHaveRun = true
 		s.retry(now, c, reason)
 		return
@@ -202,7 +202,7 @@
 
 // retry handles a run that surely did not happen, or one of an idempotent command.
 func (s *State) retry(now time.Time, c *claim, reason Reason) {
-	if !c.run.idempotent {
+	if !c.idempotent {
 		if why, ok := s.allowed(now, c); !ok {
 			s.unknown(now, c, why)
 			return
@@ -218,6 +218,7 @@
 }
 
 func (s *State) answered(now time.Time, c *claim, answer json.RawMessage) {
+	answers.Inc()
 	s.finish(now, c, Answered, answer, "")
 }
 
@@ -226,31 +227,25 @@
 	s.finish(now, c, Unknown, nil, reason)
 }
 
-// notRun tells the caller that the command was not run. The claim is kept, so
-// that a delayed duplicate of the request is not run either.
+// notRun tells the caller that the command was not run, which the conditions of
+// allowed have to permit. The claim is kept, so that a delayed duplicate of the
+// request is not run either.
 func (s *State) notRun(now time.Time, c *claim, reason Reason) {
 	if c.run.mayHaveRun {
 		s.unknown(now, c, reason)
 		return
 	}
-	if !c.run.idempotent {
-		if why, ok := s.allowed(now, c); !ok {
-			s.unknown(now, c, why)
-			return
-		}
-	}
 	countNotRun(reason)
 	s.finish(now, c, Answered, ErrorResponse(c.key.ID, CodeNotRun, reason), reason)
 }
 
 func (s *State) finish(now time.Time, c *claim, state ClaimState, answer json.RawMessage, reason Reason) {
-	idempotent := c.run.idempotent
 	s.table.settle(now, c, state, answer, reason)
 	if c.waiting {
 		c.waiting = false
 		s.emit(Answer{c.flow, s.told(c, answer)})
 	}
-	if !idempotent {
+	if !c.idempotent {
 		s.tellOthers(now, c, "")
 	}
 }
@@ -289,7 +284,7 @@
 		s.start(now, c)
 	case r.phase == phaseRunning && !now.Before(c.deadline):
 		s.unknown(now, c, ReasonNoAnswer)
-	case r.phase == phaseRunning && r.idempotent && !now.Before(r.attemptEnds):
+	case r.phase == phaseRunning && c.idempotent && !now.Before(r.attemptEnds):
 		s.lost(now, c, ReasonNoAnswer)
 	}
 	s.repeatClaim(now, c, other)
@@ -308,7 +303,7 @@
 // repeatClaim stores a pending claim at the current other owner.
 func (s *State) repeatClaim(now time.Time, c *claim, other string) {
 	r := c.run
-	if r == nil || r.idempotent || other == "" || c.state != Pending {
+	if r == nil || c.idempotent || other == "" || c.state != Pending {
 		return
 	}
 	if r.claimTo != other || (!r.stored && !r.claimWaiting && now.Sub(r.claimSent) >= claimRetryAfter) {
--- a/internal/command/runner.go
+++ b/internal/command/runner.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/packet"
@@ -66,6 +67,8 @@
 	seen  map[ClaimKey]*seen
 	queue []expiry
 	out   []Outcome
+
+	leaving bool
 }
 
 // NewRunner returns a Runner without commands in progress.
@@ -74,6 +77,9 @@
 	return &Runner{cfg: cfg, slots: slots, runs: make(map[runKey]*run), seen: make(map[ClaimKey]*seen)}
 }
 
+// Leave refuses new runs; those in progress finish.
+func (r *Runner) Leave() { r.leaving = true }
+
 // InProgress returns the number of commands at backend servers.
 func (r *Runner) InProgress() int { return len(r.runs) }
 
@@ -120,6 +126,8 @@
 	switch {
 	case deadline.Sub(now) < minAttempt/2:
 		return r.refuse(now, call, RunNotRun, ReasonDeadline)
+	case r.leaving:
+		return r.refuse(now, call, RunNotRun, ReasonLeaving)
 	case !admits:
 		return r.refuse(now, call, RunNotRun, ReasonNotAdmitted)
 	case r.runs[key] != nil:
@@ -143,12 +151,10 @@
 	case s.mayRun || s.owner != m.ClaimOwner:
 		return RunUnknown, ReasonSeen
 	}
-	for _, b := range s.tried {
+	if slices.Contains(s.tried, m.Backend) {
 		// A duplicate of the earlier rejection would be taken for a rejection
 		// of this run.
-		if b == m.Backend {
-			return RunNotRun, ReasonTried
-		}
+		return RunNotRun, ReasonTried
 	}
 	return 0, ""
 }
--- a/internal/command/sim_test.go
+++ b/internal/command/sim_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand"
 	"net/netip"
-	"strings"
 	"testing"
 	"time"
 
@@ -36,10 +35,8 @@
 	hosts    map[string]*simHost
 	backends map[netip.AddrPort]*simBackend
 	// fault decides about each message: kind is a method, "backend", "reply" or "request".
-	fault    func(kind, from, to string) simFault
-	answers  map[string][]simAnswer // by request id
-	messages map[string]int         // bytes by method
-	methods  map[string]string
+	fault   func(kind, from, to string) simFault
+	answers map[string][]simAnswer // by request id
 }
 
 type simFault struct {
@@ -48,9 +45,10 @@
 }
 
 type simAnswer struct {
-	at   time.Duration
-	body string
-	code int
+	at     time.Duration
+	body   string
+	code   int
+	reason Reason
 }
 
 type simHost struct {
@@ -66,10 +64,8 @@
 type simBackend struct {
 	ran     map[string]int
 	sheds   int // number of requests to reject first
-	silent  bool
 	service time.Duration
 	answer  string
-	cancels int
 }
 
 type simEvent struct {
@@ -109,7 +105,6 @@
 	s := &sim{
 		tb: tb, now: testStart, rand: rand.New(rand.NewSource(1)), hosts: make(map[string]*simHost),
 		backends: make(map[netip.AddrPort]*simBackend), answers: make(map[string][]simAnswer),
-		messages: make(map[string]int), methods: make(map[string]string),
 		fault: func(string, string, string) simFault { return simFault{} },
 	}
 	for _, id := range hosts {
@@ -203,35 +198,31 @@
 	if err != nil {
 		s.tb.Fatal(err)
 	}
-	s.methods[id] = method
-	in := Input{
+	in := testInput(candidates)
+	in.Idempotent = method == "status"
+	s.send("request", "", s.hosts[host], func(h *simHost) { s.arrive(h, in, req, 3) })
+}
+
+func testInput(candidates []Candidate) Input {
+	return Input{
 		Service: testService, Bucket: 7, Flow: packet.NewKey(testCaller, testTarget, packet.ProtoUDP),
-		Idempotent: method == "status", Deadline: 5 * time.Second, Candidates: candidates,
+		Deadline: 5 * time.Second, Candidates: candidates,
 	}
-	s.send("request", "", s.hosts[host], len(body), func(h *simHost) { s.forwardable(h, in, req, 3) }, nil)
 }
 
-func (s *sim) forwardable(h *simHost, in Input, req Request, hops int) {
+func (s *sim) arrive(h *simHost, in Input, req Request, hops int) {
 	for _, o := range h.state.Request(s.now, in, req) {
-		f, ok := o.(Forward)
-		if !ok {
+		if f, ok := o.(Forward); !ok {
 			s.do(h, []Outcome{o})
-			continue
-		}
-		if to := s.hosts[f.To]; hops > 0 {
-			s.send("request", h.id, to, 0, func(h *simHost) { s.forwardable(h, in, req, hops-1) }, nil)
+		} else if hops > 0 {
+			s.send("request", h.id, s.hosts[f.To], func(h *simHost) { s.arrive(h, in, req, hops-1) })
 		}
 	}
 }
 
-// send delivers a message to a host. failed runs when it is lost.
-func (s *sim) send(kind, from string, to *simHost, size int, run func(*simHost), failed func()) {
-	s.messages[kind] += size
+func (s *sim) send(kind, from string, to *simHost, run func(*simHost)) {
 	f := s.fault(kind, from, to.id)
 	if f.lost {
-		if failed != nil {
-			failed()
-		}
 		return
 	}
 	s.at(s.now.Add(testDelay+f.delay), to, func() { run(to) })
@@ -240,27 +231,29 @@
 	}
 }
 
-// call sends a request to a host and the reply back. result runs once, with
-// CallLost when the call times out.
-func (s *sim) call(kind string, from *simHost, to string, timeout time.Duration, message any, serve func(*simHost, func(any)), result func(any, CallStatus)) {
+// call sends message as JSON to a host and the reply back. result runs once,
+// with CallLost when the call times out.
+func call[M, R any](s *sim, kind string, from *simHost, to string, timeout time.Duration, message M, serve func(*simHost, M, func(R)), result func(R, CallStatus)) {
 	raw, err := json.Marshal(message)
 	if err != nil {
 		s.tb.Fatal(err)
 	}
 	done := false
-	finish := func(v any, status CallStatus) {
+	finish := func(r R, status CallStatus) {
 		if !done {
 			done = true
-			result(v, status)
+			result(r, status)
 		}
 	}
-	s.at(s.now.Add(timeout), from, func() { finish(nil, CallLost) })
-	s.send(kind, from.id, s.hosts[to], len(raw), func(h *simHost) {
-		serve(h, func(v any) {
-			raw, _ := json.Marshal(v)
-			s.send(kind, h.id, from, len(raw), func(*simHost) { finish(v, CallDone) }, nil)
-		})
-	}, nil)
+	var none R
+	s.at(s.now.Add(timeout), from, func() { finish(none, CallLost) })
+	s.send(kind, from.id, s.hosts[to], func(h *simHost) {
+		var m M
+		if err := json.Unmarshal(raw, &m); err != nil {
+			s.tb.Fatal(err)
+		}
+		serve(h, m, func(r R) { s.send(kind, h.id, from, func(*simHost) { finish(r, CallDone) }) })
+	})
 }
 
 func (s *sim) do(h *simHost, out []Outcome) {
@@ -272,47 +265,33 @@
 func (s *sim) one(h *simHost, o Outcome) {
 	switch o := o.(type) {
 	case StoreClaim:
-		s.call(MethodClaim, h, o.To, callTimeout, o.Message,
-			func(to *simHost, reply func(any)) { reply(to.state.Claim(s.now, h.id, o.Message)) },
-			func(v any, status CallStatus) {
-				r, _ := v.(ClaimReply)
-				s.do(h, h.state.ClaimResult(s.now, o.To, o.Ref, r, status))
-			})
+		call(s, MethodClaim, h, o.To, callTimeout, o.Message,
+			func(to *simHost, m ClaimRequest, reply func(ClaimReply)) { reply(to.state.Claim(s.now, h.id, m)) },
+			func(r ClaimReply, status CallStatus) { s.do(h, h.state.ClaimResult(s.now, o.To, o.Ref, r, status)) })
 	case Run:
-		s.call(MethodRun, h, o.Host, 6*time.Second, o.Message,
-			func(to *simHost, reply func(any)) {
+		call(s, MethodRun, h, o.Host, 6*time.Second, o.Message,
+			func(to *simHost, m RunRequest, reply func(RunReply)) {
 				s.seq++
-				id := uint64(s.seq)
-				to.calls[id] = func(r RunReply) { reply(r) }
-				s.do(to, to.runner.Run(s.now, id, o.Message, true))
+				to.calls[uint64(s.seq)] = reply
+				s.do(to, to.runner.Run(s.now, uint64(s.seq), m, true))
 			},
-			func(v any, status CallStatus) {
-				r, _ := v.(RunReply)
-				s.do(h, h.state.RunResult(s.now, o.Host, o.Ref, r, status))
-			})
+			func(r RunReply, status CallStatus) { s.do(h, h.state.RunResult(s.now, o.Host, o.Ref, r, status)) })
 	case Complete:
-		s.call(MethodComplete, h, o.To, callTimeout, o.Message,
-			func(to *simHost, _ func(any)) { s.do(to, to.state.Complete(s.now, h.id, o.Message)) },
-			func(any, CallStatus) {})
+		call(s, MethodComplete, h, o.To, callTimeout, o.Message,
+			func(to *simHost, m CompleteRequest, _ func(int)) { s.do(to, to.state.Complete(s.now, h.id, m)) },
+			func(int, CallStatus) {})
 	case Transfer:
-		s.call(MethodTransfer, h, o.To, callTimeout, o.Message,
-			func(to *simHost, reply func(any)) {
-				r, out := to.state.Transfer(s.now, h.id, o.Message)
+		call(s, MethodTransfer, h, o.To, callTimeout, o.Message,
+			func(to *simHost, m TransferRequest, reply func(TransferReply)) {
+				r, out := to.state.Transfer(s.now, h.id, m)
 				s.do(to, out)
 				reply(r)
 			},
-			func(v any, status CallStatus) {
-				r, _ := v.(TransferReply)
-				s.do(h, h.state.TransferResult(s.now, o.Seq, r, status))
-			})
+			func(r TransferReply, status CallStatus) { s.do(h, h.state.TransferResult(s.now, o.Seq, r, status)) })
 	case Answer:
 		s.answered(o)
 	case SendBackend:
 		s.deliver(h, o)
-	case Cancel:
-		if b := s.backends[o.Backend]; b != nil {
-			b.cancels++
-		}
 	case Finish:
 		h.calls[o.Call](o.Reply)
 	}
@@ -321,12 +300,15 @@
 func (s *sim) answered(o Answer) {
 	var m struct {
 		ID    string
-		Error struct{ Code int }
+		Error struct {
+			Code int
+			Data errorData
+		}
 	}
 	if err := json.Unmarshal(o.Body, &m); err != nil {
 		s.tb.Fatalf("answer %q: %v", o.Body, err)
 	}
-	s.answers[m.ID] = append(s.answers[m.ID], simAnswer{s.now.Sub(testStart), string(o.Body), m.Error.Code})
+	s.answers[m.ID] = append(s.answers[m.ID], simAnswer{s.now.Sub(testStart), string(o.Body), m.Error.Code, m.Error.Data.Reason})
 }
 
 // deliver hands a request to a fake backend server and returns its reply.
@@ -340,8 +322,7 @@
 	if err := json.Unmarshal(o.Body, &m); err != nil {
 		s.tb.Fatalf("request %q: %v", o.Body, err)
 	}
-	f := s.fault("backend", h.id, "")
-	if f.lost || b.silent {
+	if s.fault("backend", h.id, "").lost {
 		return
 	}
 	body := fmt.Sprintf(`{"jsonrpc":"2.0","id":%q,"result":%q}`, m.ID, "done "+m.ID+b.answer)
@@ -352,9 +333,9 @@
 		b.ran[m.ID]++
 	}
 	s.at(s.now.Add(b.service), nil, func() {
-		s.send("reply", "", h, 0, func(h *simHost) {
+		s.send("reply", "", h, func(h *simHost) {
 			s.do(h, h.runner.Reply(s.now, o.Backend, o.Flow, []byte(body), false))
-		}, nil)
+		})
 	})
 }
 
@@ -372,11 +353,8 @@
 	if len(a) == 0 {
 		return "nothing"
 	}
-	body := a[len(a)-1].body
 	if a[len(a)-1].code == 0 {
 		return "answer"
 	}
-	_, reason, _ := strings.Cut(body, `"reason":"`)
-	reason, _, _ = strings.Cut(reason, `"`)
-	return fmt.Sprintf("%d %s", a[len(a)-1].code, reason)
+	return fmt.Sprintf("%d %s", a[len(a)-1].code, a[len(a)-1].reason)
 }
--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -157,11 +157,12 @@
 // Leave stops the start of new requests; those in progress finish.
 func (s *State) Leave() { s.leaving = true }
 
-// InProgress returns the number of commands that this host has yet to finish.
+// InProgress returns the number of commands, waiting callers and transfers
+// that a graceful shutdown has to wait for.
 func (s *State) InProgress() int {
 	n := 0
 	for _, c := range s.table.open {
-		if c.state == Pending && c.run != nil {
+		if c.state == Pending && (c.run != nil || c.waiting) {
 			n++
 		}
 	}
@@ -177,6 +178,7 @@
 	s.begin(now)
 	s.retries.refill(now)
 	s.retries.add(retryShare)
+	requests.Inc()
 	key := ClaimKey{Service: in.Service, Caller: in.Flow.Source(), ID: req.ID}
 	switch c := s.table.claims[key]; {
 	case c == nil:
@@ -205,7 +207,7 @@
 	}
 	countRepeat(ReasonReplayed)
 	s.emit(Answer{c.flow, s.answerFor(c)})
-	if now.Sub(c.synced) >= s.cfg.Retention/4 {
+	if !c.idempotent && now.Sub(c.synced) >= s.cfg.Retention/4 {
 		s.tellOthers(now, c, "")
 	}
 }
@@ -240,14 +242,14 @@
 	}
 	c := &claim{
 		key: key, owner: ClaimOwner{s.cfg.Self, s.nextNonce()}, bucket: in.Bucket, digest: req.Digest,
-		state: Pending, flow: in.Flow, waiting: true, deadline: now.Add(deadline),
+		state: Pending, idempotent: in.Idempotent, flow: in.Flow, waiting: true, deadline: now.Add(deadline),
 		run: &runState{
-			request: req, idempotent: in.Idempotent, created: now, mayHaveRun: mayHaveRun,
+			request: req, created: now, mayHaveRun: mayHaveRun,
 			candidates: append([]Candidate(nil), in.Candidates[:min(maxCandidates, len(in.Candidates))]...),
 		},
 	}
 	s.table.insert(now, c)
-	if c.run.idempotent || owners.other(s.cfg.Self) == "" {
+	if c.idempotent || owners.other(s.cfg.Self) == "" {
 		s.start(now, c)
 		return
 	}
--- a/internal/command/transfer.go
+++ b/internal/command/transfer.go
@@ -122,7 +122,7 @@
 	t.sent = 0
 	for _, key := range t.claims {
 		c := s.table.claims[key]
-		if c != nil && !(c.run != nil && c.run.idempotent) {
+		if c != nil && !c.idempotent {
 			r := c.record(now)
 			if len(r.Answer) > maxTransferAnswer {
 				r.Answer, r.Reason = nil, ReasonAnswerTooLarge
