Settle a new flow by the secondary owner's answer, not by time

Change: a tentative entry stays with the secondary until it confirms it; the confirmation passes the primary. An overruled proposal is removed even when the winner is unknown here. TentativeFor is gone. Driver of several routers in the test files, failure scenarios.

Conclusion: no owner can use a choice that the other one has not seen.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -16,7 +16,7 @@
 // States of entries, weakest first.
 const (
 	Guess     State = iota // no owner knew the flow
-	Tentative              // chosen by the primary owner, not yet seen by time
+	Tentative              // chosen by the primary owner, not yet confirmed by the secondary
 	Settled                // agreed on by the owners
 	Proven                 // the backend server replied
 )
@@ -30,7 +30,7 @@
 	Service  uint32
 	Instance uint64
 	LastSeen uint32 // seconds since process start
-	Since    uint32 // milliseconds since process start: creation, later the last replication
+	Since    uint32 // milliseconds since process start when it was stored or last refreshed
 	Excluded uint16 // guessed backend servers that refused the flow
 	State    State
 }
--- a/internal/route/driver_test.go
+++ b/internal/route/driver_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,6 +23,15 @@
 	now      Time
 	key      [16]byte
 	hops     int // forwards between hosts so far
+	rng      *rand.Rand
+	serving  map[packet.Key]netip.AddrPort // the backend server that holds each open flow
+	repeat   bool                          // forwarded packets arrive again later
+	late     []datagram
+}
+
+type datagram struct {
+	to  netip.AddrPort
+	raw []byte
 }
 
 type node struct {
@@ -30,7 +42,7 @@
 }
 
 func newFleet(t testing.TB, hosts, backends int) *fleet {
-	f := &fleet{t: t, nodes: make(map[string]*node), now: Time(time.Hour)}
+	f := &fleet{t: t, nodes: make(map[string]*node), now: Time(time.Hour), rng: rand.New(rand.NewPCG(1, 2)), serving: make(map[packet.Key]netip.AddrPort)}
 	for i := range hosts {
 		f.hosts = append(f.hosts, testHost(i))
 	}
@@ -76,12 +88,26 @@
 	f.update(id)
 }
 
+// kill stops a host and removes it from the list; update tells the others.
+func (f *fleet) kill(id string) {
+	f.nodes[id].down = true
+	f.hosts = slices.DeleteFunc(slices.Clone(f.hosts), func(h Host) bool { return h.ID == id })
+}
+
+// up returns a random host that takes packets from the fabric.
+func (f *fleet) up() string {
+	for {
+		id := testHost(f.rng.IntN(len(f.nodes))).ID
+		if !f.nodes[id].down {
+			return id
+		}
+	}
+}
+
 // update publishes the fleet's present state to hosts, or to all.
 func (f *fleet) update(ids ...string) {
 	if len(ids) == 0 {
-		for id := range f.nodes {
-			ids = append(ids, id)
-		}
+		ids = slices.Sorted(maps.Keys(f.nodes))
 	}
 	for _, id := range ids {
 		n := f.nodes[id]
@@ -140,22 +166,104 @@
 func (f *fleet) follow(id string, raw []byte, a Action) outcome {
 	for a.Kind == ToPeer {
 		f.hops++
-		datagram := packet.AppendForward(nil, &f.key, &a.Header, raw)
-		var h packet.ForwardHeader
-		inner, err := packet.ParseForward(datagram, &f.key, &h)
-		if err != nil {
-			f.t.Fatal(err)
+		d := datagram{a.Peer, packet.AppendForward(nil, &f.key, &a.Header, raw)}
+		if f.repeat && f.rng.IntN(3) == 0 {
+			f.late = append(f.late, d)
 		}
-		id = f.at(a.Peer)
-		n := f.nodes[id]
-		if n == nil || n.down {
-			return outcome{Action{Kind: Drop}, id}
-		}
-		a = n.router.FromPeer(n.snap, &h, parse(f.t, inner), f.now)
+		id, a = f.receive(d)
 	}
 	return outcome{a, id}
 }
 
+// receive delivers one forwarded packet.
+func (f *fleet) receive(d datagram) (string, Action) {
+	id := f.at(d.to)
+	n := f.nodes[id]
+	if n == nil || n.down {
+		return id, Action{Kind: Drop}
+	}
+	var h packet.ForwardHeader
+	inner, err := packet.ParseForward(d.raw, &f.key, &h)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return id, n.router.FromPeer(n.snap, &h, parse(f.t, inner), f.now)
+}
+
+// result is what became of a caller's packet.
+type result int
+
+const (
+	lost      result = iota // dropped, or its host is down: the caller sends again
+	delivered               // at the backend server that holds the flow
+	broken                  // the caller was reset
+)
+
+// send lets a caller send one packet through a host. The backend server
+// replies, or resets a TCP flow that it does not hold, to the sending host.
+func (f *fleet) send(id string, k packet.Key, flags uint8) result {
+	raw := packet.AppendUDP(nil, k, nil)
+	if k.Proto == packet.ProtoTCP {
+		raw = tcp(k, flags)
+	}
+	got := f.settle(k, raw, f.arrive(id, raw))
+	if len(f.late) > 0 && f.rng.IntN(2) == 0 {
+		i := f.rng.IntN(len(f.late))
+		d := f.late[i]
+		f.late = slices.Delete(f.late, i, i+1)
+		inner := d.raw[packet.ForwardHeaderLen:]
+		host, a := f.receive(d)
+		if key := parse(f.t, inner).Key; f.settle(key, inner, f.follow(host, inner, a)) == broken {
+			f.t.Errorf("a repeated packet broke flow %v", key)
+		}
+	}
+	return got
+}
+
+// settle plays the backend server that an outcome names.
+func (f *fleet) settle(k packet.Key, raw []byte, got outcome) result {
+	switch got.Kind {
+	case ResetCaller:
+		return broken
+	case ToBackend:
+	default:
+		return lost
+	}
+	if !f.owned(k, got.Backend.Addr) {
+		f.t.Fatalf("a packet for %v reached %v of another service", k.Destination(), got.Backend.Addr)
+	}
+	opens := k.Proto == packet.ProtoUDP || parse(f.t, raw).SYN()
+	holder, open := f.serving[k]
+	if !open && opens {
+		holder, f.serving[k] = got.Backend.Addr, got.Backend.Addr
+	}
+	if holder == got.Backend.Addr {
+		f.reply(got.host, holder, replyTo(k, packet.FlagACK))
+		return delivered
+	}
+	if k.Proto == packet.ProtoUDP || f.reply(got.host, got.Backend.Addr, replyTo(k, packet.FlagRST)).Kind == ToCaller {
+		return broken
+	}
+	return lost
+}
+
+// owned reports whether the newest documents give an address to the flow's service.
+func (f *fleet) owned(k packet.Key, addr netip.AddrPort) bool {
+	for _, c := range f.services {
+		if c.Addr == destination(k) {
+			return slices.ContainsFunc(c.Backends, func(b BackendConfig) bool { return b.Addr == addr })
+		}
+	}
+	return false
+}
+
+func replyTo(k packet.Key, flags uint8) []byte {
+	if k.Proto == packet.ProtoUDP {
+		return packet.AppendUDP(nil, k.Reverse(), nil)
+	}
+	return tcp(k.Reverse(), flags)
+}
+
 func (f *fleet) at(peer netip.AddrPort) string {
 	for i := range 1 << 12 {
 		if h := testHost(i); h.Peer == peer {
@@ -166,7 +274,7 @@
 }
 
 func callerKey(i int, proto uint8) packet.Key {
-	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, byte(i >> 16), 2}), uint16(1024+i&0xffff))
+	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, byte(i >> 16), 2}), uint16(1024+i&0x7fff))
 	return packet.NewKey(caller, netip.MustParseAddrPort("198.51.100.10:7001"), proto)
 }
 
--- a/internal/route/fabric.go
+++ b/internal/route/fabric.go
@@ -87,15 +87,8 @@
 	}
 	arbiter, present := q.arbiter()
 	if b != nil && e.State != flow.Guess {
-		if e.State == flow.Tentative {
-			if present && (q.info.SYN() || r.young(q, &e)) {
-				return q.forwardTo(h, arbiter, packet.KindPropose, choiceOf(&e, packet.FlagSecondary))
-			}
-			if !r.young(q, &e) {
-				settled := e
-				settled.State = flow.Settled
-				r.Table.Update(q.key, q.hash, e, settled)
-			}
+		if e.State == flow.Tentative && present {
+			return q.forwardTo(h, arbiter, packet.KindPropose, choiceOf(&e, packet.FlagSecondary))
 		}
 		return q.answer(h, &e, b)
 	}
--- a/internal/route/peers.go
+++ b/internal/route/peers.go
@@ -86,7 +86,9 @@
 }
 
 // propose decides as the secondary owner: the stronger of its own entry and
-// the proposal wins, and its own on a tie.
+// the proposal wins, and its own on a tie. The answer to a proposal that is
+// already stored passes the primary, whose entry settles by it. The primary
+// does not settle its entry by time: it may have asked a host that is gone.
 func (r *Router) propose(q *query, h *packet.ForwardHeader) Action {
 	b, _ := q.check(h.Choice.Addr, h.Choice.Instance)
 	if _, own, _ := r.lookup(q); b == nil && own == nil {
@@ -94,10 +96,11 @@
 		return q.send(h)
 	}
 	var e flow.Entry
+	result := flow.Kept
 	if b != nil {
 		proposal := q.entry(h.Choice.Addr, h.Choice.Instance, stateOf(&h.Choice))
 		proposal.Epoch = q.replicated()
-		e, _ = r.Table.Put(q.key, q.hash, proposal)
+		e, result = r.Table.Put(q.key, q.hash, proposal)
 	} else {
 		e, _ = r.Table.Peek(q.key, q.hash)
 	}
@@ -108,6 +111,9 @@
 	if e.AddrPort() != h.Choice.Addr && h.Sender != q.s.SelfPeer {
 		return q.forward(h, h.Sender, packet.KindConflict, choiceOf(&e, 0))
 	}
+	if result == flow.Kept && h.Sender != h.Origin && h.Sender != q.s.SelfPeer {
+		return q.forward(h, h.Sender, packet.KindAnswer, agreed(&e))
+	}
 	return q.answer(h, &e, b)
 }
 
@@ -115,6 +121,11 @@
 // and returns the packet to the arrival host.
 func (r *Router) conflict(q *query, h *packet.ForwardHeader) Action {
 	if b, _ := q.check(h.Choice.Addr, h.Choice.Instance); b == nil {
+		// This host's documents may be older than the secondary's. Its own
+		// proposal was overruled all the same and must not settle.
+		if e, ok := r.Table.Peek(q.key, q.hash); ok && e.State <= stateOf(&h.Choice) {
+			r.Table.DeleteIf(q.key, q.hash, e)
+		}
 		return q.send(h)
 	}
 	return r.store(q, h, stateOf(&h.Choice))
--- a/internal/route/reason.go
+++ b/internal/route/reason.go
@@ -7,6 +7,7 @@
 const (
 	ReasonNone Reason = iota
 	ReasonNotServing
+	ReasonNotListed // this host has no peer address, so that no answer could reach it
 	ReasonNoService
 	ReasonNoBackend
 	ReasonNoCapacity
@@ -33,6 +34,7 @@
 var reasonNames = [reasonCount]string{
 	ReasonNone:              "none",
 	ReasonNotServing:        "not_serving",
+	ReasonNotListed:         "not_listed",
 	ReasonNoService:         "no_service",
 	ReasonNoBackend:         "no_backend",
 	ReasonNoCapacity:        "no_capacity",
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -13,10 +13,6 @@
 	// primary, secondary, primary, arrival host.
 	maxHops = 6
 
-	// DefaultTentativeFor is how long the secondary owner remains the arbiter
-	// of a new flow.
-	DefaultTentativeFor = time.Second
-
 	// refreshInterval limits refreshes of one flow, so that a lost refresh
 	// delays one packet and not every packet of the flow.
 	refreshInterval = 200 // milliseconds
@@ -28,9 +24,8 @@
 
 // Router decides where packets go. It is safe for concurrent use.
 type Router struct {
-	Table        *flow.Table
-	TentativeFor time.Duration // DefaultTentativeFor when zero
-	PreferLocal  bool          // new flows prefer the primary owner's data centre
+	Table       *flow.Table
+	PreferLocal bool // new flows prefer the primary owner's data centre
 }
 
 // query is one packet with everything that decisions about it need.
@@ -88,6 +83,9 @@
 	if h.Hops <= 1 {
 		return drop(ReasonHopLimit)
 	}
+	if !h.Origin.IsValid() {
+		return drop(ReasonNotListed)
+	}
 	return Action{
 		Kind: ToPeer,
 		Peer: to,
@@ -179,15 +177,6 @@
 	return flow.Settled
 }
 
-// young reports whether a tentative entry is still the secondary's to decide.
-func (r *Router) young(q *query, e *flow.Entry) bool {
-	limit := r.TentativeFor
-	if limit == 0 {
-		limit = DefaultTentativeFor
-	}
-	return q.now.milliseconds()-e.Since < uint32(limit/time.Millisecond)
-}
-
 // refreshDue reports whether the owners should be told of an entry in use.
 func (q *query) refreshDue(e *flow.Entry) bool {
 	age := q.now.milliseconds() - e.Since
