--- /dev/null
+++ b/internal/route/decision_test.go
@@ -0,0 +1,300 @@
+package route
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/flow"
+	"github.com/nutmeglatch/nutmeglatch/internal/packet"
+)
+
+// trio is a fleet and one flow of it, with a host for each role.
+type trio struct {
+	*fleet
+	k                           packet.Key
+	primary, secondary, arrival string
+}
+
+// newTrio returns a flow whose owners and arrival host are three hosts.
+func newTrio(t *testing.T) *trio {
+	f := newFleet(t, 5, 14)
+	k := callerKey(1, packet.ProtoTCP)
+	s := f.nodes["entry-0"].snap
+	svc := s.ByName.Get("gridwatch")
+	x := &trio{fleet: f, k: k}
+	x.primary, x.secondary = s.Hosts[svc.Primary(k)].ID, s.Hosts[svc.Secondary(k)].ID
+	for _, h := range f.hosts {
+		if h.ID != x.primary && h.ID != x.secondary {
+			x.arrival = h.ID
+		}
+	}
+	return x
+}
+
+// hold stores an entry for the n-th backend server at a host.
+func (x *trio) hold(host string, n int, state flow.State) {
+	b := x.services[0].Backends[n]
+	svc := x.nodes[host].snap.ByName.Get("gridwatch")
+	e := flow.Entry{
+		Addr: b.Addr.Addr().As16(), Port: b.Addr.Port(), Instance: b.Instance, Service: svc.Index, State: state,
+		LastSeen: x.now.seconds(), Since: x.now.milliseconds(), Epoch: svc.Epochs[bucketOf(x.k.Hash())],
+	}
+	x.nodes[host].router.Table.Replace(x.k, x.k.Hash(), e)
+}
+
+func (x *trio) backend(n int) netip.AddrPort { return x.services[0].Backends[n].Addr }
+
+// held returns the entry of a host.
+func (x *trio) held(host string) (netip.AddrPort, flow.State) {
+	e, ok := x.nodes[host].router.Table.Peek(x.k, x.k.Hash())
+	if !ok {
+		return netip.AddrPort{}, flow.Guess
+	}
+	return e.AddrPort(), e.State
+}
+
+// Guards against two owners that keep different backend servers for a flow:
+// the stronger entry wins, and the secondary's on a tie.
+func TestConflictBetweenOwners(t *testing.T) {
+	for _, c := range []struct {
+		primary, secondary flow.State
+		flags              uint8
+		want               int
+	}{
+		{flow.Tentative, flow.Tentative, packet.FlagSYN, 2},
+		{flow.Tentative, flow.Settled, packet.FlagACK, 2},
+		{flow.Tentative, flow.Proven, packet.FlagACK, 2},
+		{flow.Guess, flow.Tentative, packet.FlagSYN, 2},
+		{flow.Guess, flow.Settled, packet.FlagACK, 2},
+		{flow.Tentative, flow.Guess, packet.FlagACK, 1},
+	} {
+		x := newTrio(t)
+		x.hold(x.primary, 1, c.primary)
+		x.hold(x.secondary, 2, c.secondary)
+		got := x.arrive(x.arrival, tcp(x.k, c.flags))
+		if got.Kind != ToBackend || got.Backend.Addr != x.backend(c.want) || got.host != x.arrival {
+			t.Errorf("%+v: %v", c, got)
+		}
+		for _, host := range []string{x.primary, x.secondary, x.arrival} {
+			if held, _ := x.held(host); held != x.backend(c.want) {
+				t.Errorf("%+v: %s holds %v", c, host, held)
+			}
+		}
+	}
+}
+
+// Guards against a new flow that stays tentative, so that every lookup asks
+// both owners, or that settles before the secondary has seen it.
+func TestConfirmation(t *testing.T) {
+	x := newTrio(t)
+	x.arrive(x.arrival, tcp(x.k, packet.FlagSYN))
+	if _, state := x.held(x.primary); state != flow.Tentative {
+		t.Fatalf("state %v before the secondary answered", state)
+	}
+	x.nodes[x.arrival].router.Table.Delete(x.k, x.k.Hash())
+	x.arrive(x.arrival, tcp(x.k, packet.FlagACK))
+	if _, state := x.held(x.primary); state != flow.Settled {
+		t.Fatalf("state %v after the secondary answered", state)
+	}
+}
+
+// Guards against entries that lose their second copy: after a change of
+// owners, on a reopened connection, and when only the caches are used.
+func TestRefresh(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		flags  uint8
+		hops   int
+		change func(x *trio)
+	}{
+		{"nothing due", packet.FlagACK, 0, func(x *trio) {}},
+		{"owners change", packet.FlagACK, 3, func(x *trio) {
+			x.kill(x.primary)
+			x.kill(x.secondary)
+			x.update()
+			x.now += Time(time.Second)
+		}},
+		{"a third of the idle time passes", packet.FlagACK, 3, func(x *trio) { x.now += Time(200 * time.Second) }},
+		{"connection opens again", packet.FlagSYN, 3, func(x *trio) {}},
+		{"an owner is suspect", packet.FlagACK, 0, func(x *trio) {
+			for i := range x.hosts {
+				x.hosts[i].Suspect = x.hosts[i].ID == x.primary
+			}
+			x.update()
+			x.now += Time(200 * time.Second)
+		}},
+	} {
+		x := newTrio(t)
+		// A host that does not own the flow after the change either.
+		x.hold(x.arrival, 4, flow.Proven)
+		c.change(x)
+		svc := x.nodes[x.arrival].snap.ByName.Get("gridwatch")
+		x.hops = 0
+		got := x.arrive(x.arrival, tcp(x.k, c.flags))
+		if got.Kind != ToBackend || got.Backend.Addr != x.backend(4) || got.host != x.arrival {
+			t.Errorf("%s: %v", c.name, got)
+		}
+		owners := 0
+		for _, i := range svc.Owners[bucketOf(x.k.Hash())] {
+			id := x.nodes[x.arrival].snap.Hosts[i].ID
+			if held, _ := x.held(id); id != x.arrival && held == x.backend(4) {
+				owners++
+			}
+		}
+		if c.hops > 0 && owners == 0 || c.hops == 0 && x.hops != 0 {
+			t.Errorf("%s: %d hops, %d owners hold the entry", c.name, x.hops, owners)
+		}
+		hops := x.hops
+		if x.arrive(x.arrival, tcp(x.k, packet.FlagACK)); x.hops != hops {
+			t.Errorf("%s: the next packet is refreshed again", c.name)
+		}
+	}
+}
+
+// Guards against answers without a second copy while an owner is suspect.
+func TestSuspectPrimary(t *testing.T) {
+	x := newTrio(t)
+	for i := range x.hosts {
+		x.hosts[i].Suspect = x.hosts[i].ID == x.primary
+	}
+	x.update()
+	first := x.arrive(x.arrival, tcp(x.k, packet.FlagSYN))
+	for i := range x.hosts {
+		x.hosts[i].Suspect = false
+	}
+	x.update()
+	x.now += Time(time.Second)
+	x.arrive(x.arrival, tcp(x.k, packet.FlagACK))
+	if held, _ := x.held(x.primary); first.Kind != ToBackend || held != first.Backend.Addr {
+		t.Fatalf("%v, the primary holds %v", first, held)
+	}
+}
+
+// Guards against a proof that does not reach the owners.
+func TestReplyProves(t *testing.T) {
+	x := newTrio(t)
+	if got := x.reply(x.arrival, x.backend(3), replyTo(x.k, packet.FlagACK)); got.Kind != ToCaller {
+		t.Fatalf("reply: %v", got)
+	}
+	x.arrive(x.arrival, tcp(x.k, packet.FlagACK))
+	for _, host := range []string{x.arrival, x.primary, x.secondary} {
+		if held, state := x.held(host); held != x.backend(3) || state != flow.Proven {
+			t.Errorf("%s holds %v in state %v", host, held, state)
+		}
+	}
+}
+
+// Guards against a reset that ends a flow of another backend server.
+func TestBackendReset(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		at    func(x *trio) string // holder of an entry for backend server 1
+		state flow.State
+		from  int
+		want  Action
+	}{
+		{"own backend server", func(x *trio) string { return x.arrival }, flow.Settled, 1, Action{Kind: ToCaller}},
+		{"another backend server", func(x *trio) string { return x.arrival }, flow.Settled, 2, drop(ReasonOtherBackendReset)},
+		{"guess", func(x *trio) string { return x.arrival }, flow.Guess, 1, drop(ReasonGuessReset)},
+		{"earlier guess", func(x *trio) string { return x.arrival }, flow.Guess, 2, drop(ReasonOtherBackendReset)},
+		{"owner knows it", func(x *trio) string { return x.primary }, flow.Settled, 1, Action{Kind: ToCaller}},
+		{"owner knows another", func(x *trio) string { return x.primary }, flow.Settled, 2, drop(ReasonOtherBackendReset)},
+		{"owner guesses", func(x *trio) string { return x.primary }, flow.Guess, 1, drop(ReasonUnknownFlowReset)},
+		{"nobody knows it", func(x *trio) string { return x.secondary }, flow.Settled, 1, drop(ReasonUnknownFlowReset)},
+	} {
+		x := newTrio(t)
+		x.hold(c.at(x), 1, c.state)
+		got := x.reply(x.arrival, x.backend(c.from), replyTo(x.k, packet.FlagRST))
+		if got.Kind != c.want.Kind || got.Reason != c.want.Reason {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
+// Guards against packets that are handled although a condition forbids it,
+// and against refusals under the wrong name.
+func TestRefusals(t *testing.T) {
+	syn := func(x *trio) outcome { return x.arrive(x.arrival, tcp(x.k, packet.FlagSYN)) }
+	forwarded := func(h packet.ForwardHeader) func(x *trio) outcome {
+		return func(x *trio) outcome {
+			n := x.nodes[x.arrival]
+			h.Origin = testHost(0).Peer
+			return outcome{n.router.FromPeer(n.snap, &h, parse(x.t, tcp(x.k, packet.FlagACK)), x.now), x.arrival}
+		}
+	}
+	backends := func(change func(b *BackendConfig)) func(x *trio) {
+		return func(x *trio) {
+			for i := range x.services[0].Backends {
+				change(&x.services[0].Backends[i])
+			}
+		}
+	}
+	nothing := func(*trio) {}
+	for _, c := range []struct {
+		prepare func(x *trio)
+		do      func(x *trio) outcome
+		want    Reason
+	}{
+		{nothing, func(x *trio) outcome { x.k.DstPort++; return syn(x) }, ReasonNoService},
+		{backends(func(b *BackendConfig) { b.Weight = 0 }), syn, ReasonNoBackend},
+		{backends(func(b *BackendConfig) { b.Draining = true }), syn, ReasonNoBackend},
+		{backends(func(b *BackendConfig) { b.Out = true }), syn, ReasonNoBackend},
+		{backends(func(b *BackendConfig) { b.Unusable = true }), syn, ReasonNoBackend},
+		{backends(func(b *BackendConfig) { b.Admit = new(Budget) }), syn, ReasonNoCapacity},
+		{func(x *trio) { x.nodes[x.primary].router.Table = flow.NewTable(0) }, syn, ReasonTableFull},
+		{backends(func(b *BackendConfig) { b.Unusable = true }), func(x *trio) outcome {
+			return x.arrive(x.arrival, tcp(x.k, packet.FlagACK))
+		}, ReasonNoCandidate},
+		{nothing, forwarded(packet.ForwardHeader{Kind: packet.KindCommand, Hops: 3}), ReasonBadKind},
+		{nothing, forwarded(packet.ForwardHeader{Kind: packet.KindPropose, Hops: 3}), ReasonBadKind},
+		{nothing, forwarded(packet.ForwardHeader{Kind: packet.KindLookup, Hops: 1}), ReasonHopLimit},
+		{nothing, func(x *trio) outcome {
+			return x.reply(x.arrival, testBackend(12, 0).Addr, replyTo(x.k, packet.FlagACK))
+		}, ReasonUnknownBackend},
+		{func(x *trio) { x.services = append(x.services, testService("ledgerdesk", 11, packet.ProtoTCP, 1)) }, func(x *trio) outcome {
+			return x.reply(x.arrival, testBackend(11, 0).Addr, replyTo(x.k, packet.FlagACK))
+		}, ReasonForeignBackend},
+		{func(x *trio) { x.kill(x.arrival); x.nodes[x.arrival].down = false }, syn, ReasonNotListed},
+	} {
+		x := newTrio(t)
+		c.prepare(x)
+		x.update()
+		if got := c.do(x); got.Kind != Drop || got.Reason != c.want {
+			t.Errorf("%v, want %v", got, c.want)
+		}
+	}
+	paused := *newTrio(t).nodes["entry-0"].snap
+	paused.Serving = false
+	for _, got := range []Action{
+		new(Router).FromFabric(&paused, nil, 0), new(Router).FromPeer(&paused, nil, nil, 0), new(Router).FromBackend(&paused, netip.AddrPort{}, nil, 0),
+	} {
+		if got != drop(ReasonNotServing) {
+			t.Errorf("a host that does not serve: %+v", got)
+		}
+	}
+	for _, r := range Reasons() {
+		if r.String() == "" {
+			t.Errorf("reason %d has no name", r)
+		}
+	}
+}
+
+// Guards against commands that run at a host that does not own their claims.
+func TestCommandsReachThePrimary(t *testing.T) {
+	f := newFleet(t, 5, 14)
+	for i := range 100 {
+		k := callerKey(i, packet.ProtoUDP)
+		k.DstPort = 7002
+		s := f.nodes["entry-0"].snap
+		primary := s.Hosts[s.ByName.Get("gridwatch").Primary(k)].ID
+		for _, h := range f.hosts {
+			if got := f.arrive(h.ID, packet.AppendUDP(nil, k, nil)); got.Kind != ToCommand || got.host != primary {
+				t.Fatalf("from %s: %v, want %s", h.ID, got, primary)
+			}
+		}
+		if got := f.reply("entry-0", testBackend(10, 0).Addr, replyTo(k, 0)); got.Kind != ToCommand || got.Backend == nil {
+			t.Fatalf("reply: %v", got)
+		}
+	}
+}
