--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -65,7 +65,8 @@
 	DataCentre string  `json:"data_centre"`
 	Verdict    string  `json:"verdict"`
 	Weight     float64 `json:"weight"`
-	Flows      int     `json:"flows"`
+	Flows      int     `json:"flows"`     // that this host is charged with
+	NewFlows   int     `json:"new_flows"` // that this host may admit now
 	Instance   uint64  `json:"instance"`
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -90,7 +90,7 @@
 	// A later process of this host must have a greater boot id.
 	d.boot = uint64(d.started.UnixMilli())
 	d.table = flow.NewTable(o.Settings.Limits.MaxFlows)
-	d.router = &route.Router{Table: d.table, TentativeFor: o.Settings.Limits.TentativeFor.Std(), PreferLocal: true}
+	d.router = &route.Router{Table: d.table, PreferLocal: true}
 	d.listed.Store(&map[string]netip.AddrPort{})
 	if err := d.listen(); err != nil {
 		d.closeSockets()
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -232,7 +232,11 @@
 	for addr, b := range c.limits.backends {
 		b.charged = counts[addr]
 	}
+	// The budgets are settled first: an outstanding budget counts as admitted,
+	// and would stay charged when its bucket moves.
+	c.admitted(now)
 	c.limits.shares.Charged(now, counts)
+	c.refill(now)
 }
 
 // changed reports whether verdicts differ in what snapshots depend on.
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -136,6 +136,7 @@
 		DataCentre: b.DataCentre,
 		Verdict:    verdictText(c.limits.verdicts[b.Addr]),
 		Flows:      limit.charged,
+		NewFlows:   max(limit.budget.Left(), 0),
 		Weight:     b.Weight,
 		Instance:   b.Instance,
 	}
--- a/internal/demo/evaluate.go
+++ b/internal/demo/evaluate.go
@@ -31,6 +31,7 @@
 func (r *run) evaluateFlows(backends []*standin.Backend) {
 	rep := &r.report
 	rep.BrokenFlowsByCause = map[string]int{}
+	rep.FlowsNotOpenedAfter = map[string]int{}
 	inDC := map[uint64]string{}
 	for _, b := range backends {
 		inDC[b.Stats().Instance] = b.DataCentre()
@@ -42,6 +43,7 @@
 		rep.FlowAnswers += f.Answers
 		if f.Cause == standin.CauseNotOpened {
 			rep.FlowsNotOpened++
+			rep.FlowsNotOpenedAfter[r.lastEvent(r.load.attempts[i])]++
 		}
 		if f.Broken() {
 			rep.BrokenFlows++
@@ -62,12 +64,27 @@
 // cause classifies a broken flow. Flows of the data centre that was taken out
 // may be lost once it is out.
 func (r *run) cause(f *standin.FlowResult, inDC map[uint64]string) string {
-	if inDC[f.Instance] == r.outDC && f.Ended.After(r.takenOut) {
+	instance := f.Instance
+	if instance == 0 { // reset before the first answer
+		instance = uint64(f.Accepted)
+	}
+	if inDC[instance] == r.outDC && f.Ended.After(r.takenOut) {
 		return causeDataCentreOut
 	}
 	return string(f.Cause)
 }
 
+// lastEvent returns the name of the newest event before t.
+func (r *run) lastEvent(t time.Time) string {
+	name := "start"
+	for _, e := range r.report.Events {
+		if t.Sub(r.start).Milliseconds() >= e.AtMS {
+			name = e.Name
+		}
+	}
+	return name
+}
+
 func (r *run) duringMove(t time.Time) bool {
 	return t.After(r.takenOut) && t.Before(r.takenBack)
 }
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -22,6 +22,7 @@
 	BackendServers         int            `json:"backend_servers"`
 	Flows                  int            `json:"flows"`
 	FlowsNotOpened         int            `json:"flows_not_opened"`
+	FlowsNotOpenedAfter    map[string]int `json:"flows_not_opened_after"` // by the last event before the attempt
 	FlowAnswers            int            `json:"flow_answers"`
 	BrokenFlows            int            `json:"broken_flows"`
 	BrokenFlowsByCause     map[string]int `json:"broken_flows_by_cause"`
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -108,7 +108,6 @@
 	c.Between("limits.max_message", l.MaxMessage, MinMaxMessage, MaxMaxMessage)
 	c.Duration("limits.command_deadline", l.CommandDeadline.Std(), 100*time.Millisecond, document.MaxCommandDeadline)
 	c.Duration("limits.claim_retention", l.ClaimRetention.Std(), RetentionDeadlines*l.CommandDeadline.Std(), time.Hour)
-	c.Duration("limits.tentative_for", l.TentativeFor.Std(), 100*time.Millisecond, time.Minute)
 	c.Between("limits.group_size", l.GroupSize, 1, MaxGroupSize)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,7 +72,6 @@
 	// CommandDeadline bounds the deadlines that documents give to commands.
 	CommandDeadline document.Duration `yaml:"command_deadline"`
 	ClaimRetention  document.Duration `yaml:"claim_retention"`
-	TentativeFor    document.Duration `yaml:"tentative_for"`
 	GroupSize       int               `yaml:"group_size"`
 }
 
@@ -105,7 +104,6 @@
 			MaxMessage:      2 << 20,
 			CommandDeadline: document.Duration(document.MaxCommandDeadline),
 			ClaimRetention:  seconds(30),
-			TentativeFor:    seconds(1),
 			GroupSize:       8,
 		},
 		Probe: Probe{
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -139,6 +139,7 @@
 	Config   FlowConfig
 	Cause    Cause
 	Instance uint64 // backend server process that served the flow
+	Accepted uint32 // low half of the instance that accepted a TCP flow
 	Opened   time.Time
 	Ended    time.Time
 	Answers  int
@@ -203,6 +204,7 @@
 		return a.flags&(flagSYN|flagACK) == flagSYN|flagACK
 	})
 	f.ack = a.seq + 1
+	f.result.Accepted = a.seq
 	return cause
 }
 
