--- a/internal/route/build.go
+++ b/internal/route/build.go
@@ -36,6 +36,7 @@
 	groupSize    int
 	serving      bool
 	hosts        []Host
+	published    []Host         // copy of hosts in the last snapshot, nil after a change
 	slots        map[string]int // host index by ID
 	configs      map[string]ServiceConfig
 	numbers      map[string]uint32
@@ -109,9 +110,12 @@
 
 // Snapshot returns the state with all changes so far.
 func (b *Builder) Snapshot() *Snapshot {
+	if b.published == nil {
+		b.published = slices.Clone(b.hosts)
+	}
 	s := &Snapshot{
 		Self: b.self, SelfDC: b.selfDC, SelfIndex: NoHost,
-		Hosts:    slices.Clone(b.hosts),
+		Hosts:    b.published,
 		Services: b.services.publish(),
 		Backends: b.backends.publish(),
 		ByName:   b.byName.publish(),
@@ -136,10 +140,14 @@
 			removed = append(removed, i)
 			delete(b.slots, id)
 			b.hosts[i] = Host{}
+			b.published = nil
 		}
 	}
 	free := 0
 	for _, h := range hosts {
+		if h.ID == "" {
+			continue
+		}
 		i, ok := b.slots[h.ID]
 		if !ok {
 			for free < len(b.hosts) && b.hosts[free].ID != "" {
@@ -155,7 +163,10 @@
 			removed = append(removed, i)
 			added = append(added, i)
 		}
-		b.hosts[i] = h
+		if b.hosts[i] != h {
+			b.hosts[i] = h
+			b.published = nil
+		}
 	}
 	return added, removed
 }
@@ -197,7 +208,7 @@
 func (b *Builder) setOwners(s *Service, group []int) {
 	s.group = group
 	s.Owners = BuildOwners(s.Name, group, b.hosts)
-	s.Epochs = buildEpochs(&s.Owners, b.hosts)
+	s.Epochs = buildEpochs(&s.Owners, group, b.hosts)
 }
 
 // install publishes a service with its backend servers.
--- /dev/null
+++ b/internal/route/build_test.go
@@ -0,0 +1,180 @@
+package route
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/packet"
+)
+
+// properties checks with a fixed seed, so that each run has the same verdict.
+func properties(t *testing.T, add func(p *gopter.Properties)) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	p := gopter.NewProperties(parameters)
+	add(p)
+	p.TestingRun(t)
+}
+
+func testHosts(n int) []Host {
+	hosts := make([]Host, n)
+	for i := range hosts {
+		hosts[i] = testHost(i)
+	}
+	return hosts
+}
+
+// without returns the hosts with one entry freed, so that indexes stay.
+func without(hosts []Host, i int) []Host {
+	left := slices.Clone(hosts)
+	left[i] = Host{}
+	return left
+}
+
+// Guards against buckets with one owner twice, both owners in one data centre,
+// or owners that move although their hosts stay: moved buckets lose entries.
+func TestOwnerProperties(t *testing.T) {
+	properties(t, func(p *gopter.Properties) {
+		hostCount, service := gen.IntRange(2, 24), gen.Identifier()
+		p.Property("owners are distinct and in two data centres", prop.ForAll(func(n int, service string) bool {
+			hosts := testHosts(n)
+			for _, pair := range BuildOwners(service, OwnerGroup(service, hosts, 8), hosts) {
+				if pair[0] == pair[1] || hosts[pair[0]].DataCentre == hosts[pair[1]].DataCentre {
+					return false
+				}
+			}
+			return true
+		}, hostCount, service))
+		p.Property("a leaving host moves only its own buckets, and one owner stays", prop.ForAll(func(n int, service string, leaver int) bool {
+			hosts := testHosts(n)
+			group := OwnerGroup(service, hosts, n)
+			before := BuildOwners(service, group, hosts)
+			gone := uint16(leaver % n)
+			left := without(hosts, int(gone))
+			after := BuildOwners(service, OwnerGroup(service, left, n), left)
+			for bucket, old := range before {
+				now := after[bucket]
+				switch gone {
+				case old[0], old[1]:
+					survivor := old[0] + old[1] - gone
+					if now[0] != survivor && now[1] != survivor {
+						return false
+					}
+				default:
+					if now != old {
+						return false
+					}
+				}
+			}
+			return true
+		}, hostCount, service, gen.IntRange(0, 1000)))
+		p.Property("at most one host replaces a leaving one in a group", prop.ForAll(func(n int, service string, leaver int) bool {
+			hosts := testHosts(n)
+			before := OwnerGroup(service, hosts, 8)
+			gone := leaver % n
+			joined := 0
+			for _, h := range OwnerGroup(service, without(hosts, gone), 8) {
+				if !slices.Contains(before, h) {
+					joined++
+				}
+			}
+			return joined <= 1 && (joined == 0 || slices.Contains(before, gone))
+		}, hostCount, service, gen.IntRange(0, 1000)))
+	})
+}
+
+// Guards against a builder whose shared values differ from a snapshot that is
+// built from nothing, and against changes that rebuild untouched services.
+func TestBuilderSharesUnchangedServices(t *testing.T) {
+	hosts := testHosts(12)
+	service := func(i, backends int) ServiceConfig {
+		c := testService(fmt.Sprintf("service-%d", i), byte(i), packet.ProtoTCP, backends)
+		return c
+	}
+	b := NewBuilder("entry-0", "dc-0", 3)
+	b.SetHosts(hosts)
+	for i := range 40 {
+		b.SetService(service(i, 4))
+	}
+	first := b.Snapshot()
+	changes := []func() []Host{
+		func() []Host { b.SetService(service(7, 5)); return hosts },
+		func() []Host { b.RemoveService("service-9"); return hosts },
+		func() []Host { return slices.Delete(slices.Clone(hosts), 4, 5) },
+		func() []Host { return append(slices.Delete(slices.Clone(hosts), 4, 5), testHost(30)) },
+		func() []Host { h := slices.Clone(hosts); h[2].Leaving = true; return h },
+	}
+	for n, change := range changes {
+		now := change()
+		b.SetHosts(now)
+		got := b.Snapshot()
+		fresh := NewBuilder("entry-0", "dc-0", 3)
+		fresh.SetHosts(now)
+		shared := 0
+		for i := range 40 {
+			name := fmt.Sprintf("service-%d", i)
+			s := got.ByName.Get(name)
+			if s == nil {
+				if i != 9 || n == 0 {
+					t.Fatalf("change %d: %s is missing", n, name)
+				}
+				continue
+			}
+			fresh.SetService(service(i, len(s.Backends)))
+			want := fresh.Snapshot()
+			if owners(got, s) != owners(want, want.ByName.Get(name)) || s.Epochs != want.ByName.Get(name).Epochs {
+				t.Fatalf("change %d: owners of %s differ from a new build", n, name)
+			}
+			if got.Services.Get(s.Addr) != s || got.Services.Get(s.CommandAddr) != s || got.Backends.Get(s.Backends[3].Addr) != s.Backends[3] || s.Backends[3].Service != s {
+				t.Fatalf("change %d: indexes of %s disagree", n, name)
+			}
+			if s == first.ByName.Get(name) {
+				shared++
+			}
+		}
+		if n < 2 && shared < 38 || shared == 0 {
+			t.Errorf("change %d: %d services are shared", n, shared)
+		}
+	}
+	if first.ByName.Len() != 40 || first.Backends.Len() != 160 || len(first.ByName.Get("service-7").Backends) != 4 {
+		t.Error("a published snapshot has changed")
+	}
+}
+
+// owners returns the owners by ID, since indexes differ between builders.
+func owners(s *Snapshot, svc *Service) (ids [Buckets][2]string) {
+	for bucket, pair := range svc.Owners {
+		ids[bucket] = [2]string{s.Hosts[pair[0]].ID, s.Hosts[pair[1]].ID}
+	}
+	return ids
+}
+
+// Guards against shares of new flows that do not follow the weights, and
+// against more flows than the budget.
+func TestChooseFollowsWeightsAndBudgets(t *testing.T) {
+	c := testService("gridwatch", 10, packet.ProtoTCP, 4)
+	c.Backends[1].Weight = 0.5
+	c.Backends[2].Weight = 0
+	c.Backends[3].Admit = new(Budget)
+	c.Backends[3].Admit.Set(50)
+	b := NewBuilder("entry-0", "dc-0", 8)
+	b.SetService(c)
+	s := b.Snapshot().ByName.Get("gridwatch")
+	count := make(map[string]float64)
+	const flows = 30000
+	for i := range flows {
+		chosen, _ := Choose(s, mix(uint64(i)), "")
+		count[chosen.Addr.Addr().String()]++
+	}
+	if ratio := count["127.10.0.0"] / count["127.10.0.1"]; math.Abs(ratio-2) > 0.1 || count["127.10.0.2"] != 0 || count["127.10.0.3"] != 50 {
+		t.Errorf("flows %v", count)
+	}
+	if chosen, _ := Choose(s, 1, "dc-1"); chosen.DataCentre != "dc-1" {
+		t.Errorf("chose %s instead of the preferred data centre", chosen.DataCentre)
+	}
+}
--- a/internal/route/decision_test.go
+++ b/internal/route/decision_test.go
@@ -298,3 +298,45 @@
 		}
 	}
 }
+
+// Guards against two pairs of owners that admit the same flow: an arrival
+// host with an old view asks hosts that know of the new owners.
+func TestOldViewAsksFormerOwners(t *testing.T) {
+	x := newTrio(t)
+	former := []string{x.primary, x.secondary}
+	for i := range x.hosts {
+		x.hosts[i].Leaving = x.hosts[i].ID == former[0] || x.hosts[i].ID == former[1]
+	}
+	x.update(former...)
+	s := x.nodes[former[0]].snap
+	owners := s.ByName.Get("gridwatch").Owners[bucketOf(x.k.Hash())]
+	for i, h := range s.Hosts {
+		if uint16(i) != owners[0] && uint16(i) != owners[1] && !h.Leaving {
+			x.arrival = h.ID
+		}
+	}
+	for _, i := range owners {
+		x.update(s.Hosts[i].ID)
+	}
+	first := x.arrive(x.arrival, tcp(x.k, packet.FlagSYN))
+	for _, i := range owners {
+		if held, _ := x.held(s.Hosts[i].ID); first.Kind != ToBackend || held != first.Backend.Addr {
+			t.Errorf("%v, but owner %s holds %v", first, s.Hosts[i].ID, held)
+		}
+	}
+}
+
+// Guards against an overruled proposal that is used later, because the
+// winner's backend server is not yet in the proposer's documents.
+func TestOverruledByUnknownBackend(t *testing.T) {
+	x := newTrio(t)
+	x.services[0].Backends = append(x.services[0].Backends, testBackend(10, 14))
+	x.update(x.secondary)
+	x.hold(x.secondary, 14, flow.Settled)
+	if got := x.arrive(x.primary, tcp(x.k, packet.FlagSYN)); got.Kind != Drop || got.Reason != ReasonUnknownBackend {
+		t.Fatalf("first packet: %v", got)
+	}
+	if held, _ := x.held(x.primary); held.IsValid() {
+		t.Fatalf("the primary holds %v", held)
+	}
+}
--- a/internal/route/owners.go
+++ b/internal/route/owners.go
@@ -80,58 +80,84 @@
 func BuildOwners(service string, group []int, hosts []Host) [Buckets][2]uint16 {
 	var owners [Buckets][2]uint16
 	seed := xxhash.Sum64String(service)
-	ids := make([]uint64, len(group))
-	for i, h := range group {
-		ids[i] = xxhash.Sum64String(hosts[h].ID)
-	}
-	scores := make([]uint64, len(group))
+	members := newMembers(group, hosts)
 	for bucket := range owners {
-		for i, id := range ids {
-			scores[i] = mix(mix(seed^uint64(bucket)) ^ id)
-		}
-		primary := best(group, scores, hosts, func(int) bool { return true })
-		secondary := NoHost
-		if primary != NoHost {
-			dc := hosts[primary].DataCentre
-			secondary = best(group, scores, hosts, func(h int) bool { return hosts[h].DataCentre != dc })
-			if secondary == NoHost {
-				secondary = best(group, scores, hosts, func(h int) bool { return h != primary })
-			}
+		bucketSeed := mix(seed ^ uint64(bucket))
+		for i := range members {
+			members[i].score = mix(bucketSeed ^ members[i].hash)
 		}
-		owners[bucket] = [2]uint16{uint16(primary), uint16(secondary)}
+		owners[bucket] = bestPair(members)
 	}
 	return owners
 }
 
-func best(group []int, scores []uint64, hosts []Host, eligible func(host int) bool) int {
-	found := -1
-	for i, h := range group {
-		if !eligible(h) {
+// member is a host of a group while its buckets are divided.
+type member struct {
+	hash, score uint64
+	host        uint16
+	dc          int
+}
+
+// newMembers numbers the data centres, so that comparing them is cheap. The
+// order by ID decides between equal scores.
+func newMembers(group []int, hosts []Host) []member {
+	byID := slices.Clone(group)
+	slices.SortFunc(byID, func(a, b int) int { return cmp.Compare(hosts[a].ID, hosts[b].ID) })
+	numbers := make(map[string]int)
+	members := make([]member, len(byID))
+	for i, h := range byID {
+		dc, ok := numbers[hosts[h].DataCentre]
+		if !ok {
+			dc = len(numbers)
+			numbers[hosts[h].DataCentre] = dc
+		}
+		members[i] = member{hash: xxhash.Sum64String(hosts[h].ID), host: uint16(h), dc: dc}
+	}
+	return members
+}
+
+// bestPair returns the member with the highest score, and the one with the
+// highest score in another data centre, or in the same one for lack of others.
+func bestPair(members []member) [2]uint16 {
+	var first, second, elsewhere *member
+	for i := range members {
+		m := &members[i]
+		switch {
+		case first == nil || m.score > first.score:
+			if first != nil && first.dc != m.dc {
+				elsewhere = first
+			}
+			first, second = m, first
 			continue
+		case second == nil || m.score > second.score:
+			second = m
 		}
-		if found < 0 || scores[i] > scores[found] || scores[i] == scores[found] && hosts[h].ID < hosts[group[found]].ID {
-			found = i
+		if m.dc != first.dc && (elsewhere == nil || m.score > elsewhere.score) {
+			elsewhere = m
 		}
 	}
-	if found < 0 {
+	if elsewhere != nil {
+		second = elsewhere
+	}
+	return [2]uint16{first.index(), second.index()}
+}
+
+func (m *member) index() uint16 {
+	if m == nil {
 		return NoHost
 	}
-	return group[found]
+	return m.host
 }
 
 // buildEpochs returns the owner epoch of each bucket.
-func buildEpochs(owners *[Buckets][2]uint16, hosts []Host) [Buckets]uint16 {
+func buildEpochs(owners *[Buckets][2]uint16, group []int, hosts []Host) [Buckets]uint16 {
+	hashes := map[uint16]uint64{NoHost: 0}
+	for _, h := range group {
+		hashes[uint16(h)] = xxhash.Sum64String(hosts[h].ID)
+	}
 	var epochs [Buckets]uint16
 	for bucket, pair := range owners {
-		h := mix(mix(hostHash(pair[0], hosts)) ^ hostHash(pair[1], hosts))
-		epochs[bucket] = max(1, uint16(h))
+		epochs[bucket] = max(1, uint16(mix(mix(hashes[pair[0]])^hashes[pair[1]])))
 	}
 	return epochs
 }
-
-func hostHash(index uint16, hosts []Host) uint64 {
-	if index == NoHost {
-		return 0
-	}
-	return xxhash.Sum64String(hosts[index].ID)
-}
