--- a/internal/route/decision_test.go
+++ b/internal/route/decision_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -249,6 +250,12 @@
 		{nothing, forwarded(packet.ForwardHeader{Kind: packet.KindCommand, Hops: 3}), ReasonBadKind},
 		{nothing, forwarded(packet.ForwardHeader{Kind: packet.KindPropose, Hops: 3}), ReasonBadKind},
 		{nothing, forwarded(packet.ForwardHeader{Kind: packet.KindLookup, Hops: 1}), ReasonHopLimit},
+		{nothing, forwarded(packet.ForwardHeader{Kind: packet.KindReset, Hops: 3}), ReasonNoService},
+		{nothing, func(x *trio) outcome {
+			n := x.nodes[x.arrival]
+			h := packet.ForwardHeader{Kind: packet.KindReset, Hops: 3}
+			return outcome{n.router.FromPeer(n.snap, &h, parse(x.t, replyTo(x.k, packet.FlagACK)), x.now), x.arrival}
+		}, ReasonBadKind},
 		{nothing, func(x *trio) outcome {
 			return x.reply(x.arrival, testBackend(12, 0).Addr, replyTo(x.k, packet.FlagACK))
 		}, ReasonUnknownBackend},
@@ -340,3 +347,30 @@
 		t.Fatalf("the primary holds %v", held)
 	}
 }
+
+// Guards against traffic goroutines that admit one flow to two backend
+// servers, and against data races in the router.
+func TestConcurrentFirstPackets(t *testing.T) {
+	f := newFleet(t, 1, 14)
+	for i := range f.services[0].Backends {
+		// Few enough that the choice changes while the packets race.
+		f.services[0].Backends[i].Admit = new(Budget)
+		f.services[0].Backends[i].Admit.Set(40)
+	}
+	f.update()
+	n := f.nodes["entry-0"]
+	for i := range 100 {
+		info := parse(t, tcp(callerKey(i, packet.ProtoTCP), packet.FlagSYN))
+		var group sync.WaitGroup
+		var got [4]Action
+		for g := range got {
+			group.Go(func() { got[g] = n.router.FromFabric(n.snap, info, f.now) })
+		}
+		group.Wait()
+		for _, a := range got {
+			if a.Kind != ToBackend || a.Backend != got[0].Backend {
+				t.Fatalf("flow %d: %+v", i, got)
+			}
+		}
+	}
+}
--- a/internal/route/owners.go
+++ b/internal/route/owners.go
@@ -55,7 +55,10 @@
 		order = append(order, ranked{host: i, score: mix(seed ^ xxhash.Sum64String(h.ID))})
 	}
 	slices.SortFunc(order, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(hosts[a.host].ID, hosts[b.host].ID))
+		if a.score != b.score {
+			return cmp.Compare(b.score, a.score)
+		}
+		return cmp.Compare(hosts[a.host].ID, hosts[b.host].ID)
 	})
 	better := make(map[string]int)
 	for i := range order {
--- a/internal/route/replies.go
+++ b/internal/route/replies.go
@@ -89,6 +89,9 @@
 // ownerReset passes on a reset that arrived at a host without an entry, if
 // the owner's entry names the backend server that sent it.
 func (r *Router) ownerReset(q *query, h *packet.ForwardHeader) Action {
+	if !q.info.RST() {
+		return drop(ReasonBadKind)
+	}
 	e, ok := r.Table.Peek(q.key, q.hash)
 	switch {
 	case !ok || e.State == flow.Guess:
@@ -96,5 +99,9 @@
 	case e.AddrPort() != h.Choice.Addr:
 		return drop(ReasonOtherBackendReset)
 	}
-	return Action{Kind: ToCaller, Backend: q.s.Backends.Get(h.Choice.Addr)}
+	b, reason := q.check(h.Choice.Addr, h.Choice.Instance)
+	if b == nil {
+		return drop(reason)
+	}
+	return Action{Kind: ToCaller, Backend: b}
 }
