peer: contract tests over loopback; idle close lets no call begin

Cause: a call that began while its connection was closed as idle ended as unknown, although nothing had to be sent on it; the tests found this. Change: a connection is retired under a lock before it is closed as idle, a closed connection is not counted as replaced after an address change, and an expired context never sends. Add tests of refusals, bad input, call outcomes, deadlines, reconnects and silent connections, and two fuzz targets.

--- /dev/null
+++ b/internal/peer/contract_test.go
@@ -0,0 +1,432 @@
+package peer
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// waitFor waits until the condition holds. The limit only ends a broken test.
+func waitFor(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !cond(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("still waiting for %s", what)
+		}
+	}
+}
+
+func (p *Pool) counter(name string) uint64 {
+	return p.cfg.Metrics.GetOrCreateCounter("nutmeglatch_peer_" + name).Get()
+}
+
+func waitCounter(t *testing.T, p *Pool, name string) {
+	t.Helper()
+	waitFor(t, name, func() bool { return p.counter(name) > 0 })
+}
+
+// outcome names the kind of an error of Call, which must be exactly one.
+func outcome(t *testing.T, err error) string {
+	t.Helper()
+	var kinds []string
+	var remote *RemoteError
+	if errors.Is(err, ErrNotSent) {
+		kinds = append(kinds, "not sent")
+	}
+	if errors.Is(err, ErrUnknown) {
+		kinds = append(kinds, "unknown")
+	}
+	if errors.As(err, &remote) {
+		kinds = append(kinds, "remote error")
+	}
+	if err != nil && len(kinds) != 1 {
+		t.Errorf("error %v has kinds %q, want one", err, kinds)
+	}
+	return strings.Join(kinds, ",")
+}
+
+func expectOutcome(t *testing.T, err error, want string) {
+	t.Helper()
+	if got := outcome(t, err); got != want {
+		t.Errorf("outcome %q (%v), want %q", got, err, want)
+	}
+}
+
+// A host without the key, or not on the list, must not get a request through,
+// and the refusal must be counted under its reason.
+func TestHandshakeRefusals(t *testing.T) {
+	cases := []struct {
+		name, reason, direction string
+		change                  func(*Config)
+		arrange                 func(d *directory)
+	}{
+		{name: "wrong key", reason: "wrong_key", direction: "out",
+			change: func(c *Config) { c.Key = []byte("another key, as long") }},
+		{name: "caller not listed", reason: "unlisted", direction: "in", change: func(c *Config) { c.Self = "z" }},
+		{name: "another host at the address", reason: "wrong_host", direction: "in",
+			arrange: func(d *directory) { b, _ := d.lookup("b"); d.set("c", b) }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			d, called := newDirectory(), atomic.Int64{}
+			b, _ := startHost(t, d, "b", func(context.Context, string, string, json.RawMessage) (any, error) {
+				called.Add(1)
+				return nil, nil
+			}, nil)
+			l, addr := listen(t)
+			d.set("a", addr)
+			a, _ := startHost(t, d, "a", echo, func(c *Config) {
+				c.Listener = l
+				if tc.change != nil {
+					tc.change(c)
+				}
+			})
+			target := "b"
+			if tc.arrange != nil {
+				tc.arrange(d)
+				target = "c"
+			}
+			expectOutcome(t, a.Call(t.Context(), target, "m", nil, nil), "not sent")
+			p := b
+			if tc.direction == "out" {
+				p = a
+			}
+			waitCounter(t, p, fmt.Sprintf("connections_refused_total{direction=%q,reason=%q}", tc.direction, tc.reason))
+			if called.Load() != 0 {
+				t.Error("the handler ran")
+			}
+		})
+	}
+}
+
+func dialRaw(t *testing.T, d *directory, id string) net.Conn {
+	t.Helper()
+	addr, _ := d.lookup(id)
+	conn, err := net.Dial("tcp", addr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func frame(size uint32, body string) string {
+	return string(binary.BigEndian.AppendUint32(nil, size)) + body
+}
+
+// Bad input must end only the connection that it came on.
+func TestBadInput(t *testing.T) {
+	const limit = 1 << 16
+	hello := `{"version":1,"from":"a","to":"b","nonce":"` + strings.Repeat("A", 43) + `="}`
+	deep := `{"id":1,"method":"m","params":` + strings.Repeat("[", limit/2)
+	cases := []struct {
+		name, counter string
+		authenticated bool
+		send          string
+		endless       bool
+	}{
+		{name: "endless JSON before the handshake", counter: `connections_refused_total{direction="in",reason="too_large"}`, send: strings.Repeat(`{"a":`, 2000), endless: true},
+		{name: "not a handshake", counter: `connections_refused_total{direction="in",reason="malformed"}`, send: frame(2, "{}")},
+		{name: "truncated handshake", counter: `connections_refused_total{direction="in",reason="handshake_incomplete"}`, send: frame(300, "{")},
+		{name: "silent after hello", counter: `connections_refused_total{direction="in",reason="handshake_incomplete"}`, send: frame(uint32(len(hello)), hello)},
+		{name: "oversized message", counter: `connections_closed_total{direction="in",reason="message_too_large"}`, authenticated: true, send: frame(limit+1, "{}")},
+		{name: "endless JSON", counter: `connections_closed_total{direction="in",reason="malformed_message"}`, authenticated: true, send: frame(uint32(len(deep)), deep), endless: true},
+		{name: "no JSON-RPC", counter: `connections_closed_total{direction="in",reason="malformed_message"}`, authenticated: true, send: frame(2, "[]")},
+		{name: "truncated message", counter: `connections_closed_total{direction="in",reason="silent"}`, authenticated: true, send: frame(100, "{")},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			d := newDirectory()
+			b, _ := startHost(t, d, "b", echo, func(c *Config) {
+				c.MaxMessage, c.HandshakeTimeout = limit, 500*time.Millisecond
+				c.HeartbeatTimeout = 500 * time.Millisecond
+			})
+			good, _ := startHost(t, d, "good", echo, nil)
+			d.set("a", netip.AddrPort{})
+			conn := dialRaw(t, d, "b")
+			if tc.authenticated {
+				if err := dialHandshake(conn, b.cfg.Key, "a", "b"); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if _, err := io.WriteString(conn, tc.send); err != nil && !tc.endless {
+				t.Fatal(err)
+			}
+			waitCounter(t, b, tc.counter)
+			waitFor(t, "a call of another host", func() bool { return good.Call(t.Context(), "b", "m", 1, nil) == nil })
+		})
+	}
+}
+
+// Connections that never authenticate must not take more than the slots.
+func TestTooManyConnections(t *testing.T) {
+	d := newDirectory()
+	b, _ := startHost(t, d, "b", echo, func(c *Config) { c.MaxIncoming = 2; c.HandshakeTimeout = time.Hour })
+	dialRaw(t, d, "b")
+	dialRaw(t, d, "b")
+	refused := dialRaw(t, d, "b")
+	if _, err := refused.Read(make([]byte, 1)); err == nil {
+		t.Error("the third connection is served")
+	}
+	waitCounter(t, b, `connections_refused_total{direction="in",reason="too_many_connections"}`)
+}
+
+// Each way in which a call can end must have its own outcome, because a command
+// may be repeated only when it surely was not run.
+func TestCallOutcomes(t *testing.T) {
+	d := newDirectory()
+	release := make(chan struct{})
+	running := make(chan struct{}, 10)
+	b, _ := startHost(t, d, "b", func(ctx context.Context, _, method string, params json.RawMessage) (any, error) {
+		switch method {
+		case "block":
+			running <- struct{}{}
+			<-release
+		case "refuse":
+			return nil, &RemoteError{Code: 7, Message: "no"}
+		case "fail":
+			return nil, errors.New("failed")
+		case "third host busy":
+			return nil, &RemoteError{Code: CodeBusy, Message: "busy"}
+		case "large":
+			return strings.Repeat("x", 1<<17), nil
+		}
+		return params, nil
+	}, func(c *Config) { c.MaxMessage = 1 << 16; c.MaxRequests = 1 })
+	defer close(release)
+	a, _ := startHost(t, d, "a", echo, func(c *Config) { c.MaxMessage = 1 << 16 })
+	var remote *RemoteError
+	// The place of a request is free again just after its answer is sent.
+	call := func(method string, params any) (err error) {
+		waitFor(t, "a free place", func() bool {
+			err = a.Call(t.Context(), "b", method, params, nil)
+			return !errors.As(err, &remote) || remote.Code != CodeBusy
+		})
+		return err
+	}
+
+	for _, tc := range []struct {
+		method string
+		code   int64
+	}{{"refuse", 7}, {"fail", CodeHandler}, {"third host busy", CodeHandler}, {"large", CodeHandler}} {
+		err := call(tc.method, nil)
+		expectOutcome(t, err, "remote error")
+		if errors.As(err, &remote) && (remote.Code != tc.code || remote.NotRun()) {
+			t.Errorf("%s: %+v, want code %d", tc.method, remote, tc.code)
+		}
+	}
+	expectOutcome(t, call("m", strings.Repeat("x", 1<<17)), "not sent")
+	expectOutcome(t, call("m", make(chan int)), "not sent")
+	expectOutcome(t, a.Call(t.Context(), "nobody", "m", nil, nil), "not sent")
+	waitFor(t, "an answer that does not fit the result", func() bool {
+		var number int
+		return outcome(t, a.Call(t.Context(), "b", "m", "text", &number)) == "unknown"
+	})
+
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	if err := call("m", nil); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		err := a.Call(ctx, "b", "block", nil, nil)
+		for errors.As(err, new(*RemoteError)) {
+			err = a.Call(ctx, "b", "block", nil, nil)
+		}
+		ended <- err
+	}()
+	<-running
+	if err := a.Call(t.Context(), "b", "m", nil, nil); !errors.As(err, &remote) || !remote.NotRun() {
+		t.Errorf("got %v, want a refusal because of the request in progress", err)
+	}
+	cancel()
+	expectOutcome(t, <-ended, "unknown")
+	ctx, cancel = context.WithTimeout(t.Context(), time.Nanosecond)
+	defer cancel()
+	expectOutcome(t, a.Call(ctx, "b", "m", nil, nil), "not sent")
+	d.remove("a")
+	if err := call("m", nil); !errors.As(err, &remote) || remote.Code != CodeUnlisted {
+		t.Errorf("got %v, want a refusal because the host is not listed any more", err)
+	}
+	waitCounter(t, b, `connections_closed_total{direction="in",reason="unlisted"}`)
+}
+
+// A call that is not answered must end at its deadline and leave the connection
+// usable.
+func TestCallDeadline(t *testing.T) {
+	d := newDirectory()
+	startHost(t, d, "b", func(ctx context.Context, _, method string, _ json.RawMessage) (any, error) {
+		if method == "block" {
+			<-ctx.Done()
+		}
+		return nil, nil
+	}, nil)
+	a, _ := startHost(t, d, "a", echo, func(c *Config) { c.CallTimeout = time.Second })
+	waitFor(t, "the connection", func() bool { return a.Call(t.Context(), "b", "m", nil, nil) == nil })
+	err := a.Call(t.Context(), "b", "block", nil, nil)
+	expectOutcome(t, err, "unknown")
+	if !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("got %v, want the deadline", err)
+	}
+	waitFor(t, "a call that succeeds", func() bool { return a.Call(t.Context(), "b", "m", nil, nil) == nil })
+}
+
+// Concurrent calls must share one connection and each get its own answer.
+func TestConcurrentCalls(t *testing.T) {
+	d := newDirectory()
+	startHost(t, d, "b", echo, func(c *Config) { c.MaxRequests = 200 })
+	var dials atomic.Int64
+	a, _ := startHost(t, d, "a", echo, func(c *Config) {
+		c.Dial = func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+			dials.Add(1)
+			return dialTCP(ctx, addr)
+		}
+	})
+	var calls sync.WaitGroup
+	for want := range 100 {
+		calls.Go(func() {
+			var got int
+			if err := a.Call(t.Context(), "b", "m", want, &got); err != nil || got != want {
+				t.Errorf("got %d, %v, want %d", got, err, want)
+			}
+		})
+	}
+	calls.Wait()
+	if dials.Load() != 1 {
+		t.Errorf("%d connections, want 1", dials.Load())
+	}
+}
+
+// A host that restarts must be reachable without a failed call once it listens
+// again; while it is down, calls are surely not sent.
+func TestReconnect(t *testing.T) {
+	d := newDirectory()
+	_, stop := startHost(t, d, "b", echo, nil)
+	seen, _ := d.lookup("b") // the address that host a keeps
+	a, _ := startHost(t, d, "a", echo, func(c *Config) {
+		c.Dial = func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+			addr, _ := d.lookup("b")
+			return dialTCP(ctx, addr)
+		}
+	})
+	a.lookup = func(string) (netip.AddrPort, bool) { return seen, true }
+	call := func() error { return a.Call(t.Context(), "b", "m", nil, nil) }
+	if err := call(); err != nil {
+		t.Fatal(err)
+	}
+	stop()
+	waitFor(t, "a call that is not sent", func() bool { return outcome(t, call()) == "not sent" })
+	startHost(t, d, "b", echo, nil)
+	if err := call(); err != nil {
+		t.Error(err)
+	}
+	seen = netip.MustParseAddrPort("127.0.0.1:1") // the host moves
+	if err := call(); err != nil {
+		t.Error(err)
+	}
+	if n := a.counter(`connections_closed_total{direction="out",reason="address_changed"}`); n != 1 {
+		t.Errorf("%d connections closed after the move, want 1", n)
+	}
+}
+
+// A connection without calls must be closed.
+func TestIdle(t *testing.T) {
+	d := newDirectory()
+	startHost(t, d, "b", echo, nil)
+	a, _ := startHost(t, d, "a", echo, func(c *Config) { c.IdleTimeout = time.Millisecond })
+	for range 2 {
+		if err := a.Call(t.Context(), "b", "m", nil, nil); err != nil {
+			t.Fatal(err)
+		}
+		waitCounter(t, a, `connections_closed_total{direction="out",reason="idle"}`)
+	}
+}
+
+// relay forwards connections to a host. The connections open at a call of stall
+// deliver nothing more and stay open; later ones work.
+type relay struct {
+	mu    sync.Mutex
+	epoch int
+}
+
+func (r *relay) stall() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.epoch++
+}
+
+func (r *relay) stalled(epoch int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.epoch != epoch
+}
+
+func (r *relay) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	near, far := net.Pipe()
+	remote, err := dialTCP(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	epoch := r.epoch
+	r.mu.Unlock()
+	go r.copy(remote, far, epoch)
+	go r.copy(far, remote, epoch)
+	return near, nil
+}
+
+func (r *relay) copy(to, from net.Conn, epoch int) {
+	defer to.Close()
+	b := make([]byte, 4096)
+	for {
+		n, err := from.Read(b)
+		if err != nil {
+			return
+		}
+		if r.stalled(epoch) {
+			continue
+		}
+		if _, err := to.Write(b[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// A connection that goes silent must be replaced, although it stays open and its
+// call in progress would never end.
+func TestSilentConnection(t *testing.T) {
+	d := newDirectory()
+	running := make(chan struct{}, 1)
+	b, _ := startHost(t, d, "b", func(ctx context.Context, _, method string, _ json.RawMessage) (any, error) {
+		if method == "block" {
+			running <- struct{}{}
+			<-ctx.Done()
+		}
+		return nil, nil
+	}, nil)
+	r := &relay{}
+	a, _ := startHost(t, d, "a", echo, func(c *Config) {
+		c.Dial, c.HeartbeatTimeout, c.CallTimeout = r.dial, 2*time.Second, time.Hour
+	})
+	ended := make(chan error)
+	go func() { ended <- a.Call(t.Context(), "b", "block", nil, nil) }()
+	<-running
+	r.stall()
+	expectOutcome(t, <-ended, "unknown")
+	waitCounter(t, a, `connections_closed_total{direction="out",reason="heartbeat_missed"}`)
+	if err := a.Call(t.Context(), "b", "m", nil, nil); err != nil {
+		t.Error(err)
+	}
+	waitFor(t, "one incoming connection", func() bool { b.mu.Lock(); defer b.mu.Unlock(); return len(b.incoming) == 1 })
+}
--- /dev/null
+++ b/internal/peer/datagram_test.go
@@ -0,0 +1,144 @@
+package peer
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+)
+
+var datagramKey = &[16]byte{1, 2, 3}
+
+// Every change of a datagram must be refused under its reason.
+func TestOpenDatagramRefuses(t *testing.T) {
+	good := SealDatagram(nil, datagramKey, "a", 7, 8, []byte("body"))
+	change := func(i int) []byte { b := bytes.Clone(good); b[i] ^= 0xFF; return b }
+	cases := []struct {
+		name  string
+		input []byte
+		want  error
+	}{
+		{"unchanged", good, nil},
+		{"empty", nil, ErrShort},
+		{"truncated", good[:len(good)-1], ErrTag},
+		{"truncated to the header", good[:20], ErrShort},
+		{"extended", append(bytes.Clone(good), 0), ErrTag},
+		{"forwarded packet", change(0), ErrVersion},
+		{"id length beyond the end", append([]byte{DatagramVersion, 60}, good[2:]...), ErrShort},
+		{"id too long", change(1), ErrSender},
+		{"no id", SealDatagram(nil, datagramKey, "", 7, 8, []byte("body")), ErrSender},
+		{"other id", change(2), ErrTag},
+		{"other boot", change(3), ErrTag},
+		{"other body", change(len(good) - 10), ErrTag},
+		{"other tag", change(len(good) - 1), ErrTag},
+		{"wrong key", SealDatagram(nil, new([16]byte), "a", 7, 8, nil), ErrTag},
+		{"oversized", SealDatagram(nil, datagramKey, "a", 7, 8, make([]byte, MaxDatagram)), ErrLong},
+	}
+	for _, tc := range cases {
+		d, err := OpenDatagram(tc.input, datagramKey)
+		if !errors.Is(err, tc.want) {
+			t.Errorf("%s: got %v, want %v", tc.name, err, tc.want)
+		}
+		if err == nil && (d.From != "a" || d.Boot != 7 || d.Seq != 8 || string(d.Body) != "body") {
+			t.Errorf("%s: got %+v", tc.name, d)
+		}
+	}
+}
+
+// A datagram that is received again must be refused, and late ones accepted
+// once within the window.
+func TestReplayFilter(t *testing.T) {
+	f := NewReplayFilter()
+	steps := []struct {
+		from      string
+		boot, seq uint64
+		want      error
+	}{
+		{"a", 5, 100, nil},
+		{"a", 5, 100, ErrReplay},
+		{"a", 5, 37, nil},
+		{"a", 5, 37, ErrReplay},
+		{"a", 5, 36, ErrOld},
+		{"b", 5, 100, nil},
+		{"a", 5, 1000, nil},
+		{"a", 5, 100, ErrOld},
+		{"a", 5, 999, nil},
+		{"a", 6, 1, nil},
+		{"a", 6, 1, ErrReplay},
+		{"a", 5, 1000, ErrReplay}, // the previous boot keeps its window
+		{"a", 5, 1001, nil},
+		{"a", 4, 1, ErrOldBoot},
+		{"a", 7, 0, nil},
+		{"a", 7, 0, ErrReplay},
+		{"a", 5, 1002, ErrOldBoot},
+	}
+	for i, s := range steps {
+		if err := f.Accept(&Datagram{From: s.from, Boot: s.boot, Seq: s.seq}); !errors.Is(err, s.want) {
+			t.Errorf("step %d %+v: got %v", i, s, err)
+		}
+	}
+	f.Retain(func(id string) bool { return id == "b" })
+	if len(f.senders) != 1 {
+		t.Errorf("%d senders, want the listed one", len(f.senders))
+	}
+}
+
+// Every reason must have its own counter.
+func TestCountRefusedDatagram(t *testing.T) {
+	set := metrics.NewSet()
+	for _, r := range datagramReasons {
+		CountRefusedDatagram(set, errors.Wrap(r.err, "receive"))
+		if n := set.GetOrCreateCounter(`nutmeglatch_peer_datagrams_refused_total{reason="` + r.reason + `"}`).Get(); n != 1 {
+			t.Errorf("%s: counted %d times, want 1", r.reason, n)
+		}
+	}
+}
+
+// The accepting host's MAC must not be usable as the dialling host's.
+func TestChallengeRoles(t *testing.T) {
+	c := challenge{dialler: "a", acceptor: "b", diallerNonce: newNonce(), acceptorNonce: newNonce()}
+	if err := c.verify(nil, roleDialler, c.mac(nil, roleAcceptor)); !errors.Is(err, errMAC) {
+		t.Errorf("got %v, want %v", err, errMAC)
+	}
+}
+
+func FuzzOpenDatagram(f *testing.F) {
+	f.Add(SealDatagram(nil, datagramKey, "a", 7, 8, []byte("body")))
+	f.Add([]byte{DatagramVersion, MaxIDBytes})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d, err := OpenDatagram(b, datagramKey)
+		if err == nil && !bytes.Equal(SealDatagram(nil, datagramKey, d.From, d.Boot, d.Seq, d.Body), b) {
+			t.Error("a datagram that was opened differs when sealed again")
+		}
+	})
+}
+
+func FuzzDecodeHandshake(f *testing.F) {
+	f.Add([]byte(`{"version":1,"from":"a","to":"b","nonce":"` + strings.Repeat("A", 43) + `="}`))
+	f.Add([]byte(`{"version":1,"ok":true}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := decodeHandshake(b)
+		if err == nil && (len(m.From) > MaxIDBytes || len(m.Nonce) > nonceBytes || len(m.MAC) > sha256.Size) {
+			t.Errorf("accepted %+v", m)
+		}
+	})
+}
+
+func BenchmarkDatagram(b *testing.B) {
+	body := make([]byte, 200)
+	buf := make([]byte, 0, MaxDatagram)
+	f := NewReplayFilter()
+	b.ReportAllocs()
+	for seq := uint64(1); b.Loop(); seq++ {
+		d, err := OpenDatagram(SealDatagram(buf, datagramKey, "lhr-gulberg-1", 7, seq, body), datagramKey)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := f.Accept(&d); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/peer/outgoing.go
+++ b/internal/peer/outgoing.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,7 +15,7 @@
 // pingMethod is the method of heartbeats. The handler does not see it.
 const pingMethod = "peer.ping"
 
-// errConnClosed is an ErrNotSent: the connection ended before the call.
+// errConnClosed comes with ErrNotSent: the connection ended before the call.
 var errConnClosed = errors.New("connection is closed")
 
 // outgoing is a connection that this host dialled, used for its calls.
@@ -27,10 +26,13 @@
 	stream *stream
 	rpc    *jsonrpc2.Conn
 
-	sending  chan struct{} // serialises requests, see send
-	calls    atomic.Int64  // calls in progress
-	lastCall atomic.Int64  // Unix time in nanoseconds
-	once     sync.Once
+	sending chan struct{} // serialises requests, see send
+	once    sync.Once
+
+	mu       sync.Mutex
+	calls    int // in progress
+	lastCall time.Time
+	retired  bool // accepts no more calls
 	ctx      context.Context
 	cancel   context.CancelFunc
 }
@@ -43,7 +45,7 @@
 		sending: make(chan struct{}, 1),
 		stream:  newStream(conn, &p.cfg),
 	}
-	o.touch()
+	o.lastCall = time.Now()
 	o.ctx, o.cancel = context.WithCancel(p.ctx)
 	o.rpc = jsonrpc2.NewConn(o.ctx, o.stream, refuseRequests{o}, jsonrpc2.SetLogger(rpcLogger{p.log}))
 	close(o.stream.ready)
@@ -54,15 +56,44 @@
 	return o, nil
 }
 
-func (o *outgoing) touch() { o.lastCall.Store(time.Now().UnixNano()) }
+// begin registers a call. It reports false when the connection is being closed
+// because it was idle.
+func (o *outgoing) begin() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.retired {
+		return false
+	}
+	o.calls++
+	return true
+}
+
+func (o *outgoing) end() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.calls--
+	o.lastCall = time.Now()
+}
 
+// retire reports whether the connection has been idle for long enough, and then
+// lets no call begin, since the call's outcome would be unknown.
+func (o *outgoing) retire(idle time.Duration) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.retired = o.calls == 0 && time.Since(o.lastCall) >= idle
+	return o.retired
+}
+
+// isClosed reports whether the connection accepts no more calls.
 func (o *outgoing) isClosed() bool {
 	select {
 	case <-o.rpc.DisconnectNotify():
 		return true
 	default:
-		return false
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.retired
 }
 
 // close closes the connection and counts the first reason given.
@@ -90,8 +121,7 @@
 			return
 		case <-ticker.C:
 		}
-		idle := time.Since(time.Unix(0, o.lastCall.Load()))
-		if o.calls.Load() == 0 && idle >= o.pool.cfg.IdleTimeout {
+		if o.retire(o.pool.cfg.IdleTimeout) {
 			o.close("idle")
 			return
 		}
@@ -133,6 +163,9 @@
 		return jsonrpc2.Waiter{}, errors.Mark(ctx.Err(), ErrNotSent)
 	}
 	defer func() { <-o.sending }()
+	if err := ctx.Err(); err != nil {
+		return jsonrpc2.Waiter{}, errors.Mark(err, ErrNotSent)
+	}
 	o.stream.written.Store(false)
 	waiter, err := o.rpc.DispatchCall(ctx, method, params)
 	if err == nil || o.stream.written.Load() {
@@ -152,9 +185,10 @@
 }
 
 func (o *outgoing) call(ctx context.Context, method string, params, result any) error {
-	o.calls.Add(1)
-	defer o.calls.Add(-1)
-	defer o.touch()
+	if !o.begin() {
+		return errors.Mark(errConnClosed, ErrNotSent)
+	}
+	defer o.end()
 	waiter, err := o.send(ctx, method, params)
 	if err != nil {
 		return errors.Wrapf(err, "call to %s", o.host)
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -159,12 +159,11 @@
 		return nil, ctx.Err()
 	}
 	defer func() { <-r.slot }()
-	if r.conn != nil && r.conn.addr == addr && !r.conn.isClosed() {
-		return r.conn, nil
-	}
-	if r.conn != nil {
+	if r.conn != nil && !r.conn.isClosed() {
+		if r.conn.addr == addr {
+			return r.conn, nil
+		}
 		r.conn.close("address_changed")
-		r.conn = nil
 	}
 	r.conn, err = p.dial(ctx, host, addr)
 	return r.conn, err
