admission: hand charges over exactly, test the allowance as a property

Change: what a host gives up and what it keeps is computed against the part that it last held; gaining hosts retain the whole charge when the views that they start from differ. Properties run over several States with lost, duplicated and delayed reports. Slots and the poller have table tests.

--- a/internal/admission/charge.go
+++ b/internal/admission/charge.go
@@ -47,6 +47,7 @@
 		for _, b := range g.order {
 			s.setCharged(now, b, max(counts[b.addr], 0), moving)
 		}
+		g.handedOver = g.handedOver || moving
 		s.advance(now, g)
 	}
 }
@@ -61,8 +62,12 @@
 		b.since = 0
 	}
 	b.mark = 0
-	if after := b.counted() - b.granted; moving {
-		s.moveCharges(now, b, max(before-after, 0))
+	lost := max(before-(b.counted()-b.granted), 0)
+	switch {
+	case moving && b.group.handedOver:
+		b.retain(now, lost) // members have seen what this view hands over
+	case moving:
+		s.moveCharges(now, b, lost)
 	}
 	b.replaceRetained(n - before)
 }
@@ -78,18 +83,25 @@
 	return b.counted() + b.retainedFlows(now) + b.lentFlows(now)
 }
 
-// moveCharges decides what becomes of flows that are no longer counted here
-// after a loss of buckets. As much as the share falls goes to the hosts that
-// gained the buckets, and the rest stays charged here, so that no host's
-// charges exceed what its share and its loans allow.
+// moveCharges hands charges over after a change of the buckets. lost is the
+// number of flows that are not counted here any more. As much of them as this
+// host's part falls goes to the hosts that gained the buckets, and the rest
+// stays charged here. What exceeds the new part and the loans goes to them in
+// any case: they leave that much of their own parts unused.
 func (s *State) moveCharges(now time.Time, b *backend, lost int) {
 	level, _ := s.level(now, b)
-	share := b.share(s.self, level)
-	drop := max(b.baseShare(s.self, level)-share-b.moved, 0)
+	share := b.group.view.apportion(s.self, b.key, level)
+	drop := max(b.group.prior.part(s.self, b.key, level)-share, 0)
 	excess := b.occupied(now) + lost - share - b.heldLoans()
-	transfer := min(max(lost, excess, 0), drop)
-	b.moved += transfer
-	b.retain(now, lost-transfer)
+	b.moved = max(min(lost, drop), excess, 0)
+	b.retain(now, lost-b.moved)
+}
+
+// keepMoved takes back the charges that an unconfirmed view handed over.
+// Members that accepted them keep them too.
+func (b *backend) keepMoved(now time.Time) {
+	b.retain(now, b.moved)
+	b.moved = 0
 }
 
 func (b *backend) retain(now time.Time, flows int) {
--- a/internal/admission/handover.go
+++ b/internal/admission/handover.go
@@ -6,17 +6,29 @@
 // effect at once; own gains wait until every member has confirmed the view.
 func (s *State) setView(now time.Time, g *group, v *view, lost int) {
 	mine := v.buckets(s.self)
+	if !g.awaitSweep {
+		g.prior = g.limits()
+	}
 	if lost > 0 || mine < g.view.buckets(s.self) {
 		g.awaitSweep, g.freshSweep = true, false
 	}
 	if g.view != nil && g.view.epoch == v.epoch {
 		return
 	}
+	g.skipped = !g.complete
 	if g.complete {
 		g.base, g.least = g.view, g.view.buckets(s.self)
 	}
 	g.least = min(g.least, mine)
 	g.view, g.complete, g.changed = v, false, now
+	for _, b := range g.order {
+		b.shareLevel = -1
+		b.keepMoved(now)
+		if !g.awaitSweep {
+			s.moveCharges(now, b, 0)
+		}
+	}
+	g.handedOver = !g.awaitSweep
 	s.setPeers(now, g)
 	s.advance(now, g)
 }
@@ -47,28 +59,35 @@
 // retainGone charges this host's part of the last reported charges of a host
 // that cannot report them any more.
 func (s *State) retainGone(now time.Time, g *group, p *peer) {
-	num, den := g.view.gain(g.base, s.self)
-	if num == 0 {
-		return
-	}
 	for _, b := range g.order {
-		b.retain(now, ceilDiv(p.rows[b.addr].charged*num, den))
+		s.retainPart(now, b, p.rows[b.addr].charged)
 	}
 }
 
-// retainMoved charges this host's part of what a member handed over. Views
-// that members confirmed differently cannot be compared bucket by bucket; the
-// whole charge is then kept.
+// retainMoved charges this host's part of what a member handed over. The parts
+// cannot be compared when the two hosts do not start from the same confirmed
+// view, or when a view in between may have handed charges over; this host then
+// retains the whole charge if it gains buckets.
 func (s *State) retainMoved(now time.Time, g *group, p *peer, base uint32) {
-	num, den := g.view.gain(g.base, s.self)
-	if num == 0 {
-		return
+	gains := g.view.buckets(s.self) > g.least
+	whole := gains && (g.base.digest() != base || g.skipped)
+	for _, b := range g.order {
+		if whole {
+			b.retain(now, p.rows[b.addr].moved)
+			continue
+		}
+		s.retainPart(now, b, p.rows[b.addr].moved)
 	}
-	if g.base == nil || g.base.epoch != base {
-		num, den = 1, 1
+}
+
+func (s *State) retainPart(now time.Time, b *backend, flows int) {
+	if flows == 0 {
+		return
 	}
-	for _, b := range g.order {
-		b.retain(now, ceilDiv(p.rows[b.addr].moved*num, den))
+	level, _ := s.level(now, b)
+	num, den := b.group.view.gain(b.group.base, s.self, b.key, level)
+	if num > 0 {
+		b.retain(now, ceilDiv(flows*num, den))
 	}
 }
 
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -59,17 +59,24 @@
 	return 0
 }
 
-// gain returns the fraction (num/den) of the buckets that moved between the
-// two views that went to the host.
-func (v *view) gain(base *view, id string) (num, den int) {
+// gain returns the fraction (num/den) of what moved between the two views
+// that went to the host, by buckets or by parts of the allowance, whichever is
+// larger: rounding can raise the part of a host that gained no bucket.
+func (v *view) gain(base *view, self string, key uint64, level int) (num, den int) {
+	var partNum, partDen int
 	for i := range v.hosts {
 		h := &v.hosts[i]
 		n := max(h.buckets-base.buckets(h.id), 0)
+		part := max(v.apportion(h.id, key, level)-base.apportion(h.id, key, level), 0)
 		den += n
-		if h.id == id {
-			num = n
+		partDen += part
+		if h.id == self {
+			num, partNum = n, part
 		}
 	}
+	if partNum*den > num*partDen {
+		return partNum, partDen
+	}
 	return num, den
 }
 
@@ -118,30 +125,38 @@
 	return best
 }
 
-// share returns this host's part of the allowance. Between a change of the
-// buckets and its confirmation by all members it is the smallest part in any
-// view since the last confirmed one.
-func (b *backend) share(self string, level int) int {
-	if b.shareLevel == level {
-		return b.shareValue
+// limits bound a host's part: the whole part by the view, or while members
+// have not confirmed a newer one, the smallest part in any view since.
+type limits struct {
+	view  *view
+	least int // fewest buckets since view, or wholePart
+}
+
+// wholePart means that the part by the view is not reduced.
+const wholePart = Buckets + 1
+
+func (l limits) part(self string, key uint64, level int) int {
+	n := l.view.apportion(self, key, level)
+	if l.least == wholePart {
+		return n
 	}
-	g := b.group
-	key := xxhash.Sum64String(b.addr.String())
+	return min(n, level*l.least/Buckets)
+}
+
+func (g *group) limits() limits {
 	if g.complete {
-		b.shareValue = g.view.apportion(self, key, level)
-	} else {
-		b.shareValue = min(g.base.apportion(self, key, level), level*g.least/Buckets)
+		return limits{view: g.view, least: wholePart}
 	}
-	b.shareLevel = level
-	return b.shareValue
+	return limits{view: g.base, least: g.least}
 }
 
-// baseShare returns this host's part by the last confirmed view.
-func (b *backend) baseShare(self string, level int) int {
-	if b.group.complete {
-		return b.share(self, level)
+// share returns this host's part of the allowance.
+func (b *backend) share(self string, level int) int {
+	if b.shareLevel != level {
+		b.shareValue = b.group.limits().part(self, b.key, level)
+		b.shareLevel = level
 	}
-	return b.group.base.apportion(self, xxhash.Sum64String(b.addr.String()), level)
+	return b.shareValue
 }
 
 // level returns the allowance of the whole backend server at now, and whether
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -6,6 +6,8 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/health"
 )
@@ -51,17 +53,21 @@
 	view     *view      // newest bucket counts
 	base     *view      // the last view that every member confirmed
 	least    int        // fewest own buckets in any view since base
+	skipped  bool       // a view between base and view was not confirmed
 	complete bool       // every member confirmed the view
 	changed  time.Time
 	// awaitSweep is set after a loss of buckets until a sweep has shown which
 	// charged flows went with them.
 	awaitSweep bool
-	freshSweep bool // the sweep in progress started after the last change
+	handedOver bool   // moved is final for this view
+	prior      limits // before the changes that no sweep has followed yet
+	freshSweep bool   // the sweep in progress started after the last change
 	peers      map[string]*peer
 }
 
 type backend struct {
 	addr      netip.AddrPort
+	key       uint64 // hash of addr
 	dc        string
 	doc       document.BackendServer
 	group     *group
@@ -133,7 +139,7 @@
 			addr := dc.BackendServers[i].AddrPort()
 			b := old[addr]
 			if b == nil || b.group.name != g.name {
-				b = &backend{addr: addr, firstSeen: now}
+				b = &backend{addr: addr, key: xxhash.Sum64String(addr.String()), firstSeen: now}
 			}
 			b.group, b.dc, b.doc, b.shareLevel = g, dc.Name, dc.BackendServers[i], -1
 			s.backends[addr] = b
