admission: table tests, loans of hosts that are gone

Cause: a loan to a host that was gone stayed deducted beside its last reported charges, which include the flows on the loan. Change: such loans are dropped; tests with explicit times for handover, loans, the ramp, draining, budgets and refusals; fuzz target of the decoder.

--- a/internal/admission/charge.go
+++ b/internal/admission/charge.go
@@ -80,7 +80,7 @@
 
 // occupied is the part of the allowance that this host cannot admit to.
 func (b *backend) occupied(now time.Time) int {
-	return b.counted() + b.retainedFlows(now) + b.lentFlows(now)
+	return b.counted() + b.retainedFlows(now) + b.lentFlows()
 }
 
 // moveCharges hands charges over after a change of the buckets. lost is the
--- a/internal/admission/handover.go
+++ b/internal/admission/handover.go
@@ -51,8 +51,11 @@
 		g.peers[id] = p
 		delete(old, id)
 	}
-	for _, p := range old {
+	for id, p := range old {
 		s.retainGone(now, g, p)
+		for _, b := range g.order {
+			delete(b.lent, id) // its charges include the flows on loans
+		}
 	}
 }
 
--- a/internal/admission/loan.go
+++ b/internal/admission/loan.go
@@ -14,8 +14,7 @@
 // depends on no clock.
 type lending struct {
 	grants []grant
-	owed   int       // by the borrower's last answer
-	at     time.Time // of the last grant or answer
+	owed   int // by the borrower's last answer
 }
 
 type grant struct {
@@ -39,22 +38,16 @@
 }
 
 // settle applies a report that answers everything up to ack.
-func (l *lending) settle(now time.Time, ack uint64, owed int) {
+func (l *lending) settle(ack uint64, owed int) {
 	l.grants = slices.DeleteFunc(l.grants, func(g grant) bool { return g.seq <= ack })
-	l.owed, l.at = owed, now
+	l.owed = owed
 }
 
-// lentFlows sums what is lent. A loan to a host that went away without an
-// answer returns when its flows are idle.
-func (b *backend) lentFlows(now time.Time) int {
+// lentFlows sums what is lent.
+func (b *backend) lentFlows() int {
 	sum := 0
-	for id, l := range b.lent {
-		n := l.flows()
-		if n == 0 || b.group.peers[id] == nil && now.Sub(l.at) >= b.group.flowIdle {
-			delete(b.lent, id)
-			continue
-		}
-		sum += n
+	for _, l := range b.lent {
+		sum += l.flows()
 	}
 	return sum
 }
@@ -147,7 +140,6 @@
 	}
 	b.lent[id] = l
 	l.grants = append(l.grants, grant{flows: flows, seq: seq})
-	l.at = now
 	if len(l.grants) > maxGrants {
 		l.grants[1].flows = max(l.grants[0].flows, l.grants[1].flows)
 		l.grants = l.grants[1:]
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -271,7 +271,7 @@
 	p.waits = p.waits || r.Flags&flagWait != 0
 	p.ackDue = p.ackDue || p.waits || len(r.Rows) > 0
 	s.acceptRows(now, g, from, p, r)
-	s.settleLoans(now, g, from, p, r.Ack)
+	g.settleLoans(from, p, r.Ack)
 	if r.Flags&flagReady == 0 {
 		return
 	}
@@ -314,10 +314,15 @@
 	})
 }
 
-func (s *State) settleLoans(now time.Time, g *group, from string, p *peer, ack uint64) {
+func (g *group) settleLoans(from string, p *peer, ack uint64) {
 	for _, b := range g.order {
-		if l := b.lent[from]; l != nil {
-			l.settle(now, ack, p.rows[b.addr].owed)
+		l := b.lent[from]
+		if l == nil {
+			continue
+		}
+		l.settle(ack, p.rows[b.addr].owed)
+		if l.flows() == 0 {
+			delete(b.lent, from)
 		}
 	}
 }
--- /dev/null
+++ b/internal/admission/state_test.go
@@ -0,0 +1,280 @@
+package admission
+
+import (
+	"encoding/json"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/health"
+)
+
+// fill lets a host use its whole budget.
+func (w *world) fill(h int) {
+	w.tick(h, true)
+	w.admit(h, 0, 1<<20)
+	w.tick(h, true)
+}
+
+// Guards the flows of buckets that change hands: they stay charged until
+// refreshes replace them, and no longer than flow_idle.
+func TestHandoverKeepsCharges(t *testing.T) {
+	w := newWorld(2, 200, 200)
+	w.settle(10)
+	w.fill(0)
+	w.fill(1)
+	if len(w.flows) != 200 {
+		t.Fatalf("%d flows open, want the allowance of 200", len(w.flows))
+	}
+	w.move(0, 1, 128)
+	w.sync(0)
+	w.sync(1)
+	w.settle(10)
+	if n := w.hosts[1].budget; n != 0 {
+		t.Errorf("the new owner may admit %d flows beside the 200 open ones", n)
+	}
+	for i := range w.flows {
+		w.refresh(i, 0)
+	}
+	w.settle(3)
+	b := w.hosts[1].state.groups["gridwatch"].order[0]
+	if b.charged != 200 || b.retainedFlows(w.now) != 0 {
+		t.Errorf("%d charged and %d retained after all refreshes, want 200 and 0", b.charged, b.retainedFlows(w.now))
+	}
+	for range 50 {
+		w.end(0)
+	}
+	w.settle(3)
+	if n := w.hosts[1].budget; n != 50 {
+		t.Errorf("%d new flows after 50 ended, want 50", n)
+	}
+}
+
+// Guards the same when the previous owner is gone and cannot report: its last
+// reported charges count until flow_idle has passed.
+func TestGoneHostStaysCharged(t *testing.T) {
+	w := newWorld(2, 200, 200)
+	w.settle(10)
+	w.fill(0)
+	w.settle(12)
+	s := w.hosts[1].state
+	s.SetServices(w.now, hostID(1), Input{
+		Services: []ServiceInput{{Doc: w.doc, Buckets: map[string]int{hostID(1): Buckets}}},
+		Verdicts: w.verdicts(w.hosts[1]),
+	})
+	s.Admitted(w.now, nil)
+	if n := s.Allowances(w.now)[backendAddr(1)].NewFlows; n != 100 {
+		t.Errorf("%d new flows while 100 of the lost host are open, want 100", n)
+	}
+	s.Admitted(w.now, nil)
+	idle := w.now.Add(w.doc.FlowIdle.Std())
+	if n := s.Allowances(idle)[backendAddr(1)].NewFlows; n != 200 {
+		t.Errorf("%d new flows after flow_idle, want 200", n)
+	}
+}
+
+// Guards against unused allowance that is stranded, and against loans that
+// the lender never gets back.
+func TestLoans(t *testing.T) {
+	w := newWorld(2, 200, 200)
+	w.settle(10)
+	w.fill(0)
+	for range 3 {
+		w.settle(12)
+		w.admit(0, 0, 1<<20)
+	}
+	open := len(w.flows)
+	if open <= 100 {
+		t.Errorf("%d flows open at the busy host, want more than its part of 100", open)
+	}
+	for len(w.flows) > 50 {
+		w.end(0)
+	}
+	lender := w.hosts[1].state.groups["gridwatch"].order[0]
+	w.settle(60)
+	if n := lender.lentFlows(); n != 0 {
+		t.Errorf("%d flows still lent 6 s after the borrower stopped to need them, want 0", n)
+	}
+	if n := w.hosts[1].budget; n != 100 {
+		t.Errorf("the lender may admit %d flows, want its part of 100", n)
+	}
+}
+
+// Guards a loan that flows still use: it must not return when it expires.
+func TestUsedLoanStaysLent(t *testing.T) {
+	w := newWorld(2, 200, 200)
+	w.settle(10)
+	w.fill(0)
+	for range 3 {
+		w.settle(12)
+		w.admit(0, 0, 1<<20)
+	}
+	w.queue = nil
+	w.now = w.now.Add(30 * time.Second)
+	for h := range w.hosts {
+		w.tick(h, true)
+	}
+	if a := w.admissible(); a > 200 {
+		t.Errorf("%d flows open or admissible while the hosts are silent, allowed 200", a)
+	}
+}
+
+// Guards the sources that stop new work at a backend server.
+func TestNoNewWork(t *testing.T) {
+	first := backendAddr(1)
+	verdict := func(v health.Verdict) func(*Input) {
+		return func(in *Input) { in.Verdicts = map[netip.AddrPort]health.Verdict{first: v} }
+	}
+	tests := []struct {
+		name   string
+		change func(*Input)
+		admits bool
+	}{
+		{"nothing", func(*Input) {}, true},
+		{"kept although it looks bad", verdict(health.Verdict{Usable: true, Known: true, Reason: health.ReasonKept}), true},
+		{"draining by document", func(in *Input) { in.Services[0].Doc.DataCentres[0].BackendServers[0].Draining = true }, false},
+		{"draining by host list", func(in *Input) { in.Leaving = map[netip.AddrPort]bool{first: true} }, false},
+		{"draining by load report", verdict(health.Verdict{Draining: true, Known: true}), false},
+		{"data centre out", func(in *Input) { in.Out = map[string]bool{"substation-a": true} }, false},
+		{"not usable", verdict(health.Verdict{Known: true}), false},
+		{"another service", verdict(health.Verdict{Usable: true, Foreign: true}), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			in := Input{Services: []ServiceInput{{Doc: testDoc("gridwatch", 1, 2, 100, 10), Buckets: map[string]int{hostID(0): Buckets}}}}
+			tt.change(&in)
+			s := New(Config{})
+			s.SetServices(epoch, hostID(0), in)
+			a := s.Allowances(epoch)
+			if got := a[first]; (got.NewFlows > 0) != tt.admits || (got.Weight > 0) != tt.admits {
+				t.Errorf("allowance %+v, want new work: %v", got, tt.admits)
+			}
+			if got := a[backendAddr(2)]; got.NewFlows == 0 && tt.name != "data centre out" {
+				t.Error("the other backend server admits nothing")
+			}
+		})
+	}
+}
+
+// Guards the ramp, also when shedding or a restart starts it again.
+func TestRamp(t *testing.T) {
+	at := func(s int) time.Time { return epoch.Add(time.Duration(s) * time.Second) }
+	tests := []struct {
+		name    string
+		verdict health.Verdict
+		loadURL bool
+		when    int
+		want    int
+		cold    bool
+	}{
+		{"new", health.Verdict{}, false, 0, 100, true},
+		{"halfway", health.Verdict{}, false, 30, 550, true},
+		{"warm", health.Verdict{}, false, 60, 1000, false},
+		{"new, load report awaited", health.Verdict{}, true, 59, 100, true},
+		{"no load report ever", health.Verdict{}, true, 120, 1000, false},
+		{"known to be warm", health.Verdict{Usable: true, Known: true}, true, 0, 1000, false},
+		{"cold again", health.Verdict{Usable: true, Known: true, ColdSince: at(90)}, true, 93, 145, true},
+		{"cold start ahead of this clock", health.Verdict{Usable: true, Known: true, ColdSince: at(95)}, true, 93, 100, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			doc := testDoc("gridwatch", 1, 1, 1000, 100)
+			if tt.loadURL {
+				doc.DataCentres[0].BackendServers[0].LoadURL = "http://10.0.0.1/load"
+			}
+			in := Input{Services: []ServiceInput{{Doc: doc, Buckets: map[string]int{hostID(0): Buckets}}}}
+			if tt.verdict != (health.Verdict{}) {
+				in.Verdicts = map[netip.AddrPort]health.Verdict{backendAddr(1): tt.verdict}
+			}
+			s := New(Config{})
+			s.SetServices(epoch, hostID(0), in)
+			got := s.Allowances(at(tt.when))[backendAddr(1)]
+			if got.NewFlows != tt.want || got.Cold != tt.cold || got.Weight != float64(tt.want) {
+				t.Errorf("allowance %+v, want %d new flows, cold %v", got, tt.want, tt.cold)
+			}
+		})
+	}
+}
+
+// Guards against flows that are admitted twice: a budget that was granted and
+// not reported counts as used until the next sweep.
+func TestUnreportedBudgetCounts(t *testing.T) {
+	s := New(Config{})
+	s.SetServices(epoch, hostID(0), Input{Services: []ServiceInput{{
+		Doc: testDoc("gridwatch", 1, 1, 100, 100), Buckets: map[string]int{hostID(0): Buckets},
+	}}})
+	steps := []struct {
+		name string
+		do   func()
+		want int
+	}{
+		{"first", func() {}, 100},
+		{"not reported", func() {}, 0},
+		{"swept", func() { s.Charged(epoch, map[netip.AddrPort]int{backendAddr(1): 30}) }, 70},
+		{"reported", func() { s.Admitted(epoch, map[netip.AddrPort]int{backendAddr(1): 5}) }, 65},
+		{"sweep in progress", func() {
+			s.Admitted(epoch, map[netip.AddrPort]int{backendAddr(1): 10})
+			s.StartSweep(epoch)
+			s.Admitted(epoch, map[netip.AddrPort]int{backendAddr(1): 20})
+		}, 35},
+		{"swept without the last 20", func() {
+			s.Admitted(epoch, nil)
+			s.Charged(epoch, map[netip.AddrPort]int{backendAddr(1): 40})
+		}, 40},
+	}
+	for _, step := range steps {
+		step.do()
+		if n := s.Allowances(epoch)[backendAddr(1)].NewFlows; n != step.want {
+			t.Fatalf("%s: %d new flows, want %d", step.name, n, step.want)
+		}
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	w := newWorld(2, 100, 100)
+	s := w.hosts[0].state
+	ok := Report{Service: "gridwatch", Epoch: s.groups["gridwatch"].view.epoch, Seq: 5}
+	tests := []struct {
+		from    string
+		change  func(*Report)
+		refusal string
+	}{
+		{"host-1", func(r *Report) { r.Service = "ledgerdesk" }, "unknown_service"},
+		{"host-9", func(*Report) {}, "not_member"},
+		{"host-1", func(r *Report) { r.Rows = []int{1} }, "malformed"},
+		{"host-1", func(r *Report) { r.Epoch++ }, "epoch"},
+		{"host-1", func(r *Report) { r.Seq++ }, ""},
+		{"host-1", func(r *Report) { r.Seq++ }, "old"},
+	}
+	for _, tt := range tests {
+		r := ok
+		tt.change(&r)
+		if got := s.Receive(w.now, tt.from, r); got.Refusal != tt.refusal || got.Accepted != (tt.refusal == "") {
+			t.Errorf("result %+v, want refusal %q", got, tt.refusal)
+		}
+	}
+}
+
+func FuzzParseReport(f *testing.F) {
+	f.Add([]byte(`{"s":"gridwatch","e":1,"b":2,"n":3,"a":4,"f":7,"r":[1,5,63,1,2,3,4,5,6]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r, err := ParseReport(raw)
+		if err != nil {
+			return
+		}
+		w := newWorld(2, 100, 100)
+		s := w.hosts[0].state
+		r.Service, r.Epoch, r.Seq = "gridwatch", s.groups["gridwatch"].view.epoch, 1
+		if got := s.Receive(w.now, "host-1", r); !got.Accepted {
+			t.Errorf("checked report refused: %s", got.Refusal)
+		}
+		if n := s.Allowances(w.now)[backendAddr(1)].NewFlows; n < 0 {
+			t.Errorf("%d new flows", n)
+		}
+		var again Report
+		out, _ := json.Marshal(r)
+		if err := json.Unmarshal(out, &again); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/admission/world_test.go
+++ b/internal/admission/world_test.go
@@ -52,13 +52,13 @@
 // of changes of the bucket table one by one, and reports between them may be
 // lost, duplicated and delayed.
 type world struct {
-	now      time.Time
-	doc      *document.Service
-	cold     time.Time // start of the ramp, zero when warm
-	hosts    []*worldHost
-	table    [Buckets]uint8
-	flows    []*worldFlow
-	queue    []worldMessage
+	now   time.Time
+	doc   *document.Service
+	cold  time.Time // start of the ramp, zero when warm
+	hosts []*worldHost
+	table [Buckets]uint8
+	flows []*worldFlow
+	queue []worldMessage
 }
 
 func hostID(i int) string { return fmt.Sprintf("host-%d", i) }
@@ -259,4 +259,3 @@
 		}
 	}
 }
-
