command: wait for the new owner before a retry

Cause: a command whose backend server rejected it while the other owner changed ended as "outcome unknown", although it could still be run safely. Change: the retry waits up to ClaimTimeout until the new owner has stored the claim; a host that lost the bucket waits for the reply to its claim as well.

--- a/internal/command/claim.go
+++ b/internal/command/claim.go
@@ -45,19 +45,19 @@
 
 // runState is what is needed while a command is pending at its origin.
 type runState struct {
-	phase        phase
-	request      Request
-	candidates   []Candidate
-	attempt      int
-	created      time.Time
-	attemptEnds  time.Time
-	claimTo      string // owner that was asked to store the claim
-	claimSent    time.Time
-	claimWaiting bool // a claim call is in progress
-	stored       bool // claimTo has stored the claim
-	peerComplete bool
-	cleared      bool // surely no earlier run of the request exists
-	mayHaveRun   bool // a run of the idempotent command was lost
+	phase         phase
+	request       Request
+	candidates    []Candidate
+	attempt       int
+	claimingSince time.Time
+	attemptEnds   time.Time
+	claimTo       string // owner that was asked to store the claim
+	claimSent     time.Time
+	claimWaiting  bool // a claim call is in progress
+	stored        bool // claimTo has stored the claim
+	peerComplete  bool
+	cleared       bool // surely no earlier run of the request exists
+	mayHaveRun    bool // a run of the idempotent command was lost
 }
 
 func (c *claim) record(now time.Time) ClaimRecord {
--- a/internal/command/fault_test.go
+++ b/internal/command/fault_test.go
@@ -158,6 +158,17 @@
 		s.command("a")
 		s.after(t0+500*ms, func() { s.hosts["a"].state.Leave(); s.views(bc, "a", "b", "c") })
 	}, "answer", 1, 1},
+	{"retry waits until the new owner has stored the claim", func(s *sim, t0 time.Duration) {
+		s.setup(1, simBackend{service: time.Second, sheds: 1})
+		s.command("a")
+		s.after(t0+500*ms, func() { s.kill("b"); s.views(Owners{"a", "c"}, "a") })
+		s.after(t0+1500*ms, func() { s.views(Owners{"a", "c"}, "c") })
+	}, "answer", 1, 1},
+	{"retry while the new owner refuses the claim", func(s *sim, t0 time.Duration) {
+		s.setup(1, simBackend{service: time.Second, sheds: 1})
+		s.command("a")
+		s.after(t0+500*ms, func() { s.kill("b"); s.views(Owners{"a", "c"}, "a") })
+	}, "-32002 claim_not_stored", 0, 1},
 	{"request at a host that is leaving", func(s *sim, t0 time.Duration) {
 		s.hosts["a"].state.Leave()
 		s.views(bc, "a", "b", "c")
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -161,7 +161,7 @@
 	if c == nil {
 		return nil
 	}
-	if c.run.attempt != ref.Attempt && !(c.idempotent && reply.Outcome == RunAnswered) {
+	if (c.run.attempt != ref.Attempt || c.run.phase != phaseRunning) && !(c.idempotent && reply.Outcome == RunAnswered) {
 		countResultDropped(ReasonLate)
 		return nil
 	}
@@ -203,7 +203,13 @@
 // retry handles a run that surely did not happen, or one of an idempotent command.
 func (s *State) retry(now time.Time, c *claim, reason Reason) {
 	if !c.idempotent {
-		if why, ok := s.allowed(now, c); !ok {
+		why, ok := s.allowed(now, c)
+		if why == ReasonClaimNotStored {
+			// The other owner has changed; its reply decides.
+			c.run.phase, c.run.claimingSince = phaseClaiming, now
+			return
+		}
+		if !ok {
 			s.unknown(now, c, why)
 			return
 		}
@@ -276,11 +282,12 @@
 		return
 	}
 	r := c.run
-	other := s.owners(c.key.Service, c.bucket).other(s.cfg.Self)
+	owners := s.owners(c.key.Service, c.bucket)
+	other := owners.other(s.cfg.Self)
 	switch {
-	case r.phase == phaseClaiming && (now.Sub(r.created) >= s.cfg.ClaimTimeout || !now.Before(c.deadline)):
+	case r.phase == phaseClaiming && (now.Sub(r.claimingSince) >= s.cfg.ClaimTimeout || !now.Before(c.deadline)):
 		s.unknown(now, c, ReasonClaimNotStored)
-	case r.phase == phaseClaiming && other == "":
+	case r.phase == phaseClaiming && owners.has(s.cfg.Self) && other == "":
 		s.start(now, c)
 	case r.phase == phaseRunning && !now.Before(c.deadline):
 		s.unknown(now, c, ReasonNoAnswer)
--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -244,7 +244,7 @@
 		key: key, owner: ClaimOwner{s.cfg.Self, s.nextNonce()}, bucket: in.Bucket, digest: req.Digest,
 		state: Pending, idempotent: in.Idempotent, flow: in.Flow, waiting: true, deadline: now.Add(deadline),
 		run: &runState{
-			request: req, created: now, mayHaveRun: mayHaveRun,
+			request: req, claimingSince: now, mayHaveRun: mayHaveRun,
 			candidates: append([]Candidate(nil), in.Candidates[:min(maxCandidates, len(in.Candidates))]...),
 		},
 	}
