command: keep a running command when the new owner's claims are full

Cause: a new owner without room for the claim ended a command in progress as "outcome unknown". Change: the refusal only ends a command that has not started; the package comment says how the outcomes are driven; a test of the drain.

--- a/internal/command/doc.go
+++ b/internal/command/doc.go
@@ -8,6 +8,14 @@
 // they take an event and the current time and return outcomes. Neither is safe
 // for concurrent use.
 //
+// The owner gives each result of a StoreClaim, Run or Transfer call back to
+// ClaimResult, RunResult or TransferResult, also when the call failed. It calls
+// SetConditions and Expire several times per second, and SetOwners after each
+// change of a service's owner group, before it takes requests under the new
+// owners. The handlers of command.claim, command.complete and command.transfer
+// are Claim, Complete and Transfer. The handler of command.run calls Runner.Run
+// and waits for the Finish outcome with its call number.
+//
 // "Not run" is an answer about the future as well as the past: a delayed
 // duplicate of a request must not run after its caller was told "not run".
 // The answer is therefore given for a non-idempotent command only under the
--- a/internal/command/fault_test.go
+++ b/internal/command/fault_test.go
@@ -153,6 +153,12 @@
 		s.after(t0+500*ms, func() { s.hosts["a"].state.Leave(); s.views(bc, "a", "b", "c") })
 		s.after(t0+600*ms, func() { s.command("b") })
 	}, "answer", 1, 2},
+	{"new owner's claims are full while the command runs", func(s *sim, t0 time.Duration) {
+		s.setup(1, simBackend{service: time.Second})
+		s.hosts["c"].state.table.maxClaims = 0
+		s.command("a")
+		s.after(t0+500*ms, func() { s.kill("b"); s.views(Owners{"a", "c"}, "a", "c") })
+	}, "answer", 1, 1},
 	{"retry of a host that is leaving", func(s *sim, t0 time.Duration) {
 		s.setup(1, simBackend{service: time.Second, sheds: 1})
 		s.command("a")
@@ -272,6 +278,29 @@
 	}, "-32002 claims_full", 0, 1},
 }
 
+// TestDrain guards against a shutdown that cuts off commands in progress.
+func TestDrain(t *testing.T) {
+	s := newSim(t, "a", "b", "c")
+	t0 := s.warm(ab)
+	s.setup(1, simBackend{service: time.Second})
+	s.command("a")
+	s.runTo(t0 + 500*ms)
+	s.hosts["a"].state.Leave()
+	s.hosts["c"].runner.Leave()
+	s.views(bc, "a", "b", "c")
+	if owner, admitting := s.hosts["a"].state.InProgress(), s.hosts["c"].runner.InProgress(); owner != 1 || admitting != 1 {
+		t.Errorf("%d commands in progress at the owner and %d at the admitting host, want 1", owner, admitting)
+	}
+	s.runTo(t0 + 2*time.Second)
+	if owner, admitting := s.hosts["a"].state.InProgress(), s.hosts["c"].runner.InProgress(); owner != 0 || admitting != 0 {
+		t.Errorf("%d commands in progress at the owner and %d at the admitting host, want 0", owner, admitting)
+	}
+	if s.last("1") != "answer" {
+		t.Errorf("caller was told %q", s.last("1"))
+	}
+}
+
+// TestFaults guards P5, P6 and P7 in each single fault.
 func TestFaults(t *testing.T) {
 	for _, tc := range faultCases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -36,7 +36,7 @@
 		countRetry(ReasonClaimNotStored)
 	case reply.Known != nil:
 		s.known(now, c, reply.Known)
-	case reply.Refused == ReasonClaimsFull:
+	case reply.Refused == ReasonClaimsFull && c.run.phase == phaseClaiming:
 		s.unknown(now, c, reply.Refused)
 	case reply.Refused != "" || !reply.Stored:
 		countRetry(reply.Refused)
