command: forget queue entries of replaced claims

Cause: a caller that kept repeating an idempotent request with unknown outcome left one queue entry per repeat, for as long as it went on. Change: queue entries name the claim and are dropped when it was replaced; benchmarks run at a steady load, since they had filled the runner's table.

--- a/internal/command/bench_test.go
+++ b/internal/command/bench_test.go
@@ -58,29 +58,33 @@
 	}
 }
 
-func BenchmarkCommand(b *testing.B) {
-	p := newPair(time.Millisecond, 1<<20)
-	now := testStart.Add(time.Second)
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		now = now.Add(time.Microsecond)
+// commands runs one command per millisecond, so that the tables reach the size
+// of a steady load.
+func (p *pair) commands(b *testing.B) {
+	now, i := testStart.Add(time.Second), 0
+	for ; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
 		p.command(now, i, "done")
-		if i%1024 == 0 {
+		if i%128 == 0 {
 			p.primary.Expire(now)
 			p.secondary.Expire(now)
 			p.runner.Expire(now)
 		}
 	}
+	if p.counting {
+		b.ReportMetric(float64(p.bytes)/float64(i), "bytes/command")
+	}
+}
+
+func BenchmarkCommand(b *testing.B) {
+	b.ReportAllocs()
+	newPair(time.Second, 1<<20).commands(b)
 }
 
 func BenchmarkBytesBetweenHosts(b *testing.B) {
-	p := newPair(time.Millisecond, 1<<20)
+	p := newPair(time.Second, 1<<20)
 	p.counting = true
-	i := 0
-	for ; b.Loop(); i++ {
-		p.command(testStart.Add(time.Second), i, "done")
-	}
-	b.ReportMetric(float64(p.bytes)/float64(i), "bytes/command")
+	p.commands(b)
 }
 
 func BenchmarkBytesPerClaim(b *testing.B) {
--- a/internal/command/claim.go
+++ b/internal/command/claim.go
@@ -71,9 +71,9 @@
 	return r
 }
 
-type expiry struct {
-	key ClaimKey
-	at  time.Time
+type claimExpiry struct {
+	claim *claim
+	at    time.Time
 }
 
 // claimTable holds claims for the retention period. It never removes a claim
@@ -81,8 +81,8 @@
 // requests are refused.
 type claimTable struct {
 	claims    map[ClaimKey]*claim
-	queue     []expiry // in order of at; entries of extended claims are requeued
-	open      []*claim // claims that were pending, in order of arrival
+	queue     []claimExpiry // in order of at; entries of extended claims are requeued
+	open      []*claim      // claims that were pending, in order of arrival
 	bytes     int
 	maxClaims int
 	maxBytes  int
@@ -108,7 +108,7 @@
 	t.bytes += c.size
 	t.claims[c.key] = c
 	c.expires = now.Add(t.retention)
-	t.queue = append(t.queue, expiry{c.key, c.expires})
+	t.queue = append(t.queue, claimExpiry{c, c.expires})
 	if c.state == Pending {
 		t.open = append(t.open, c)
 	}
@@ -147,11 +147,11 @@
 func (t *claimTable) expire(now time.Time) {
 	n := 0
 	for ; n < len(t.queue) && !t.queue[n].at.After(now); n++ {
-		c := t.claims[t.queue[n].key]
+		c := t.queue[n].claim
 		switch {
-		case c == nil:
+		case t.claims[c.key] != c: // removed or replaced
 		case c.state == Pending || c.expires.After(now):
-			t.queue = append(t.queue, expiry{c.key, laterOf(c.expires, now.Add(t.retention/8))})
+			t.queue = append(t.queue, claimExpiry{c, laterOf(c.expires, now.Add(t.retention/8))})
 		default:
 			t.remove(c)
 		}
--- a/internal/command/owners_test.go
+++ b/internal/command/owners_test.go
@@ -97,6 +97,22 @@
 	}
 }
 
+// TestRepeatsUseBoundedMemory guards against queue entries that pile up while a
+// caller keeps repeating an idempotent request whose outcome is unknown.
+func TestRepeatsUseBoundedMemory(t *testing.T) {
+	s := newSim(t, "a", "b", "c")
+	s.warm(ab)
+	s.lose("backend", 1<<30)
+	for i := range 200 {
+		s.status("a")
+		s.runTo(time.Duration(i)*6*time.Second + 2*DefaultRetention)
+	}
+	table := &s.hosts["a"].state.table
+	if n, limit := len(table.queue)+len(table.open), 10; n > limit {
+		t.Errorf("%d queue entries, allowed: %d", n, limit)
+	}
+}
+
 // TestRetryBudget guards against retries that multiply the load of a service
 // whose backend servers all reject commands.
 func TestRetryBudget(t *testing.T) {
--- a/internal/command/runner.go
+++ b/internal/command/runner.go
@@ -58,6 +58,12 @@
 	expires time.Time
 }
 
+// expiry is a place in the queue of claims to forget.
+type expiry struct {
+	key ClaimKey
+	at  time.Time
+}
+
 // Runner is the admitting host's side of commands.
 type Runner struct {
 	cfg   Config
