--- a/internal/route/decision_test.go
+++ b/internal/route/decision_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -249,6 +250,12 @@
 		{nothing, forwarded(packet.ForwardHeader{Kind: packet.KindCommand, Hops: 3}), ReasonBadKind},
 		{nothing, forwarded(packet.ForwardHeader{Kind: packet.KindPropose, Hops: 3}), ReasonBadKind},
 		{nothing, forwarded(packet.ForwardHeader{Kind: packet.KindLookup, Hops: 1}), ReasonHopLimit},
+		{nothing, forwarded(packet.ForwardHeader{Kind: packet.KindReset, Hops: 3}), ReasonNoService},
+		{nothing, func(x *trio) outcome {
+			n := x.nodes[x.arrival]
+			h := packet.ForwardHeader{Kind: packet.KindReset, Hops: 3}
+			return outcome{n.router.FromPeer(n.snap, &h, parse(x.t, replyTo(x.k, packet.FlagACK)), x.now), x.arrival}
+		}, ReasonBadKind},
 		{nothing, func(x *trio) outcome {
 			return x.reply(x.arrival, testBackend(12, 0).Addr, replyTo(x.k, packet.FlagACK))
 		}, ReasonUnknownBackend},
@@ -298,3 +305,72 @@
 		}
 	}
 }
+
+// Guards against two pairs of owners that admit the same flow: an arrival
+// host with an old view asks hosts that know of the new owners.
+func TestOldViewAsksFormerOwners(t *testing.T) {
+	x := newTrio(t)
+	former := []string{x.primary, x.secondary}
+	for i := range x.hosts {
+		x.hosts[i].Leaving = x.hosts[i].ID == former[0] || x.hosts[i].ID == former[1]
+	}
+	x.update(former...)
+	s := x.nodes[former[0]].snap
+	owners := s.ByName.Get("gridwatch").Owners[bucketOf(x.k.Hash())]
+	for i, h := range s.Hosts {
+		if uint16(i) != owners[0] && uint16(i) != owners[1] && !h.Leaving {
+			x.arrival = h.ID
+		}
+	}
+	for _, i := range owners {
+		x.update(s.Hosts[i].ID)
+	}
+	first := x.arrive(x.arrival, tcp(x.k, packet.FlagSYN))
+	for _, i := range owners {
+		if held, _ := x.held(s.Hosts[i].ID); first.Kind != ToBackend || held != first.Backend.Addr {
+			t.Errorf("%v, but owner %s holds %v", first, s.Hosts[i].ID, held)
+		}
+	}
+}
+
+// Guards against an overruled proposal that is used later, because the
+// winner's backend server is not yet in the proposer's documents.
+func TestOverruledByUnknownBackend(t *testing.T) {
+	x := newTrio(t)
+	x.services[0].Backends = append(x.services[0].Backends, testBackend(10, 14))
+	x.update(x.secondary)
+	x.hold(x.secondary, 14, flow.Settled)
+	if got := x.arrive(x.primary, tcp(x.k, packet.FlagSYN)); got.Kind != Drop || got.Reason != ReasonUnknownBackend {
+		t.Fatalf("first packet: %v", got)
+	}
+	if held, _ := x.held(x.primary); held.IsValid() {
+		t.Fatalf("the primary holds %v", held)
+	}
+}
+
+// Guards against traffic goroutines that admit one flow to two backend
+// servers, and against data races in the router.
+func TestConcurrentFirstPackets(t *testing.T) {
+	f := newFleet(t, 1, 14)
+	for i := range f.services[0].Backends {
+		// Few enough that the choice changes while the packets race.
+		f.services[0].Backends[i].Admit = new(Budget)
+		f.services[0].Backends[i].Admit.Set(40)
+	}
+	f.update()
+	n := f.nodes["entry-0"]
+	for i := range 100 {
+		info := parse(t, tcp(callerKey(i, packet.ProtoTCP), packet.FlagSYN))
+		var group sync.WaitGroup
+		var got [4]Action
+		for g := range got {
+			group.Go(func() { got[g] = n.router.FromFabric(n.snap, info, f.now) })
+		}
+		group.Wait()
+		for _, a := range got {
+			if a.Kind != ToBackend || a.Backend != got[0].Backend {
+				t.Fatalf("flow %d: %+v", i, got)
+			}
+		}
+	}
+}
