--- a/internal/strictyaml/fault.go
+++ b/internal/strictyaml/fault.go
@@ -3,6 +3,7 @@
 package strictyaml
 
 import (
+	"fmt"
 	"strings"
 	"unicode/utf8"
 
@@ -23,6 +24,9 @@
 // maxValueText bounds the part of a value that a fault repeats.
 const maxValueText = 80
 
+// maxFaults bounds the list of faults of a hostile input.
+const maxFaults = 1000
+
 // Fault is one reason why an input is rejected.
 type Fault struct {
 	Kind    Kind   `json:"kind"`
@@ -93,6 +97,15 @@
 			*fs = append(*fs, f)
 		}
 	}
+	fs.limit()
+}
+
+// limit replaces the faults beyond maxFaults by their number.
+func (fs *Faults) limit() {
+	if more := len(*fs) - maxFaults; more > 0 {
+		*fs = (*fs)[:maxFaults]
+		fs.Invalid("", fmt.Sprintf("%d further faults", more), "input without faults")
+	}
 }
 
 // seenWithin reports whether the field or one that contains it is in seen.
