--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -93,13 +93,11 @@
 }
 
 // knownRefusal reports whether fetching v would only reject it once more. A
-// document that is held back is fetched when the peer accepted it without a
-// conflict of its own start.
+// document that was rejected for an address conflict is fetched when the peer
+// accepted it otherwise than at its own start, because it is then accepted.
 func (s *State) knownRefusal(v Version) bool {
-	if held := s.pending[v.Key]; held != nil && held.Digest == v.Digest {
-		return v.Unconfirmed
-	}
-	return s.refusals.known(v.Key, v.Version, v.Digest)
+	reason, known := s.refusals.find(v.Key, v.Digest)
+	return known && (reason != RefusalAddressConflict || v.Unconfirmed)
 }
 
 // Values returns the accepted values of keys, in the order in which they are
--- a/internal/configsync/refusal.go
+++ b/internal/configsync/refusal.go
@@ -80,14 +80,15 @@
 	}
 }
 
-// known reports whether the version of a key was rejected with this digest.
-func (r *refusals) known(key string, version, digest uint64) bool {
-	for id, rec := range r.records {
-		if id.key == key && id.digest == digest && rec.Version == version {
-			return true
+// find returns the reason why a value of a key was rejected. It ignores the
+// version, which is unknown here when the value could not be parsed.
+func (r *refusals) find(key string, digest uint64) (Refusal, bool) {
+	for id := range r.records {
+		if id.key == key && id.digest == digest {
+			return id.reason, true
 		}
 	}
-	return false
+	return RefusalNone, false
 }
 
 func (r *refusals) sorted() []RefusalRecord {
--- /dev/null
+++ b/internal/configsync/state_test.go
@@ -0,0 +1,380 @@
+package configsync
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+// service returns a document with one backend server per address.
+func service(name string, version int, addresses ...string) []byte {
+	var b strings.Builder
+	hash := partOf(name)
+	fmt.Fprintf(&b, "service: %s\nversion: %d\nteam: t\naddress: 198.51.%d.10\nport: 7001\nprotocol: tcp\nregion: r\nflow_idle: 10m\ndata_centres:\n  - name: a\n    backend_servers:\n", name, version, hash)
+	for _, a := range addresses {
+		fmt.Fprintf(&b, "      - {address: %s, port: 6080, connections: 2000, slots: 2, cold: {connections: 50, slots: 1, ramp: 60s}}\n", a)
+	}
+	return []byte(b.String())
+}
+
+func started() *State {
+	s := New(Config{})
+	s.Started()
+	return s
+}
+
+// offer offers a value from the platform and returns the reason of rejection.
+func offer(s *State, key string, raw []byte) Refusal { return s.Offer(now, Platform, key, raw).Refusal }
+
+// versions returns the accepted versions as text.
+func versions(s *State) string {
+	var list []string
+	for _, v := range s.Versions(DifferentParts([256]uint64{}, s.Partial())) {
+		list = append(list, fmt.Sprintf("%s=%d", v.Key, v.Version))
+	}
+	return strings.Join(list, " ")
+}
+
+const keyA, keyB = "services/a", "services/b"
+
+// TestRefusals guards against a reason that is missing or wrong, and against
+// a rejected value that replaces the accepted one.
+func TestRefusals(t *testing.T) {
+	good := service("a", 5, "127.0.0.1")
+	rows := []struct {
+		key  string
+		raw  string
+		want Refusal
+	}{
+		{keyA, "version: [", RefusalMalformed},
+		{keyA, string(good) + "extra: 1\n", RefusalUnknownField},
+		{keyA, strings.Replace(string(good), "tcp", "sctp", 1), RefusalInvalidValue},
+		{keyA, string(service("a", 4, "127.0.0.1")), RefusalOlderVersion},
+		{keyA, string(good) + "# changed\n", RefusalSameVersion},
+		{keyA, string(service("z", 6, "127.0.0.1")), RefusalInvalidValue},
+		{keyB, string(service("b", 1, "127.0.0.1")), RefusalAddressConflict},
+		{keyA, strings.Repeat("x", document.MaxValueBytes+1), RefusalTooLarge},
+		{"services/../x", "x", RefusalInvalidValue},
+		{"other", "x", RefusalInvalidValue},
+		{keyA, string(good), RefusalNone},
+	}
+	s := started()
+	if r := s.Offer(now, Platform, keyA, good); !r.Accepted || !r.Push || !slices.Equal(r.Keys, []string{keyA}) {
+		t.Fatalf("valid document: %+v", r)
+	}
+	summary := s.Summary()
+	for _, row := range rows {
+		r := s.Offer(now, Platform, row.key, []byte(row.raw))
+		if r.Refusal != row.want || r.Accepted || (r.Err == nil) != (row.want == RefusalNone) {
+			t.Errorf("%.40q: got %+v, want %q", row.raw, r, row.want)
+		}
+	}
+	if s.Summary() != summary || s.Current().Services["a"].Version != 5 {
+		t.Error("a rejected value changed the state")
+	}
+	if n := len(s.Refusals()); n != 10 {
+		t.Errorf("%d records, want 10", n)
+	}
+}
+
+// TestRevertAfterRestart guards against a document that falls back when a
+// host restarts and reads a stale copy after its peers told it the newest one.
+func TestRevertAfterRestart(t *testing.T) {
+	before := started()
+	offer(before, keyA, service("a", 7, "127.0.0.1"))
+	after := New(Config{})
+	value, _ := before.Get(keyA)
+	after.Offer(now, FromPeer("h1", value), keyA, value.Raw)
+	if got := offer(after, keyA, service("a", 6, "127.0.0.1")); got != RefusalOlderVersion {
+		t.Errorf("stale copy at the start: %q", got)
+	}
+	if after.Current().Services["a"].Version != 7 || after.Summary() != before.Summary() {
+		t.Error("the restarted host differs from its peer")
+	}
+}
+
+// TestConflictResolved guards against a document that stays rejected after
+// the other service has given the address up.
+func TestConflictResolved(t *testing.T) {
+	s := started()
+	offer(s, keyA, service("a", 1, "127.0.0.1", "127.0.0.2"))
+	offer(s, keyB, service("b", 1, "127.0.0.3"))
+	if got := offer(s, keyB, service("b", 2, "127.0.0.2")); got != RefusalAddressConflict {
+		t.Fatalf("conflicting document: %q", got)
+	}
+	r := s.Offer(now, Platform, keyA, service("a", 2, "127.0.0.1"))
+	if !slices.Equal(r.Keys, []string{keyA, keyB}) || versions(s) != "services/a=2 services/b=2" {
+		t.Errorf("after the resolution: %+v, versions %s", r, versions(s))
+	}
+	if len(s.Refusals()) != 0 {
+		t.Errorf("records of resolved conflicts remain: %v", s.Refusals())
+	}
+}
+
+// TestExchangedAddresses guards against two services that wait for each other
+// when they exchange an address.
+func TestExchangedAddresses(t *testing.T) {
+	s := started()
+	offer(s, keyA, service("a", 1, "127.0.0.1"))
+	offer(s, keyB, service("b", 1, "127.0.0.2"))
+	offer(s, keyA, service("a", 2, "127.0.0.2"))
+	if r := s.Offer(now, Platform, keyB, service("b", 2, "127.0.0.1")); !r.Accepted || versions(s) != "services/a=2 services/b=2" {
+		t.Errorf("exchange: %+v, versions %s", r, versions(s))
+	}
+	if len(s.Current().Conflicted) != 0 {
+		t.Errorf("conflicts remain: %v", s.Current().Conflicted)
+	}
+}
+
+// TestConflictAtStart guards against a host that prefers one of two documents
+// only because it read that one first, and against such a pair spreading.
+func TestConflictAtStart(t *testing.T) {
+	shared := netip.MustParseAddrPort("127.0.0.1:6080")
+	a, b := service("a", 1, "127.0.0.1", "127.0.0.2"), service("b", 1, "127.0.0.1")
+	s := New(Config{})
+	offer(s, keyA, a)
+	offer(s, keyB, b)
+	s.Started()
+	if !s.Current().Conflicted[shared] || len(s.Current().Services) != 2 || len(s.Current().Conflicted) != 1 {
+		t.Fatalf("conflict at the start: %v", s.Current().Conflicted)
+	}
+	value, _ := s.Get(keyB)
+	established := started()
+	offer(established, keyA, a)
+	if r := established.Offer(now, FromPeer("h1", value), keyB, value.Raw); r.Refusal != RefusalAddressConflict {
+		t.Errorf("unconfirmed conflict from a peer: %+v", r)
+	}
+	late := New(Config{})
+	held, _ := established.Get(keyA)
+	late.Offer(now, FromPeer("h1", held), keyA, held.Raw)
+	if got := offer(late, keyB, b); got != RefusalAddressConflict {
+		t.Errorf("conflict with a document that a peer uses: %q", got)
+	}
+	offer(s, keyB, service("b", 2, "127.0.0.3"))
+	if len(s.Current().Conflicted) != 0 {
+		t.Error("a newer version did not resolve the conflict")
+	}
+}
+
+// TestConflictAfterPartition guards against two sides of a partition that
+// keep different versions after it has healed.
+func TestConflictAfterPartition(t *testing.T) {
+	left, right := started(), started()
+	offer(left, keyA, service("a", 1, "127.0.0.1"))
+	offer(right, keyB, service("b", 1, "127.0.0.1"))
+	exchange(left, right)
+	exchange(right, left)
+	if left.Summary() != right.Summary() || len(left.Current().Conflicted) != 1 || len(right.Current().Conflicted) != 1 {
+		t.Errorf("left %s, right %s", versions(left), versions(right))
+	}
+}
+
+// exchange lets to compare its versions with from and fetch what it lacks.
+func exchange(to, from *State) {
+	parts := DifferentParts(to.Partial(), from.Partial())
+	c := to.Compare(now, Source{Peer: "from"}, parts, from.Versions(parts))
+	for len(c.Fetch) > 0 {
+		values := from.Values(c.Fetch)
+		for _, v := range values {
+			to.Offer(now, FromPeer("from", v), v.Key, v.Raw)
+		}
+		c.Fetch = c.Fetch[len(values):]
+	}
+}
+
+// TestCompare guards against fetching a rejected version again and again, and
+// against missing a difference.
+func TestCompare(t *testing.T) {
+	s, peer := started(), started()
+	offer(s, keyA, service("a", 2, "127.0.0.1"))
+	offer(s, keyB, service("b", 2, "127.0.0.2"))
+	offer(s, "datacentres", []byte("{version: 2, out: []}"))
+	offer(peer, keyA, service("a", 1, "127.0.0.1"))
+	offer(peer, keyB, service("b", 2, "127.0.0.3"))
+	offer(peer, "datacentres", []byte("{version: 3, out: [x]}"))
+	offer(peer, "services/c", service("c", 1, "127.0.0.4"))
+	parts := DifferentParts(s.Partial(), peer.Partial())
+	got := s.Compare(now, Source{Peer: "p"}, parts, peer.Versions(parts))
+	want := Comparison{Fetch: []string{"datacentres", "services/c"}, Send: []string{keyA}}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if r := s.Refusals(); len(r) != 1 || r[0].Reason != RefusalSameVersion {
+		t.Errorf("equal version with another digest: %+v", r)
+	}
+	bad := []byte("version: [")
+	s.Offer(now, Source{Peer: "p"}, "services/d", bad)
+	listed := []Version{{Key: "services/d", Version: 3, Digest: document.Digest(bad)}}
+	if c := s.Compare(now, Source{Peer: "p"}, nil, listed); len(c.Fetch) != 0 {
+		t.Errorf("a rejected value is fetched again: %+v", c)
+	}
+	exchange(s, peer)
+	if versions(s) != "datacentres=3 services/a=2 services/b=2 services/c=1" {
+		t.Errorf("after the exchange: %s", versions(s))
+	}
+}
+
+// TestPushes guards against data centre state that waits behind documents,
+// and against messages over the limit.
+func TestPushes(t *testing.T) {
+	s := New(Config{Fanout: 2, MaxMessage: 2000})
+	for i := range 5 {
+		name := fmt.Sprintf("s%d", i)
+		offer(s, "services/"+name, service(name, 1, fmt.Sprintf("127.0.0.%d", i+1)))
+	}
+	offer(s, "datacentres", []byte("{version: 1, out: [a]}"))
+	group, peers := []string{"g1", "g2", "g3"}, []string{"g1", "p1", "p2", "p3"}
+	pushes := s.TakePushes(group, peers)
+	if p := pushes[0]; p.Values[0].Key != "datacentres" || len(p.Values) != 1 || len(p.To) < 4 || !slices.Equal(p.To[:3], group) {
+		t.Errorf("first push: %v to %v", p.Values[0].Key, p.To)
+	}
+	sent := 0
+	for _, p := range pushes[1:] {
+		size := 0
+		for _, v := range p.Values {
+			size += encodedSize(v)
+		}
+		sent += len(p.Values)
+		if size > 2000 || len(p.To) != 2 {
+			t.Errorf("push of %d bytes to %v", size, p.To)
+		}
+	}
+	if sent != 5 || len(s.TakePushes(group, peers)) != 0 {
+		t.Errorf("%d documents pushed, or pushed twice", sent)
+	}
+	if got := New(Config{}).TakePushes(group, peers); got != nil {
+		t.Errorf("pushes without values: %v", got)
+	}
+}
+
+// TestRefusalsAreBounded guards against a platform that fills the memory with
+// rejected values.
+func TestRefusalsAreBounded(t *testing.T) {
+	s := New(Config{MaxRefusals: 3})
+	for i := range 10 {
+		s.Offer(now.Add(time.Duration(i)*time.Second), Platform, keyA, fmt.Appendf(nil, "bad %d %s", i, strings.Repeat("x", 1<<15)))
+	}
+	s.Offer(now.Add(time.Minute), Platform, strings.Repeat("k", 1<<15), []byte("bad"))
+	records := s.Refusals()
+	if len(records) != 3 || !records[0].Last.Equal(now.Add(time.Minute)) {
+		t.Errorf("records: %+v", records)
+	}
+	for _, r := range records {
+		if len(r.Key) > maxKeyBytes || len(r.Error) > maxRefusalText {
+			t.Errorf("record of %d and %d bytes", len(r.Key), len(r.Error))
+		}
+	}
+}
+
+// TestReaders guards against readers that move when an unrelated host leaves.
+func TestReaders(t *testing.T) {
+	hosts := []string{"h1", "h2", "h3", "h4"}
+	readers := Readers("a", hosts)
+	rest := slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return slices.Contains(readers, h) })
+	if len(readers) != 2 || !slices.Equal(Readers("a", append(readers[:2:2], rest[0])), readers) {
+		t.Errorf("readers %v", readers)
+	}
+	if got := Readers("a", []string{"h1"}); !slices.Equal(got, []string{"h1"}) {
+		t.Errorf("single host: %v", got)
+	}
+}
+
+// offered is a value in the property test.
+type offered struct {
+	key string
+	raw []byte
+}
+
+// documents returns documents of four services, whose addresses depend on
+// service and version. Those with shared addresses conflict often.
+func documents(seeds []uint8, shared bool) []offered {
+	list := make([]offered, len(seeds))
+	for i, seed := range seeds {
+		name, version := string('a'+rune(seed%4)), int(seed/4%8)+1
+		address := fmt.Sprintf("127.0.%d.%d", seed%4, version)
+		if shared {
+			address = fmt.Sprintf("127.0.0.%d", (int(seed%4)+version)%5+1)
+		}
+		list[i] = offered{"services/" + name, service(name, version, address)}
+	}
+	return list
+}
+
+// TestOrderDoesNotMatter guards against accepted versions that depend on the
+// order of offers, and against versions that fall. Peers offer documents that
+// may conflict; the platform offers documents that do not.
+func TestOrderDoesNotMatter(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(7)
+	parameters.MaxSize = 30 // documents per run
+	properties := gopter.NewProperties(parameters)
+	run := func(src Source, seeds []uint8, order uint64, shared bool) bool {
+		offers := documents(seeds, shared)
+		first, second := started(), started()
+		if !offersRise(first, src, offers) {
+			return false
+		}
+		rand.New(rand.NewPCG(order, 1)).Shuffle(len(offers), func(i, j int) { offers[i], offers[j] = offers[j], offers[i] })
+		return offersRise(second, src, offers) && first.Summary() == second.Summary() &&
+			first.Partial() == second.Partial() && reflect.DeepEqual(first.Current(), second.Current())
+	}
+	bytes := gen.SliceOf(gen.UInt8())
+	properties.Property("platform, without conflicts", prop.ForAll(func(seeds []uint8, order uint64) bool {
+		return run(Platform, seeds, order, false)
+	}, bytes, gen.UInt64()))
+	properties.Property("peers, with conflicts", prop.ForAll(func(seeds []uint8, order uint64) bool {
+		return run(Source{Peer: "p"}, seeds, order, true)
+	}, bytes, gen.UInt64()))
+	properties.Property("hosts that preferred different documents agree after exchanges", prop.ForAll(func(left, right []uint8) bool {
+		a, b := started(), started()
+		offersRise(a, Platform, documents(left, true))
+		offersRise(b, Platform, documents(right, true))
+		// An exchange may free the address of a document that was held back
+		// at the other host, so hosts compare until their summaries agree.
+		for range 4 {
+			exchange(a, b)
+			exchange(b, a)
+		}
+		return a.Summary() == b.Summary() && reflect.DeepEqual(a.Current(), b.Current())
+	}, bytes, bytes))
+	properties.TestingRun(t)
+}
+
+// offersRise offers values and reports whether no version ever fell.
+func offersRise(s *State, src Source, offers []offered) bool {
+	for _, o := range offers {
+		before, _ := s.Get(o.key)
+		s.Offer(now, src, o.key, o.raw)
+		if after, _ := s.Get(o.key); after.Version < before.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// FuzzOffer guards against values that panic the state or are accepted
+// without a version.
+func FuzzOffer(f *testing.F) {
+	f.Add(keyA, service("a", 1, "127.0.0.1"))
+	f.Add("datacentres", []byte("{version: 1, out: []}"))
+	f.Add("hosts", []byte("version: 1\nhosts: [{id: a}]"))
+	f.Fuzz(func(t *testing.T, key string, raw []byte) {
+		s := New(Config{})
+		r := s.Offer(now, Platform, key, raw)
+		if v, ok := s.Get(key); ok != r.Accepted || ok && v.Version == 0 {
+			t.Errorf("result %+v, value %+v", r, v)
+		}
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,10 @@
 // MaxBytes bounds the size of a settings file.
 const MaxBytes = 1 << 16
 
+// DefaultPrefix is the prefix of keys for platforms of type http. A directory
+// is read without a prefix by default.
+const DefaultPrefix = "nutmeglatch/"
+
 // PlatformType selects how the platform's values are read.
 type PlatformType string
 
@@ -93,10 +97,9 @@
 func Default() Settings {
 	return Settings{
 		Platform: Platform{
-			Type:   PlatformHTTP,
-			Prefix: "nutmeglatch/",
-			Wait:   seconds(55),
-			Poll:   seconds(60),
+			Type: PlatformHTTP,
+			Wait: seconds(55),
+			Poll: seconds(60),
 		},
 		Limits: Limits{
 			MaxFlows:       1_000_000,
@@ -138,6 +141,9 @@
 	if len(faults) > 0 && (faults.Kind() == strictyaml.Malformed || faults.Kind() == strictyaml.TooLarge) {
 		return nil, faults
 	}
+	if s.Platform.Type == PlatformHTTP && s.Platform.Prefix == "" {
+		s.Platform.Prefix = DefaultPrefix
+	}
 	if s.PeerKey == nil {
 		s.keyFromEnvironment(getenv, &faults)
 	}
