--- /dev/null
+++ b/internal/check/check.go
@@ -0,0 +1,205 @@
+// Package check validates files for the check command: settings, service
+// documents, data centre state, host lists, or a directory of them.
+package check
+
+import (
+	"cmp"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/platform"
+	"github.com/nutmeglatch/nutmeglatch/internal/settings"
+	"github.com/nutmeglatch/nutmeglatch/internal/strictyaml"
+)
+
+// Kind is the kind of a checked file.
+type Kind string
+
+// Kinds of files.
+const (
+	KindSettings    Kind = "settings"
+	KindService     Kind = "service"
+	KindDataCentres Kind = "datacentres"
+	KindHosts       Kind = "hosts"
+	KindDirectory   Kind = "directory"
+	KindUnknown     Kind = "unknown"
+)
+
+// Fault is a fault in a file.
+type Fault struct {
+	File string `json:"file"`
+	strictyaml.Fault
+}
+
+// String states the file and the fault.
+func (f Fault) String() string { return f.File + ": " + f.Fault.String() }
+
+// Fields that only occur in one kind of file.
+var distinctive = []struct {
+	kind   Kind
+	fields []string
+}{
+	{KindSettings, []string{"host_id", "peer_key", "fabric_return", "platform", "gue"}},
+	{KindService, []string{"service", "data_centres", "flow_idle"}},
+	{KindHosts, []string{"hosts", "leaving_backend_servers"}},
+	{KindDataCentres, []string{"out"}},
+}
+
+// Check checks a file, or the files of a directory and the conflicts between
+// them. The error is only set when the path cannot be read; an invalid file
+// has faults.
+func Check(path string) (Kind, []Fault, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return KindUnknown, nil, err
+	}
+	if info.IsDir() {
+		faults, err := checkDirectory(path)
+		return KindDirectory, faults, err
+	}
+	raw, err := platform.ReadFile(path, document.MaxValueBytes+1)
+	if err != nil {
+		return KindUnknown, nil, err
+	}
+	kind := recognise(filepath.Base(path), raw)
+	return kind, label(path, checkAs(kind, raw)), nil
+}
+
+// recognise determines the kind by the top-level fields, or by the name of the
+// file when no field is distinctive.
+func recognise(name string, raw []byte) Kind {
+	fields := strictyaml.TopLevelFields(raw)
+	for _, d := range distinctive {
+		for _, f := range d.fields {
+			if slices.Contains(fields, f) {
+				return d.kind
+			}
+		}
+	}
+	switch strings.TrimSuffix(name, platform.FileExtension) {
+	case "settings":
+		return KindSettings
+	case document.DataCentresKey:
+		return KindDataCentres
+	case document.HostsKey:
+		return KindHosts
+	default:
+		return KindUnknown
+	}
+}
+
+func checkAs(kind Kind, raw []byte) error {
+	var err error
+	switch kind {
+	case KindSettings:
+		_, err = settings.Parse(raw, os.Getenv)
+	case KindService:
+		_, err = document.ParseService(raw)
+	case KindDataCentres:
+		_, err = document.ParseDataCentres(raw)
+	case KindHosts:
+		_, err = document.ParseHostList(raw)
+	default:
+		err = unknownKind(raw)
+	}
+	return err
+}
+
+// unknownKind returns the faults of a file that is of no known kind.
+func unknownKind(raw []byte) error {
+	faults := strictyaml.Decode(raw, document.MaxValueBytes, &struct{}{})
+	if len(faults) > 0 && faults.Kind() != strictyaml.UnknownField {
+		return faults
+	}
+	return strictyaml.Faults{{Kind: strictyaml.UnknownField, Allowed: "settings, a service document, data centre state or a host list"}}
+}
+
+// label adds the file to the faults of err.
+func label(file string, err error) []Fault {
+	if err == nil {
+		return nil
+	}
+	found, ok := strictyaml.Of(err)
+	if !ok {
+		found = strictyaml.Faults{{Kind: strictyaml.Malformed, Value: strictyaml.Abbreviate(err.Error()), Allowed: "a valid file"}}
+	}
+	faults := make([]Fault, len(found))
+	for i, f := range found {
+		faults[i] = Fault{file, f}
+	}
+	return faults
+}
+
+// checkDirectory checks the values of a directory as the daemon accepts them,
+// and the settings in it.
+func checkDirectory(root string) ([]Fault, error) {
+	files, err := platform.Files(root)
+	if err != nil {
+		return nil, err
+	}
+	faults, found, err := checkSettings(root)
+	if err != nil {
+		return nil, err
+	}
+	if len(files) == 0 && !found {
+		return nil, errors.Newf("%s holds no files; allowed: settings.yaml, datacentres.yaml, hosts.yaml, services/*.yaml", root)
+	}
+	state := configsync.New(configsync.Config{})
+	state.Started()
+	for _, f := range files {
+		raw, err := platform.ReadFile(f.Path, document.MaxValueBytes+1)
+		if err != nil {
+			return nil, err
+		}
+		result := state.Offer(time.Time{}, configsync.Platform, f.Key, raw)
+		faults = append(faults, label(f.Path, result.Err)...)
+	}
+	faults = append(faults, crossChecks(root, state.Current())...)
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.File, b.File) })
+	return faults, nil
+}
+
+func checkSettings(root string) (faults []Fault, found bool, err error) {
+	path := filepath.Join(root, "settings"+platform.FileExtension)
+	if _, err := os.Stat(path); err != nil {
+		return nil, false, nil
+	}
+	raw, err := platform.ReadFile(path, settings.MaxBytes+1)
+	if err != nil {
+		return nil, true, err
+	}
+	return label(path, checkAs(KindSettings, raw)), true, nil
+}
+
+// crossChecks finds data centres that are named in the data centre state but
+// hold neither entry hosts nor backend servers, which is a misspelling.
+func crossChecks(root string, a *configsync.Accepted) []Fault {
+	if a.DataCentres == nil {
+		return nil
+	}
+	known := map[string]bool{}
+	for _, s := range a.Services {
+		for _, dc := range s.DataCentres {
+			known[dc.Name] = true
+		}
+	}
+	if a.Hosts != nil {
+		for _, h := range a.Hosts.Hosts {
+			known[h.DataCentre] = true
+		}
+	}
+	var faults strictyaml.Faults
+	for _, name := range a.DataCentres.Out {
+		if !known[name] {
+			faults.Invalid("out", name, "a data centre of the host list or of a service")
+		}
+	}
+	return label(filepath.Join(root, document.DataCentresKey+platform.FileExtension), faults.Err())
+}
