--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -41,6 +41,9 @@
 // remote is what a member reported about a backend server.
 type remote struct{ charged, want, owed, moved int }
 
+// toldFigures are computed once per round for all members.
+type toldFigures struct{ charged, want int }
+
 // sentRow is what was last sent about a backend server.
 type sentRow struct {
 	values fields
@@ -74,6 +77,7 @@
 		s.advance(now, g)
 		for _, b := range g.order {
 			s.returnLoans(now, b)
+			b.told = toldFigures{charged: b.occupied(now), want: s.want(now, b)}
 		}
 	}
 	slices.SortStableFunc(groups, func(a, b *group) int { return a.urgency() - b.urgency() })
@@ -193,7 +197,7 @@
 	var rows []int
 	for i, b := range g.order {
 		last, known := p.sent[b.addr]
-		f := s.fieldsFor(now, b, id, &last.values)
+		f := b.fieldsFor(id, &last.values)
 		mask, unacked := 0, known && last.seq > p.acked
 		for k := fieldCharged; k <= fieldMoved; k++ {
 			if f[k] != last.values[k] || unacked {
@@ -220,9 +224,9 @@
 
 // fieldsFor returns the present values. The charged flows keep the last sent
 // figure as long as the difference is small.
-func (s *State) fieldsFor(now time.Time, b *backend, id string, last *fields) fields {
+func (b *backend) fieldsFor(id string, last *fields) fields {
 	var f fields
-	f[fieldCharged] = b.occupied(now)
+	f[fieldCharged] = b.told.charged
 	if d := f[fieldCharged] - last[fieldCharged]; max(d, -d) <= last[fieldCharged]/chargedPart {
 		f[fieldCharged] = last[fieldCharged]
 	}
@@ -231,7 +235,7 @@
 		f[fieldOwed] = l.flows
 	}
 	if n := len(b.group.peers); n > 0 {
-		f[fieldWant] = ceilDiv(s.want(now, b), n)
+		f[fieldWant] = ceilDiv(b.told.want, n)
 	}
 	return f
 }
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -81,6 +81,7 @@
 	retained   []retention
 	moved      int // charges handed to the gaining hosts, until the view completes
 
+	told     toldFigures
 	lent     map[string]*lending
 	borrowed map[string]*borrowing
 
