--- a/internal/command/sim_test.go
+++ b/internal/command/sim_test.go
@@ -330,6 +330,11 @@
 	})
 }
 
+func (s *sim) setup(n int, b simBackend) {
+	b.ran = make(map[string]int)
+	s.backends[s.backend(n)] = &b
+}
+
 func (s *sim) ran(id string) (n int) {
 	for _, b := range s.backends {
 		n += b.ran[id]
