--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -14,7 +14,6 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
-	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 	"github.com/nutmeglatch/nutmeglatch/internal/route"
 )
 
@@ -195,8 +194,7 @@
 		return
 	}
 	d := c.d
-	out := peer.SealDatagram(nil, &d.key, d.settings.HostID, d.boot, d.sequence.Add(1), body)
-	if _, err := d.peerUDP.WriteToUDPAddrPort(out, s.Addr); err != nil {
+	if _, err := d.peerUDP.WriteToUDPAddrPort(d.probes.Seal(nil, body), s.Addr); err != nil {
 		counters.sendErrors.Inc()
 	}
 }
@@ -214,9 +212,7 @@
 		addrs[m.Host.ID] = m.Host.PeerAddr()
 	}
 	c.d.listed.Store(&addrs)
-	c.d.replaysMu.Lock()
-	c.d.replays.Retain(func(id string) bool { _, ok := addrs[id]; return ok })
-	c.d.replaysMu.Unlock()
+	c.d.probes.Retain(func(id string) bool { _, ok := addrs[id]; return ok })
 	c.chooseReaders()
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,14 +44,12 @@
 	boot     uint64
 	started  time.Time
 
-	gue       PacketConn
-	peerUDP   PacketConn
-	peerTCP   net.Listener
-	adminTCP  net.Listener
-	pool      *peer.Pool
-	replays   *peer.ReplayFilter
-	replaysMu sync.Mutex
-	sequence  atomic.Uint64
+	gue      PacketConn
+	peerUDP  PacketConn
+	peerTCP  net.Listener
+	adminTCP net.Listener
+	pool     *peer.Pool
+	probes   *peer.Datagrams
 
 	table    *flow.Table
 	router   *route.Router
@@ -75,7 +72,6 @@
 		source:   o.Source,
 		key:      o.Settings.PeerKey.Packet(),
 		started:  time.Now(),
-		replays:  peer.NewReplayFilter(),
 		events:   make(chan event, eventQueueLen),
 	}
 	if d.logger == nil {
@@ -89,8 +85,9 @@
 	}
 	// A later process of this host must have a greater boot id.
 	d.boot = uint64(d.started.UnixMilli())
+	d.probes = peer.NewDatagrams(o.Settings.HostID, d.boot, d.key, metrics.GetDefaultSet())
 	d.table = flow.NewTable(o.Settings.Limits.MaxFlows)
-	d.router = &route.Router{Table: d.table, PreferLocal: true}
+	d.router = &route.Router{Table: d.table}
 	d.listed.Store(&map[string]netip.AddrPort{})
 	if err := d.listen(); err != nil {
 		d.closeSockets()
--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -6,7 +6,6 @@
 	"runtime"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
@@ -131,13 +130,9 @@
 
 func (w *worker) handleProbe(b []byte, from netip.AddrPort) {
 	d := w.d
-	dg, err := peer.OpenDatagram(b, &d.key)
-	if err == nil {
-		err = d.acceptDatagram(&dg)
-	}
+	dg, err := d.probes.Open(b)
 	if err != nil {
-		peer.CountRefusedDatagram(metrics.GetDefaultSet(), err)
-		return
+		return // counted by reason
 	}
 	m, err := membership.DecodeMessage(dg.Body)
 	if err != nil {
@@ -148,12 +143,6 @@
 	d.tryPost(func(c *control, now time.Time) { c.receiveProbe(now, sender, m) })
 }
 
-func (d *Daemon) acceptDatagram(dg *peer.Datagram) error {
-	d.replaysMu.Lock()
-	defer d.replaysMu.Unlock()
-	return d.replays.Accept(dg)
-}
-
 // perform carries out the router's decision on a packet.
 func (w *worker) perform(snap *route.Snapshot, a route.Action, inner []byte) {
 	d := w.d
--- a/internal/demo/evaluate.go
+++ b/internal/demo/evaluate.go
@@ -92,15 +92,19 @@
 func (r *run) evaluateCommands(backends []*standin.Backend) {
 	rep := &r.report
 	rep.CommandsByOutcome = map[string]int{}
+	rep.CommandsNotAnswered = map[string]int{}
 	runs := map[standin.CommandID]int{}
 	for _, b := range backends {
 		for id, n := range b.Runs() {
 			runs[id] += n
 		}
 	}
-	for _, c := range r.load.commands {
+	for i, c := range r.load.commands {
 		rep.Commands++
 		rep.CommandsByOutcome[string(c.Outcome)]++
+		if c.Outcome != standin.CommandAnswered {
+			rep.CommandsNotAnswered[r.lastEvent(r.load.requests[i])+": "+c.Message]++
+		}
 		switch {
 		case c.Outcome == standin.CommandWrong:
 			rep.WrongAnswers++
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -40,6 +40,7 @@
 	flows    []standin.FlowResult
 	attempts []time.Time // starts of the flows, in the order of flows
 	commands []standin.CommandResult
+	requests []time.Time // starts of the commands, in the order of commands
 }
 
 // source returns an address that no other flow or command of the run has.
@@ -92,11 +93,13 @@
 		Source: source, Destination: netip.AddrPortFrom(s.Commands.Address, s.Commands.Port),
 		ID: id, Method: method, Params: source.String(), Repeat: commandRepeat, GiveUp: commandGiveUp,
 	}
+	started := time.Now()
 	l.wg.Go(func() {
 		r := caller.RunCommand(ctx, cfg)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.commands = append(l.commands, r)
+		l.requests = append(l.requests, started)
 	})
 }
 
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -29,6 +29,7 @@
 	WrongServicePackets    int64          `json:"wrong_service_packets"`
 	Commands               int            `json:"commands"`
 	CommandsByOutcome      map[string]int `json:"commands_by_outcome"`
+	CommandsNotAnswered    map[string]int `json:"commands_not_answered_after"` // by the last event before the request
 	CommandsRunTwice       int            `json:"commands_run_twice"`
 	FalseNotRun            int            `json:"false_not_run"`
 	WrongAnswers           int            `json:"wrong_answers"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -80,7 +80,7 @@
 		{"", "limits: {max_flows: 10}", "limits.max_flows", "10"},
 		{"", "limits: {max_message: 3000000}", "limits.max_message", "3000000"},
 		{"", "limits: {claim_retention: 29s}", "limits.claim_retention", "29s"},
-		{"", "limits: {tentative_for: 1ms}", "limits.tentative_for", "1ms"},
+		{"", "limits: {command_deadline: 16s, claim_retention: 40s}\nshutdown: {limit: 40s}", "limits.command_deadline", "16s"},
 		{"", "limits: {group_size: 0}", "limits.group_size", "0"},
 		{"", "probe: {interval: 1ms, timeout: 5ms}", "probe.interval", "1ms"},
 		{"", "probe: {timeout: 300ms}", "probe.timeout", "300ms"},
