command: let hosts leave in the at-most-once property

Cause: the property had deaths, restarts, pauses and partitions, but no planned stop of an owner. Change: a further kind of event makes a host leave.

--- a/internal/command/property_test.go
+++ b/internal/command/property_test.go
@@ -48,7 +48,7 @@
 
 func (f *fleet) reaches(from, to string) bool {
 	h := f.hosts[to]
-	return from == to || !h.dead && !h.paused.After(f.now) && f.side[from] == f.side[to]
+	return !h.state.leaving && (from == to || !h.dead && !h.paused.After(f.now) && f.side[from] == f.side[to])
 }
 
 // look gives a host a view that agrees with the present state of the fleet.
@@ -59,11 +59,8 @@
 			alive = append(alive, other)
 		}
 	}
-	o := Owners{Primary: alive[0]}
-	if len(alive) > 1 {
-		o.Secondary = alive[1]
-	}
-	f.setView(id, o, 2*len(alive) > len(f.ids))
+	alive = append(alive, "", "")
+	f.setView(id, Owners{alive[0], alive[1]}, 2*(len(alive)-2) > len(f.ids))
 }
 
 // changed lets each host notice a change after a time of its own.
@@ -89,8 +86,10 @@
 		f.side[id] = 1 - f.side[id]
 	case 4:
 		clear(f.side)
+	case 5:
+		leave(id)(f.sim)
 	default: // often the same request at several hosts
-		f.request(id, fmt.Sprint(n%(kind-4)), "shutoff",
+		f.request(id, fmt.Sprint(n%(kind-5)), "shutoff",
 			Candidate{f.backend(1), "c"}, Candidate{f.backend(2), "d"}, Candidate{f.backend(3), "b"})
 		return
 	}
@@ -110,7 +109,7 @@
 	}
 	sort.Slice(at, func(i, j int) bool { return at[i] < at[j] })
 	for i, e := range events {
-		f.after(at[i], func() { f.event(int(e%13), int(e/13)) })
+		f.after(at[i], func() { f.event(int(e%14), int(e/14)) })
 	}
 	f.runTo(t0 + 29*time.Second)
 	return f.check()
