demo: describe broken flows one by one

Cause: a count does not lead to the cause of a single broken flow. Change: the report lists up to 50 broken flows with their backend server and times.

--- a/internal/demo/evaluate.go
+++ b/internal/demo/evaluate.go
@@ -32,9 +32,9 @@
 	rep := &r.report
 	rep.BrokenFlowsByCause = map[string]int{}
 	rep.FlowsNotOpenedAfter = map[string]int{}
-	inDC := map[uint64]string{}
+	servers := map[uint64]*standin.Backend{}
 	for _, b := range backends {
-		inDC[b.Stats().Instance] = b.DataCentre()
+		servers[b.Stats().Instance] = b
 	}
 	served, attempted := 0, 0
 	for i := range r.load.flows {
@@ -47,7 +47,7 @@
 		}
 		if f.Broken() {
 			rep.BrokenFlows++
-			rep.BrokenFlowsByCause[r.cause(f, inDC)]++
+			r.describe(f, servers[servedBy(f)])
 		}
 		if r.duringMove(r.load.attempts[i]) {
 			attempted++
@@ -61,17 +61,34 @@
 	}
 }
 
-// cause classifies a broken flow. Flows of the data centre that was taken out
-// may be lost once it is out.
-func (r *run) cause(f *standin.FlowResult, inDC map[uint64]string) string {
-	instance := f.Instance
-	if instance == 0 { // reset before the first answer
-		instance = uint64(f.Accepted)
+// servedBy returns the backend server process that served a flow, also when
+// the flow was reset before its first answer.
+func servedBy(f *standin.FlowResult) uint64 {
+	if f.Instance != 0 {
+		return f.Instance
 	}
-	if inDC[instance] == r.outDC && f.Ended.After(r.takenOut) {
-		return causeDataCentreOut
+	return uint64(f.Accepted)
+}
+
+// describe classifies a broken flow. Flows of the data centre that was taken
+// out may be lost once it is out.
+func (r *run) describe(f *standin.FlowResult, server *standin.Backend) {
+	d := BrokenFlow{
+		Source:   f.Config.Source.String(),
+		Cause:    string(f.Cause),
+		OpenedMS: f.Opened.Sub(r.start).Milliseconds(),
+		EndedMS:  f.Ended.Sub(r.start).Milliseconds(),
+		Answers:  f.Answers,
+	}
+	if server != nil {
+		d.Backend, d.DataCentre = server.Addr().String(), server.DataCentre()
+	}
+	if d.DataCentre == r.outDC && f.Ended.After(r.takenOut) {
+		d.Cause = causeDataCentreOut
+	} else if len(r.report.BrokenFlowDetails) < maxDetails {
+		r.report.BrokenFlowDetails = append(r.report.BrokenFlowDetails, d)
 	}
-	return string(f.Cause)
+	r.report.BrokenFlowsByCause[d.Cause]++
 }
 
 // lastEvent returns the name of the newest event before t.
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -26,6 +26,7 @@
 	FlowAnswers            int            `json:"flow_answers"`
 	BrokenFlows            int            `json:"broken_flows"`
 	BrokenFlowsByCause     map[string]int `json:"broken_flows_by_cause"`
+	BrokenFlowDetails      []BrokenFlow   `json:"broken_flow_details"` // without those of the data centre that was out
 	WrongServicePackets    int64          `json:"wrong_service_packets"`
 	Commands               int            `json:"commands"`
 	CommandsByOutcome      map[string]int `json:"commands_by_outcome"`
@@ -45,6 +46,20 @@
 	Violations             []string       `json:"violations"`
 }
 
+// BrokenFlow describes a flow that ended before its time.
+type BrokenFlow struct {
+	Source     string `json:"source"`
+	Cause      string `json:"cause"`
+	Backend    string `json:"backend_server"`
+	DataCentre string `json:"data_centre"`
+	OpenedMS   int64  `json:"opened_ms"`
+	EndedMS    int64  `json:"ended_ms"`
+	Answers    int    `json:"answers"`
+}
+
+// maxDetails bounds the broken flows that are described one by one.
+const maxDetails = 50
+
 // EventReport says when a planned or unplanned event of the run happened.
 type EventReport struct {
 	AtMS int64  `json:"at_ms"`
