daemon: pass commands on, distrust own claims after being declared dead

Cause: the command slice asks for a forwarded request when the owners moved, for conditions several times a second, and for a reset of its claims when other hosts may have acted as owners. Change: Forward is sent with a hop limit, DeclaredDead is an outcome of the membership, conditions are given with every tick.

--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -26,21 +26,34 @@
 // admitting host, so that the host's answer about the deadline still arrives.
 const runCallMargin = 250 * time.Millisecond
 
+// commandHops bounds how often a command is passed on between hosts whose
+// views of the owners differ.
+const commandHops = 3
+
+// commandPacket is a caller's request with what is needed to pass it on.
+type commandPacket struct {
+	flow    packet.Key
+	service string
+	request command.Request
+	inner   []byte
+	hops    uint8
+}
+
 // commandRequest hands a command that this host owns to the control goroutine.
-func (d *Daemon) commandRequest(snap *route.Snapshot, info *packet.Info, inner []byte) {
+func (d *Daemon) commandRequest(snap *route.Snapshot, info *packet.Info, inner []byte, hops uint8) {
 	svc := snap.Services.Get(serviceAddr(info.Key))
 	if svc == nil {
 		countDroppedReason("command", "no_service")
 		return
 	}
 	payload := inner[info.PayloadOffset : info.PayloadOffset+info.PayloadLen]
-	k, name := info.Key, svc.Name
 	req, err := command.ParseRequest(payload)
 	if err != nil {
-		d.refuseCommand(k, err)
+		d.refuseCommand(info.Key, err)
 		return
 	}
-	d.tryPost(func(c *control, now time.Time) { c.command(now, name, k, req) })
+	p := commandPacket{flow: info.Key, service: svc.Name, request: req, inner: slices.Clone(inner), hops: hops}
+	d.tryPost(func(c *control, now time.Time) { c.command(now, p) })
 }
 
 func serviceAddr(k packet.Key) route.ServiceAddr {
@@ -81,21 +94,42 @@
 }
 
 // command handles a caller's request at the owner of its bucket.
-func (c *control) command(now time.Time, service string, k packet.Key, req command.Request) {
-	doc := c.config.Current().Services[service]
+func (c *control) command(now time.Time, p commandPacket) {
+	doc := c.config.Current().Services[p.service]
 	if doc == nil || doc.Commands == nil {
 		countDroppedReason("command", "no_service")
 		return
 	}
 	in := command.Input{
-		Service:    service,
-		Bucket:     uint8(k.Hash() % route.Buckets),
-		Flow:       k,
-		Idempotent: slices.Contains(doc.Commands.IdempotentMethods, req.Method),
+		Service:    p.service,
+		Bucket:     uint8(p.flow.Hash() % route.Buckets),
+		Flow:       p.flow,
+		Idempotent: slices.Contains(doc.Commands.IdempotentMethods, p.request.Method),
 		Deadline:   min(doc.Commands.Deadline.Std(), c.d.settings.Limits.CommandDeadline.Std()),
-		Candidates: c.candidates(service, k.Hash()^uint64(now.UnixNano())),
+		Candidates: c.candidates(p.service, p.flow.Hash()^uint64(now.UnixNano())),
+	}
+	outcomes := c.commands.Request(now, in, p.request)
+	for _, o := range outcomes {
+		if f, ok := o.(command.Forward); ok {
+			c.forwardCommand(p, f.To)
+		}
+	}
+	c.performCommands(now, outcomes)
+}
+
+// forwardCommand passes a request on to the host that owns its bucket now.
+func (c *control) forwardCommand(p commandPacket, to string) {
+	addr, ok := c.d.lookup(to)
+	if !ok || p.hops == 0 {
+		countDroppedReason("command", "not_owner")
+		return
+	}
+	self := c.d.settings.Peer
+	h := packet.ForwardHeader{Kind: packet.KindCommand, Hops: p.hops, Origin: self, Sender: self}
+	out := packet.AppendForward(nil, &c.d.key, &h, p.inner)
+	if _, err := c.d.peerUDP.WriteToUDPAddrPort(out, addr); err != nil {
+		counters.sendErrors.Inc()
 	}
-	c.performCommands(now, c.commands.Request(now, in, req))
 }
 
 // candidates returns the backend servers that may run a command, in an order
@@ -161,8 +195,6 @@
 			if host := c.admittingHost(o.Message.Backend); host != "" {
 				c.call(host, command.MethodReply, o.Message, nil)
 			}
-		case command.Forward:
-			countDroppedReason("command", "not_owner")
 		}
 	}
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -75,7 +76,7 @@
 		config:  configsync.New(configsync.Config{Seed: seed}),
 		builder: route.NewBuilder(s.HostID, s.DataCentre, s.Limits.GroupSize),
 	}
-	cfg := command.Config{Self: s.HostID, Boot: d.boot, Retention: s.Limits.ClaimRetention.Std(), PauseLimit: s.PauseLimit.Std()}
+	cfg := command.Config{Self: s.HostID, Boot: rand.Uint64(), Retention: s.Limits.ClaimRetention.Std(), PauseLimit: s.PauseLimit.Std()}
 	c.commands = command.New(cfg, d.started)
 	c.limits = newLimits()
 	c.runner = command.NewRunner(cfg, &commandSlots{slots: c.limits.slots})
@@ -160,6 +161,7 @@
 func (c *control) tick(now time.Time) {
 	c.carryOut(now, c.members.Tick(now))
 	c.startCheck(now)
+	c.commands.SetConditions(now, c.conditions())
 	c.performCommands(now, c.commands.Expire(now))
 	c.performCommands(now, c.runner.Expire(now))
 	c.limitRound(now)
@@ -180,6 +182,9 @@
 		case membership.Superseded:
 			level.Error(c.logger).Log("msg", "another process runs under this host id; stopping", "boot", o.Boot)
 			c.leave(now)
+		case membership.DeclaredDead:
+			level.Warn(c.logger).Log("msg", "other entry hosts had declared this one dead")
+			c.distrust(now)
 		case membership.ListRejected:
 			level.Warn(c.logger).Log("msg", "empty host list rejected")
 		}
@@ -221,7 +226,15 @@
 func (c *control) paused(now time.Time, gap time.Duration) {
 	counters.pauses.Inc()
 	level.Warn(c.logger).Log("msg", "process was paused; comparing versions before serving", "gap", gap)
+	c.distrust(now)
+}
+
+// distrust stops serving until versions have been compared with a peer. Claims
+// of commands no longer count as complete, since other hosts may have acted as
+// owners meanwhile.
+func (c *control) distrust(now time.Time) {
 	c.serving, c.dirty = false, true
+	c.commands.SetConditions(now, c.conditions())
 	c.sync.begin(now, c.d.settings.StartCheck.Std())
 }
 
@@ -233,6 +246,7 @@
 	c.leaving, c.leftAt, c.dirty = true, now, true
 	level.Info(c.logger).Log("msg", "leaving")
 	c.commands.Leave()
+	c.runner.Leave()
 	c.carryOut(now, c.members.Leave(now))
 }
 
--- a/internal/daemon/snapshot.go
+++ b/internal/daemon/snapshot.go
@@ -30,7 +30,7 @@
 // ownersChanged tells the command slice who owns which bucket and whether this
 // host sees a majority.
 func (c *control) ownersChanged(now time.Time, snap *route.Snapshot) {
-	c.commands.SetConditions(now, command.Conditions{Majority: c.members.Majority(c.dataCentresOut()), Serving: c.serving})
+	c.commands.SetConditions(now, c.conditions())
 	for name, svc := range snap.ByName.All() {
 		if svc.CommandAddr == (route.ServiceAddr{}) || c.owned[name] == svc {
 			continue
@@ -44,6 +44,11 @@
 	}
 }
 
+// conditions are what this host knows about its place in the fleet.
+func (c *control) conditions() command.Conditions {
+	return command.Conditions{Majority: c.members.Majority(c.dataCentresOut()), Serving: c.serving}
+}
+
 // hostID returns the id of a host, empty for none.
 func hostID(s *route.Snapshot, i uint16) string {
 	if i == route.NoHost {
--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -83,6 +83,7 @@
 		return
 	}
 	d.lastPacket.Store(int64(now))
+	w.header.Hops = commandHops + 1
 	w.perform(snap, d.router.FromFabric(snap, &w.info, now), inner)
 }
 
@@ -158,7 +159,7 @@
 	case route.ResetCaller:
 		w.reset(inner)
 	case route.ToCommand:
-		d.commandRequest(snap, &w.info, inner)
+		d.commandRequest(snap, &w.info, inner, w.header.Hops-1)
 	case route.Drop:
 	}
 	countAction(a)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -132,6 +132,10 @@
 // boot.
 type Superseded struct{ Boot uint64 }
 
+// DeclaredDead reports that others had declared this process dead, so they may
+// have acted in its place meanwhile.
+type DeclaredDead struct{}
+
 // ListRejected reports that an empty list was given after a list with hosts.
 // The previous list stays in effect, because the platform may serve a stale or
 // damaged copy and an empty list would remove every member.
@@ -142,4 +146,5 @@
 func (Paused) outcome()       {}
 func (PeerDigest) outcome()   {}
 func (Superseded) outcome()   {}
+func (DeclaredDead) outcome() {}
 func (ListRejected) outcome() {}
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -159,6 +159,9 @@
 	if u.Boot == s.cfg.Boot && u.Status != Alive && u.Incarnation >= s.incarnation {
 		s.incarnation = u.Incarnation + 1
 		s.counters.Refutations++
+		if u.Status == Dead {
+			out = append(out, DeclaredDead{})
+		}
 		return append(out, Changed{})
 	}
 	return out
