Mark both documents of a conflict at a start; count rejections

Cause: of two conflicting documents read at a start only the second was marked as unconfirmed, so the first spread to hosts that use the other one, and the outcome depended on the order of reading. Change: both are marked unless a peer uses them; the mark ends with the conflict. Accepted and rejected values are counted by reason. Conclusion: the test of conflicts at the start covers both orders.

--- a/internal/configsync/bench_test.go
+++ b/internal/configsync/bench_test.go
@@ -37,13 +37,12 @@
 		for _, kind := range []string{"unchanged", "newer"} {
 			b.Run(fmt.Sprintf("%s/documents=%d", kind, n), func(b *testing.B) {
 				s := filled(b, n)
+				key, raw := benchDocument(0, 1)
 				b.ReportAllocs()
-				version := 1
-				for b.Loop() {
+				for version := 2; b.Loop(); version++ {
 					if kind == "newer" {
-						version++
+						key, raw = benchDocument(0, version)
 					}
-					key, raw := benchDocument(0, version)
 					s.Offer(now, Platform, key, raw)
 				}
 			})
--- a/internal/configsync/conflict.go
+++ b/internal/configsync/conflict.go
@@ -39,6 +39,29 @@
 	return src.Peer != "" || !slices.ContainsFunc(conflicts, func(c conflict) bool { return s.values[c.other].fromPeer })
 }
 
+// markUnconfirmed marks the documents of a conflict that this host accepted
+// only because it read them together at its start. The mark does not depend
+// on which of them was read first.
+func (s *State) markUnconfirmed(src Source, e *entry, conflicts []conflict) {
+	if src.Peer != "" && !src.Unconfirmed {
+		return
+	}
+	e.Unconfirmed = true
+	for _, c := range conflicts {
+		if other := s.values[c.other]; !other.fromPeer {
+			other.Unconfirmed = true
+		}
+	}
+}
+
+// export returns a value as it is sent to peers. The mark of a document at the
+// start ends with its conflict.
+func (s *State) export(e *entry) Value {
+	v := e.Value
+	v.Unconfirmed = v.Unconfirmed && len(s.conflictsOf(e)) > 0
+	return v
+}
+
 // holdBack rejects e and keeps it for another check when one of the documents
 // it conflicts with changes.
 func (s *State) holdBack(now time.Time, src Source, e *entry, conflicts []conflict) Result {
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -78,6 +78,7 @@
 		case v.Version < mine.Version:
 			c.Send = append(c.Send, v.Key)
 		case v.Digest != mine.Digest:
+			s.countRefusal(RefusalSameVersion)
 			err := sameVersionError(v.Version, v.Digest, mine.Digest)
 			s.refusals.add(now, src, truncate(v.Key, maxKeyBytes), RefusalSameVersion, v.Digest, v.Version, err)
 		}
@@ -117,7 +118,7 @@
 		if len(values) > 0 && size > s.cfg.MaxMessage {
 			break
 		}
-		values = append(values, e.Value)
+		values = append(values, s.export(e))
 	}
 	return values
 }
--- a/internal/configsync/index.go
+++ b/internal/configsync/index.go
@@ -68,7 +68,7 @@
 	var versions []Version
 	for _, p := range part {
 		for _, key := range s.index.keys[p] {
-			v := s.values[key].Value
+			v := s.export(s.values[key])
 			versions = append(versions, Version{v.Key, v.Version, v.Digest, v.Unconfirmed})
 		}
 	}
--- a/internal/configsync/refusal.go
+++ b/internal/configsync/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -43,10 +44,15 @@
 
 // refuse records the rejection of a value and returns the result for it.
 func (s *State) refuse(now time.Time, src Source, key string, reason Refusal, raw []byte, version uint64, err error) Result {
+	s.countRefusal(reason)
 	s.refusals.add(now, src, truncate(key, maxKeyBytes), reason, document.Digest(raw), version, err)
 	return Result{Refusal: reason, Err: err}
 }
 
+func (s *State) countRefusal(reason Refusal) {
+	s.cfg.Metrics.GetOrCreateCounter(fmt.Sprintf("nutmeglatch_configsync_rejected_total{reason=%q}", reason)).Inc()
+}
+
 func (r *refusals) add(now time.Time, src Source, key string, reason Refusal, digest, version uint64, err error) {
 	id := refusalID{key, reason, digest}
 	if rec := r.records[id]; rec != nil {
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 )
 
@@ -23,6 +25,8 @@
 	MaxMessage int
 	// Seed selects the random peers of pushes.
 	Seed uint64
+	// Metrics receives the counters. Default none.
+	Metrics *metrics.Set
 }
 
 // Defaults of Config.
@@ -109,7 +113,7 @@
 type entry struct {
 	Value
 	parsed   parsed
-	fromPeer bool
+	fromPeer bool // a peer accepted it otherwise than at its own start
 }
 
 // State holds the accepted values.
@@ -141,6 +145,9 @@
 	if cfg.MaxMessage <= 0 {
 		cfg.MaxMessage = DefaultMaxMessage
 	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
+	}
 	return &State{
 		cfg:       cfg,
 		starting:  true,
@@ -172,7 +179,7 @@
 	e := &entry{
 		Value:    Value{Key: key, Version: p.version, Digest: document.Digest(raw), Raw: slices.Clone(raw)},
 		parsed:   p,
-		fromPeer: src.Peer != "",
+		fromPeer: src.Peer != "" && !src.Unconfirmed,
 	}
 	if refusal, err := s.checkVersion(e); err != nil {
 		return s.refuse(now, src, key, refusal, raw, e.Version, err)
@@ -181,7 +188,7 @@
 		if !s.acceptsConflict(src, conflicts) {
 			return s.holdBack(now, src, e, conflicts)
 		}
-		e.Unconfirmed = src.Unconfirmed || src.Peer == ""
+		s.markUnconfirmed(src, e, conflicts)
 	}
 	s.accept(e)
 	keys := append([]string{key}, s.settle()...)
@@ -235,7 +242,7 @@
 	if e == nil {
 		return Value{}, false
 	}
-	return e.Value, true
+	return s.export(e), true
 }
 
 // accept puts e into effect in place of the older value of its key.
@@ -247,6 +254,7 @@
 	if held := s.pending[e.Key]; held != nil && held.Version <= e.Version {
 		delete(s.pending, e.Key)
 	}
+	s.cfg.Metrics.GetOrCreateCounter("nutmeglatch_configsync_accepted_total").Inc()
 	s.values[e.Key] = e
 	s.index.add(e.Value)
 	s.addClaims(e)
--- a/internal/configsync/state_test.go
+++ b/internal/configsync/state_test.go
@@ -151,15 +151,17 @@
 	if !s.Current().Conflicted[shared] || len(s.Current().Services) != 2 || len(s.Current().Conflicted) != 1 {
 		t.Fatalf("conflict at the start: %v", s.Current().Conflicted)
 	}
-	value, _ := s.Get(keyB)
-	established := started()
-	offer(established, keyA, a)
-	if r := established.Offer(now, FromPeer("h1", value), keyB, value.Raw); r.Refusal != RefusalAddressConflict {
-		t.Errorf("unconfirmed conflict from a peer: %+v", r)
+	for key, other := range map[string]string{keyA: keyB, keyB: keyA} {
+		value, _ := s.Get(key)
+		held, _ := s.Get(other)
+		established := started()
+		offer(established, other, held.Raw)
+		if r := established.Offer(now, FromPeer("h1", value), key, value.Raw); r.Refusal != RefusalAddressConflict {
+			t.Errorf("unconfirmed conflict from a peer: %+v", r)
+		}
 	}
 	late := New(Config{})
-	held, _ := established.Get(keyA)
-	late.Offer(now, FromPeer("h1", held), keyA, held.Raw)
+	late.Offer(now, Source{Peer: "h1"}, keyA, a)
 	if got := offer(late, keyB, b); got != RefusalAddressConflict {
 		t.Errorf("conflict with a document that a peer uses: %q", got)
 	}
@@ -167,6 +169,9 @@
 	if len(s.Current().Conflicted) != 0 {
 		t.Error("a newer version did not resolve the conflict")
 	}
+	if v, _ := s.Get(keyA); v.Unconfirmed {
+		t.Error("a document without conflict stays unconfirmed")
+	}
 }
 
 // TestConflictAfterPartition guards against two sides of a partition that
