Allow values to be parsed outside the control goroutine

Cause: parsing takes about 0.6 ms per document with six backend servers, which for the 6,900 documents of a first read adds up to seconds on one goroutine. Change: Parse needs no State, and OfferParsed accepts its result. Conclusion: the control goroutine can leave parsing to the reader of the platform.

--- a/internal/configsync/parse.go
+++ b/internal/configsync/parse.go
@@ -23,6 +23,21 @@
 	hosts       *document.HostList
 }
 
+// Candidate is a parsed value that has not been offered yet.
+type Candidate struct {
+	key    string
+	raw    []byte
+	parsed parsed
+	err    error
+}
+
+// Parse parses and checks a value. It uses no State, so that the values of a
+// first read can be parsed outside the goroutine that owns the State.
+func Parse(key string, raw []byte) Candidate {
+	p, err := parse(key, raw)
+	return Candidate{key, raw, p, err}
+}
+
 // parse parses the value of key, which selects its kind.
 func parse(key string, raw []byte) (parsed, error) {
 	name, isService := strings.CutPrefix(key, document.ServiceKeyPrefix)
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -172,13 +172,22 @@
 		s.confirm(key, src)
 		return Result{}
 	}
-	p, err := parse(key, raw)
-	if err != nil {
-		return s.refuse(now, src, key, refusalOf(err), raw, 0, err)
+	return s.OfferParsed(now, src, Parse(key, raw))
+}
+
+// OfferParsed is Offer for a value that was parsed by Parse.
+func (s *State) OfferParsed(now time.Time, src Source, c Candidate) Result {
+	key, raw := c.key, c.raw
+	if s.inEffect(key, raw) {
+		s.confirm(key, src)
+		return Result{}
+	}
+	if c.err != nil {
+		return s.refuse(now, src, key, refusalOf(c.err), raw, 0, c.err)
 	}
 	e := &entry{
-		Value:    Value{Key: key, Version: p.version, Digest: document.Digest(raw), Raw: slices.Clone(raw)},
-		parsed:   p,
+		Value:    Value{Key: key, Version: c.parsed.version, Digest: document.Digest(raw), Raw: slices.Clone(raw)},
+		parsed:   c.parsed,
 		fromPeer: src.Peer != "" && !src.Unconfirmed,
 	}
 	if refusal, err := s.checkVersion(e); err != nil {
--- a/internal/configsync/state_test.go
+++ b/internal/configsync/state_test.go
@@ -77,7 +77,11 @@
 	}
 	summary := s.Summary()
 	for _, row := range rows {
+		parsed := s.OfferParsed(now, Platform, Parse(row.key, []byte(row.raw)))
 		r := s.Offer(now, Platform, row.key, []byte(row.raw))
+		if parsed.Refusal != r.Refusal {
+			t.Errorf("%.40q: OfferParsed gives %q, Offer %q", row.raw, parsed.Refusal, r.Refusal)
+		}
 		if r.Refusal != row.want || r.Accepted || (r.Err == nil) != (row.want == RefusalNone) {
 			t.Errorf("%.40q: got %+v, want %q", row.raw, r, row.want)
 		}
