membership: strict majority check up to 64 hosts; pause noticed on Receive

A pause was noticed only by Tick, so datagrams read before it counted as fresh. Change: raise the strict size from 16 to 64, count a host from the time its answered probe was sent, allow 1 instead of 3 failures above that size, and notice a pause in Receive too. Conclusion: strict up to 64 hosts; above that two majorities remain possible while a partition is being found.

--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -92,7 +92,7 @@
 			c.run(6 * time.Second)
 			c.expect(Dead, "entry-4", c.others(p)...)
 			p.down = false
-			c.run(step)
+			c.handle(p, p.Receive(c.now, Sender{ID: "entry-0", Boot: 1000}, Message{Kind: Probe}))
 			if !hasEvent[Paused](p) {
 				c.t.Error("no Paused outcome")
 			}
@@ -124,6 +124,22 @@
 				c.expect(Alive, n.host.ID, c.nodes...)
 			}
 		}},
+		{"partition of a fleet too large to ask each host", 100, func(c *cluster) {
+			c.run(10 * time.Second)
+			c.partition(func(n *node) bool { return slices.Index(c.nodes, n) < 30 })
+			c.run(2 * time.Second) // less than it takes to find most hosts dead
+			for i, n := range c.nodes[:30] {
+				if n.Majority(nil) {
+					c.t.Errorf("host %d on the smaller side sees a majority", i)
+				}
+			}
+			c.run(20 * time.Second)
+			for i, n := range c.nodes {
+				if n.Majority(nil) != (i >= 30) {
+					c.t.Errorf("host %d: majority %v", i, n.Majority(nil))
+				}
+			}
+		}},
 		{"empty list is rejected", 3, func(c *cluster) {
 			c.setList(c.nodes[0])
 			if !hasEvent[ListRejected](c.nodes[0]) || len(c.nodes[0].Members()) != 3 {
@@ -220,10 +236,11 @@
 func TestOneMajority(t *testing.T) {
 	for seed := range uint64(60) {
 		rng := rand.New(rand.NewPCG(seed, 1))
-		c := newCluster(t, 7)
-		c.run(3*time.Second + time.Duration(rng.IntN(200))*step)
-		mask := 1 + rng.IntN(126)
-		side := func(n *node) bool { return mask>>(n.host.ID[6]-'0')&1 == 1 }
+		size := []int{3, 6, 7, 20}[seed%4]
+		c := newCluster(t, size)
+		c.run(4*time.Second + time.Duration(rng.IntN(200))*step)
+		order, split := rng.Perm(size), 1+rng.IntN(size-1)
+		side := func(n *node) bool { return order[slices.Index(c.nodes, n)] < split }
 		c.partition(side)
 		for range 400 {
 			c.run(step)
@@ -237,7 +254,7 @@
 				}
 			}
 			if died && len(sides) > 1 {
-				t.Fatalf("seed %d, sides %07b: both see a majority %v after the partition", seed, mask, c.now.Sub(start))
+				t.Fatalf("seed %d, %d of %d hosts: both sides see a majority", seed, split, size)
 			}
 		}
 	}
--- a/internal/membership/majority.go
+++ b/internal/membership/majority.go
@@ -8,9 +8,9 @@
 
 // Bounds of the two forms of the majority rule, see Majority.
 const (
-	verifyHosts     = 16 // up to this many hosts, each must have answered
+	verifyHosts     = 64 // up to this many hosts, each must have answered
 	recentResults   = 8  // latest probes considered above that
-	recentFailLimit = 3  // of those, probes that may have failed
+	recentFailLimit = 1  // of those, probes that may have failed
 )
 
 // majority is the evidence that Majority uses beside the states of the hosts.
@@ -39,10 +39,11 @@
 // when no host counts.
 //
 // A partition is noticed host by host, so the states alone would let the smaller
-// side see a majority while it already has declared some hosts dead. Up to 16
-// hosts, a host counts only if it has answered a probe of this host since the
-// latest suspicion. With more hosts this would take too long; then at most 3 of
-// the latest 8 probes may have failed.
+// side see a majority while it already has declared some hosts dead. Up to 64
+// hosts, a host counts only if it has answered a probe that this host sent after
+// the latest suspicion arose, which takes up to 6.4 s at 64 hosts. With more
+// hosts that would take too long; then at most 1 of the latest 8 probes may have
+// failed, which does not exclude two majorities while a partition is found.
 func (s *State) Majority(excluded []string) bool {
 	total, alive := 0, 0
 	strict := len(s.members) < verifyHosts
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -104,7 +104,7 @@
 // Changed reports that Members returns a different value than before.
 type Changed struct{}
 
-// Paused reports that the time between two ticks exceeded PauseLimit.
+// Paused reports that no Tick or Receive was called for more than PauseLimit.
 type Paused struct{ Gap time.Duration }
 
 // PeerDigest returns the configuration digest of a listed host that sent a
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -10,11 +10,11 @@
 // differ for a while and the sender would otherwise declare this host dead; the
 // sender does not become a member and its updates are ignored.
 func (s *State) Receive(now time.Time, from Sender, m Message) []Outcome {
-	var out []Outcome
+	out := s.advance(now)
 	sender := s.members[from.ID]
 	if sender != nil && from.Boot < sender.boot {
 		s.counters.ReplacedSenders++
-		return s.answerReplaced(from, m)
+		return append(out, s.answerReplaced(from, m)...)
 	}
 	if sender == nil {
 		s.counters.UnlistedSenders++
@@ -76,7 +76,7 @@
 	delete(s.probes, m.Seq)
 	target := s.members[p.target]
 	if direct {
-		target.answered = now
+		target.answered = later(target.answered, p.sent)
 	}
 	if p.relayFor != nil {
 		return s.answerRelay(p, out)
@@ -90,6 +90,13 @@
 	return out
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (s *State) answerRelay(p *probe, out []Outcome) []Outcome {
 	requester := s.members[p.relayFor.ID]
 	if requester == nil {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -43,7 +43,7 @@
 	updates  queue
 	majority majority
 
-	lastTick  time.Time
+	lastEvent time.Time // the latest Tick or Receive
 	nextProbe time.Time
 }
 
@@ -57,13 +57,15 @@
 	// a host is spread when it is first heard of. For the hosts of the first
 	// list that would spread one update per listed host after every restart.
 	joined bool
-	// answered is when the host last answered a probe of this host directly.
+	// answered is when the latest probe was sent that the host answered directly.
+	// The time of the answer would also count answers read late.
 	answered time.Time
 }
 
 // probe is a probe without an answer yet, started by this host or on request.
 type probe struct {
 	target   string
+	sent     time.Time
 	deadline time.Time
 	indirect bool    // other hosts have been asked
 	relayFor *Sender // set when another host asked for this probe
@@ -83,7 +85,7 @@
 		probes:    make(map[uint64]*probe),
 		suspects:  make(map[string]time.Time),
 		updates:   queue{byID: make(map[string]*queued)},
-		lastTick:  now,
+		lastEvent: now,
 		nextProbe: now,
 	}
 }
@@ -225,15 +227,11 @@
 	return next
 }
 
-// Tick advances time. It must be called more often than PauseLimit.
+// Tick advances time. Tick or Receive must be called more often than
+// PauseLimit, and before anything else after a wait, so that a pause is noticed
+// before the members are used.
 func (s *State) Tick(now time.Time) []Outcome {
-	var out []Outcome
-	gap := now.Sub(s.lastTick)
-	s.lastTick = now
-	if gap > s.cfg.PauseLimit {
-		out = append(out, Paused{Gap: gap})
-		s.resume(now)
-	}
+	out := s.advance(now)
 	out = s.expireProbes(now, out)
 	out = s.expireSuspects(now, out)
 	if !now.Before(s.nextProbe) {
@@ -248,6 +246,17 @@
 	return out
 }
 
+// advance notices a pause.
+func (s *State) advance(now time.Time) []Outcome {
+	gap := now.Sub(s.lastEvent)
+	s.lastEvent = now
+	if gap <= s.cfg.PauseLimit {
+		return nil
+	}
+	s.resume(now)
+	return []Outcome{Paused{Gap: gap}}
+}
+
 // resume discards what was pending during a pause: answers may have been lost
 // while this host did not read them, so they are no evidence about others.
 func (s *State) resume(now time.Time) {
@@ -291,6 +300,7 @@
 func (s *State) startProbe(now time.Time, id string, p probe) Send {
 	s.seq++
 	p.target = id
+	p.sent = now
 	p.deadline = now.Add(s.cfg.ProbeTimeout)
 	s.probes[s.seq] = &p
 	return s.send(id, s.members[id].host.PeerAddr(), Message{Kind: Probe, Seq: s.seq})
--- a/internal/peer/contract_test.go
+++ b/internal/peer/contract_test.go
@@ -162,8 +162,7 @@
 // may be repeated only when it surely was not run.
 func TestCallOutcomes(t *testing.T) {
 	d := &directory{}
-	release := make(chan struct{})
-	running := make(chan struct{}, 10)
+	release, running := make(chan struct{}), make(chan struct{})
 	b, _ := startHost(t, d, "b", func(ctx context.Context, _, method string, params json.RawMessage) (any, error) {
 		switch method {
 		case "block":
@@ -180,9 +179,20 @@
 		}
 		return params, nil
 	}, func(c *Config) { c.MaxMessage = 1 << 16; c.MaxRequests = 1 })
-	defer close(release)
 	a, _ := startHost(t, d, "a", echo, func(c *Config) { c.MaxMessage = 1 << 16 })
 	var remote *RemoteError
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- a.Call(ctx, "b", "block", nil, nil) }()
+	<-running
+	if err := a.Call(t.Context(), "b", "m", nil, nil); !errors.As(err, &remote) || !remote.NotRun() {
+		t.Errorf("got %v, want a refusal because of the request in progress", err)
+	}
+	cancel()
+	expectOutcome(t, <-ended, "unknown")
+	expectOutcome(t, a.Call(ctx, "b", "m", nil, nil), "not sent")
+	close(release)
+
 	// The place of a request is free again just after its answer is sent.
 	call := func(method string, params any) (err error) {
 		waitFor(t, "a free place", func() bool {
@@ -209,28 +219,6 @@
 		var number int
 		return outcome(t, a.Call(t.Context(), "b", "m", "text", &number)) == "unknown"
 	})
-
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error)
-	if err := call("m", nil); err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		err := a.Call(ctx, "b", "block", nil, nil)
-		for errors.As(err, new(*RemoteError)) {
-			err = a.Call(ctx, "b", "block", nil, nil)
-		}
-		ended <- err
-	}()
-	<-running
-	if err := a.Call(t.Context(), "b", "m", nil, nil); !errors.As(err, &remote) || !remote.NotRun() {
-		t.Errorf("got %v, want a refusal because of the request in progress", err)
-	}
-	cancel()
-	expectOutcome(t, <-ended, "unknown")
-	ctx, cancel = context.WithTimeout(t.Context(), time.Nanosecond)
-	defer cancel()
-	expectOutcome(t, a.Call(ctx, "b", "m", nil, nil), "not sent")
 	d.Delete("a")
 	if err := call("m", nil); !errors.As(err, &remote) || remote.Code != CodeUnlisted {
 		t.Errorf("got %v, want a refusal because the host is not listed any more", err)
