daemon: parse values outside the control goroutine

Cause: a first read of 6,900 documents takes seconds of parsing, longer than the control loop may pause; configsync counts its own outcomes now.

--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -61,10 +61,11 @@
 }
 
 func handlePush(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
-	return answer(d, ctx, params, func(c *control, now time.Time, p configsync.PushMessage) bool {
-		c.offer(now, from, p.Values)
-		return true
-	})
+	p, err := decodeParams[configsync.PushMessage](params)
+	if err != nil {
+		return nil, err
+	}
+	return true, d.offer(ctx, from, p.Values)
 }
 
 func handlePartial(d *Daemon, ctx context.Context, _ string, _ json.RawMessage) (any, error) {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -73,7 +74,7 @@
 			IndirectProbes: s.Probe.IndirectProbes,
 			Seed:           seed,
 		}, d.started),
-		config:  configsync.New(configsync.Config{Seed: seed}),
+		config:  configsync.New(configsync.Config{Seed: seed, Metrics: metrics.GetDefaultSet()}),
 		builder: route.NewBuilder(s.HostID, s.DataCentre, s.Limits.GroupSize),
 	}
 	cfg := command.Config{Self: s.HostID, Boot: rand.Uint64(), Retention: s.Limits.ClaimRetention.Std(), PauseLimit: s.PauseLimit.Std()}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -15,13 +15,12 @@
 var errClosed = net.ErrClosed
 
 var counters = struct {
-	socketErrors, sendErrors, eventsDropped, pauses, accepted, compareFailures *metrics.Counter
+	socketErrors, sendErrors, eventsDropped, pauses, compareFailures *metrics.Counter
 }{
 	socketErrors:    metrics.NewCounter("nutmeglatch_daemon_socket_errors_total"),
 	sendErrors:      metrics.NewCounter("nutmeglatch_daemon_send_errors_total"),
 	eventsDropped:   metrics.NewCounter("nutmeglatch_daemon_events_dropped_total"),
 	pauses:          metrics.NewCounter("nutmeglatch_daemon_pauses_total"),
-	accepted:        metrics.NewCounter("nutmeglatch_configsync_accepted_total"),
 	compareFailures: metrics.NewCounter("nutmeglatch_configsync_compare_failures_total"),
 }
 
@@ -74,10 +73,6 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`nutmeglatch_daemon_dropped_total{port=%q,reason=%q}`, port, reason)).Inc()
 }
 
-func countRefused(reason string) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`nutmeglatch_configsync_refused_total{reason=%q}`, reason)).Inc()
-}
-
 func countCallFailure(method string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`nutmeglatch_peer_call_failures_total{method=%q}`, method)).Inc()
 }
--- a/internal/daemon/snapshot.go
+++ b/internal/daemon/snapshot.go
@@ -87,6 +87,7 @@
 			Peer:       m.Host.PeerAddr(),
 			Leaving:    isSelf && c.leaving || m.Host.State == document.HostLeaving || slices.Contains(out, m.Host.DataCentre),
 			Suspect:    m.Status == membership.Suspect,
+			Boot:       m.Boot,
 		})
 	}
 	return hosts
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -97,7 +97,9 @@
 	if err := d.pool.Call(ctx, id, configsync.MethodPartial, nil, &theirs); err != nil {
 		return err
 	}
-	parts, err := ask(ctx, d, func(c *control, _ time.Time) []uint8 { return differing(c.config.Partial(), theirs.Parts) })
+	parts, err := ask(ctx, d, func(c *control, _ time.Time) []uint8 {
+		return configsync.DifferentParts(c.config.Partial(), theirs.Parts)
+	})
 	if err != nil || len(parts) == 0 {
 		return err
 	}
@@ -117,16 +119,6 @@
 	return d.sendValues(ctx, id, comparison.Send)
 }
 
-func differing(a, b [256]uint64) []uint8 {
-	var parts []uint8
-	for i := range a {
-		if a[i] != b[i] {
-			parts = append(parts, uint8(i))
-		}
-	}
-	return parts
-}
-
 // fetch reads values of a peer. A response may hold only some of them, so it
 // asks again for the rest as long as something arrives.
 func (d *Daemon) fetch(ctx context.Context, id string, keys []string) error {
@@ -142,7 +134,7 @@
 		for _, v := range resp.Values {
 			got[v.Key] = true
 		}
-		if _, err := ask(ctx, d, func(c *control, now time.Time) bool { c.offer(now, id, resp.Values); return true }); err != nil {
+		if err := d.offer(ctx, id, resp.Values); err != nil {
 			return err
 		}
 		rest := keys[:0:0]
@@ -168,22 +160,28 @@
 }
 
 // offer gives values of a peer to the configuration.
-func (c *control) offer(now time.Time, from string, values []configsync.Value) {
-	for _, v := range values {
-		c.offered(now, v.Key, c.config.Offer(now, configsync.FromPeer(from, v), v.Key, v.Raw))
-	}
-	c.push()
+func (d *Daemon) offer(ctx context.Context, from string, values []configsync.Value) error {
+	candidates := make([]configsync.Candidate, len(values))
+	for i, v := range values {
+		candidates[i] = configsync.Parse(v.Key, v.Raw)
+	}
+	_, err := ask(ctx, d, func(c *control, now time.Time) bool {
+		for i, v := range values {
+			c.offered(now, v.Key, c.config.OfferParsed(now, configsync.FromPeer(from, v), candidates[i]))
+		}
+		c.push()
+		return true
+	})
+	return err
 }
 
-// offered logs and counts the outcome of an offer.
+// offered logs the outcome of an offer.
 func (c *control) offered(now time.Time, key string, r configsync.Result) {
 	switch {
 	case r.Accepted:
-		counters.accepted.Inc()
 		level.Info(c.logger).Log("msg", "value accepted", "key", key)
 		c.configChanged(now, r.Keys)
 	case r.Err != nil:
-		countRefused(string(r.Refusal))
 		level.Warn(c.logger).Log("msg", "value refused; the one in effect stays", "key", key, "reason", r.Refusal, "err", r.Err)
 	}
 }
