--- a/internal/configsync/bench_test.go
+++ b/internal/configsync/bench_test.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"strings"
@@ -95,3 +96,80 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkMessages reports the encoded bytes of each message of a comparison
+// after one document has changed, and of the push of that document.
+func BenchmarkMessages(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("documents=%d", n), func(b *testing.B) {
+			s := filled(b, n)
+			key, _ := benchDocument(0, 1)
+			part := []uint8{partOf(key)}
+			encoded := func(v any) float64 {
+				raw, err := json.Marshal(v)
+				if err != nil {
+					b.Fatal(err)
+				}
+				return float64(len(raw))
+			}
+			for b.Loop() {
+				b.ReportMetric(encoded(PushMessage{Values: s.Values([]string{key})}), "push-B")
+				b.ReportMetric(encoded(PartialMessage{Summary: s.Summary(), Parts: s.Partial()}), "partial-B")
+				b.ReportMetric(encoded(VersionsResponse{Versions: s.Versions(part)}), "versions-B")
+			}
+		})
+	}
+}
+
+// BenchmarkTakePushes measures the choice of the receivers of one change.
+func BenchmarkTakePushes(b *testing.B) {
+	for _, hosts := range []int{7, 100, 1900, 5700} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			s := filled(b, 10)
+			key, _ := benchDocument(0, 1)
+			peers := make([]string, hosts)
+			for i := range peers {
+				peers[i] = fmt.Sprintf("lhr-gulberg-%d", i)
+			}
+			for b.Loop() {
+				s.pushes.add(key)
+				s.TakePushes(peers[:min(8, hosts)], peers)
+			}
+		})
+	}
+}
+
+// BenchmarkPushRounds is a trial of the spread of one change: every host
+// pushes once, when it first accepts. One host starts. It reports the rounds
+// until no host pushes any more and the hosts that no push reached.
+func BenchmarkPushRounds(b *testing.B) {
+	for _, hosts := range []int{7, 100, 1900, 5700} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			q := newPushQueue(1)
+			ids := make([]string, hosts)
+			for i := range ids {
+				ids[i] = fmt.Sprint(i)
+			}
+			rounds, missed, runs := 0, 0, 0
+			for b.Loop() {
+				reached := map[string]bool{ids[0]: true}
+				for front := ids[:1]; len(front) > 0; rounds++ {
+					var next []string
+					for range front {
+						for _, id := range q.pick(ids, DefaultFanout) {
+							if !reached[id] {
+								reached[id] = true
+								next = append(next, id)
+							}
+						}
+					}
+					front = next
+				}
+				missed += hosts - len(reached)
+				runs++
+			}
+			b.ReportMetric(float64(rounds)/float64(runs), "rounds")
+			b.ReportMetric(100*float64(missed)/float64(runs*hosts), "missed-%")
+		})
+	}
+}
--- a/internal/document/parse_test.go
+++ b/internal/document/parse_test.go
@@ -235,3 +235,22 @@
 		})
 	}
 }
+
+func BenchmarkParseHostList(b *testing.B) {
+	for _, n := range []int{7, 100, 1900, 5700} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			raw := []byte("version: 3\nhosts:\n")
+			for i := range n {
+				raw = fmt.Appendf(raw, "  - {id: lhr-gulberg-%d, data_centre: lhr-gulberg, region: pk-punjab, address: 10.0.%d.%d, peer_port: 6090, gue_port: 6080, state: live}\n", i, i/250, i%250+1)
+			}
+			b.SetBytes(int64(len(raw)))
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := ParseHostList(raw); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(raw)), "list-B")
+		})
+	}
+}
--- a/internal/health/bench_test.go
+++ b/internal/health/bench_test.go
@@ -1,10 +1,16 @@
 package health
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
 	"net/netip"
 	"runtime"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,3 +79,63 @@
 	b.ReportMetric(float64(messages)/float64(b.N), "reports/s")
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "state-B")
 }
+
+// BenchmarkObservers measures the ranking of the observers of one backend
+// server among the hosts of seven data centres.
+func BenchmarkObservers(b *testing.B) {
+	for _, n := range []int{7, 100, 1900, 5700} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			hosts := make([]document.Host, n)
+			for i := range hosts {
+				hosts[i] = document.Host{ID: fmt.Sprintf("lhr-gulberg-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%7)}
+			}
+			for i := 0; b.Loop(); i++ {
+				Observers(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 6080), "dc-0", hosts)
+			}
+		})
+	}
+}
+
+// BenchmarkPoll measures polls of load URLs, and the bytes of their HTTP
+// messages. The stand-in answers in memory.
+func BenchmarkPoll(b *testing.B) {
+	for _, n := range []int{14, 120, 1000} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			transport := &memoryTransport{}
+			p := NewPoller(PollerConfig{Transport: transport})
+			var targets []Target
+			for i := range n {
+				a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 6080)
+				targets = append(targets, Target{Backend: a, URL: fmt.Sprintf("http://%s:6081/load", a.Addr())})
+			}
+			rounds := 0
+			for b.Loop() {
+				p.Poll(context.Background(), targets, func(Observation) {})
+				rounds++
+			}
+			b.ReportMetric(float64(transport.request.Load())/float64(rounds), "request-B")
+			b.ReportMetric(float64(transport.response.Load())/float64(rounds), "response-B")
+		})
+	}
+}
+
+// memoryTransport answers every request with the same load report and counts
+// the bytes of the messages as they would be written to a connection.
+type memoryTransport struct{ request, response atomic.Int64 }
+
+func (m *memoryTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	raw, err := httputil.DumpRequestOut(req, false)
+	if err != nil {
+		return nil, err
+	}
+	const body = `{"service":"gridwatch","instance":1764824465123,"uptime_ms":86400000,"connections":1423,"slots_busy":1,"draining":false,"shedding":false}`
+	resp := &http.Response{
+		StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1,
+		Header:        http.Header{"Content-Type": {"application/json"}, "Date": {"Fri, 04 Dec 2026 05:30:00 GMT"}},
+		ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)),
+	}
+	answer, err := httputil.DumpResponse(resp, false)
+	m.request.Add(int64(len(raw)))
+	m.response.Add(int64(len(answer) + len(body)))
+	return resp, err
+}
--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -100,3 +100,25 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkMembers measures what the control loop asks of the membership.
+func BenchmarkMembers(b *testing.B) {
+	for _, n := range benchSizes {
+		s, hosts := benchState(n)
+		b.Run(fmt.Sprintf("members/hosts=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				s.Members()
+			}
+		})
+		b.Run(fmt.Sprintf("majority/hosts=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				s.Majority(nil)
+			}
+		})
+		b.Run(fmt.Sprintf("list/hosts=%d", n), func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				s.SetListed(start, hosts[:n-i%2])
+			}
+		})
+	}
+}
