cli: test exit statuses and outputs

Cause: scripts depend on the exit statuses, and nothing tested the command line. Change: tables for arguments, check, status and explain.

--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,119 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"context"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/admin"
+)
+
+func runCommand(t *testing.T, args ...string) (status int, stdout, stderr string) {
+	t.Helper()
+	var out, errs bytes.Buffer
+	status = Run(t.Context(), args, &out, &errs)
+	return status, out.String(), errs.String()
+}
+
+// Guards the exit statuses that scripts depend on.
+func TestExitStatus(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "gridwatch.yaml")
+	if err := os.WriteFile(bad, []byte("service: gridwatch\nversion: 0\ncolour: red\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	good := "../../examples/peachtree-hollow"
+	for _, c := range []struct {
+		args   []string
+		status int
+		says   string
+	}{
+		{[]string{"--help"}, ExitOK, "USAGE"},
+		{[]string{"demo", "--help"}, ExitOK, "--for"},
+		{[]string{}, ExitUsage, "USAGE"},
+		{[]string{"reboot"}, ExitUsage, `unknown command "reboot"`},
+		{[]string{"version"}, ExitOK, "nutmeglatch"},
+		{[]string{"version", "--colour"}, ExitUsage, "colour"},
+		{[]string{"check"}, ExitUsage, "needs a file"},
+		{[]string{"check", good}, ExitOK, "is valid"},
+		{[]string{"check", bad}, ExitUsage, "colour"},
+		{[]string{"check", "no-such-file"}, ExitUsage, "no-such-file"},
+		{[]string{"status", "extra"}, ExitUsage, "takes no argument"},
+		{[]string{"status", "--admin", "127.0.0.1:1"}, ExitFailed, "127.0.0.1:1"},
+		{[]string{"explain", "--src", "x", "--dst", "198.51.100.10:7001"}, ExitUsage, `src "x"`},
+		{[]string{"explain", "--src", "192.0.2.1:1", "--dst", "198.51.100.10:7001", "--proto", "icmp"}, ExitUsage, "want tcp or udp"},
+		{[]string{"demo", "--for", "1s"}, ExitUsage, "want 10s to 10m0s"},
+		{[]string{"demo", "--deployment", "x"}, ExitUsage, "peachtree-hollow"},
+		{[]string{"demo", "--flows", "0"}, ExitUsage, "--flows 0"},
+		{[]string{"demo", "--network", "1"}, ExitUsage, "--network 1"},
+	} {
+		status, stdout, stderr := runCommand(t, c.args...)
+		if status != c.status || !strings.Contains(stdout+stderr, c.says) {
+			t.Errorf("%v: status %d, want %d with %q; got %s%s", c.args, status, c.status, c.says, stdout, stderr)
+		}
+	}
+}
+
+// Guards against a check that stops at the first fault of a document.
+func TestCheckListsEveryFaultAsJSON(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "gridwatch.yaml")
+	if err := os.WriteFile(bad, []byte("service: gridwatch\nversion: 0\ncolour: red\nport: 70000\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	status, stdout, _ := runCommand(t, "check", "--json", bad)
+	var results []checkResult
+	if err := json.Unmarshal([]byte(stdout), &results); err != nil || status != ExitUsage || len(results) != 1 {
+		t.Fatalf("status %d, %v: %s", status, err, stdout)
+	}
+	fields := map[string]bool{}
+	for _, f := range results[0].Faults {
+		fields[f.Field] = true
+	}
+	for _, want := range []string{"version", "colour", "port"} {
+		if !fields[want] {
+			t.Errorf("no fault of field %s in %v", want, results[0].Faults)
+		}
+	}
+}
+
+// fixedSource answers with fixed state.
+type fixedSource struct{}
+
+func (fixedSource) Status(context.Context) (admin.Status, error) {
+	return admin.Status{
+		ID: "host-1", Serving: true, Hosts: []admin.HostStatus{{ID: "host-2", State: "suspect"}},
+		Services: []admin.ServiceStatus{{Name: "gridwatch", Version: 7, Backends: []admin.BackendStatus{{Addr: "127.0.0.1:6080", Verdict: "draining"}}}},
+		Refusals: []admin.Refusal{{Key: "services/x", Reason: "older_version"}},
+	}, nil
+}
+
+func (fixedSource) Explain(_ context.Context, q admin.Query) (admin.Explanation, error) {
+	return admin.Explanation{Service: "gridwatch", Steps: []string{"from " + q.Source.String()}}, nil
+}
+
+// Guards the text and JSON forms of what operators read from a daemon.
+func TestStatusAndExplain(t *testing.T) {
+	server := httptest.NewServer(admin.Handler(fixedSource{}))
+	defer server.Close()
+	addr := strings.TrimPrefix(server.URL, "http://")
+	_, text, _ := runCommand(t, "status", "--admin", addr)
+	for _, want := range []string{"host-1", "suspect", "gridwatch", "draining", "older_version"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("status lacks %q:\n%s", want, text)
+		}
+	}
+	_, text, _ = runCommand(t, "status", "--admin", addr, "--json")
+	var st admin.Status
+	if err := json.Unmarshal([]byte(text), &st); err != nil || st.Services[0].Version != 7 {
+		t.Errorf("status --json: %v: %s", err, text)
+	}
+	_, text, _ = runCommand(t, "explain", "--admin", addr, "--src", "192.0.2.1:4000", "--dst", "198.51.100.10:7001")
+	if text != "from 192.0.2.1:4000\n" {
+		t.Errorf("explain: %q", text)
+	}
+}
