--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -160,7 +160,7 @@
 		LoadAddr:    load.String(),
 		Service:     s.Name,
 		DataCentre:  dc,
-		FlowAddr:    netip.AddrPortFrom(s.Address, s.Port),
+		FlowAddr:    s.FlowAddr(),
 		Connections: b.Connections,
 		Slots:       b.Slots,
 		Cold:        b.Cold,
@@ -169,7 +169,7 @@
 		Instance:    f.instance,
 	}
 	if s.Commands != nil {
-		cfg.CommandAddr = netip.AddrPortFrom(s.Commands.Address, s.Commands.Port)
+		cfg.CommandAddr = s.Commands.AddrPort()
 	}
 	backend, err := standin.NewBackend(cfg)
 	if err != nil {
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -65,7 +65,7 @@
 		proto = packet.ProtoUDP
 	}
 	cfg := standin.FlowConfig{
-		Source: source, Destination: netip.AddrPortFrom(s.Address, s.Port), Proto: proto,
+		Source: source, Destination: s.FlowAddr(), Proto: proto,
 		Interval: flowInterval, Duration: d, GiveUp: flowGiveUp, Payload: flowPayload,
 	}
 	started := time.Now()
@@ -90,7 +90,7 @@
 	}
 	l.mu.Unlock()
 	cfg := standin.CommandConfig{
-		Source: source, Destination: netip.AddrPortFrom(s.Commands.Address, s.Commands.Port),
+		Source: source, Destination: s.Commands.AddrPort(),
 		ID: id, Method: method, Params: source.String(), Repeat: commandRepeat, GiveUp: commandGiveUp,
 	}
 	started := time.Now()
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -45,6 +45,11 @@
 	DataCentres []DataCentre `yaml:"data_centres"`
 }
 
+// FlowAddr returns the address that callers of flows send to.
+func (s *Service) FlowAddr() netip.AddrPort {
+	return netip.AddrPortFrom(s.Address, s.Port)
+}
+
 // Commands describes the JSON-RPC 2.0 commands of a service.
 type Commands struct {
 	Address           netip.Addr `yaml:"address"`
@@ -53,6 +58,11 @@
 	IdempotentMethods []string   `yaml:"idempotent_methods,omitempty"`
 }
 
+// AddrPort returns the address that callers of commands send to.
+func (c *Commands) AddrPort() netip.AddrPort {
+	return netip.AddrPortFrom(c.Address, c.Port)
+}
+
 // DataCentre lists the backend servers of a service in one data centre.
 type DataCentre struct {
 	Name           string          `yaml:"name"`
