membership, peer: counters by reason, smaller tests

Cause: the counters of membership had no metric names, and the count of refused datagrams was not exported for errors of the body. Change: Counters.Each names a metric for each reason; CountRefusedDatagram is exported again; tests are shortened without losing a case. Conclusion: every refusal has a counter with a reason.

--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -56,9 +56,9 @@
 		for _, n := range benchSizes {
 			b.Run(fmt.Sprintf("busy=%v/hosts=%d", busy, n), func(b *testing.B) {
 				s, hosts := benchState(n)
-				now, bytes, rounds := start, 0, 0
+				now, bytes := start, 0
 				b.ReportAllocs()
-				for b.Loop() {
+				for rounds := 0; b.Loop(); rounds++ {
 					if busy {
 						for _, h := range hosts[1:min(n, 1+MaxUpdates)] {
 							s.updates.add(h.ID)
@@ -66,10 +66,8 @@
 					}
 					now = now.Add(DefaultProbeInterval)
 					bytes += exchange(b, s, now, Sender{ID: hosts[1+rounds%(n-1)].ID, Boot: 1764824465123})
-					rounds++
 				}
-				perSecond := float64(time.Second / DefaultProbeInterval)
-				b.ReportMetric(float64(bytes)/float64(rounds)*perSecond, "sent-B/s")
+				b.ReportMetric(float64(bytes)/(float64(b.N)*DefaultProbeInterval.Seconds()), "sent-B/s")
 			})
 		}
 	}
@@ -79,17 +77,16 @@
 func BenchmarkStateBytes(b *testing.B) {
 	for _, n := range benchSizes {
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
-			var total, count uint64
+			var total uint64
 			for b.Loop() {
 				before := heapBytes()
 				s, hosts := benchState(n)
 				s.Tick(start.Add(DefaultProbeInterval))
 				total += heapBytes() - before
-				count++
 				runtime.KeepAlive(s)
 				runtime.KeepAlive(hosts)
 			}
-			b.ReportMetric(float64(total)/float64(count)/float64(n), "state-B/host")
+			b.ReportMetric(float64(total)/float64(b.N*n), "state-B/host")
 		})
 	}
 }
--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -142,6 +142,11 @@
 		}},
 		{"empty list is rejected", 3, func(c *cluster) {
 			c.setList(c.nodes[0])
+			counted := map[string]uint64{}
+			c.nodes[0].Counters().Each(func(name string, value uint64) { counted[name] = value })
+			if counted[`nutmeglatch_membership_lists_refused_total{reason="empty"}`] != 1 || len(counted) != 9 {
+				c.t.Errorf("counted %v", counted)
+			}
 			if !hasEvent[ListRejected](c.nodes[0]) || len(c.nodes[0].Members()) != 3 {
 				c.t.Error("the empty list was accepted")
 			}
@@ -290,10 +295,8 @@
 		n.down = false
 	case 2:
 		n.down = true
-		boot := n.boot + 1
-		fresh := c.start(i, boot)
-		c.nodes = c.nodes[:len(c.nodes)-1]
-		c.nodes[i] = fresh
+		c.nodes[i] = c.start(i, n.boot+1)
+		c.nodes = c.nodes[:len(c.list)]
 	case 3:
 		if !n.down && rng.IntN(3) == 0 {
 			c.handle(n, n.Leave(c.now))
@@ -309,12 +312,9 @@
 
 func agree(c *cluster, seed uint64) bool {
 	for i, subject := range c.nodes {
-		want := Alive
-		switch {
-		case subject.down:
+		want := map[bool]Status{false: Alive, true: Leaving}[subject.leaving]
+		if subject.down {
 			want = Dead
-		case subject.leaving:
-			want = Leaving
 		}
 		for _, n := range c.nodes {
 			if got := n.status(host(i).ID); !n.down && got != want {
@@ -328,12 +328,10 @@
 
 // The largest message must fit in a datagram.
 func TestLargestMessage(t *testing.T) {
-	id := strings.Repeat("x", MaxIDBytes)
-	u := Update{ID: id, Boot: math.MaxUint64, Incarnation: math.MaxUint64, Status: Dead, Leaving: true}
-	m := Message{
-		Kind: Request, Seq: math.MaxUint64, Target: id, Incarnation: math.MaxUint64,
-		Leaving: true, Digest: math.MaxUint64, Updates: slices.Repeat([]Update{u}, MaxUpdates),
-	}
+	id, most := strings.Repeat("x", MaxIDBytes), uint64(math.MaxUint64)
+	u := Update{ID: id, Boot: most, Incarnation: most, Status: Dead, Leaving: true}
+	m := Message{Kind: Request, Seq: most, Target: id, Incarnation: most, Leaving: true, Digest: most}
+	m.Updates = slices.Repeat([]Update{u}, MaxUpdates)
 	b, err := m.Encode()
 	if err != nil || len(b) > MaxMessageBytes {
 		t.Fatalf("%d bytes, %v", len(b), err)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -53,7 +53,9 @@
 // Status is the state of a listed host as this host sees it.
 type Status uint8
 
-// States of a host. A leaving host that does not answer becomes Dead.
+// States of a host. A host is Leaving when it said so itself, which is final for
+// its boot, or while the list says so. A leaving host that does not answer
+// becomes Dead.
 const (
 	Alive Status = iota
 	Suspect
@@ -114,19 +116,6 @@
 	Digest uint64
 }
 
-// Counters counts what a State refused or retried, by reason.
-type Counters struct {
-	UnlistedSenders uint64 // messages of hosts that are not listed
-	ReplacedSenders uint64 // messages of processes that another one replaced
-	UnmatchedAcks   uint64 // late, repeated or unexpected answers
-	RelaysRefused   uint64 // indirect probes above the limit, or for unknown hosts
-	IndirectProbes  uint64 // probes without a direct answer in time
-	Suspicions      uint64 // probes without any answer in time
-	Refutations     uint64 // suspicions of this host that it refuted
-	EmptyLists      uint64 // empty lists rejected
-	InvalidHostIDs  uint64 // listed hosts ignored because of their id
-}
-
 // Superseded reports that another process with a greater boot runs, or ran,
 // under this host's id. This process must stop; a restarted one gets a greater
 // boot.
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -68,6 +68,12 @@
 	{ErrOldBoot, "old_boot"},
 }
 
+// CountRefusedDatagram counts a datagram that was refused with err. Datagrams
+// does so itself; other errors, such as those of the body, count as malformed.
+func CountRefusedDatagram(set *metrics.Set, err error) {
+	counters{set}.inc("datagrams_refused_total{reason=%q}", datagramReason(err))
+}
+
 func datagramReason(err error) string {
 	for _, r := range datagramReasons {
 		if errors.Is(err, r.err) {
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -101,13 +101,13 @@
 	key    [16]byte
 	seq    atomic.Uint64
 	filter *ReplayFilter
-	count  counters
+	set    *metrics.Set
 }
 
 // NewDatagrams returns the Datagrams of the host self, whose refusals are
 // counted in set.
 func NewDatagrams(self string, boot uint64, key [16]byte, set *metrics.Set) *Datagrams {
-	return &Datagrams{self: self, boot: boot, key: key, filter: NewReplayFilter(), count: counters{set}}
+	return &Datagrams{self: self, boot: boot, key: key, filter: NewReplayFilter(), set: set}
 }
 
 // Seal appends a datagram with the body and the next sequence number to dst.
@@ -123,7 +123,7 @@
 		err = d.filter.Accept(&dg)
 	}
 	if err != nil {
-		d.count.inc("datagrams_refused_total{reason=%q}", datagramReason(err))
+		CountRefusedDatagram(d.set, err)
 	}
 	return dg, err
 }
--- a/internal/peer/datagram_test.go
+++ b/internal/peer/datagram_test.go
@@ -89,8 +89,7 @@
 // A datagram must be accepted once, and every refusal counted.
 func TestDatagrams(t *testing.T) {
 	set := metrics.NewSet()
-	a := NewDatagrams("a", 1, *datagramKey, nil)
-	b := NewDatagrams("b", 1, *datagramKey, set)
+	a, b := NewDatagrams("a", 1, *datagramKey, nil), NewDatagrams("b", 1, *datagramKey, set)
 	for range 3 {
 		sealed := a.Seal(nil, []byte("body"))
 		if _, err := b.Open(sealed); err != nil {
