daemon: send the answers of finished commands before exiting

Change: the host stays until quiet_for has passed since the last command. Conclusion: the race needs a planned stop under load to show; the process tests cover it.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -51,6 +51,7 @@
 	serving   bool
 	leaving   bool
 	leftAt    time.Time
+	lastBusy  time.Time // newest time with commands in progress while leaving
 	killed    bool
 	dirty     bool
 	lastError string // of the platform
@@ -261,13 +262,21 @@
 		level.Warn(c.logger).Log("msg", "shutdown limit reached")
 		return true
 	}
+	// The answers of commands that have just finished are still being sent.
+	if c.commandsInProgress() > 0 {
+		c.lastBusy = now
+	}
 	lastPacket := c.d.started.Add(time.Duration(c.d.lastPacket.Load()))
-	quiet := now.Sub(lastPacket) >= s.QuietFor.Std() && now.Sub(c.leftAt) >= s.QuietFor.Std()
-	return quiet && c.commandsInProgress() == 0
+	for _, t := range []time.Time{c.leftAt, c.lastBusy, lastPacket} {
+		if now.Sub(t) < s.QuietFor.Std() {
+			return false
+		}
+	}
+	return true
 }
 
 func (c *control) commandsInProgress() int {
-	return c.commands.InProgress() + c.runner.InProgress()
+	return c.commands.InProgress() + c.runner.InProgress() + len(c.runCalls)
 }
 
 // live returns the ids of the members that own flows.
