health: keep the ranks of observers while the hosts stay

Change: health.Ranking keeps the two observers of each backend server and corrects them when hosts join or leave. The daemon has one for observers and admitting hosts. AdmittingHost takes it in place of the hosts.

Commands no longer copy all members for each candidate.

--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -85,8 +85,8 @@
 
 // AdmittingHost returns the host that admits the commands of a backend
 // server: the first of its ranked observers.
-func AdmittingHost(addr netip.AddrPort, dc string, hosts []document.Host) (string, bool) {
-	ranked := health.Observers(addr, dc, hosts)
+func AdmittingHost(addr netip.AddrPort, dc string, ranking *health.Ranking) (string, bool) {
+	ranked := ranking.Observers(addr, dc)
 	if len(ranked) == 0 {
 		return "", false
 	}
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -167,7 +167,7 @@
 	if b == nil {
 		return ""
 	}
-	id, _ := admission.AdmittingHost(backend, b.DataCentre, c.liveHosts())
+	id, _ := admission.AdmittingHost(backend, b.DataCentre, c.limits.ranking)
 	return id
 }
 
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -43,6 +43,7 @@
 // limits joins the health and admission slices.
 type limits struct {
 	health   *health.State
+	ranking  *health.Ranking // of the live hosts
 	shares   *admission.State
 	slots    *admission.Slots
 	poller   *health.Poller
@@ -57,6 +58,7 @@
 func newLimits() *limits {
 	return &limits{
 		health:   health.New(health.Config{}),
+		ranking:  health.NewRanking(),
 		shares:   admission.New(admission.Config{}),
 		slots:    admission.NewSlots(admission.SlotsConfig{}),
 		poller:   health.NewPoller(health.PollerConfig{}),
@@ -80,6 +82,7 @@
 func (c *control) limitInput(now time.Time, snap *route.Snapshot) {
 	accepted := c.config.Current()
 	hosts := c.liveHosts()
+	c.limits.ranking.SetHosts(hosts)
 	out, leaving := c.outSet(), c.leavingBackends()
 	var services []health.ServiceInput
 	shares := admission.Input{Out: out, Leaving: leaving}
@@ -94,11 +97,11 @@
 			shares.Services = append(shares.Services, in)
 		}
 	}
-	c.limits.health.SetServices(now, snap.Self, health.Input{Services: services, Hosts: hosts, Out: out, Leaving: leaving})
+	c.limits.health.SetServices(now, snap.Self, health.Input{Services: services, Hosts: hosts, Ranking: c.limits.ranking, Out: out, Leaving: leaving})
 	c.limits.verdicts = c.limits.health.Verdicts(now)
 	shares.Verdicts = c.limits.verdicts
 	c.limits.shares.SetServices(now, snap.Self, shares)
-	c.slotInput(now, hosts, out, leaving)
+	c.slotInput(now, out, leaving)
 	c.admitted(now)
 	c.refill(now)
 }
@@ -128,7 +131,7 @@
 }
 
 // slotInput tells which backend servers' commands this host admits.
-func (c *control) slotInput(now time.Time, hosts []document.Host, out map[string]bool, leaving map[netip.AddrPort]bool) {
+func (c *control) slotInput(now time.Time, out map[string]bool, leaving map[netip.AddrPort]bool) {
 	in := map[netip.AddrPort]admission.SlotInput{}
 	self := c.d.settings.HostID
 	for _, doc := range c.config.Current().Services {
@@ -138,7 +141,7 @@
 		for _, dc := range doc.DataCentres {
 			for _, b := range dc.BackendServers {
 				addr := b.AddrPort()
-				if id, ok := admission.AdmittingHost(addr, dc.Name, hosts); ok && id == self {
+				if id, ok := admission.AdmittingHost(addr, dc.Name, c.limits.ranking); ok && id == self {
 					in[addr] = admission.SlotInput{
 						Doc:      b,
 						Deadline: min(doc.Commands.Deadline.Std(), c.d.settings.Limits.CommandDeadline.Std()),
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -113,6 +113,7 @@
 type Input struct {
 	Services []ServiceInput
 	Hosts    []document.Host // live entry hosts; observers are ranked among them
+	Ranking  *Ranking        // of Hosts, when the caller keeps one
 	Out      map[string]bool // data centres out of service
 	Leaving  map[netip.AddrPort]bool
 }
--- a/internal/health/state.go
+++ b/internal/health/state.go
@@ -46,7 +46,6 @@
 	draining  bool // by the document
 	ramp      time.Duration
 	observed  bool // this host is one of the ranked observers
-	observers []string
 	load      load
 	evidence  evidence
 	remote    map[string]row // reports of other hosts
@@ -88,14 +87,19 @@
 	for i := range in.Hosts {
 		s.hosts[in.Hosts[i].ID] = true
 	}
+	ranking := in.Ranking
+	if ranking == nil {
+		ranking = NewRanking()
+		ranking.SetHosts(in.Hosts)
+	}
 	for i := range in.Services {
-		s.addService(&in.Services[i], in.Hosts, old)
+		s.addService(&in.Services[i], ranking, old)
 	}
 	sort.Slice(s.targets, func(i, j int) bool { return s.targets[i].Backend.Compare(s.targets[j].Backend) < 0 })
 	s.setPeers()
 }
 
-func (s *State) addService(in *ServiceInput, hosts []document.Host, old map[netip.AddrPort]*backend) {
+func (s *State) addService(in *ServiceInput, ranking *Ranking, old map[netip.AddrPort]*backend) {
 	svc := &service{name: in.Doc.Name, group: slices.Clone(in.Group)}
 	slices.Sort(svc.group)
 	s.services[svc.name] = svc
@@ -105,8 +109,7 @@
 			doc := &dc.BackendServers[i]
 			b := s.keepBackend(doc.AddrPort(), svc, old)
 			b.dc, b.draining, b.ramp = dc.Name, doc.Draining, doc.Cold.Ramp.Std()
-			b.observers = Observers(b.addr, dc.Name, hosts)
-			b.observed = doc.LoadURL != "" && slices.Contains(b.observers, s.self)
+			b.observed = doc.LoadURL != "" && slices.Contains(ranking.Observers(b.addr, dc.Name), s.self)
 			if b.observed {
 				s.targets = append(s.targets, Target{Backend: b.addr, URL: doc.LoadURL})
 			}
@@ -142,41 +145,9 @@
 // live hosts of its data centre by rendezvous hash, or of the whole list when
 // the data centre has none.
 func Observers(addr netip.AddrPort, dc string, hosts []document.Host) []string {
-	local := rankHosts(addr, dc, hosts)
-	if len(local) == 0 {
-		local = rankHosts(addr, "", hosts)
-	}
-	if len(local) > observersPerBackend {
-		local = local[:observersPerBackend]
-	}
-	return local
-}
-
-func rankHosts(addr netip.AddrPort, dc string, hosts []document.Host) []string {
-	type ranked struct {
-		id   string
-		hash uint64
-	}
-	key := addr.String() + "\x00observer\x00"
-	var list []ranked
-	for i := range hosts {
-		h := &hosts[i]
-		if h.State == document.HostLeaving || dc != "" && h.DataCentre != dc {
-			continue
-		}
-		list = append(list, ranked{h.ID, xxhash.Sum64String(key + h.ID)})
-	}
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].hash != list[j].hash {
-			return list[i].hash > list[j].hash
-		}
-		return list[i].id < list[j].id
-	})
-	ids := make([]string, len(list))
-	for i := range list {
-		ids[i] = list[i].id
-	}
-	return ids
+	r := NewRanking()
+	r.SetHosts(hosts)
+	return r.Observers(addr, dc)
 }
 
 // Targets returns the load URLs that this host polls, sorted by address.
