Reset a flow only by an entry that a reply has proven

Cause: an entry that an owner chose for an attempt which the caller gave up (first packet lost) stayed settled at some hosts. When its data centre was taken out, those hosts reset the flow, which lived on another backend server. Ruled out: lagging owners (the resetting host had the newest view) and wrong guesses (the entries were settled, not guessed). Change: an entry without proof that fails the check is dropped and the owners are asked.

--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -36,7 +36,7 @@
 		}
 		hash := info.Key.Hash()
 		if e, ok := t.Get(info.Key, hash, now.seconds()); ok {
-			if b := s.Backends.Get(e.AddrPort()); b != nil {
+			if b := s.Backends.Get(e.AddrPort()); b != nil && !b.Out {
 				return toBackend(b)
 			}
 		}
--- a/internal/route/fabric.go
+++ b/internal/route/fabric.go
@@ -21,7 +21,7 @@
 		return q.command(&h)
 	}
 	e, b, reason := r.lookup(&q)
-	if reason != ReasonNone && !q.opens() {
+	if q.endedWith(&e, reason) {
 		return ended(info, reason)
 	}
 	if b != nil && e.State != flow.Guess {
@@ -82,7 +82,7 @@
 // primary decides as the primary owner.
 func (r *Router) primary(q *query, h *packet.ForwardHeader) Action {
 	e, b, reason := r.lookup(q)
-	if reason != ReasonNone && !q.opens() {
+	if q.endedWith(&e, reason) {
 		return ended(q.info, reason)
 	}
 	arbiter, present := q.arbiter()
--- a/internal/route/methods_test.go
+++ b/internal/route/methods_test.go
@@ -45,15 +45,26 @@
 // trial is one run of a method.
 type trial struct {
 	*fleet
-	m        method
-	hostsGo  bool
-	active   int // backend servers that take new flows
-	updates  map[string]Time
-	returnAt map[string]Time
-	flows    []openFlow
-	opened   int
-	ended    int
-	packets  int
+	m         method
+	hostsGo   bool
+	active    int // backend servers that take new flows
+	updates   map[string]Time
+	returnAt  map[string]Time
+	flows     []openFlow
+	opened    int
+	ended     int
+	packets   int
+	centres   int             // data centres of hosts and backend servers, 3 when 0
+	out       map[string]bool // data centres out of service
+	brokenNow []packet.Key    // flows that broke since the caller last looked
+}
+
+// place puts a host into its data centre and, when that is out, out of service.
+func (x *trial) place(h *Host, i int) {
+	if x.centres > 0 {
+		h.DataCentre = fmt.Sprintf("dc-%d", i%x.centres)
+	}
+	h.Leaving = x.out[h.DataCentre]
 }
 
 type openFlow struct {
@@ -120,6 +131,7 @@
 		if at, gone := x.returnAt[h.ID]; gone && at <= x.now {
 			delete(x.returnAt, h.ID)
 			h.Boot = uint64(x.now)
+			x.place(&h, i)
 			x.hosts = append(x.hosts, h)
 			x.start(h.ID)
 			x.publish(h.ID)
@@ -170,17 +182,22 @@
 	perStep := rate * int(comparedStep) / int(time.Second)
 	for ; x.now < end; x.now += Time(comparedStep) {
 		x.events()
-		for range perStep {
-			k := packet.NewKey(netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, byte(x.opened >> 8), byte(x.opened)}), uint16(x.opened>>16+1024)), netip.MustParseAddrPort("198.51.100.10:7001"), packet.ProtoTCP)
-			x.opened++
-			life := -math.Log(1-x.rng.Float64()) * float64(meanLife)
-			x.flows = append(x.flows, openFlow{k: k, ends: x.now + Time(life), next: x.now})
-		}
+		x.add(perStep)
 		x.step()
 	}
 	return 100 * float64(x.ended) / float64(x.opened), float64(x.hops) / float64(x.packets)
 }
 
+// add opens flows with the mean life of the comparison.
+func (x *trial) add(n int) {
+	for range n {
+		k := packet.NewKey(netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, byte(x.opened >> 8), byte(x.opened)}), uint16(x.opened>>16+1024)), netip.MustParseAddrPort("198.51.100.10:7001"), packet.ProtoTCP)
+		x.opened++
+		life := -math.Log(1-x.rng.Float64()) * float64(meanLife)
+		x.flows = append(x.flows, openFlow{k: k, ends: x.now + Time(life), next: x.now})
+	}
+}
+
 // step sends the packets that are due and forgets finished and broken flows.
 func (x *trial) step() {
 	kept := x.flows[:0]
@@ -197,6 +214,7 @@
 			o.next += Time(packetInterval)
 			if x.deliver(o.k, flags) == broken {
 				x.ended++
+				x.brokenNow = append(x.brokenNow, o.k)
 				delete(x.serving, o.k)
 				continue
 			}
--- a/internal/route/peers.go
+++ b/internal/route/peers.go
@@ -73,7 +73,7 @@
 // not know. The answer passes the primary, so that it stores the choice too.
 func (r *Router) secondaryLookup(q *query, h *packet.ForwardHeader) Action {
 	e, b, reason := r.lookup(q)
-	if reason != ReasonNone && !q.opens() {
+	if q.endedWith(&e, reason) {
 		return ended(q.info, reason)
 	}
 	if b == nil || e.State == flow.Guess {
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -142,6 +142,13 @@
 	return e, b, ReasonNone
 }
 
+// endedWith reports whether the flow ended with its backend server, as an entry
+// that failed the check says. An entry that no reply has proven may stem from
+// an attempt that the caller gave up; its flow may live elsewhere.
+func (q *query) endedWith(e *flow.Entry, reason Reason) bool {
+	return reason != ReasonNone && e.State == flow.Proven && !q.opens()
+}
+
 // entry returns a new entry for a backend server.
 func (q *query) entry(addr netip.AddrPort, instance uint64, state flow.State) flow.Entry {
 	return flow.Entry{
