daemon: let a caller step through the control loop

Cause: replayed traces must run the wiring of the slices that the daemon runs, in simulated time, and the wiring was tied to goroutines, time.Now and the peer pool.

Change: Environment holds the clock, the goroutines that wait for calls and the calls; Stepper carries out one event of the control loop or of the traffic at a time. A running daemon uses processEnvironment, which does what the code did.

--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -221,23 +221,23 @@
 	delete(c.runCalls, o.Call)
 	// The event is queued, not run here, because the slices are not reentrant.
 	d, reply := c.d, o.Reply
-	go d.post(func(c *control, now time.Time) { done(c, now, reply) })
+	d.environment.Go(func() { d.post(func(c *control, now time.Time) { done(c, now, reply) }) })
 }
 
 // callPeer calls a peer in the background and hands the typed result to the
 // control goroutine.
 func callPeer[R any](c *control, id, method string, timeout time.Duration, params any, done func(c *control, now time.Time, reply R, status command.CallStatus)) {
 	d, ctx := c.d, c.ctx
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, timeout)
+	d.environment.Go(func() {
+		ctx, cancel := d.environment.WithTimeout(ctx, timeout)
 		defer cancel()
 		var reply R
-		status := callStatus(d.pool.Call(ctx, id, method, params, &reply))
+		status := callStatus(d.environment.Call(ctx, id, method, params, &reply))
 		if status != command.CallDone {
 			countCallFailure(method)
 		}
 		d.post(func(c *control, now time.Time) { done(c, now, reply, status) })
-	}()
+	})
 }
 
 // callStatus says what is known about a call. An error that the called host
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -100,11 +100,21 @@
 }
 
 // post hands work to the control goroutine and waits for room in its queue.
-func (d *Daemon) post(e event) { d.events <- e }
+func (d *Daemon) post(e event) {
+	if d.stepped {
+		d.step(e)
+		return
+	}
+	d.events <- e
+}
 
 // tryPost hands work to the control goroutine, or drops and counts it when
 // the queue is full, so that traffic goroutines never wait.
 func (d *Daemon) tryPost(e event) {
+	if d.stepped {
+		d.step(e)
+		return
+	}
 	select {
 	case d.events <- e:
 	default:
@@ -114,6 +124,11 @@
 
 // ask runs f on the control goroutine and returns its result.
 func ask[T any](ctx context.Context, d *Daemon, f func(c *control, now time.Time) T) (T, error) {
+	if d.stepped {
+		var v T
+		d.step(func(c *control, now time.Time) { v = f(c, now) })
+		return v, nil
+	}
 	result := make(chan T, 1)
 	select {
 	case d.events <- func(c *control, now time.Time) { result <- f(c, now) }:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,8 @@
 	Logger   log.Logger
 	Network  Network         // SystemNetwork when nil
 	Source   platform.Source // made from the settings when nil
+
+	environment Environment // of a Stepper
 }
 
 // Daemon is the process of one entry host.
@@ -41,6 +43,7 @@
 	logger   log.Logger
 	network  Network
 	source   platform.Source
+	stepped  bool // events are carried out at once, see Stepper
 	key      [16]byte
 	boot     uint64
 	started  time.Time
@@ -59,6 +62,8 @@
 	snapshot atomic.Pointer[route.Snapshot]
 	listed   atomic.Pointer[map[string]netip.AddrPort]
 
+	environment Environment
+
 	control    *control
 	events     chan event
 	lastPacket atomic.Int64 // time since start in nanoseconds
@@ -74,7 +79,6 @@
 		network:  o.Network,
 		source:   o.Source,
 		key:      o.Settings.PeerKey.Packet(),
-		started:  time.Now(),
 		replays:  peer.NewReplayFilter(),
 		events:   make(chan event, eventQueueLen),
 	}
@@ -84,6 +88,11 @@
 	if d.network == nil {
 		d.network = SystemNetwork{}
 	}
+	d.environment, d.stepped = o.environment, o.environment != nil
+	if !d.stepped {
+		d.environment = processEnvironment{d}
+	}
+	d.started = d.environment.Now()
 	if d.source == nil {
 		d.source = d.newSource()
 	}
@@ -118,6 +127,9 @@
 	if d.peerUDP, err = d.network.ListenUDP(d.settings.Peer); err != nil {
 		return errors.Wrapf(err, "peer %s", d.settings.Peer)
 	}
+	if d.stepped {
+		return nil
+	}
 	if d.peerTCP, err = d.network.Listen(d.settings.Peer); err != nil {
 		return errors.Wrapf(err, "peer %s", d.settings.Peer)
 	}
@@ -184,4 +196,4 @@
 	return err
 }
 
-func (d *Daemon) now() route.Time { return route.Time(time.Since(d.started)) }
+func (d *Daemon) now() route.Time { return route.Time(d.environment.Now().Sub(d.started)) }
--- /dev/null
+++ b/internal/daemon/environment.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/command"
+	"github.com/nutmeglatch/nutmeglatch/internal/health"
+	"github.com/nutmeglatch/nutmeglatch/internal/platform"
+)
+
+// Environment is the clock of a daemon, the goroutines that wait for calls,
+// and the calls. A replay replaces it to control time and order.
+type Environment interface {
+	Now() time.Time
+	Go(f func())
+	// WithTimeout bounds the calls that are made with the returned context.
+	WithTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+	// Call has the errors of peer.Pool.Call.
+	Call(ctx context.Context, id, method string, params, result any) error
+}
+
+// processEnvironment is the environment of a daemon that runs.
+type processEnvironment struct{ d *Daemon }
+
+func (processEnvironment) Now() time.Time { return time.Now() }
+func (processEnvironment) Go(f func())    { go f() }
+
+func (processEnvironment) WithTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, timeout)
+}
+
+func (e processEnvironment) Call(ctx context.Context, id, method string, params, result any) error {
+	return e.d.pool.Call(ctx, id, method, params, result)
+}
+
+// Stepper is a daemon without goroutines and sockets of its own: each method
+// carries out one event at the time of the environment. It is not safe for
+// concurrent use.
+type Stepper struct {
+	d *Daemon
+	w *worker
+}
+
+// NewStepper returns a daemon that is stepped through. Its datagrams are
+// written to the sockets of o.Network; nothing is read from them.
+func NewStepper(o Options, env Environment) (*Stepper, error) {
+	o.environment = env
+	d, err := New(o)
+	if err != nil {
+		return nil, err
+	}
+	return &Stepper{d: d, w: d.newWorker()}, nil
+}
+
+// step runs an event as the control loop does.
+func (d *Daemon) step(e event) {
+	now := d.environment.Now()
+	e(d.control, now)
+	d.control.publish(now)
+}
+
+// Tick is one round of the control loop. It reports whether the graceful
+// shutdown is complete.
+func (s *Stepper) Tick() (left bool) {
+	s.d.step(func(c *control, now time.Time) { c.tick(now); left = c.left(now) })
+	return left
+}
+
+// GUE handles a datagram from the fabric or a backend server.
+func (s *Stepper) GUE(b []byte, from netip.AddrPort) { s.w.handleGUE(b, from) }
+
+// Peer handles a datagram from another entry host.
+func (s *Stepper) Peer(b []byte, from netip.AddrPort) { s.w.handlePeer(b, from) }
+
+// Call answers a call of another entry host, possibly later.
+func (s *Stepper) Call(from, method string, params json.RawMessage, done func(any, error)) {
+	if method != command.MethodRun {
+		done(s.d.handleCall(context.Background(), from, method, params))
+		return
+	}
+	m, err := decodeParams[command.RunRequest](params)
+	if err != nil {
+		done(nil, err)
+		return
+	}
+	s.d.step(func(c *control, now time.Time) {
+		c.acceptRun(now, m, func(_ *control, _ time.Time, reply command.RunReply) { done(reply, nil) })
+	})
+}
+
+// Lists reports whether the host id is on this daemon's host list.
+func (s *Stepper) Lists(id string) bool {
+	_, ok := s.d.lookup(id)
+	return ok
+}
+
+// Platform handles an update of the platform.
+func (s *Stepper) Platform(u platform.Update) {
+	s.d.step(func(c *control, now time.Time) { c.platformUpdate(now, u) })
+}
+
+// Reader reports whether this daemon keeps a blocking read open.
+func (s *Stepper) Reader() bool { return s.d.reader.Load() }
+
+// Sweep is one pass over the flow table.
+func (s *Stepper) Sweep() {
+	s.d.step(func(c *control, now time.Time) { c.limits.shares.StartSweep(now) })
+	counts := s.d.sweepOnce(s.d.snapshot.Load())
+	s.d.step(func(c *control, now time.Time) { c.charged(now, counts) })
+}
+
+// Poll starts a round of polls and returns the load URLs to read.
+func (s *Stepper) Poll() (targets []health.Target) {
+	s.d.step(func(c *control, now time.Time) { targets = c.pollTargets(now) })
+	return targets
+}
+
+// Observed handles the outcome of one poll.
+func (s *Stepper) Observed(o health.Observation) {
+	s.d.step(func(c *control, now time.Time) { c.observed(now, o) })
+}
+
+// Leave starts the graceful shutdown.
+func (s *Stepper) Leave() { s.d.step(func(c *control, now time.Time) { c.leave(now) }) }
+
+// Versions returns the versions of the accepted values.
+func (s *Stepper) Versions() map[string]uint64 {
+	versions := map[string]uint64{}
+	for name, doc := range s.d.control.config.Current().Services {
+		versions["services/"+name] = doc.Version
+	}
+	current := s.d.control.config.Current()
+	if current.DataCentres != nil {
+		versions["datacentres"] = current.DataCentres.Version
+	}
+	if current.Hosts != nil {
+		versions["hosts"] = current.Hosts.Version
+	}
+	return versions
+}
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -257,14 +257,7 @@
 // pollLoad reads the load reports of the backend servers that this host observes.
 func (d *Daemon) pollLoad(ctx context.Context) error {
 	targets := func() []health.Target {
-		t, err := ask(ctx, d, func(c *control, now time.Time) []health.Target {
-			t := c.limits.health.Targets()
-			c.limits.polled = map[netip.AddrPort]time.Time{}
-			for _, target := range t {
-				c.limits.polled[target.Backend] = now
-			}
-			return t
-		})
+		t, err := ask(ctx, d, func(c *control, now time.Time) []health.Target { return c.pollTargets(now) })
 		if err != nil {
 			return nil
 		}
@@ -276,6 +269,16 @@
 	return ctx.Err()
 }
 
+// pollTargets returns the load URLs to read, and notes when that was.
+func (c *control) pollTargets(now time.Time) []health.Target {
+	targets := c.limits.health.Targets()
+	c.limits.polled = map[netip.AddrPort]time.Time{}
+	for _, t := range targets {
+		c.limits.polled[t.Backend] = now
+	}
+	return targets
+}
+
 func (c *control) observed(now time.Time, o health.Observation) {
 	if o.Err != nil {
 		level.Debug(c.logger).Log("msg", "load report could not be read", "backend", o.Backend, "err", o.Err)
--- a/internal/daemon/sweep.go
+++ b/internal/daemon/sweep.go
@@ -42,7 +42,7 @@
 		idle[svc.Index] = uint32(svc.FlowIdle / time.Second)
 	}
 	counts := map[netip.AddrPort]int{}
-	now := uint32(time.Since(d.started) / time.Second)
+	now := uint32(time.Duration(d.now()) / time.Second)
 	d.table.Sweep(now,
 		func(e flow.Entry) uint32 {
 			if seconds, ok := idle[e.Service]; ok {
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -80,21 +80,21 @@
 func (c *control) compareWith(now time.Time, id string) {
 	c.sync.last[id] = now
 	d, ctx := c.d, c.ctx
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, configCallTimeout)
+	d.environment.Go(func() {
+		ctx, cancel := d.environment.WithTimeout(ctx, configCallTimeout)
 		defer cancel()
 		if err := d.compare(ctx, id); err != nil {
 			counters.compareFailures.Inc()
 			return
 		}
 		d.post(func(c *control, now time.Time) { c.checked(now, "compared with "+id) })
-	}()
+	})
 }
 
 // compare fetches what is newer at the peer and pushes what is newer here.
 func (d *Daemon) compare(ctx context.Context, id string) error {
 	var theirs configsync.PartialMessage
-	if err := d.pool.Call(ctx, id, configsync.MethodPartial, nil, &theirs); err != nil {
+	if err := d.environment.Call(ctx, id, configsync.MethodPartial, nil, &theirs); err != nil {
 		return err
 	}
 	parts, err := ask(ctx, d, func(c *control, _ time.Time) []uint8 { return differing(c.config.Partial(), theirs.Parts) })
@@ -102,7 +102,7 @@
 		return err
 	}
 	var versions configsync.VersionsResponse
-	if err := d.pool.Call(ctx, id, configsync.MethodVersions, configsync.VersionsRequest{Parts: parts}, &versions); err != nil {
+	if err := d.environment.Call(ctx, id, configsync.MethodVersions, configsync.VersionsRequest{Parts: parts}, &versions); err != nil {
 		return err
 	}
 	comparison, err := ask(ctx, d, func(c *control, now time.Time) configsync.Comparison {
@@ -132,7 +132,7 @@
 func (d *Daemon) fetch(ctx context.Context, id string, keys []string) error {
 	for len(keys) > 0 {
 		var resp configsync.FetchResponse
-		if err := d.pool.Call(ctx, id, configsync.MethodFetch, configsync.FetchRequest{Keys: keys}, &resp); err != nil {
+		if err := d.environment.Call(ctx, id, configsync.MethodFetch, configsync.FetchRequest{Keys: keys}, &resp); err != nil {
 			return err
 		}
 		if len(resp.Values) == 0 {
@@ -164,7 +164,7 @@
 	if err != nil {
 		return err
 	}
-	return d.pool.Call(ctx, id, configsync.MethodPush, configsync.PushMessage{Values: values}, nil)
+	return d.environment.Call(ctx, id, configsync.MethodPush, configsync.PushMessage{Values: values}, nil)
 }
 
 // offer gives values of a peer to the configuration.
@@ -202,17 +202,17 @@
 // call calls a peer in the background when the result is not needed.
 func (c *control) call(id, method string, params any, done func(c *control, now time.Time, err error)) {
 	d, ctx := c.d, c.ctx
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, configCallTimeout)
+	d.environment.Go(func() {
+		ctx, cancel := d.environment.WithTimeout(ctx, configCallTimeout)
 		defer cancel()
-		err := d.pool.Call(ctx, id, method, params, nil)
+		err := d.environment.Call(ctx, id, method, params, nil)
 		if err != nil {
 			countCallFailure(method)
 		}
 		if done != nil {
 			d.post(func(c *control, now time.Time) { done(c, now, err) })
 		}
-	}()
+	})
 }
 
 // configChanged applies newly accepted values.
--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -102,14 +102,18 @@
 		if err != nil {
 			return err
 		}
-		switch {
-		case n == 0:
-			countDropped("peer", packet.ErrTruncated)
-		case w.in[0] == peer.DatagramVersion:
-			w.handleProbe(w.in[:n], from)
-		default: // packet.ForwardVersion; others are refused by the parser
-			w.handleForwarded(w.in[:n])
-		}
+		w.handlePeer(w.in[:n], from)
+	}
+}
+
+func (w *worker) handlePeer(b []byte, from netip.AddrPort) {
+	switch {
+	case len(b) == 0:
+		countDropped("peer", packet.ErrTruncated)
+	case b[0] == peer.DatagramVersion:
+		w.handleProbe(b, from)
+	default: // packet.ForwardVersion; others are refused by the parser
+		w.handleForwarded(b)
 	}
 }
 
