Add the replay package, the replay command and two traces

Cause: verification is by replay of traces against stated outcomes.

Change: a trace is a YAML file of timed events and allowed outcomes. The driver steps several daemons in simulated time; network, platform, backend servers and callers are fakes in memory. Independent senders have lanes of their own, so that a result does not depend on the order of map iteration.

--- /dev/null
+++ b/internal/replay/network.go
@@ -0,0 +1,248 @@
+package replay
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/daemon"
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
+)
+
+// Delays of the network, one way.
+const (
+	delayWithin  = 300 * time.Microsecond // a data centre
+	delayBetween = 1400 * time.Microsecond
+	delayCaller  = time.Millisecond
+)
+
+// brokenAfter is how long a cut lasts until the peers' heartbeats have closed
+// the connections that it affects.
+const brokenAfter = 4 * time.Second
+
+// network carries datagrams and calls between the parts of the simulation.
+type network struct {
+	f        *fleet
+	cut      map[string]bool // data centres that are separated from the others
+	cutSince time.Time
+	silent   map[[2]string]bool // connections between entry hosts that deliver nothing
+	loss     int                // percent of the datagrams, and so on
+	dup      int
+	reorder  int
+	delay    time.Duration
+	sent     map[string]uint64 // datagrams by lane
+}
+
+// reaches reports whether two data centres are connected.
+func (n *network) reaches(a, b string) bool { return a == b || n.cut[a] == n.cut[b] }
+
+// chance decides, with a probability in percent, about the next datagram of a
+// lane. Lanes are independent of each other.
+func (n *network) chance(percent int, lane, what string) bool {
+	if percent == 0 {
+		return false
+	}
+	h := xxhash.NewWithSeed(n.f.trace.Seed)
+	_, _ = h.WriteString(lane + what + strconv.FormatUint(n.sent[lane], 10))
+	return h.Sum64()%100 < uint64(percent)
+}
+
+// datagram delivers a datagram between two data centres; an empty one is that
+// of the callers, who reach all of them.
+func (n *network) datagram(from, to netip.AddrPort, dc, toDC string, deliver func()) {
+	if dc != "" && toDC != "" && !n.reaches(dc, toDC) {
+		return
+	}
+	lane := from.String() + ">" + to.String()
+	n.sent[lane]++
+	delay := delayCaller
+	switch {
+	case dc == toDC:
+		delay = delayWithin
+	case dc != "" && toDC != "":
+		delay = delayBetween
+	}
+	if n.chance(n.loss, lane, "loss") {
+		return
+	}
+	if n.chance(n.reorder, lane, "reorder") {
+		delay += n.delay
+	}
+	n.f.clock.after(delay, lane, deliver)
+	if n.chance(n.dup, lane, "duplicate") {
+		n.f.clock.after(delay+n.delay, lane, deliver)
+	}
+}
+
+// socket is a UDP socket of an entry host.
+type socket struct {
+	h    *host
+	addr netip.AddrPort
+}
+
+func (s *socket) ReadFromUDPAddrPort([]byte) (int, netip.AddrPort, error) {
+	return 0, netip.AddrPort{}, net.ErrClosed
+}
+
+func (s *socket) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
+	if s.h.running() {
+		s.h.f.send(s.addr, to, s.h.dataCentre, slices.Clone(b))
+	}
+	return len(b), nil
+}
+
+func (s *socket) Close() error { return nil }
+
+// sockets implements daemon.Network.
+type sockets struct{ h *host }
+
+func (s sockets) ListenUDP(addr netip.AddrPort) (daemon.PacketConn, error) {
+	return &socket{s.h, addr}, nil
+}
+func (sockets) Listen(netip.AddrPort) (net.Listener, error) { return nil, net.ErrClosed }
+func (sockets) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	return nil, net.ErrClosed
+}
+
+// environment implements daemon.Environment for one process of an entry host.
+type environment struct{ h *host }
+
+type deadlineKey struct{}
+
+func (e environment) Now() time.Time { return e.h.f.clock.now }
+
+func (e environment) Go(f func()) { e.h.f.clock.spawn(e.h.id, f) }
+
+func (e environment) WithTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithValue(ctx, deadlineKey{}, e.Now().Add(timeout)), func() {}
+}
+
+// Call suspends the routine that calls until the call has ended.
+func (e environment) Call(ctx context.Context, id, method string, params, result any) error {
+	body, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	r := e.h.f.clock.routine
+	c := &call{from: e.h, to: e.h.f.hosts[id], method: method, params: body, result: result, routine: r, err: peer.ErrUnknown}
+	c.deadline, _ = ctx.Value(deadlineKey{}).(time.Time)
+	if c.to == nil || !e.h.daemon.Lists(id) {
+		return peer.ErrNotSent
+	}
+	r.wait(c.send)
+	return c.err
+}
+
+// call is one call between entry hosts.
+type call struct {
+	from, to *host
+	method   string
+	params   json.RawMessage
+	result   any
+	deadline time.Time
+	routine  *routine
+	ended    bool
+	err      error
+}
+
+func (c *call) lane(direction string) string { return c.from.id + direction + c.to.id }
+
+func (c *call) blocked() bool {
+	n := &c.from.f.network
+	return !n.reaches(c.from.dataCentre, c.to.dataCentre) || n.silent[[2]string{c.from.id, c.to.id}]
+}
+
+// delay is the latency and, for control state, the view delays of both ends.
+func (c *call) delay() time.Duration {
+	d := delayBetween
+	if c.from.dataCentre == c.to.dataCentre {
+		d = delayWithin
+	}
+	if strings.HasPrefix(c.method, "config.") || strings.HasPrefix(c.method, "health.") || strings.HasPrefix(c.method, "admission.") {
+		d += c.to.lag
+	}
+	return d
+}
+
+func (c *call) send() {
+	f := c.from.f
+	f.clock.after(c.deadline.Sub(f.clock.now), c.lane("!"), func() {
+		if f.network.cutSince.Add(brokenAfter).Before(f.clock.now) && !f.network.reaches(c.from.dataCentre, c.to.dataCentre) {
+			c.err = peer.ErrNotSent
+		}
+		c.end()
+	})
+	refused := c.to.daemon == nil
+	if c.blocked() {
+		return
+	}
+	target := c.to.process
+	f.clock.after(c.delay(), c.lane("="), func() {
+		if refused || c.to.process != target {
+			if refused {
+				c.err = peer.ErrNotSent
+			}
+			f.clock.after(c.delay(), c.lane("-"), c.end)
+			return
+		}
+		c.to.receive(c.handle)
+	})
+}
+
+func (c *call) handle() {
+	if !c.to.daemon.Lists(c.from.id) {
+		c.answer(nil, &peer.RemoteError{Code: peer.CodeUnlisted, Message: "not on the host list"})
+		return
+	}
+	c.to.daemon.Call(c.from.id, c.method, c.params, c.answer)
+}
+
+func (c *call) answer(v any, err error) {
+	if c.blocked() {
+		return
+	}
+	body, marshalErr := json.Marshal(v)
+	c.from.f.clock.after(c.delay(), c.lane("-"), func() {
+		switch {
+		case c.ended:
+			return
+		case err != nil:
+			c.err = err
+			if _, ok := err.(*peer.RemoteError); !ok {
+				c.err = &peer.RemoteError{Code: peer.CodeHandler, Message: err.Error()}
+			}
+		case marshalErr == nil:
+			c.err = c.decode(body)
+		}
+		c.end()
+	})
+}
+
+func (c *call) decode(body []byte) error {
+	if c.result == nil || reflect.ValueOf(c.result).IsNil() {
+		return nil
+	}
+	return json.Unmarshal(body, c.result)
+}
+
+// end lets the caller continue, once it runs.
+func (c *call) end() {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	process := c.from.process
+	c.from.receive(func() {
+		if c.from.process == process {
+			c.from.f.clock.resume(c.routine)
+		}
+	})
+}
--- /dev/null
+++ b/internal/replay/play_test.go
@@ -0,0 +1,29 @@
+package replay
+
+import (
+	"reflect"
+	"testing"
+)
+
+// Every trace of the repository must pass, with the same result in every run.
+func TestTraces(t *testing.T) {
+	files, err := Files([]string{"../../testdata/traces"})
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no traces: %v", err)
+	}
+	for _, file := range files {
+		t.Run(file, func(t *testing.T) {
+			trace, err := Load(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			first := Play(trace)
+			if !first.Passed {
+				t.Errorf("failed: %v", first.Failures)
+			}
+			if second := Play(trace); !reflect.DeepEqual(first, second) {
+				t.Errorf("two runs differ:\n%+v\n%+v", first, second)
+			}
+		})
+	}
+}
