daemon: drop packets while the control loop has not run

Cause: after a pause of the process, traffic goroutines may read the packets that waited in the sockets before the control loop notices the pause.

Change: traffic compares the time with that of the last tick whose effects are published, and drops packets after PauseLimit without one, with the reason "paused".

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -50,6 +50,7 @@
 	serving   bool
 	leaving   bool
 	leftAt    time.Time
+	lastTick  int64 // time since start in nanoseconds
 	killed    bool
 	dirty     bool
 	lastError string // of the platform
@@ -170,10 +171,12 @@
 			return nil
 		}
 		c.publish(time.Now())
+		c.d.lastTick.Store(c.lastTick)
 	}
 }
 
 func (c *control) tick(now time.Time) {
+	c.lastTick = int64(now.Sub(c.d.started))
 	c.carryOut(now, c.members.Tick(now))
 	c.startCheck(now)
 	c.performCommands(now, c.commands.Expire(now))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,6 +67,7 @@
 	control    *control
 	events     chan event
 	lastPacket atomic.Int64 // time since start in nanoseconds
+	lastTick   atomic.Int64 // tick of the control loop whose effects are published
 	reader     atomic.Bool  // keeps a blocking read open on the platform
 }
 
--- a/internal/daemon/environment.go
+++ b/internal/daemon/environment.go
@@ -60,6 +60,7 @@
 	now := d.environment.Now()
 	e(d.control, now)
 	d.control.publish(now)
+	d.lastTick.Store(d.control.lastTick)
 }
 
 // Tick is one round of the control loop. It reports whether the graceful
--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -78,6 +78,10 @@
 		return
 	}
 	d, snap, now := w.d, w.d.snapshot.Load(), w.d.now()
+	if d.isPaused(now) {
+		countDroppedReason("gue", "paused")
+		return
+	}
 	if b := snap.Backends.Get(from); b != nil {
 		countReply(b, &w.info)
 		w.fromBackend(snap, from, inner, now)
@@ -87,6 +91,13 @@
 	w.perform(snap, d.router.FromFabric(snap, &w.info, now), inner)
 }
 
+// isPaused reports whether the control loop has not run for so long that the
+// snapshot cannot be trusted. After a pause of the process, packets that waited
+// in the socket may be read before the control loop notices the pause.
+func (d *Daemon) isPaused(now route.Time) bool {
+	return time.Duration(int64(now)-d.lastTick.Load()) > d.settings.PauseLimit.Std()
+}
+
 func (w *worker) fromBackend(snap *route.Snapshot, from netip.AddrPort, inner []byte, now route.Time) {
 	if w.d.commandReply(snap, from, &w.info, inner) {
 		return
@@ -129,6 +140,10 @@
 		return
 	}
 	snap, now := d.snapshot.Load(), d.now()
+	if d.isPaused(now) {
+		countDroppedReason("peer", "paused")
+		return
+	}
 	d.lastPacket.Store(int64(now))
 	w.perform(snap, d.router.FromPeer(snap, &w.header, &w.info, now), inner)
 }
