replay: routines of ended processes, causes of partitions, JSON names

Cause: a routine of a killed entry host could run after its death, and a flow that a partition had stopped counted as an unexpected break when it was given up after the partition had healed.

Change: calls belong to one process; a break counts as partition when its backend server was separated during the exchange that failed. Packets to a data centre that is out count from the end of a partition on, since hosts that are cut off cannot learn of it earlier.

--- a/internal/replay/caller.go
+++ b/internal/replay/caller.go
@@ -31,7 +31,8 @@
 	since    time.Time
 	opened   bool
 	finished bool
-	request  int // number of the request in progress, 0 for the SYN
+	request  int       // number of the request in progress, 0 for the SYN
+	began    time.Time // when it was first sent
 	answered bool
 	packets  uint64
 	server   *server // that opened the flow
@@ -69,7 +70,7 @@
 
 // begin sends the next request.
 func (c *flow) begin() {
-	c.answered = false
+	c.answered, c.began = false, c.f.clock.now
 	c.f.result.Requests++
 	c.transmit(c.request, 1, retransmitAfter)
 }
@@ -180,7 +181,7 @@
 		b.OutOfDC++
 	case c.server.instance != c.instance || !c.server.listed:
 		b.Backend++
-	case !f.network.reaches(c.home, c.server.dataCentre):
+	case f.network.separated(c.home, c.server.dataCentre, c.began):
 		b.Partition++
 	default:
 		b.Unexpected++
--- a/internal/replay/clock.go
+++ b/internal/replay/clock.go
@@ -83,15 +83,19 @@
 	wait func(func()) bool
 }
 
-// spawn starts f in a routine.
-func (c *clock) spawn(lane string, f func()) {
+// spawn starts f in a routine, unless canceled holds by then.
+func (c *clock) spawn(lane string, f func(), canceled func() bool) {
 	r := &routine{}
 	r.next, r.stop = iter.Pull(func(yield func(func()) bool) {
 		r.wait = yield
 		f()
 	})
 	c.waiting[r] = true
-	c.after(0, lane, func() { c.resume(r) })
+	c.after(0, lane, func() {
+		if !canceled() {
+			c.resume(r)
+		}
+	})
 }
 
 // resume runs a routine until it waits for its next call or ends.
@@ -113,4 +117,5 @@
 		c.routine = r
 		r.stop()
 	}
+	clear(c.waiting)
 }
--- a/internal/replay/fleet.go
+++ b/internal/replay/fleet.go
@@ -238,8 +238,9 @@
 }
 
 func (f *fleet) heal(*Event) {
-	f.network.cut = map[string]bool{}
+	f.network.wasCut, f.network.cut = f.network.cut, map[string]bool{}
 	f.network.silent = map[[2]string]bool{}
+	f.network.healed = f.clock.now
 }
 
 func (f *fleet) setNetwork(e *Event) {
--- a/internal/replay/host.go
+++ b/internal/replay/host.go
@@ -62,7 +62,7 @@
 	h.process++
 	h.paused, h.stopping, h.backlog = false, false, nil
 	h.readAt, h.seen = time.Time{}, map[string]int{}
-	d, err := daemon.NewStepper(daemon.Options{Settings: &s, Network: sockets{h}}, environment{h})
+	d, err := daemon.NewStepper(daemon.Options{Settings: &s, Network: sockets{h}}, environment{h, h.process})
 	if err != nil {
 		panic(err) // the fakes return no errors
 	}
@@ -139,7 +139,8 @@
 	if !due {
 		return
 	}
-	if p.state == "down" {
+	// A separated data centre does not reach the platform either.
+	if p.state == "down" || h.f.network.cut[h.dataCentre] {
 		h.daemon.Platform(platform.Update{Err: errPlatformDown})
 		return
 	}
--- a/internal/replay/network.go
+++ b/internal/replay/network.go
@@ -33,6 +33,8 @@
 	f        *fleet
 	cut      map[string]bool // data centres that are separated from the others
 	cutSince time.Time
+	healed   time.Time
+	wasCut   map[string]bool    // until healed
 	silent   map[[2]string]bool // connections between entry hosts that deliver nothing
 	loss     int                // percent of the datagrams, and so on
 	dup      int
@@ -44,6 +46,12 @@
 // reaches reports whether two data centres are connected.
 func (n *network) reaches(a, b string) bool { return a == b || n.cut[a] == n.cut[b] }
 
+// separated reports whether two data centres are or were separated at or after
+// a time.
+func (n *network) separated(a, b string, since time.Time) bool {
+	return !n.reaches(a, b) || n.healed.After(since) && n.wasCut[a] != n.wasCut[b]
+}
+
 // chance decides, with a probability in percent, about the next datagram of a
 // lane. Lanes are independent of each other.
 func (n *network) chance(percent int, lane, what string) bool {
@@ -113,13 +121,23 @@
 }
 
 // environment implements daemon.Environment for one process of an entry host.
-type environment struct{ h *host }
+type environment struct {
+	h       *host
+	process int
+}
 
 type deadlineKey struct{}
 
 func (e environment) Now() time.Time { return e.h.f.clock.now }
 
-func (e environment) Go(f func()) { e.h.f.clock.spawn(e.h.id, f) }
+// ended reports whether the process has ended: nothing of it runs any more.
+func (e environment) ended() bool { return e.h.process != e.process }
+
+func (e environment) Go(f func()) {
+	if !e.ended() {
+		e.h.f.clock.spawn(e.h.id, f, e.ended)
+	}
+}
 
 func (e environment) WithTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithValue(ctx, deadlineKey{}, e.Now().Add(timeout)), func() {}
@@ -132,6 +150,9 @@
 		return err
 	}
 	r := e.h.f.clock.routine
+	if e.ended() {
+		return peer.ErrUnknown
+	}
 	c := &call{from: e.h, to: e.h.f.hosts[id], method: method, params: body, result: result, routine: r, err: peer.ErrUnknown}
 	c.deadline, _ = ctx.Value(deadlineKey{}).(time.Time)
 	if c.to == nil || !e.h.daemon.Lists(id) {
--- a/internal/replay/play_test.go
+++ b/internal/replay/play_test.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"path/filepath"
 	"reflect"
 	"testing"
 )
@@ -12,7 +13,8 @@
 		t.Fatalf("no traces: %v", err)
 	}
 	for _, file := range files {
-		t.Run(file, func(t *testing.T) {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			t.Parallel()
 			trace, err := Load(file)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -67,6 +67,9 @@
 	f.clock.run(epoch.Add(t.Duration.Std()))
 	f.countCommands()
 	f.compare()
+	for _, h := range f.hostOrder {
+		h.end()
+	}
 	f.clock.stop()
 	return f.result
 }
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -107,10 +107,10 @@
 
 // BrokenFlows allows established flows to end early, by cause.
 type BrokenFlows struct {
-	Unexpected int `yaml:"unexpected"`
-	OutOfDC    int `yaml:"data_centre_out"`
-	Backend    int `yaml:"backend_server_ended"` // its process ended
-	Partition  int `yaml:"partition"`            // its backend server was on the other side
+	Unexpected int `yaml:"unexpected" json:"unexpected"`
+	OutOfDC    int `yaml:"data_centre_out" json:"data_centre_out"`
+	Backend    int `yaml:"backend_server_ended" json:"backend_server_ended"` // its process ended
+	Partition  int `yaml:"partition" json:"partition"`                       // its backend server was on the other side
 }
 
 // Total returns the sum over all causes.
