route: try every backend server before a guessed flow is reset

Cause: the order of guesses put stable backend servers first, by the view of the moment. An entry host that has just started sees every backend server as cold until the first load reports, so the order changed between two guesses and backend servers that became stable were passed over. When the list ended, the caller was reset although its backend server still held the connection. Ruled out: replaced instances and conflicts (no such drops in the counters of the hosts; guess_reset was the only reason besides not_serving).

Change: only the first guess prefers a stable backend server. The next ones follow a cyclic order that no state changes, until all have been tried.

--- a/internal/route/build_test.go
+++ b/internal/route/build_test.go
@@ -178,3 +178,22 @@
 		t.Errorf("chose %s instead of the preferred data centre", chosen.DataCentre)
 	}
 }
+
+// Guards the recovery of a flow against backend servers that turn stable while
+// it is guessed: every one must be tried before the caller is reset.
+func TestGuessesTryEveryBackendServer(t *testing.T) {
+	s := &Service{}
+	for i := range 6 {
+		s.Backends = append(s.Backends, &Backend{seed: mix(uint64(i))})
+	}
+	for hash := range uint64(100) {
+		tried := map[*Backend]bool{}
+		for b := firstGuess(s, hash); b != nil; b = nextGuess(s, hash, b, len(tried)) {
+			tried[b] = true
+			s.Backends[(int(hash)+len(tried))%len(s.Backends)].Stable = len(tried)%2 == 1
+		}
+		if len(tried) != len(s.Backends) {
+			t.Fatalf("hash %d: tried %d of %d backend servers", hash, len(tried), len(s.Backends))
+		}
+	}
+}
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -101,37 +101,54 @@
 	return -b.Weight / math.Log(u)
 }
 
-// guessRank orders the backend servers that an unknown flow may belong to:
-// the stable ones first, since a flow that lost its entries is older than a
-// backend server that has just joined.
-func (b *Backend) guessRank(hash uint64) uint64 {
-	const stableBit = 1 << 63
-	rank := b.rank(hash) >> 1
-	if b.Stable {
-		rank |= stableBit
+// firstGuess returns the backend server that an unknown flow most probably
+// belongs to: a stable one if there is any, since a flow that lost its entries
+// is older than a backend server that has just joined.
+func firstGuess(s *Service, hash uint64) *Backend {
+	var first *Backend
+	for _, b := range s.Backends {
+		switch {
+		case !b.guessable():
+		case first == nil || b.Stable && !first.Stable:
+			first = b
+		case b.Stable == first.Stable && b.rank(hash) > first.rank(hash):
+			first = b
+		}
 	}
-	return rank
+	return first
 }
 
-// nextGuess returns the first backend server in the guessing order, or the
-// first one after the backend server previous.
-func nextGuess(s *Service, hash uint64, previous *Backend) *Backend {
-	var next *Backend
+// nextGuess returns the backend server after previous in a cyclic order, nil
+// when all have been tried. The order does not depend on Stable, which may
+// change between two guesses: a host that has just started sees every backend
+// server as cold until the first load reports.
+func nextGuess(s *Service, hash uint64, previous *Backend, tried int) *Backend {
+	var top, next *Backend
+	candidates := 0
 	for _, b := range s.Backends {
-		if b.Out || b.Unusable {
+		if !b.guessable() {
 			continue
 		}
-		rank := b.guessRank(hash)
-		if previous != nil && rank >= previous.guessRank(hash) {
-			continue
+		candidates++
+		rank := b.rank(hash)
+		if top == nil || rank > top.rank(hash) {
+			top = b
 		}
-		if next == nil || rank > next.guessRank(hash) {
+		if rank < previous.rank(hash) && (next == nil || rank > next.rank(hash)) {
 			next = b
 		}
 	}
+	switch {
+	case tried >= candidates:
+		return nil
+	case next == nil:
+		return top
+	}
 	return next
 }
 
+func (b *Backend) guessable() bool { return !b.Out && !b.Unusable }
+
 // bucketOf returns the bucket of a flow's hash.
 func bucketOf(hash uint64) int { return int(hash % Buckets) }
 
--- a/internal/route/fabric.go
+++ b/internal/route/fabric.go
@@ -155,7 +155,7 @@
 	if b != nil {
 		return toBackend(b)
 	}
-	b = nextGuess(q.svc, q.hash, nil)
+	b = firstGuess(q.svc, q.hash)
 	if b == nil {
 		return drop(ReasonNoCandidate)
 	}
--- a/internal/route/replies.go
+++ b/internal/route/replies.go
@@ -75,7 +75,7 @@
 	if e.State != flow.Guess {
 		return Action{Kind: ToCaller, Backend: b}
 	}
-	next := nextGuess(q.svc, q.hash, b)
+	next := nextGuess(q.svc, q.hash, b, int(e.Excluded)+1)
 	if next == nil {
 		r.Table.DeleteIf(q.key, q.hash, e)
 		return Action{Kind: ToCaller, Backend: b}
