--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -52,6 +51,7 @@
 	leaving   bool
 	leftAt    time.Time
 	lastBusy  time.Time // newest time with commands in progress while leaving
+	lastTick  int64     // time since start in nanoseconds
 	killed    bool
 	dirty     bool
 	lastError string // of the platform
@@ -78,7 +78,7 @@
 		config:  configsync.New(configsync.Config{Seed: seed, Metrics: metrics.GetDefaultSet()}),
 		builder: route.NewBuilder(s.HostID, s.DataCentre, s.Limits.GroupSize),
 	}
-	cfg := command.Config{Self: s.HostID, Boot: rand.Uint64(), Retention: s.Limits.ClaimRetention.Std(), PauseLimit: s.PauseLimit.Std()}
+	cfg := command.Config{Self: s.HostID, Boot: uint64(d.started.UnixNano()), Retention: s.Limits.ClaimRetention.Std(), PauseLimit: s.PauseLimit.Std()}
 	c.commands = command.New(cfg, d.started)
 	c.limits = newLimits()
 	c.runner = command.NewRunner(cfg, &commandSlots{slots: c.limits.slots})
@@ -102,11 +102,21 @@
 }
 
 // post hands work to the control goroutine and waits for room in its queue.
-func (d *Daemon) post(e event) { d.events <- e }
+func (d *Daemon) post(e event) {
+	if d.stepped {
+		d.step(e)
+		return
+	}
+	d.events <- e
+}
 
 // tryPost hands work to the control goroutine, or drops and counts it when
 // the queue is full, so that traffic goroutines never wait.
 func (d *Daemon) tryPost(e event) {
+	if d.stepped {
+		d.step(e)
+		return
+	}
 	select {
 	case d.events <- e:
 	default:
@@ -116,6 +126,11 @@
 
 // ask runs f on the control goroutine and returns its result.
 func ask[T any](ctx context.Context, d *Daemon, f func(c *control, now time.Time) T) (T, error) {
+	if d.stepped {
+		var v T
+		d.step(func(c *control, now time.Time) { v = f(c, now) })
+		return v, nil
+	}
 	result := make(chan T, 1)
 	select {
 	case d.events <- func(c *control, now time.Time) { result <- f(c, now) }:
@@ -157,10 +172,12 @@
 			return nil
 		}
 		c.publish(time.Now())
+		c.d.lastTick.Store(c.lastTick)
 	}
 }
 
 func (c *control) tick(now time.Time) {
+	c.lastTick = int64(now.Sub(c.d.started))
 	c.carryOut(now, c.members.Tick(now))
 	c.startCheck(now)
 	c.commands.SetConditions(now, c.conditions())
