daemon: judge and admit only for the services that concern this host

Cause: health and admission were given every service, so each round of 100 ms judged all backend servers, and each change rebuilt the state of all of them. A host that is neither an owner nor an observer used none of the results.

Change: limitInput passes only the services whose owner group this host is in and those of which it observes a backend server. The others share one empty budget. Draining by the host list is applied to every backend server directly. Up to GroupSize hosts every service still concerns every host. On larger fleets a host no longer reports the end of a silence, which starts a cold ramp, for services that it neither owns nor observes.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -89,7 +89,7 @@
 // benchControl is the control loop of one host among synthetic members.
 type benchControl struct {
 	*control
-	b      *testing.B
+	b      testing.TB
 	conn   *captureConn
 	hosts  []document.Host
 	byAddr map[netip.AddrPort]int
@@ -97,7 +97,7 @@
 	clock  time.Time
 }
 
-func newBenchControl(b *testing.B, hosts int, documents []configsync.Candidate) *benchControl {
+func newBenchControl(b testing.TB, hosts int, documents []configsync.Candidate) *benchControl {
 	s := settings.Default()
 	self := benchHost(0)
 	s.HostID, s.DataCentre, s.Region = self.ID, self.DataCentre, self.Region
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -47,9 +47,10 @@
 	shares   *admission.State
 	slots    *admission.Slots
 	poller   *health.Poller
-	backends map[netip.AddrPort]*backendLimit
+	backends map[netip.AddrPort]*backendLimit // of the services that this host is concerned with
+	closed   backendLimit                     // of all others: admits nothing
 	verdicts map[netip.AddrPort]health.Verdict
-	owners   map[string][route.Buckets][2]uint16 // by service, as last given to the shares
+	owners   map[string][route.Buckets][2]uint16 // by service, as last given to the slices
 	polled   map[netip.AddrPort]time.Time        // start of the newest poll
 
 	lastRound, lastEvidence time.Time
@@ -68,44 +69,95 @@
 	}
 }
 
-func (l *limits) backend(addr netip.AddrPort) *backendLimit {
-	b := l.backends[addr]
-	if b == nil {
-		b = &backendLimit{}
-		l.backends[addr] = b
-	}
-	return b
-}
-
 // limitInput gives documents, members and owners to the slices and refills the
-// budgets.
+// budgets. The slices learn only of the services that this host is an owner of
+// and of those that it observes a backend server of.
 func (c *control) limitInput(now time.Time, snap *route.Snapshot) {
-	accepted := c.config.Current()
+	l := c.limits
 	hosts := c.liveHosts()
-	c.limits.ranking.SetHosts(hosts)
+	l.ranking.SetHosts(hosts)
 	out, leaving := c.outSet(), c.leavingBackends()
 	var services []health.ServiceInput
 	shares := admission.Input{Out: out, Leaving: leaving}
-	for name, doc := range accepted.Services {
+	owners := make(map[string][route.Buckets][2]uint16, len(l.owners))
+	for name, doc := range c.config.Current().Services {
 		svc := snap.ByName.Get(name)
-		if svc == nil {
+		if svc == nil || !c.concerned(snap, svc, doc) {
 			continue
 		}
 		in := c.bucketInput(snap, svc, doc)
+		owners[name] = svc.Owners
 		services = append(services, health.ServiceInput{Doc: doc, Group: keys(in.Buckets)})
 		if _, member := in.Buckets[snap.Self]; member {
 			shares.Services = append(shares.Services, in)
 		}
 	}
-	c.limits.health.SetServices(now, snap.Self, health.Input{Services: services, Hosts: hosts, Ranking: c.limits.ranking, Out: out, Leaving: leaving})
-	c.limits.verdicts = c.limits.health.Verdicts(now)
-	shares.Verdicts = c.limits.verdicts
-	c.limits.shares.SetServices(now, snap.Self, shares)
+	l.owners = owners
+	l.setBackends(services)
+	l.health.SetServices(now, snap.Self, health.Input{Services: services, Hosts: hosts, Ranking: l.ranking, Out: out, Leaving: leaving})
+	l.verdicts = l.health.Verdicts(now)
+	shares.Verdicts = l.verdicts
+	l.shares.SetServices(now, snap.Self, shares)
 	c.slotInput(now, out, leaving)
 	c.admitted(now)
 	c.refill(now)
 }
 
+// concerned reports whether this host owns buckets of a service or observes
+// one of its backend servers. A host that leaves is still charged with its
+// flows of every service of its region.
+func (c *control) concerned(snap *route.Snapshot, svc *route.Service, doc *document.Service) bool {
+	if i := snap.SelfIndex; i != route.NoHost {
+		h := &snap.Hosts[i]
+		if svc.InGroup(i) || h.Leaving && h.Region == svc.Region {
+			return true
+		}
+	}
+	for d := range doc.DataCentres {
+		dc := &doc.DataCentres[d]
+		if !c.mayObserve(dc.Name) {
+			continue
+		}
+		for i := range dc.BackendServers {
+			if slices.Contains(c.limits.ranking.Observers(dc.BackendServers[i].AddrPort(), dc.Name), snap.Self) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mayObserve reports whether this host may be an observer in a data centre.
+func (c *control) mayObserve(dc string) bool {
+	return dc == c.d.settings.DataCentre || !c.limits.ranking.Local(dc)
+}
+
+// setBackends keeps limits for the backend servers of services, and ends the
+// budgets of all others. Snapshots in use may still hold those.
+func (l *limits) setBackends(services []health.ServiceInput) {
+	old := l.backends
+	l.backends = make(map[netip.AddrPort]*backendLimit, len(old))
+	for _, in := range services {
+		for d := range in.Doc.DataCentres {
+			for i := range in.Doc.DataCentres[d].BackendServers {
+				addr := in.Doc.DataCentres[d].BackendServers[i].AddrPort()
+				if l.backends[addr] != nil {
+					continue // conflicting documents name it twice
+				}
+				b := old[addr]
+				if b == nil {
+					b = &backendLimit{}
+				}
+				l.backends[addr] = b
+				delete(old, addr)
+			}
+		}
+	}
+	for _, b := range old {
+		b.budget.Set(0)
+	}
+}
+
 // bucketInput counts the buckets of each host of a service's owner group.
 func (c *control) bucketInput(snap *route.Snapshot, svc *route.Service, doc *document.Service) admission.ServiceInput {
 	in := admission.ServiceInput{Doc: doc, Buckets: map[string]int{}}
@@ -126,7 +178,6 @@
 			in.Buckets[h.ID] += 0
 		}
 	}
-	c.limits.owners[svc.Name] = svc.Owners
 	return in
 }
 
@@ -139,6 +190,9 @@
 			continue
 		}
 		for _, dc := range doc.DataCentres {
+			if !c.mayObserve(dc.Name) {
+				continue
+			}
 			for _, b := range dc.BackendServers {
 				addr := b.AddrPort()
 				if id, ok := admission.AdmittingHost(addr, dc.Name, c.limits.ranking); ok && id == self {
--- a/internal/daemon/snapshot.go
+++ b/internal/daemon/snapshot.go
@@ -65,8 +65,9 @@
 	}
 	c.builder.SetServing(c.serving)
 	c.builder.SetHosts(c.owners(out))
+	leaving := c.leavingBackends()
 	for _, s := range accepted.Services {
-		c.builder.SetService(c.serviceConfig(s, out, accepted.Conflicted))
+		c.builder.SetService(c.serviceConfig(s, out, accepted.Conflicted, leaving))
 	}
 	return c.builder.Snapshot()
 }
@@ -93,7 +94,7 @@
 	return hosts
 }
 
-func (c *control) serviceConfig(s *document.Service, out []string, conflicted map[netip.AddrPort]bool) route.ServiceConfig {
+func (c *control) serviceConfig(s *document.Service, out []string, conflicted, leaving map[netip.AddrPort]bool) route.ServiceConfig {
 	cfg := route.ServiceConfig{
 		Name:     s.Name,
 		Region:   s.Region,
@@ -106,28 +107,36 @@
 	for _, dc := range s.DataCentres {
 		for i := range dc.BackendServers {
 			b := &dc.BackendServers[i]
-			cfg.Backends = append(cfg.Backends, c.backendConfig(b, dc.Name, slices.Contains(out, dc.Name), conflicted[b.AddrPort()]))
+			cfg.Backends = append(cfg.Backends, c.backendConfig(b, dc.Name, slices.Contains(out, dc.Name), conflicted[b.AddrPort()], leaving[b.AddrPort()]))
 		}
 	}
 	return cfg
 }
 
-func (c *control) backendConfig(b *document.BackendServer, dc string, out, conflicted bool) route.BackendConfig {
+func (c *control) backendConfig(b *document.BackendServer, dc string, out, conflicted, leaving bool) route.BackendConfig {
 	addr := b.AddrPort()
-	limit := c.limits.backend(addr)
+	limit := c.limits.backends[addr]
+	if limit == nil {
+		limit = &c.limits.closed
+	}
 	verdict := c.limits.verdicts[addr]
-	return route.BackendConfig{
+	cfg := route.BackendConfig{
 		Addr:       addr,
 		DataCentre: dc,
 		Instance:   verdict.Instance,
 		Out:        out,
-		Draining:   b.Draining || verdict.Draining,
+		Draining:   b.Draining || leaving || verdict.Draining,
 		Stable:     !limit.cold,
 		Unusable:   conflicted || verdict.Foreign,
 		Weight:     limit.weight,
 		Admit:      &limit.budget,
-		Traffic:    &limit.traffic,
 	}
+	// One set of counters for all other backend servers would be written by
+	// every traffic goroutine at once.
+	if limit != &c.limits.closed {
+		cfg.Traffic = &limit.traffic
+	}
+	return cfg
 }
 
 func protocolNumber(p document.Protocol) uint8 {
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -130,16 +130,18 @@
 }
 
 func (c *control) backendStatus(b *route.Backend) admin.BackendStatus {
-	limit := c.limits.backend(b.Addr)
-	return admin.BackendStatus{
+	st := admin.BackendStatus{
 		Addr:       b.Addr.String(),
 		DataCentre: b.DataCentre,
-		Verdict:    verdictText(c.limits.verdicts[b.Addr]),
-		Flows:      limit.charged,
-		NewFlows:   max(limit.budget.Left(), 0),
+		Verdict:    "judged by the owner group",
 		Weight:     b.Weight,
 		Instance:   b.Instance,
 	}
+	if limit := c.limits.backends[b.Addr]; limit != nil {
+		st.Verdict = verdictText(c.limits.verdicts[b.Addr])
+		st.Flows, st.NewFlows = limit.charged, max(limit.budget.Left(), 0)
+	}
+	return st
 }
 
 func stateName(s flow.State) string { return stateNames[s] }
--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -211,6 +211,9 @@
 
 // countReply counts passive evidence about a backend server.
 func countReply(b *route.Backend, info *packet.Info) {
+	if b.Traffic == nil {
+		return
+	}
 	if info.RST() {
 		b.Traffic.Resets.Add(1)
 		return
@@ -219,7 +222,7 @@
 }
 
 func countOpened(b *route.Backend, info *packet.Info) {
-	if info.SYN() {
+	if info.SYN() && b.Traffic != nil {
 		b.Traffic.Opened.Add(1)
 	}
 }
--- a/internal/route/snapshot.go
+++ b/internal/route/snapshot.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -74,6 +75,11 @@
 	group             []int
 }
 
+// InGroup reports whether a host is in the service's owner group.
+func (s *Service) InGroup(host uint16) bool {
+	return host != NoHost && slices.Contains(s.group, int(host))
+}
+
 // Backend is one backend server of a service.
 type Backend struct {
 	Addr       netip.AddrPort // GUE address
@@ -85,8 +91,8 @@
 	Stable     bool // long in the set and not cold
 	Unusable   bool // it identified itself as another service
 	Weight     float64
-	Admit      *Budget // nil admits without limit
-	Traffic    *Traffic
+	Admit      *Budget  // nil admits without limit
+	Traffic    *Traffic // nil counts nothing
 	seed       uint64
 }
 
