daemon: publish only the services that a change touches

Cause: every publication configured all services twice and visited all of them for owners, observers and command owners.

Change: the control loop records what changed: members, documents by name, or what every service depends on.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -47,15 +47,17 @@
 	nextCall uint64
 	owned    map[string]*route.Service // services as last given to commands
 
-	serving   bool
-	leaving   bool
-	leftAt    time.Time
-	lastBusy  time.Time // newest time with commands in progress while leaving
-	lastTick  int64     // time since start in nanoseconds
-	killed    bool
-	dirty     bool
-	lastError string // of the platform
-	limits    *limits
+	serving    bool
+	leaving    bool
+	leftAt     time.Time
+	lastBusy   time.Time // newest time with commands in progress while leaving
+	lastTick   int64     // time since start in nanoseconds
+	killed     bool
+	dirty      bool
+	changes    changes                 // since the last snapshot
+	conflicted map[netip.AddrPort]bool // addresses in the last snapshot
+	lastError  string                  // of the platform
+	limits     *limits
 }
 
 func newControl(d *Daemon) *control {
@@ -84,6 +86,8 @@
 	c.runner = command.NewRunner(cfg, &commandSlots{slots: c.limits.slots})
 	c.runCalls = map[uint64]runDone{}
 	c.owned = map[string]*route.Service{}
+	c.changes = newChanges()
+	c.changes.hosts, c.changes.all = true, true
 	c.sync.begin(d.started, s.StartCheck.Std())
 	return c
 }
@@ -230,7 +234,7 @@
 // membersChanged applies the membership to the owners of flows and to the
 // choice of the platform's readers.
 func (c *control) membersChanged(now time.Time) {
-	c.dirty = true
+	c.dirty, c.changes.hosts = true, true
 	addrs := map[string]netip.AddrPort{}
 	for _, m := range c.members.Members() {
 		addrs[m.Host.ID] = m.Host.PeerAddr()
@@ -262,7 +266,7 @@
 	if c.leaving {
 		return
 	}
-	c.leaving, c.leftAt, c.dirty = true, now, true
+	c.leaving, c.leftAt, c.dirty, c.changes.hosts = true, now, true, true
 	level.Info(c.logger).Log("msg", "leaving")
 	c.commands.Leave()
 	c.runner.Leave()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,7 +113,7 @@
 		Metrics:    metrics.GetDefaultSet(),
 	}, d.lookup, peer.HandlerFunc(d.handleCall))
 	d.control = newControl(d)
-	d.snapshot.Store(d.control.buildSnapshot(d.started))
+	d.snapshot.Store(d.control.buildSnapshot(d.control.changes))
 	return d, nil
 }
 
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -43,7 +43,8 @@
 // limits joins the health and admission slices.
 type limits struct {
 	health   *health.State
-	ranking  *health.Ranking // of the live hosts
+	hosts    []document.Host // live
+	ranking  *health.Ranking // of hosts
 	shares   *admission.State
 	slots    *admission.Slots
 	poller   *health.Poller
@@ -72,15 +73,17 @@
 // limitInput gives documents, members and owners to the slices and refills the
 // budgets. The slices learn only of the services that this host is an owner of
 // and of those that it observes a backend server of.
-func (c *control) limitInput(now time.Time, snap *route.Snapshot) {
+func (c *control) limitInput(now time.Time, snap *route.Snapshot, ch changes) {
 	l := c.limits
-	hosts := c.liveHosts()
-	l.ranking.SetHosts(hosts)
+	if ch.hosts {
+		l.hosts = c.liveHosts()
+		l.ranking.SetHosts(l.hosts)
+	}
 	out, leaving := c.outSet(), c.leavingBackends()
 	var services []health.ServiceInput
 	shares := admission.Input{Out: out, Leaving: leaving}
 	owners := make(map[string][route.Buckets][2]uint16, len(l.owners))
-	for name, doc := range c.config.Current().Services {
+	for name, doc := range c.affected(ch) {
 		svc := snap.ByName.Get(name)
 		if svc == nil || !c.concerned(snap, svc, doc) {
 			continue
@@ -94,7 +97,7 @@
 	}
 	l.owners = owners
 	l.setBackends(services)
-	l.health.SetServices(now, snap.Self, health.Input{Services: services, Hosts: hosts, Ranking: l.ranking, Out: out, Leaving: leaving})
+	l.health.SetServices(now, snap.Self, health.Input{Services: services, Hosts: l.hosts, Ranking: l.ranking, Out: out, Leaving: leaving})
 	l.verdicts = l.health.Verdicts(now)
 	shares.Verdicts = l.verdicts
 	l.shares.SetServices(now, snap.Self, shares)
@@ -103,6 +106,22 @@
 	c.refill(now)
 }
 
+// affected returns the documents of the services that may concern this host
+// after the changes: those that did before and the changed ones.
+func (c *control) affected(ch changes) map[string]*document.Service {
+	all := c.config.Current().Services
+	if ch.hosts || ch.all {
+		return all
+	}
+	docs := make(map[string]*document.Service, len(ch.services))
+	for name := range ch.services {
+		if doc := all[name]; doc != nil {
+			docs[name] = doc
+		}
+	}
+	return docs
+}
+
 // concerned reports whether this host owns buckets of a service or observes
 // one of its backend servers. A host that leaves is still charged with its
 // flows of every service of its region.
@@ -185,7 +204,8 @@
 func (c *control) slotInput(now time.Time, out map[string]bool, leaving map[netip.AddrPort]bool) {
 	in := map[netip.AddrPort]admission.SlotInput{}
 	self := c.d.settings.HostID
-	for _, doc := range c.config.Current().Services {
+	for name := range c.limits.owners {
+		doc := c.config.Current().Services[name]
 		if doc.Commands == nil {
 			continue
 		}
--- a/internal/daemon/snapshot.go
+++ b/internal/daemon/snapshot.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -12,6 +13,16 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/route"
 )
 
+// changes says what has changed since the last snapshot, so that a snapshot
+// costs in proportion to the change.
+type changes struct {
+	hosts    bool            // members, and what they may own
+	all      bool            // something that every service depends on
+	services map[string]bool // documents
+}
+
+func newChanges() changes { return changes{services: map[string]bool{}} }
+
 // publish gives the traffic goroutines a new snapshot when control state has
 // changed. Limits depend on the owners in the snapshot and the snapshot on the
 // limits, so a change of the owners is published in two steps.
@@ -20,30 +31,53 @@
 		return
 	}
 	c.dirty = false
-	snap := c.buildSnapshot(now)
-	c.limitInput(now, snap)
-	snap = c.buildSnapshot(now)
+	accepted := c.config.Current()
+	if !maps.Equal(c.conflicted, accepted.Conflicted) {
+		c.conflicted, c.changes.all = accepted.Conflicted, true
+	}
+	ch := c.changes
+	c.changes = newChanges()
+	snap := c.buildSnapshot(ch)
+	for name := range c.limits.owners {
+		ch.services[name] = true // limits and verdicts apply to these
+	}
+	c.limitInput(now, snap, ch)
+	for name := range c.limits.owners {
+		ch.services[name] = true
+	}
+	setServices(c, ch.services)
+	snap = c.builder.Snapshot()
 	c.d.snapshot.Store(snap)
-	c.ownersChanged(now, snap)
+	c.ownersChanged(now, snap, ch)
 }
 
 // ownersChanged tells the command slice who owns which bucket and whether this
 // host sees a majority.
-func (c *control) ownersChanged(now time.Time, snap *route.Snapshot) {
+func (c *control) ownersChanged(now time.Time, snap *route.Snapshot, ch changes) {
 	c.commands.SetConditions(now, c.conditions())
-	for name, svc := range snap.ByName.All() {
-		if svc.CommandAddr == (route.ServiceAddr{}) || c.owned[name] == svc {
-			continue
-		}
-		c.owned[name] = svc
-		var owners [route.Buckets]command.Owners
-		for b, o := range svc.Owners {
-			owners[b] = command.Owners{Primary: hostID(snap, o[0]), Secondary: hostID(snap, o[1])}
+	if !ch.hosts && !ch.all {
+		for name := range ch.services {
+			c.serviceOwners(now, snap, name, snap.ByName.Get(name))
 		}
-		c.performCommands(now, c.commands.SetOwners(now, name, &owners))
+		return
+	}
+	for name, svc := range snap.ByName.All() {
+		c.serviceOwners(now, snap, name, svc)
 	}
 }
 
+func (c *control) serviceOwners(now time.Time, snap *route.Snapshot, name string, svc *route.Service) {
+	if svc == nil || svc.CommandAddr == (route.ServiceAddr{}) || c.owned[name] == svc {
+		return
+	}
+	c.owned[name] = svc
+	var owners [route.Buckets]command.Owners
+	for b, o := range svc.Owners {
+		owners[b] = command.Owners{Primary: hostID(snap, o[0]), Secondary: hostID(snap, o[1])}
+	}
+	c.performCommands(now, c.commands.SetOwners(now, name, &owners))
+}
+
 // conditions are what this host knows about its place in the fleet.
 func (c *control) conditions() command.Conditions {
 	return command.Conditions{Majority: c.members.Majority(c.dataCentresOut()), Serving: c.serving}
@@ -57,21 +91,31 @@
 	return s.Hosts[i].ID
 }
 
-func (c *control) buildSnapshot(now time.Time) *route.Snapshot {
-	accepted := c.config.Current()
-	var out []string
-	if accepted.DataCentres != nil {
-		out = accepted.DataCentres.Out
-	}
+// buildSnapshot applies documents and members to the snapshot.
+func (c *control) buildSnapshot(ch changes) *route.Snapshot {
 	c.builder.SetServing(c.serving)
-	c.builder.SetHosts(c.owners(out))
-	leaving := c.leavingBackends()
-	for _, s := range accepted.Services {
-		c.builder.SetService(c.serviceConfig(s, out, accepted.Conflicted, leaving))
+	if ch.hosts {
+		c.builder.SetHosts(c.owners(c.dataCentresOut()))
+	}
+	if ch.all {
+		setServices(c, c.config.Current().Services)
+	} else {
+		setServices(c, ch.services)
 	}
 	return c.builder.Snapshot()
 }
 
+// setServices gives the named services to the snapshot builder.
+func setServices[V any](c *control, names map[string]V) {
+	accepted := c.config.Current()
+	out, leaving := c.dataCentresOut(), c.leavingBackends()
+	for name := range names {
+		if s := accepted.Services[name]; s != nil {
+			c.builder.SetService(c.serviceConfig(s, out, accepted.Conflicted, leaving))
+		}
+	}
+}
+
 // owners returns the entry hosts that forwarded packets may go to. Hosts that
 // leave, or whose data centre is out, own nothing.
 func (c *control) owners(out []string) []route.Host {
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
 )
 
@@ -218,6 +220,13 @@
 	c.dirty = true
 	current := c.config.Current()
 	for _, key := range keys {
+		if name, ok := strings.CutPrefix(key, document.ServiceKeyPrefix); ok {
+			c.changes.services[name] = true
+			continue
+		}
+		// Data centre state and the list of leaving backend servers concern
+		// every service.
+		c.changes.hosts, c.changes.all = true, true
 		if key == hostsKey && current.Hosts != nil {
 			c.carryOut(now, c.members.SetListed(now, current.Hosts.Hosts))
 			c.membersChanged(now)
