route: ask a suspect owner before a UDP flow is admitted

Tried first: asking suspect owners about every UDP packet (TestFailures/suspect_host failed, known flows were lost while their owner was really dead); reverted. Change: only the admission of a UDP flow without an entry asks the suspect owner. Conclusion: new UDP flows of such a bucket may wait until the suspicion is settled.

--- a/internal/route/fabric.go
+++ b/internal/route/fabric.go
@@ -76,7 +76,20 @@
 // host and can be asked.
 func (q *query) arbiter() (uint16, bool) {
 	other := q.secondary()
-	return other, q.s.SelfIndex != other && q.available(other)
+	return other, q.available(other)
+}
+
+// suspectOwner returns the other owner of a UDP flow without an entry when it
+// is suspect. It is asked all the same: a packet of a flow that only it knows
+// cannot be told from a first packet. A flow that is admitted anew breaks,
+// while a lost packet is sent again.
+func (q *query) suspectOwner() (uint16, bool) {
+	for _, owner := range q.svc.Owners[q.bucket] {
+		if owner != q.s.SelfIndex && q.suspect(owner) {
+			return owner, q.key.Proto == packet.ProtoUDP
+		}
+	}
+	return NoHost, false
 }
 
 // primary decides as the primary owner.
@@ -112,6 +125,9 @@
 		return drop(refusal.reason())
 	}
 	e := q.entry(b.Addr, b.Instance, flow.Tentative)
+	if owner, ok := q.suspectOwner(); ok {
+		return q.forwardTo(h, owner, packet.KindPropose, choiceOf(&e, packet.FlagSecondary))
+	}
 	e.Epoch = q.replicated()
 	e, result := r.Table.Put(q.key, q.hash, e)
 	if result == flow.Full {
