route: refresh entries when one of their owners restarts

Cause: the owner epoch of a bucket depended only on the ids of its owners. An entry host that died and was replaced under its id came back with the same epochs but an empty flow table, so a cache that had not sent a refresh in between never told it of its flows. The next death of the other owner then left the flow to guesses.

Change: Host carries the boot of the process, which is part of the epoch, and a change of it rebuilds the groups of the host's services. Also covers a restart that is faster than the detection of the death.

Before: TestRestartOfAnOwnerChangesItsEpochs fails without the boot in buildEpochs; after: passes. Conclusion: a restarted owner learns its flows from the caches.

--- a/internal/daemon/snapshot.go
+++ b/internal/daemon/snapshot.go
@@ -80,6 +80,7 @@
 			DataCentre: m.Host.DataCentre,
 			Region:     m.Host.Region,
 			Peer:       m.Host.PeerAddr(),
+			Boot:       m.Boot,
 			Leaving:    isSelf && c.leaving || m.Host.State == document.HostLeaving || slices.Contains(out, m.Host.DataCentre),
 			Suspect:    m.Status == membership.Suspect,
 		})
--- a/internal/route/build.go
+++ b/internal/route/build.go
@@ -160,7 +160,7 @@
 			i = free
 			b.slots[h.ID] = i
 			added = append(added, i)
-		} else if old := b.hosts[i]; old.DataCentre != h.DataCentre || old.Region != h.Region || old.Leaving != h.Leaving {
+		} else if old := b.hosts[i]; old.DataCentre != h.DataCentre || old.Region != h.Region || old.Leaving != h.Leaving || old.Boot != h.Boot {
 			removed = append(removed, i)
 			added = append(added, i)
 		}
--- a/internal/route/build_test.go
+++ b/internal/route/build_test.go
@@ -197,3 +197,24 @@
 		}
 	}
 }
+
+// Guards the second copy of flow entries: a host that restarts under its id
+// comes back empty, so entries that it owned must be refreshed.
+func TestRestartOfAnOwnerChangesItsEpochs(t *testing.T) {
+	hosts := testHosts(4)
+	b := NewBuilder(hosts[0].ID, hosts[0].DataCentre, 8)
+	b.SetHosts(hosts)
+	b.SetService(ServiceConfig{Name: "service", Region: hosts[0].Region})
+	before := b.Snapshot().ByName.Get("service")
+	restarted := slices.Clone(hosts)
+	restarted[1].Boot++
+	b.SetHosts(restarted)
+	snap := b.Snapshot()
+	after := snap.ByName.Get("service")
+	for bucket, pair := range owners(snap, after) {
+		owns := slices.Contains(pair[:], hosts[1].ID)
+		if changed := before.Epochs[bucket] != after.Epochs[bucket]; changed != owns {
+			t.Errorf("bucket %d of %v: epoch changed %t", bucket, pair, changed)
+		}
+	}
+}
--- a/internal/route/owners.go
+++ b/internal/route/owners.go
@@ -152,11 +152,12 @@
 	return m.host
 }
 
-// buildEpochs returns the owner epoch of each bucket.
+// buildEpochs returns the owner epoch of each bucket. An owner that restarted
+// has lost its entries, so its boot counts.
 func buildEpochs(owners *[Buckets][2]uint16, group []int, hosts []Host) [Buckets]uint16 {
 	hashes := map[uint16]uint64{NoHost: 0}
 	for _, h := range group {
-		hashes[uint16(h)] = xxhash.Sum64String(hosts[h].ID)
+		hashes[uint16(h)] = xxhash.Sum64String(hosts[h].ID) ^ mix(hosts[h].Boot)
 	}
 	var epochs [Buckets]uint16
 	for bucket, pair := range owners {
--- a/internal/route/snapshot.go
+++ b/internal/route/snapshot.go
@@ -43,8 +43,9 @@
 type Host struct {
 	ID, DataCentre, Region string
 	Peer                   netip.AddrPort
-	Leaving                bool // owns nothing
-	Suspect                bool // remains an owner, but is not asked
+	Boot                   uint64 // differs after a restart, which empties the flow table
+	Leaving                bool   // owns nothing
+	Suspect                bool   // remains an owner, but is not asked
 }
 
 // ServiceAddr is an address that callers send to.
