--- /dev/null
+++ b/cmd/nutmeglatchd/load_test.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/packet"
+	"github.com/nutmeglatch/nutmeglatch/internal/standin"
+)
+
+// Figures of the callers.
+const (
+	flowInterval  = 50 * time.Millisecond
+	flowGiveUp    = 15 * time.Second
+	commandRepeat = 300 * time.Millisecond
+	commandGiveUp = 15 * time.Second
+
+	methodStatus  = "status"  // idempotent
+	methodShutoff = "shutoff" // not idempotent
+)
+
+// source returns an address that no other flow or command of the bench has.
+func (b *bench) source() netip.AddrPort {
+	const firstPort, ports = 10000, 50000
+	n := b.nextSource.Add(1)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{203, 0, 113, byte(1 + n/ports)}), uint16(firstPort+n%ports))
+}
+
+// openFlows is a set of flows that stay open until they are stopped.
+type openFlows struct {
+	b       *bench
+	stop    chan struct{}
+	wg      sync.WaitGroup
+	sources []netip.AddrPort
+	results []standin.FlowResult
+}
+
+// openFlows opens n flows of a service and waits until all are established.
+func (b *bench) openFlows(svc *document.Service, n int) *openFlows {
+	b.t.Helper()
+	o := b.startFlows(svc, n)
+	b.wait("flows are established", func() bool { return b.connections(svc) >= n })
+	return o
+}
+
+// startFlows starts n flows of a service without waiting for them.
+func (b *bench) startFlows(svc *document.Service, n int) *openFlows {
+	o := &openFlows{b: b, stop: make(chan struct{}), results: make([]standin.FlowResult, n)}
+	destination := netip.AddrPortFrom(svc.Address, svc.Port)
+	for i := range n {
+		source := b.source()
+		o.sources = append(o.sources, source)
+		o.wg.Go(func() {
+			o.results[i] = b.caller.RunFlow(b.t.Context(), standin.FlowConfig{
+				Source: source, Destination: destination, Proto: packet.ProtoTCP,
+				Interval: flowInterval, Duration: time.Hour, Stop: o.stop, GiveUp: flowGiveUp, Payload: 64,
+			})
+		})
+	}
+	return o
+}
+
+// end lets each flow exchange one more request and returns the results.
+func (o *openFlows) end() []standin.FlowResult {
+	close(o.stop)
+	o.wg.Wait()
+	return o.results
+}
+
+// endUnbroken ends the flows and reports those that broke or never opened.
+func (o *openFlows) endUnbroken() {
+	o.b.t.Helper()
+	for _, r := range o.end() {
+		if r.Cause != standin.CauseNone || r.Answers == 0 {
+			o.b.t.Errorf("flow %s of instance %d: cause %q after %d answers", r.Config.Source, r.Instance, r.Cause, r.Answers)
+		}
+	}
+}
+
+// connections returns the open flows at the backend servers of a service.
+func (b *bench) connections(svc *document.Service) int {
+	n := 0
+	for _, s := range b.backends {
+		if s.Service() == svc.Name {
+			n += s.Stats().Connections
+		}
+	}
+	return n
+}
+
+// checkService reports packets that reached another service.
+func (b *bench) checkService() {
+	b.t.Helper()
+	for _, s := range b.backends {
+		if n := s.Stats().WrongServicePackets; n > 0 {
+			b.t.Errorf("backend server %s of %s got %d packets of another service", s.Addr(), s.Service(), n)
+		}
+	}
+}
+
+// command runs one command of a caller of its own.
+func (b *bench) command(method string) standin.CommandResult {
+	id := b.nextCommand.Add(1)
+	return b.caller.RunCommand(b.t.Context(), standin.CommandConfig{
+		Source: b.source(), Destination: netip.AddrPortFrom(b.service.Commands.Address, b.service.Commands.Port),
+		ID: id, Method: method, Params: fmt.Sprint("parameter of ", id), Repeat: commandRepeat, GiveUp: commandGiveUp,
+	})
+}
+
+// waitCommands runs commands of a method until one is answered. Hosts that
+// have just started refuse commands until the slots' previous users are surely
+// done, and non-idempotent commands until the claim retention has passed.
+func (b *bench) waitCommands(method string) {
+	b.t.Helper()
+	b.wait("a command is answered", func() bool { return b.command(method).Outcome == standin.CommandAnswered })
+}
+
+// commandLoad runs commands one after the other in some goroutines.
+type commandLoad struct {
+	b       *bench
+	cancel  atomic.Bool
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	results []standin.CommandResult
+}
+
+// startCommands runs commands of a method from n callers until they are ended.
+func (b *bench) startCommands(n int, method string) *commandLoad {
+	l := &commandLoad{b: b}
+	for range n {
+		l.wg.Go(func() {
+			for !l.cancel.Load() {
+				l.add(b.command(method))
+				time.Sleep(flowInterval)
+			}
+		})
+	}
+	return l
+}
+
+func (l *commandLoad) add(r standin.CommandResult) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.results = append(l.results, r)
+}
+
+func (l *commandLoad) count(outcome standin.CommandOutcome) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, r := range l.results {
+		if r.Outcome == outcome {
+			n++
+		}
+	}
+	return n
+}
+
+// end waits for the commands in progress and returns all results.
+func (l *commandLoad) end() []standin.CommandResult {
+	l.cancel.Store(true)
+	l.wg.Wait()
+	return l.results
+}
+
+// runs returns how often each command was started at the backend servers.
+func (b *bench) runs() map[standin.CommandID]int {
+	runs := map[standin.CommandID]int{}
+	for _, s := range b.backends {
+		for id, n := range s.Runs() {
+			runs[id] += n
+		}
+	}
+	return runs
+}
+
+// checkCommands compares what the callers were told with what the backend
+// servers ran, and returns the number of commands by outcome.
+func (b *bench) checkCommands(results []standin.CommandResult) map[standin.CommandOutcome]int {
+	b.t.Helper()
+	runs, outcomes := b.runs(), map[standin.CommandOutcome]int{}
+	for _, r := range results {
+		outcomes[r.Outcome]++
+		n := runs[r.ID]
+		switch {
+		case r.Outcome == standin.CommandWrong:
+			b.t.Errorf("command %v: wrong answer: %s", r.ID, r.Message)
+		case r.Outcome == standin.CommandNotRun && n > 0:
+			b.t.Errorf("command %v: the caller was told %q but it ran %d times: %s", r.ID, r.Outcome, n, r.Message)
+		case r.Outcome == standin.CommandAnswered && n == 0:
+			b.t.Errorf("command %v: answered but not run", r.ID)
+		case r.Method != methodStatus && n > 1:
+			b.t.Errorf("command %v: ran %d times", r.ID, n)
+		}
+	}
+	return outcomes
+}
+
+// checkOutcomes fails when a command ended with another outcome than allowed.
+func checkOutcomes(t *testing.T, outcomes map[standin.CommandOutcome]int, allowed ...standin.CommandOutcome) {
+	t.Helper()
+	if outcomes[standin.CommandAnswered] == 0 {
+		t.Errorf("no command was answered: %v", outcomes)
+	}
+	rest := map[standin.CommandOutcome]int{}
+	for o, n := range outcomes {
+		rest[o] = n
+	}
+	for _, o := range allowed {
+		delete(rest, o)
+	}
+	if len(rest) > 0 {
+		t.Errorf("commands by outcome %v; allowed are only %v", outcomes, allowed)
+	}
+}
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -130,8 +130,9 @@
 	Proto       uint8
 	Interval    time.Duration // between requests
 	Duration    time.Duration
-	GiveUp      time.Duration // time without progress after which the flow is broken
-	Payload     int           // bytes per request
+	Stop        <-chan struct{} // ends the flow after one more answered request; nil for never
+	GiveUp      time.Duration   // time without progress after which the flow is broken
+	Payload     int             // bytes per request
 }
 
 // FlowResult is what became of a flow.
@@ -191,11 +192,24 @@
 		case <-end:
 			f.close()
 			return CauseNone
+		case <-f.cfg.Stop:
+			return f.finish(ctx, n+1)
 		case <-tick.C:
 		}
 	}
 }
 
+// finish exchanges the last request, which shows that the flow still works
+// when it is told to stop, and closes the flow.
+func (f *flowRun) finish(ctx context.Context, n uint64) Cause {
+	cause := f.exchange(ctx, n)
+	if cause == CauseNone {
+		f.result.Answers++
+		f.close()
+	}
+	return cause
+}
+
 func (f *flowRun) open(ctx context.Context) Cause {
 	if f.cfg.Proto == packet.ProtoUDP {
 		return CauseNone
