route: tell the primary when a refresh is overruled

Cause: a refresh with another choice than that of the secondary was stored at the primary and answered by the secondary with its own, stronger entry. The primary kept the overruled choice and gave it to the next arrival host, which sent an established flow to another backend server.

Change: the secondary answers such a refresh with KindConflict through the primary, as it does for a proposal.

Conclusion: both owners hold the same choice after a refresh.

--- a/internal/route/peers.go
+++ b/internal/route/peers.go
@@ -197,6 +197,10 @@
 	if b == nil {
 		return drop(reason)
 	}
+	if secondary && e.AddrPort() != h.Choice.Addr && h.Sender != h.Origin && h.Sender != q.s.SelfPeer {
+		// The primary stored the choice that was overruled.
+		return q.forward(h, h.Sender, packet.KindConflict, choiceOf(&e, 0))
+	}
 	arbiter, present := q.arbiter()
 	if secondary || !present || q.s.Hosts[arbiter].Peer == h.Origin {
 		return q.answer(h, &e, b)
