route: reset a caller only by a proven entry of the arrival host

Cause: an arrival host that held the entry of an attempt that was never answered reset the flow when that data centre was out, although the caller had since opened it elsewhere and the owners knew.

Change: an invalid entry that no reply has proven is dropped and the owners are asked.

Conclusion: the owners decide about flows that this host never saw answered.

--- a/internal/route/fabric.go
+++ b/internal/route/fabric.go
@@ -21,7 +21,7 @@
 		return q.command(&h)
 	}
 	e, b, reason := r.lookup(&q)
-	if reason != ReasonNone && !q.opens() {
+	if reason != ReasonNone && !q.opens() && e.State == flow.Proven {
 		return ended(info, reason)
 	}
 	if b != nil && e.State != flow.Guess {
