daemon: let a host without a host list learn it from its peers

Cause: a host that starts while the platform is down has no host list, refused every call as unlisted and so never learnt any value.

Change: until a list is accepted, every host that proves the peer key counts as listed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -154,10 +154,13 @@
 	}
 }
 
-// lookup returns the peer address of a listed entry host.
+// lookup returns the peer address of a listed entry host. A host that has no
+// list yet accepts every host that proves the peer key, since it can learn the
+// list only from the others while the platform is down.
 func (d *Daemon) lookup(id string) (netip.AddrPort, bool) {
-	addr, ok := (*d.listed.Load())[id]
-	return addr, ok
+	listed := *d.listed.Load()
+	addr, ok := listed[id]
+	return addr, ok || len(listed) == 0
 }
 
 // Kill closes every socket at once, as the death of the process does. Run
