replay: count reverted versions, retransmit longer

Cause: a version that reverts for a moment was not seen at the end of a trace, and callers gave up after five transmissions, which the fabric may all have sent to paused hosts.

Change: versions in effect are compared with earlier ones at each tick, also across processes; callers give up after eight transmissions, 18.8 s.

--- a/internal/daemon/environment.go
+++ b/internal/daemon/environment.go
@@ -127,8 +127,12 @@
 // Leave starts the graceful shutdown.
 func (s *Stepper) Leave() { s.d.step(func(c *control, now time.Time) { c.leave(now) }) }
 
-// Versions returns the versions of the accepted values.
+// Versions returns the versions of the accepted values, nil while the daemon
+// does not serve.
 func (s *Stepper) Versions() map[string]uint64 {
+	if !s.d.control.serving {
+		return nil
+	}
 	versions := map[string]uint64{}
 	for name, doc := range s.d.control.config.Current().Services {
 		versions["services/"+name] = doc.Version
--- a/internal/replay/caller.go
+++ b/internal/replay/caller.go
@@ -12,11 +12,14 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/packet"
 )
 
-// Retransmission of a caller: an exchange without an answer after
-// maxTransmissions breaks the flow, 12.4 s after its start.
+// Retransmission of a caller, with doubled waits up to maxRetransmitAfter. An
+// exchange without an answer breaks the flow 18.8 s after its start. The fabric
+// keeps sending to paused entry hosts, so several transmissions in a row may be
+// lost without a fault of the others.
 const (
-	retransmitAfter  = 400 * time.Millisecond
-	maxTransmissions = 5
+	retransmitAfter    = 400 * time.Millisecond
+	maxRetransmitAfter = 3200 * time.Millisecond
+	maxTransmissions   = 8
 )
 
 // flow is the caller of one flow. It sends a request, waits for the answer,
@@ -84,7 +87,7 @@
 		return
 	}
 	c.send()
-	c.f.clock.after(wait, lane("flow", c.n), func() { c.transmit(request, times+1, 2*wait) })
+	c.f.clock.after(wait, lane("flow", c.n), func() { c.transmit(request, times+1, min(2*wait, maxRetransmitAfter)) })
 }
 
 func (c *flow) send() {
--- a/internal/replay/fleet.go
+++ b/internal/replay/fleet.go
@@ -84,7 +84,7 @@
 func (f *fleet) addHosts() {
 	for i, e := range f.trace.EntryHosts {
 		addr := netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)})
-		h := &host{f: f, id: e.ID, dataCentre: e.DataCentre, gue: netip.AddrPortFrom(addr, guePort), peer: netip.AddrPortFrom(addr, peerPort)}
+		h := &host{f: f, id: e.ID, dataCentre: e.DataCentre, gue: netip.AddrPortFrom(addr, guePort), peer: netip.AddrPortFrom(addr, peerPort), highest: map[string]uint64{}}
 		f.hosts[h.id] = h
 		f.hostOrder = append(f.hostOrder, h)
 		f.hostByAddr[h.gue], f.hostByAddr[h.peer] = h, h
--- a/internal/replay/host.go
+++ b/internal/replay/host.go
@@ -39,6 +39,9 @@
 	backlog  []func()
 	readAt   time.Time      // of the newest read of the platform
 	seen     map[string]int // version of the value that it was given, by key
+	reverted map[string]bool
+
+	highest map[string]uint64 // version that was in effect, by key, kept across processes
 }
 
 func (h *host) running() bool { return h.daemon != nil }
@@ -61,7 +64,7 @@
 	s.PeerKey = make(settings.Key, 32)
 	h.process++
 	h.paused, h.stopping, h.backlog = false, false, nil
-	h.readAt, h.seen = time.Time{}, map[string]int{}
+	h.readAt, h.seen, h.reverted = time.Time{}, map[string]int{}, map[string]bool{}
 	d, err := daemon.NewStepper(daemon.Options{Settings: &s, Network: sockets{h}}, environment{h, h.process})
 	if err != nil {
 		panic(err) // the fakes return no errors
@@ -87,11 +90,24 @@
 }
 
 func (h *host) tick() {
+	h.checkVersions()
 	if left := h.daemon.Tick(); left && h.stopping {
 		h.end()
 	}
 }
 
+// checkVersions counts values that are in effect after a later version of them
+// was, in this or an earlier process.
+func (h *host) checkVersions() {
+	for key, version := range h.daemon.Versions() {
+		if version < h.highest[key] && !h.reverted[key] {
+			h.f.result.VersionsReverted++
+			h.reverted[key] = true
+		}
+		h.highest[key] = max(h.highest[key], version)
+	}
+}
+
 // end is the end of the process, graceful or not.
 func (h *host) end() {
 	h.daemon = nil
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -40,6 +40,7 @@
 	Sheds               int         `json:"sheds"`
 	Stops               int         `json:"graceful_stops"`
 	UnfinishedAtStop    int         `json:"unfinished_at_stop"`
+	VersionsReverted    int         `json:"versions_reverted"`
 }
 
 func (r *Result) note(line string) {
@@ -127,6 +128,7 @@
 	atMost("packets_after_out", r.PacketsAfterOut, o.PacketsAfterOut)
 	atMost("new_work_after_leaving", r.NewWorkAfterLeaving, o.NewWorkAfterLeaving)
 	atMost("unfinished_at_stop", r.UnfinishedAtStop, o.UnfinishedAtStop)
+	atMost("versions_reverted", r.VersionsReverted, o.VersionsReverted)
 	atMost("commands_unanswered", r.CommandsUnanswered, o.UnansweredAtMost)
 	if o.UnknownOutcomeAtMost != nil {
 		atMost("commands_unknown", r.CommandsUnknown, *o.UnknownOutcomeAtMost)
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -100,6 +100,7 @@
 	LeavingAfter         Duration    `yaml:"leaving_after"` // 5s when not stated
 	NewWorkAfterLeaving  int         `yaml:"new_work_after_leaving"`
 	UnfinishedAtStop     int         `yaml:"unfinished_at_stop"` // graceful stops that did not complete
+	VersionsReverted     int         `yaml:"versions_reverted"`
 	Versions             []Version   `yaml:"versions"`
 	UnansweredAtMost     int         `yaml:"commands_unanswered"`
 	UnknownOutcomeAtMost *int        `yaml:"commands_unknown"` // not limited when not stated
