--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -45,6 +45,9 @@
 	return e.Addr == o.Addr && e.Port == o.Port && e.Instance == o.Instance && e.Service == o.Service
 }
 
+// Charged reports whether the flow counts against its backend server's allowance.
+func (e *Entry) Charged() bool { return true }
+
 // PutResult is what became of an entry that was put into the table.
 type PutResult uint8
 
