route: close TCP flows on FIN and reset

Cause: nothing reacts to the end of a TCP flow, so that finished flows stay charged until flow_idle. Change: a FIN or reset marks the entries of the arrival host and both owners as closing; closing entries are not charged and end after 30 s. A SYN admits the flow again, further data opens it again.

--- a/internal/daemon/sweep.go
+++ b/internal/daemon/sweep.go
@@ -17,8 +17,8 @@
 // defaultFlowIdle applies to entries of services that are gone.
 const defaultFlowIdle = time.Minute
 
-// sweep removes idle entries and counts the flows per backend server whose
-// bucket this host is primary owner of.
+// sweep removes idle entries and counts the open flows per backend server
+// whose bucket this host is primary owner of.
 func (d *Daemon) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -51,6 +51,9 @@
 			return uint32(defaultFlowIdle / time.Second)
 		},
 		func(k packet.Key, e flow.Entry) {
+			if !e.Charged() {
+				return
+			}
 			if svc := snap.Services.Get(serviceAddr(k)); svc != nil && svc.Primary(k) == snap.SelfIndex {
 				counts[e.AddrPort()]++
 			}
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -33,8 +33,15 @@
 	Since    uint32 // milliseconds since process start when it was stored or last refreshed
 	Excluded uint16 // guessed backend servers that refused the flow
 	State    State
+	Closing  bool   // a FIN or reset of the flow passed
+	End      uint32 // the caller's sequence number after that packet
 }
 
+// ClosingTime is how long an unused entry of a closing flow stays, in seconds.
+// It covers retransmissions of the last segments: with the usual backoff from
+// one second, four of them take 15 s.
+const ClosingTime = 30
+
 // AddrPort returns the backend server's address, IPv4 addresses unmapped.
 func (e *Entry) AddrPort() netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom16(e.Addr).Unmap(), e.Port)
@@ -46,7 +53,7 @@
 }
 
 // Charged reports whether the flow counts against its backend server's allowance.
-func (e *Entry) Charged() bool { return true }
+func (e *Entry) Charged() bool { return !e.Closing }
 
 // PutResult is what became of an entry that was put into the table.
 type PutResult uint8
@@ -110,17 +117,45 @@
 }
 
 // Put stores e unless the table has an entry of the same or a stronger state.
-// It returns the entry that the table holds afterwards, or e when full.
+// It returns the entry that the table holds afterwards, or e when full. Between
+// different backend servers an open entry takes precedence over a closing one.
+// An entry that is closing stays so when e names the same backend server.
 func (t *Table) Put(k packet.Key, hash uint64, e Entry) (Entry, PutResult) {
-	return t.merge(k, hash, e, false)
+	return t.merge(k, hash, e, keepOnTie)
 }
 
-// Replace stores e unless the table has an entry of a stronger state.
+// Replace is Put, but e is also stored over an entry of the same state.
 func (t *Table) Replace(k packet.Key, hash uint64, e Entry) (Entry, PutResult) {
-	return t.merge(k, hash, e, true)
+	return t.merge(k, hash, e, replaceOnTie)
+}
+
+// Reopen is Put, but e is also stored over any closing entry, unless e is
+// closing too.
+func (t *Table) Reopen(k packet.Key, hash uint64, e Entry) (Entry, PutResult) {
+	return t.merge(k, hash, e, replaceClosing)
 }
 
-func (t *Table) merge(k packet.Key, hash uint64, e Entry, newWinsTie bool) (Entry, PutResult) {
+// mergeRule says which entries a new one replaces besides weaker ones.
+type mergeRule uint8
+
+const (
+	keepOnTie mergeRule = iota
+	replaceOnTie
+	replaceClosing
+)
+
+// replaces reports whether e takes the place of old.
+func (e *Entry) replaces(old *Entry, rule mergeRule) bool {
+	switch {
+	case old.Closing != e.Closing && (rule == replaceClosing || !e.SameBackend(old)):
+		return old.Closing
+	case old.State != e.State:
+		return e.State > old.State
+	}
+	return rule == replaceOnTie
+}
+
+func (t *Table) merge(k packet.Key, hash uint64, e Entry, rule mergeRule) (Entry, PutResult) {
 	s := t.shard(hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -133,23 +168,31 @@
 		s.entries[k] = e
 		return e, Stored
 	}
-	if old.State > e.State || old.State == e.State && !newWinsTie {
+	reopened := rule == replaceClosing && !e.Closing
+	same := e.SameBackend(&old)
+	if !e.replaces(&old, rule) {
+		if same && e.Closing {
+			old.Closing, old.End = true, e.End
+		}
 		old.LastSeen = e.LastSeen
 		s.entries[k] = old
 		return old, Kept
 	}
+	if same && old.Closing && !e.Closing && !reopened {
+		e.Closing, e.End = true, old.End
+	}
 	s.entries[k] = e
 	return e, Stored
 }
 
 // Update replaces the entry of a flow if it still names the backend server of
-// old in old's state. It reports whether it did.
+// old in old's state, and is closing if old is. It reports whether it did.
 func (t *Table) Update(k packet.Key, hash uint64, old, e Entry) bool {
 	s := t.shard(hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current, ok := s.entries[k]
-	if !ok || !current.SameBackend(&old) || current.State != old.State {
+	if !ok || !current.SameBackend(&old) || current.State != old.State || current.Closing != old.Closing {
 		return false
 	}
 	s.entries[k] = e
@@ -179,8 +222,8 @@
 }
 
 // Sweep removes the entries that were not used for longer than idle says, in
-// seconds, and calls visit for every other one. The table must not be used
-// from either function.
+// seconds, or for ClosingTime when they are closing, and calls visit for every
+// other one. The table must not be used from either function.
 func (t *Table) Sweep(now uint32, idle func(Entry) uint32, visit func(packet.Key, Entry)) (removed int) {
 	for i := range t.shards {
 		removed += t.sweepShard(&t.shards[i], now, idle, visit)
@@ -192,7 +235,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for k, e := range s.entries {
-		if now > e.LastSeen && now-e.LastSeen > idle(e) {
+		limit := idle(e)
+		if e.Closing {
+			limit = min(limit, ClosingTime)
+		}
+		if now > e.LastSeen && now-e.LastSeen > limit {
 			delete(s.entries, k)
 			removed++
 			continue
--- a/internal/packet/forward.go
+++ b/internal/packet/forward.go
@@ -33,8 +33,13 @@
 	// FlagSecondary asks the receiver as the bucket's secondary owner, who
 	// answers and forwards to no other owner.
 	FlagSecondary
+	// FlagClosing states that a FIN or reset of the flow passed.
+	FlagClosing
+	// FlagCached states that a refreshed choice comes from a cache that the
+	// owners have not confirmed for long: it yields to any entry of theirs.
+	FlagCached
 
-	flagsAll = FlagTentative | FlagProven | FlagSecondary
+	flagsAll = FlagTentative | FlagProven | FlagSecondary | FlagClosing | FlagCached
 )
 
 // Choice is the backend server of a flow. Addr is the zero value when there is
--- a/internal/packet/parse.go
+++ b/internal/packet/parse.go
@@ -69,6 +69,14 @@
 	return i.Key.Proto == ProtoTCP && i.TCPFlags&FlagRST != 0
 }
 
+// Closes reports whether the packet ends a TCP connection, or one direction of it.
+func (i *Info) Closes() bool {
+	return i.Key.Proto == ProtoTCP && i.TCPFlags&(FlagFIN|FlagRST) != 0 && i.TCPFlags&FlagSYN == 0
+}
+
+// End returns the sequence number after the packet's payload.
+func (i *Info) End() uint32 { return i.Seq + uint32(i.PayloadLen) }
+
 // Parser decodes packets. It is used by one goroutine and reused for every
 // packet, so that decoding does not allocate memory.
 type Parser struct {
--- a/internal/route/fabric.go
+++ b/internal/route/fabric.go
@@ -24,10 +24,10 @@
 	if reason != ReasonNone && !q.opens() {
 		return ended(info, reason)
 	}
-	if b != nil && e.State != flow.Guess {
-		return r.local(&q, &h, &e, b)
+	if b == nil || e.State == flow.Guess || q.revives(&e) {
+		return r.ask(&q, &h)
 	}
-	return r.ask(&q, &h)
+	return r.local(&q, &h, &e, b)
 }
 
 // local sends a packet by the entry of this host.
@@ -37,13 +37,16 @@
 	if e.State == flow.Tentative && self == q.primary() {
 		return r.primary(q, h)
 	}
+	if e.Closing {
+		return r.closing(q, h, e, b)
+	}
 	reopened := q.info.SYN() && !owner
 	if !reopened && !q.refreshDue(e) {
 		return toBackend(b)
 	}
-	other, flags := q.primary(), packet.ChoiceFlags(0)
-	if self == other {
-		other, flags = q.secondary(), packet.FlagSecondary
+	other, flags := q.otherOwner()
+	if !owner && e.Epoch == q.epoch() && q.key.Proto == packet.ProtoTCP {
+		flags |= packet.FlagCached
 	}
 	refreshed := *e
 	refreshed.Since = q.now.milliseconds()
@@ -54,6 +57,9 @@
 		r.Table.Update(q.key, q.hash, *e, refreshed)
 		return toBackend(b)
 	}
+	// The owners may admit the new connection elsewhere: their answer replaces
+	// an entry that is closing.
+	refreshed.Closing = reopened
 	r.Table.Update(q.key, q.hash, *e, refreshed)
 	return q.forwardTo(h, other, packet.KindRefresh, choiceOf(e, flags))
 }
@@ -87,13 +93,23 @@
 	}
 	arbiter, present := q.arbiter()
 	if b != nil && e.State != flow.Guess {
+		if e.Closing && q.info.SYN() {
+			return r.admit(q, h, b)
+		}
+		resumed := q.resumes(&e)
+		if resumed {
+			e = r.reopen(q, e, q.replicated())
+		}
 		if e.State == flow.Tentative && present {
 			return q.forwardTo(h, arbiter, packet.KindPropose, choiceOf(&e, packet.FlagSecondary))
 		}
+		if present && (resumed || q.closes()) && q.s.Hosts[arbiter].Peer != h.Origin {
+			return q.forwardTo(h, arbiter, packet.KindRefresh, choiceOf(&e, packet.FlagSecondary))
+		}
 		return q.answer(h, &e, b)
 	}
 	if q.opens() {
-		return r.admit(q, h)
+		return r.admit(q, h, nil)
 	}
 	if present {
 		return q.forwardTo(h, arbiter, packet.KindLookup, packet.Choice{Flags: packet.FlagSecondary})
@@ -101,19 +117,29 @@
 	return r.noChoice(q, h)
 }
 
-// admit chooses a backend server for a new flow.
-func (r *Router) admit(q *query, h *packet.ForwardHeader) Action {
+// choose returns the backend server for a new flow: the one that served the
+// same addresses and ports before, if it admits flows, because caches of other
+// hosts may still name it.
+func (r *Router) choose(q *query, previous *Backend) (*Backend, Refusal) {
+	if previous != nil && previous.mayAdmit() && previous.Admit.take() {
+		return previous, Admitted
+	}
 	prefer := ""
 	if r.PreferLocal {
 		prefer = q.s.SelfDC
 	}
-	b, refusal := Choose(q.svc, q.hash, prefer)
+	return Choose(q.svc, q.hash, prefer)
+}
+
+// admit chooses a backend server for a new flow.
+func (r *Router) admit(q *query, h *packet.ForwardHeader, previous *Backend) Action {
+	b, refusal := r.choose(q, previous)
 	if b == nil {
 		return drop(refusal.reason())
 	}
 	e := q.entry(b.Addr, b.Instance, flow.Tentative)
 	e.Epoch = q.replicated()
-	e, result := r.Table.Put(q.key, q.hash, e)
+	e, result := r.Table.Reopen(q.key, q.hash, e)
 	if result == flow.Full {
 		return drop(ReasonTableFull)
 	}
@@ -124,7 +150,12 @@
 		}
 	}
 	if arbiter, present := q.arbiter(); present {
-		return q.forwardTo(h, arbiter, packet.KindPropose, choiceOf(&e, packet.FlagSecondary))
+		c := choiceOf(&e, packet.FlagSecondary)
+		if previous != nil && b != previous && result == flow.Stored {
+			// Outlasts caches that still prove the previous backend server.
+			c.Flags = c.Flags&^packet.FlagTentative | packet.FlagProven
+		}
+		return q.forwardTo(h, arbiter, packet.KindPropose, c)
 	}
 	return q.answer(h, &e, b)
 }
@@ -153,6 +184,9 @@
 	}
 	e, b, _ := r.lookup(q)
 	if b != nil {
+		if q.resumes(&e) {
+			r.reopen(q, e, 0)
+		}
 		return toBackend(b)
 	}
 	b = nextGuess(q.svc, q.hash, nil)
--- a/internal/route/peers.go
+++ b/internal/route/peers.go
@@ -23,6 +23,7 @@
 		return drop(ReasonBadKind)
 	}
 	q := newQuery(s, svc, info, key, now)
+	q.reply = h.Kind == packet.KindReset
 	secondary := h.Choice.Flags&packet.FlagSecondary != 0
 	switch h.Kind {
 	case packet.KindLookup:
@@ -63,7 +64,7 @@
 		return r.primary(q, h)
 	}
 	e, b, _ := r.lookup(q)
-	if b != nil && e.State >= flow.Settled {
+	if b != nil && e.State >= flow.Settled && !q.revives(&e) && !q.closes() {
 		return q.answer(h, &e, b)
 	}
 	return q.forwardTo(h, primary, packet.KindLookup, packet.Choice{})
@@ -79,6 +80,9 @@
 	if b == nil || e.State == flow.Guess {
 		return r.noChoice(q, h)
 	}
+	if q.resumes(&e) {
+		e = r.reopen(q, e, e.Epoch)
+	}
 	if h.Sender != h.Origin {
 		return q.forward(h, h.Sender, packet.KindAnswer, agreed(&e))
 	}
@@ -87,8 +91,8 @@
 
 // propose decides as the secondary owner: the stronger of its own entry and
 // the proposal wins, and its own on a tie. The answer to a proposal that is
-// already stored passes the primary, whose entry settles by it. The primary
-// does not settle its entry by time: it may have asked a host that is gone.
+// already stored, or that moves a reopened flow, passes the primary, whose
+// entry settles by it. The primary does not settle its entry by time: it may have asked a host that is gone.
 func (r *Router) propose(q *query, h *packet.ForwardHeader) Action {
 	b, _ := q.check(h.Choice.Addr, h.Choice.Instance)
 	if _, own, _ := r.lookup(q); b == nil && own == nil {
@@ -98,9 +102,7 @@
 	var e flow.Entry
 	result := flow.Kept
 	if b != nil {
-		proposal := q.entry(h.Choice.Addr, h.Choice.Instance, stateOf(&h.Choice))
-		proposal.Epoch = q.replicated()
-		e, result = r.Table.Put(q.key, q.hash, proposal)
+		e, result = r.put(q, q.chosen(&h.Choice, stateOf(&h.Choice)))
 	} else {
 		e, _ = r.Table.Peek(q.key, q.hash)
 	}
@@ -111,7 +113,8 @@
 	if e.AddrPort() != h.Choice.Addr && h.Sender != q.s.SelfPeer {
 		return q.forward(h, h.Sender, packet.KindConflict, choiceOf(&e, 0))
 	}
-	if result == flow.Kept && h.Sender != h.Origin && h.Sender != q.s.SelfPeer {
+	moved := h.Choice.Flags&packet.FlagProven != 0
+	if (result == flow.Kept || moved) && h.Sender != h.Origin && h.Sender != q.s.SelfPeer {
 		return q.forward(h, h.Sender, packet.KindAnswer, agreed(&e))
 	}
 	return q.answer(h, &e, b)
@@ -146,9 +149,8 @@
 // store keeps a choice that the owners made and passes the packet on with the
 // entry that this host then holds.
 func (r *Router) store(q *query, h *packet.ForwardHeader, state flow.State) Action {
-	e := q.entry(h.Choice.Addr, h.Choice.Instance, state)
-	e.Epoch = q.replicated()
-	e, _ = r.Table.Replace(q.key, q.hash, e)
+	e := q.chosen(&h.Choice, state)
+	e = r.replace(q, e)
 	b, reason := q.check(e.AddrPort(), e.Instance)
 	if b == nil {
 		return drop(reason)
@@ -184,15 +186,26 @@
 	return ended(q.info, reason)
 }
 
-// refresh stores the choice of an established flow as an owner.
+// refresh stores the choice of an established flow as an owner. A SYN may open
+// a new connection, of which the sender's entry says nothing: unless the flow
+// is known here, it is admitted again. A cached choice yields to an own entry.
 func (r *Router) refresh(q *query, h *packet.ForwardHeader, secondary bool) Action {
 	if b, _ := q.check(h.Choice.Addr, h.Choice.Instance); b == nil {
 		return q.forward(h, h.Origin, packet.KindRefresh, h.Choice)
 	}
-	r.lookup(q) // removes an entry that is not valid any more
-	e := q.entry(h.Choice.Addr, h.Choice.Instance, stateOf(&h.Choice))
-	e.Epoch = q.replicated()
-	e, _ = r.Table.Put(q.key, q.hash, e)
+	own, ownBackend, _ := r.lookup(q) // removes an entry that is not valid any more
+	known := ownBackend != nil && own.State != flow.Guess
+	differs := own.AddrPort() != h.Choice.Addr
+	cached := own.Closing && differs || q.info.SYN() || h.Choice.Flags&packet.FlagCached != 0
+	switch {
+	case !secondary && q.info.SYN() && !known:
+		return r.admit(q, h, q.s.Backends.Get(h.Choice.Addr))
+	case !secondary && known && cached && (differs || q.revives(&own)):
+		return r.primary(q, h)
+	case secondary && known && cached && differs && !q.info.SYN():
+		return q.answer(h, &own, ownBackend)
+	}
+	e, _ := r.put(q, q.chosen(&h.Choice, stateOf(&h.Choice)))
 	b, reason := q.check(e.AddrPort(), e.Instance)
 	if b == nil {
 		return drop(reason)
@@ -201,5 +214,6 @@
 	if secondary || !present || q.s.Hosts[arbiter].Peer == h.Origin {
 		return q.answer(h, &e, b)
 	}
-	return q.forwardTo(h, arbiter, packet.KindRefresh, choiceOf(&e, packet.FlagSecondary))
+	flags := packet.FlagSecondary | h.Choice.Flags&packet.FlagCached
+	return q.forwardTo(h, arbiter, packet.KindRefresh, choiceOf(&e, flags))
 }
--- a/internal/route/replies.go
+++ b/internal/route/replies.go
@@ -30,12 +30,16 @@
 		return Action{Kind: ToCommand, Backend: b}
 	}
 	q := newQuery(s, svc, info, key, now)
+	q.reply = true
 	if info.RST() {
 		return r.backendReset(&q, b)
 	}
 	if !b.Out && !b.Unusable {
 		r.prove(&q, b)
 	}
+	if info.Closes() {
+		r.closesFrom(&q, b)
+	}
 	return Action{Kind: ToCaller, Backend: b}
 }
 
@@ -73,7 +77,7 @@
 		return drop(ReasonOtherBackendReset)
 	}
 	if e.State != flow.Guess {
-		return Action{Kind: ToCaller, Backend: b}
+		return r.ownReset(q, e, b)
 	}
 	next := nextGuess(q.svc, q.hash, b)
 	if next == nil {
@@ -82,26 +86,52 @@
 	}
 	other := q.entry(next.Addr, next.Instance, flow.Guess)
 	other.Excluded = e.Excluded + 1
+	other.Closing = false // the reset was not the flow's
 	r.Table.Update(q.key, q.hash, e, other)
 	return drop(ReasonGuessReset)
 }
 
-// ownerReset passes on a reset that arrived at a host without an entry, if
-// the owner's entry names the backend server that sent it.
+// ownReset handles a reset from the backend server that this host's entry
+// names. The entry may be left from an earlier connection with the same
+// addresses and ports, so that the primary decides, who thereby learns that
+// the flow ended. A reset of a flow that is closing already removes the entry:
+// further packets are looked up.
+func (r *Router) ownReset(q *query, e flow.Entry, b *Backend) Action {
+	if e.Closing {
+		r.Table.DeleteIf(q.key, q.hash, e)
+	} else {
+		r.close(q, e)
+	}
+	primary := q.primary()
+	if !q.available(primary) {
+		return Action{Kind: ToCaller, Backend: b}
+	}
+	h := q.origin()
+	return q.forwardTo(&h, primary, packet.KindReset, packet.Choice{Addr: b.Addr, Instance: b.Instance, Flags: packet.FlagProven})
+}
+
+// ownerReset passes on a reset if the owner's entry names the backend server
+// that sent it, or if no owner knows the flow and the sender's entry does.
 func (r *Router) ownerReset(q *query, h *packet.ForwardHeader) Action {
 	if !q.info.RST() {
 		return drop(ReasonBadKind)
 	}
 	e, ok := r.Table.Peek(q.key, q.hash)
+	known := ok && e.State != flow.Guess
+	arbiter, present := q.arbiter()
 	switch {
-	case !ok || e.State == flow.Guess:
+	case !known && h.Choice.Flags&packet.FlagProven == 0:
 		return drop(ReasonUnknownFlowReset)
-	case e.AddrPort() != h.Choice.Addr:
+	case !known && present && h.Choice.Flags&packet.FlagSecondary == 0 && q.s.Hosts[arbiter].Peer != h.Origin:
+		h.Choice.Flags |= packet.FlagSecondary
+		return q.forwardTo(h, arbiter, packet.KindReset, h.Choice)
+	case known && e.AddrPort() != h.Choice.Addr:
 		return drop(ReasonOtherBackendReset)
 	}
 	b, reason := q.check(h.Choice.Addr, h.Choice.Instance)
 	if b == nil {
 		return drop(reason)
 	}
+	r.closesFrom(q, b)
 	return Action{Kind: ToCaller, Backend: b}
 }
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -37,6 +37,7 @@
 	hash   uint64
 	bucket int
 	now    Time
+	reply  bool // the packet comes from a backend server
 }
 
 func newQuery(s *Snapshot, svc *Service, info *packet.Info, key packet.Key, now Time) query {
@@ -119,6 +120,7 @@
 
 // lookup returns the flow's entry and its backend server after checking them
 // against the snapshot. An entry that fails is removed and the reason returned.
+// The caller's FIN or reset marks the entry as closing.
 func (r *Router) lookup(q *query) (flow.Entry, *Backend, Reason) {
 	e, ok := r.Table.Get(q.key, q.hash, q.now.seconds())
 	if !ok {
@@ -139,6 +141,9 @@
 		r.Table.Update(q.key, q.hash, e, learned)
 		e = learned
 	}
+	if !e.Closing && q.closes() {
+		e = r.close(q, e)
+	}
 	return e, b, ReasonNone
 }
 
@@ -147,9 +152,20 @@
 	return flow.Entry{
 		Addr: addr.Addr().As16(), Port: addr.Port(), Instance: instance,
 		Service: q.svc.Index, LastSeen: q.now.seconds(), Since: q.now.milliseconds(), State: state,
+		Closing: q.info.Closes(), End: q.end(),
 	}
 }
 
+// chosen returns the entry for a choice in a header.
+func (q *query) chosen(c *packet.Choice, state flow.State) flow.Entry {
+	e := q.entry(c.Addr, c.Instance, state)
+	e.Epoch = q.replicated()
+	if c.Flags&packet.FlagClosing != 0 && q.key.Proto == packet.ProtoTCP {
+		e.Closing = true
+	}
+	return e
+}
+
 func choiceOf(e *flow.Entry, flags packet.ChoiceFlags) packet.Choice {
 	switch e.State {
 	case flow.Proven:
@@ -157,6 +173,9 @@
 	case flow.Tentative:
 		flags |= packet.FlagTentative
 	}
+	if e.Closing {
+		flags |= packet.FlagClosing
+	}
 	return packet.Choice{Addr: e.AddrPort(), Instance: e.Instance, Flags: flags}
 }
 
