daemon: learn the members from a peer before serving

Cause: a host that had just started ranked owners among the few members that it had heard of. Change: the check at a start also takes over the peer's view of the members. Conclusion: unheard members no longer change the owners.

--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -11,8 +11,12 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/command"
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
 	"github.com/nutmeglatch/nutmeglatch/internal/health"
+	"github.com/nutmeglatch/nutmeglatch/internal/membership"
 )
 
+// methodMembers returns what a host knows of the members.
+const methodMembers = "membership.updates"
+
 // callHandler answers one method.
 type callHandler func(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error)
 
@@ -22,6 +26,7 @@
 	configsync.MethodPartial:  handlePartial,
 	configsync.MethodVersions: handleVersions,
 	configsync.MethodFetch:    handleFetch,
+	methodMembers:             handleMembers,
 	command.MethodClaim:       handleClaim,
 	command.MethodRun:         handleRun,
 	command.MethodComplete:    handleComplete,
@@ -74,6 +79,10 @@
 	})
 }
 
+func handleMembers(d *Daemon, ctx context.Context, _ string, _ json.RawMessage) (any, error) {
+	return ask(ctx, d, func(c *control, _ time.Time) []membership.Update { return c.members.Updates() })
+}
+
 func handleVersions(d *Daemon, ctx context.Context, _ string, params json.RawMessage) (any, error) {
 	return answer(d, ctx, params, func(c *control, _ time.Time, p configsync.VersionsRequest) configsync.VersionsResponse {
 		return configsync.VersionsResponse{Versions: c.config.Versions(p.Parts)}
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -81,6 +81,7 @@
 // compareWith exchanges versions and values with a peer in the background.
 func (c *control) compareWith(now time.Time, id string) {
 	c.sync.last[id] = now
+	checking := c.sync.checking
 	d, ctx := c.d, c.ctx
 	d.environment.Go(func() {
 		ctx, cancel := d.environment.WithTimeout(ctx, configCallTimeout)
@@ -89,10 +90,31 @@
 			counters.compareFailures.Inc()
 			return
 		}
+		if checking {
+			if err := d.learnMembers(ctx, id); err != nil {
+				counters.compareFailures.Inc()
+				return
+			}
+		}
 		d.post(func(c *control, now time.Time) { c.checked(now, "compared with "+id) })
 	})
 }
 
+// learnMembers takes over what a peer knows of the members. A host that served
+// before it had heard of every member ranked the owners of flows differently
+// from the others, and admitted UDP flows anew that others knew.
+func (d *Daemon) learnMembers(ctx context.Context, id string) error {
+	var updates []membership.Update
+	if err := d.environment.Call(ctx, id, methodMembers, nil, &updates); err != nil {
+		return err
+	}
+	_, err := ask(ctx, d, func(c *control, now time.Time) bool {
+		c.carryOut(now, c.members.Merge(now, updates))
+		return true
+	})
+	return err
+}
+
 // compare fetches what is newer at the peer and pushes what is newer here.
 func (d *Daemon) compare(ctx context.Context, id string) error {
 	var theirs configsync.PartialMessage
