--- a/internal/demo/fleet_test.go
+++ b/internal/demo/fleet_test.go
@@ -18,6 +18,10 @@
 // waitLimit only ends a run that hangs.
 const waitLimit = 30 * time.Second
 
+// testNetwork returns a loopback network for the n-th fleet of this process, so
+// that test runs at the same time do not meet.
+func testNetwork(n int) byte { return byte(100 + (os.Getpid()+n)%150) }
+
 func newTestFleet(t *testing.T, network byte) (*Fleet, *load) {
 	t.Helper()
 	d, err := LoadDeployment(examples.FS, examples.Names[0], network)
@@ -64,7 +68,7 @@
 // Guards against budgets that stay charged when their buckets move: after a
 // few changes of owners every new flow was refused with no_capacity.
 func TestNewFlowsOpenAfterOwnersMoved(t *testing.T) {
-	f, l := newTestFleet(t, byte(100+os.Getpid()%100))
+	f, l := newTestFleet(t, testNetwork(0))
 	s := f.Deployment.Services[0]
 	// Buckets only carry budgets once the cold start of the load reports is over.
 	waitFor(t, func(ctx context.Context) error {
