--- a/internal/route/build_test.go
+++ b/internal/route/build_test.go
@@ -218,3 +218,18 @@
 		}
 	}
 }
+
+// Guards against new flows at a backend server that drains, whatever weight
+// the limits still give it.
+func TestDrainingTakesNoNewFlow(t *testing.T) {
+	f := newFleet(t, 3, 4)
+	f.services[0].Backends[0].Draining = true
+	f.update()
+	svc := f.nodes["entry-0"].snap.ByName.Get("gridwatch")
+	for i := range 200 {
+		b, _ := Choose(svc, callerKey(i, packet.ProtoTCP).Hash(), "")
+		if b == nil || b.Draining {
+			t.Fatalf("flow %d: %+v", i, b)
+		}
+	}
+}
