command: keep claims complete while the majority is verified again

Cause: the death of any entry host leaves the majority unverified for some tenths of a second. Each time every owner forgot how long it had seen the claims of its buckets, and commands that are not idempotent were answered "outcome unknown" for the claim retention, across the fleet. An owner that others replaced in the meantime learns it from the answers that verify the majority (DeclaredDead), which resets the claims at once. Ruled out: dropping the majority rule (TestFaults fails without it).

--- a/internal/command/owners_test.go
+++ b/internal/command/owners_test.go
@@ -66,6 +66,19 @@
 		{"majority lost for a moment", func(s *State, at func(time.Duration) time.Time) {
 			s.SetConditions(at(20*time.Second), Conditions{Serving: true})
 		}, false},
+		{"verified majority lost for a moment", func(s *State, at func(time.Duration) time.Time) {
+			s.SetMajorityGrace(time.Second)
+			s.SetConditions(at(20*time.Second).Add(900*time.Millisecond), Conditions{Serving: true})
+		}, true},
+		{"verified majority lost for longer", func(s *State, at func(time.Duration) time.Time) {
+			s.SetMajorityGrace(time.Second)
+			s.SetConditions(at(20*time.Second).Add(500*time.Millisecond), Conditions{Serving: true})
+			s.SetConditions(s.last.Add(500*time.Millisecond), Conditions{Serving: true})
+		}, false},
+		{"declared dead while the majority is verified", func(s *State, at func(time.Duration) time.Time) {
+			s.SetMajorityGrace(time.Second)
+			s.SetConditions(at(20*time.Second), Conditions{Majority: true})
+		}, false},
 		{"not an owner for a moment", func(s *State, at func(time.Duration) time.Time) {
 			s.SetOwners(at(20*time.Second), testService, full(bc))
 			s.SetOwners(at(20*time.Second), testService, full(ab))
--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -94,15 +94,18 @@
 	cfg        Config
 	table      claimTable
 	conditions Conditions
-	leaving    bool
-	services   map[string]*serviceOwners
-	transfers  []*transfer
-	transferBy tokens
-	retries    tokens
-	nonce      uint64
-	clocks     map[string]time.Duration // admitting hosts' clocks minus this host's
-	last       time.Time
-	out        []Outcome
+	// majorityAt is the newest time with a majority.
+	majorityAt    time.Time
+	majorityGrace time.Duration
+	leaving       bool
+	services      map[string]*serviceOwners
+	transfers     []*transfer
+	transferBy    tokens
+	retries       tokens
+	nonce         uint64
+	clocks        map[string]time.Duration // admitting hosts' clocks minus this host's
+	last          time.Time
+	out           []Outcome
 }
 
 // New returns a State that owns no bucket and starts no non-idempotent command
@@ -146,14 +149,26 @@
 // once with Serving false, since they may have run commands without it.
 func (s *State) SetConditions(now time.Time, c Conditions) {
 	s.begin(now)
-	if !c.Majority || !c.Serving {
+	if c.Majority {
+		s.majorityAt = s.last
+	}
+	switch {
+	case !c.Serving || !c.Majority && s.last.Sub(s.majorityAt) >= s.majorityGrace:
 		s.resetAges()
-	} else if s.conditions != c {
+	case c.Majority && s.conditions != c:
 		s.startAges(now)
 	}
 	s.conditions = c
 }
 
+// SetMajorityGrace sets for how long the majority may be missing before this
+// host no longer counts as complete. It may only be more than 0 while a
+// majority means that each of its hosts has answered since the last suspicion:
+// had others run commands as owners in the meantime, one of these answers would
+// have told this host that it was declared dead. The death of any entry host
+// leaves the majority unverified for some tenths of a second.
+func (s *State) SetMajorityGrace(d time.Duration) { s.majorityGrace = d }
+
 // Leave stops the start of new requests; those in progress finish.
 func (s *State) Leave() { s.leaving = true }
 
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -184,7 +184,7 @@
 	c.lastTick = int64(now.Sub(c.d.started))
 	c.carryOut(now, c.members.Tick(now))
 	c.startCheck(now)
-	c.commands.SetConditions(now, c.conditions())
+	c.setConditions(now)
 	c.performCommands(now, c.commands.Expire(now))
 	c.performCommands(now, c.runner.Expire(now))
 	c.limitRound(now)
@@ -257,7 +257,7 @@
 // owners meanwhile.
 func (c *control) distrust(now time.Time) {
 	c.serving, c.dirty = false, true
-	c.commands.SetConditions(now, c.conditions())
+	c.setConditions(now)
 	c.sync.begin(now, c.d.settings.StartCheck.Std())
 }
 
--- a/internal/membership/majority.go
+++ b/internal/membership/majority.go
@@ -33,6 +33,10 @@
 	m.since = now.Add(-2 * probeTimeout)
 }
 
+// MajorityIsVerified reports whether Majority counts only hosts that have
+// answered since the latest suspicion arose.
+func (s *State) MajorityIsVerified() bool { return len(s.members) < verifyHosts }
+
 // Majority reports whether more than half of the listed hosts that are neither
 // leaving nor in an excluded data centre are known to be alive. Suspect hosts
 // and hosts of which nothing has been heard do not count as alive. It is false
@@ -46,7 +50,7 @@
 // failed, which does not exclude two majorities while a partition is found.
 func (s *State) Majority(excluded []string) bool {
 	total, alive := 0, 0
-	strict := len(s.members) < verifyHosts
+	strict := s.MajorityIsVerified()
 	for _, m := range s.members {
 		e := m.export()
 		if e.Status == Leaving || slices.Contains(excluded, m.host.DataCentre) {
