configsync: do not parse values that are in effect

Cause: about four copies of each change arrive by pushes and each was parsed; at 5,700 hosts that is 12% of a core for the host list. Change: the digest is compared before a value is parsed.

--- a/internal/configsync/bench_test.go
+++ b/internal/configsync/bench_test.go
@@ -6,6 +6,9 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
 )
 
 // sizes are today's scale, a middle one and the two-year target's addresses.
@@ -173,3 +176,29 @@
 		})
 	}
 }
+
+// BenchmarkHostListCopy measures one more copy of a host list that is in
+// effect, as pushes deliver about four of each.
+func BenchmarkHostListCopy(b *testing.B) {
+	for _, hosts := range []int{7, 100, 1900, 5700} {
+		raw := []byte("version: 1\nhosts:\n")
+		for i := range hosts {
+			raw = fmt.Appendf(raw, "  - {id: host-%d, data_centre: dc-%d, region: r, address: 10.0.%d.%d, peer_port: 6090, gue_port: 6080, state: live}\n", i, i%7, i/250, i%250+1)
+		}
+		s := New(Config{})
+		if r := s.Offer(time.Time{}, Platform, document.HostsKey, raw); !r.Accepted {
+			b.Fatal(r.Err)
+		}
+		b.Run(fmt.Sprintf("parsed/%d", hosts), func(b *testing.B) {
+			for b.Loop() {
+				s.OfferParsed(time.Time{}, Platform, Parse(document.HostsKey, raw))
+			}
+		})
+		b.Run(fmt.Sprintf("known/%d", hosts), func(b *testing.B) {
+			for b.Loop() {
+				c, _ := s.Known(document.HostsKey, raw)
+				s.OfferParsed(time.Time{}, Platform, c)
+			}
+		})
+	}
+}
--- a/internal/configsync/parse.go
+++ b/internal/configsync/parse.go
@@ -23,19 +23,27 @@
 	hosts       *document.HostList
 }
 
-// Candidate is a parsed value that has not been offered yet.
+// Candidate is a value that has not been offered yet.
 type Candidate struct {
-	key    string
-	raw    []byte
-	parsed parsed
-	err    error
+	key      string
+	raw      []byte
+	parsed   parsed
+	err      error
+	unparsed bool
 }
 
 // Parse parses and checks a value. It uses no State, so that the values of a
 // first read can be parsed outside the goroutine that owns the State.
 func Parse(key string, raw []byte) Candidate {
 	p, err := parse(key, raw)
-	return Candidate{key, raw, p, err}
+	return Candidate{key: key, raw: raw, parsed: p, err: err}
+}
+
+// Known returns a value as a Candidate without parsing it, if it is in effect.
+// Most values that peers push arrive several times; parsing each copy of a host
+// list of thousands of hosts would take a tenth of a core.
+func (s *State) Known(key string, raw []byte) (Candidate, bool) {
+	return Candidate{key: key, raw: raw, unparsed: true}, s.inEffect(key, raw)
 }
 
 // parse parses the value of key, which selects its kind.
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -175,13 +175,16 @@
 	return s.OfferParsed(now, src, Parse(key, raw))
 }
 
-// OfferParsed is Offer for a value that was parsed by Parse.
+// OfferParsed is Offer for a value that Parse or Known returned.
 func (s *State) OfferParsed(now time.Time, src Source, c Candidate) Result {
 	key, raw := c.key, c.raw
 	if s.inEffect(key, raw) {
 		s.confirm(key, src)
 		return Result{}
 	}
+	if c.unparsed { // no longer in effect
+		c = Parse(key, raw)
+	}
 	if c.err != nil {
 		return s.refuse(now, src, key, refusalOf(c.err), raw, 0, c.err)
 	}
--- a/internal/configsync/state_test.go
+++ b/internal/configsync/state_test.go
@@ -387,3 +387,19 @@
 		}
 	})
 }
+
+// Guards against a copy of a value that was in effect when it arrived, and is
+// offered unparsed after a newer one replaced it.
+func TestKnownValueIsParsedWhenReplaced(t *testing.T) {
+	s := New(Config{})
+	raw := func(version int) []byte { return fmt.Appendf(nil, "version: %d\nout: []\n", version) }
+	s.Offer(time.Time{}, Platform, document.DataCentresKey, raw(1))
+	c, known := s.Known(document.DataCentresKey, raw(1))
+	if !known {
+		t.Fatal("the value in effect is not known")
+	}
+	s.Offer(time.Time{}, Platform, document.DataCentresKey, raw(2))
+	if r := s.OfferParsed(time.Time{}, Platform, c); r.Accepted || r.Refusal != RefusalOlderVersion {
+		t.Errorf("got %+v, want a rejection as older_version", r)
+	}
+}
--- a/internal/daemon/environment.go
+++ b/internal/daemon/environment.go
@@ -100,7 +100,11 @@
 
 // Platform handles an update of the platform.
 func (s *Stepper) Platform(u platform.Update) {
-	s.d.step(func(c *control, now time.Time) { c.platformUpdate(now, u.Err, parseValues(u.Values)) })
+	candidates, err := s.d.parse(context.Background(), u.Values)
+	if err != nil {
+		return
+	}
+	s.d.step(func(c *control, now time.Time) { c.platformUpdate(now, u, candidates) })
 }
 
 // Reader reports whether this daemon keeps a blocking read open.
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -52,43 +52,31 @@
 		case err := <-failed:
 			return err
 		case u := <-updates:
-			parsed := parseValues(u.Values)
-			if _, err := ask(ctx, c.d, func(c *control, now time.Time) bool { c.platformUpdate(now, u.Err, parsed); return true }); err != nil {
+			candidates, err := c.d.parse(ctx, u.Values)
+			if err != nil {
+				return err
+			}
+			if _, err := ask(ctx, c.d, func(c *control, now time.Time) bool { c.platformUpdate(now, u, candidates); return true }); err != nil {
 				return err
 			}
 		}
 	}
 }
 
-// parsedValue is a value that was parsed outside the control goroutine, since
-// thousands of documents take longer than the control loop may pause.
-type parsedValue struct {
-	key       string
-	candidate configsync.Candidate
-}
-
-func parseValues(values []platform.KeyValue) []parsedValue {
-	parsed := make([]parsedValue, 0, len(values))
-	for _, kv := range values {
-		parsed = append(parsed, parsedValue{kv.Key, configsync.Parse(kv.Key, kv.Value)})
-	}
-	return parsed
-}
-
-func (c *control) platformUpdate(now time.Time, err error, values []parsedValue) {
-	if err != nil {
+func (c *control) platformUpdate(now time.Time, u platform.Update, candidates []configsync.Candidate) {
+	if u.Err != nil {
 		if c.lastError == "" {
-			level.Warn(c.logger).Log("msg", "platform cannot be read; accepted values stay in effect", "err", err)
+			level.Warn(c.logger).Log("msg", "platform cannot be read; accepted values stay in effect", "err", u.Err)
 		}
-		c.lastError = err.Error()
+		c.lastError = u.Err.Error()
 		return
 	}
 	if c.lastError != "" {
 		level.Info(c.logger).Log("msg", "platform can be read again")
 		c.lastError = ""
 	}
-	for _, v := range values {
-		c.offered(now, v.key, c.config.OfferParsed(now, configsync.Platform, v.candidate))
+	for i, v := range u.Values {
+		c.offered(now, v.Key, c.config.OfferParsed(now, configsync.Platform, candidates[i]))
 	}
 	c.push()
 }
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -10,6 +10,7 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
+	"github.com/nutmeglatch/nutmeglatch/internal/platform"
 )
 
 // Limits of comparisons with peers.
@@ -185,11 +186,15 @@
 
 // offer gives values of a peer to the configuration.
 func (d *Daemon) offer(ctx context.Context, from string, values []configsync.Value) error {
-	candidates := make([]configsync.Candidate, len(values))
+	kvs := make([]platform.KeyValue, len(values))
 	for i, v := range values {
-		candidates[i] = configsync.Parse(v.Key, v.Raw)
+		kvs[i] = platform.KeyValue{Key: v.Key, Value: v.Raw}
 	}
-	_, err := ask(ctx, d, func(c *control, now time.Time) bool {
+	candidates, err := d.parse(ctx, kvs)
+	if err != nil {
+		return err
+	}
+	_, err = ask(ctx, d, func(c *control, now time.Time) bool {
 		for i, v := range values {
 			c.offered(now, v.Key, c.config.OfferParsed(now, configsync.FromPeer(from, v), candidates[i]))
 		}
@@ -199,6 +204,29 @@
 	return err
 }
 
+// parse parses values outside the control goroutine, since thousands of
+// documents take longer than the control loop may pause. Values that are in
+// effect are not parsed.
+func (d *Daemon) parse(ctx context.Context, values []platform.KeyValue) ([]configsync.Candidate, error) {
+	candidates := make([]configsync.Candidate, len(values))
+	known, err := ask(ctx, d, func(c *control, _ time.Time) []bool {
+		known := make([]bool, len(values))
+		for i, v := range values {
+			candidates[i], known[i] = c.config.Known(v.Key, v.Value)
+		}
+		return known
+	})
+	if err != nil {
+		return nil, err
+	}
+	for i, v := range values {
+		if !known[i] {
+			candidates[i] = configsync.Parse(v.Key, v.Value)
+		}
+	}
+	return candidates, nil
+}
+
 // offered logs the outcome of an offer.
 func (c *control) offered(now time.Time, key string, r configsync.Result) {
 	switch {
