daemon: take shedding as evidence at once

Cause: the answer of a backend server that sheds a command never reached the health slice. A backend server that turned cold without warning was sent commands beyond its cold slots until its load report came (found by the process test of changing backend servers, which allowed no command over a slot limit). Ruled out: a wrong slot count (the limits were right before the restart). Change: each shed command is evidence, and the slots follow before the next command is admitted.

--- a/internal/cli/remote.go
+++ b/internal/cli/remote.go
@@ -137,7 +137,11 @@
 func printStatus(w io.Writer, st *admin.Status) error {
 	fmt.Fprintf(w, "entry host %s in %s (%s), version %s, up %s\n", st.ID, st.DataCentre, st.Region, st.Version, time.Duration(st.UptimeMS)*time.Millisecond)
 	fmt.Fprintf(w, "serving %t, leaving %t, majority %t, flows %d, platform %s\n", st.Serving, st.Leaving, st.Majority, st.Flows, st.PlatformRead)
-	fmt.Fprintf(w, "data centres out (version %d): %s\n", st.DataCentres.Version, strings.Join(st.DataCentres.Out, ", "))
+	out := "none"
+	if len(st.DataCentres.Out) > 0 {
+		out = strings.Join(st.DataCentres.Out, ", ")
+	}
+	fmt.Fprintf(w, "data centres out (version %d): %s\n", st.DataCentres.Version, out)
 	tw := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(tw, "\nENTRY HOST\tDATA CENTRE\tSTATE")
 	for _, h := range st.Hosts {
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -13,6 +13,7 @@
 
 	"github.com/nutmeglatch/nutmeglatch/internal/admission"
 	"github.com/nutmeglatch/nutmeglatch/internal/command"
+	"github.com/nutmeglatch/nutmeglatch/internal/health"
 	"github.com/nutmeglatch/nutmeglatch/internal/packet"
 	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 	"github.com/nutmeglatch/nutmeglatch/internal/route"
@@ -190,7 +191,7 @@
 		case command.Run:
 			c.runCommand(now, o)
 		case command.Finish:
-			c.finishRun(o)
+			c.finishRun(now, o)
 		case command.Complete:
 			c.call(o.To, command.MethodComplete, o.Message, nil)
 		case command.Transfer:
@@ -232,13 +233,19 @@
 		})
 }
 
+// runCall is a run that a caller waits for.
+type runCall struct {
+	backend netip.AddrPort
+	done    runDone
+}
+
 // runDone receives the result of a run.
 type runDone func(c *control, now time.Time, reply command.RunReply)
 
 // acceptRun gives a run to the local runner and remembers who waits for it.
 func (c *control) acceptRun(now time.Time, m command.RunRequest, done runDone) {
 	c.nextCall++
-	c.runCalls[c.nextCall] = done
+	c.runCalls[c.nextCall] = runCall{backend: m.Backend, done: done}
 	admits := c.serving && c.admittingHost(m.Backend) == c.d.settings.HostID && c.servesCommands(&m)
 	c.performCommands(now, c.runner.Run(now, c.nextCall, m, admits))
 }
@@ -249,15 +256,19 @@
 	return b != nil && b.Service.Name == m.Service && !b.Out && !b.Unusable
 }
 
-func (c *control) finishRun(o command.Finish) {
-	done, ok := c.runCalls[o.Call]
+func (c *control) finishRun(now time.Time, o command.Finish) {
+	call, ok := c.runCalls[o.Call]
 	if !ok {
 		return
 	}
 	delete(c.runCalls, o.Call)
+	if o.Reply.Reason == command.ReasonShed {
+		c.limits.health.Evidence(now, call.backend, health.Evidence{Sheds: 1})
+		c.dirty = true // the slots follow before the next command is admitted
+	}
 	// The event is queued, not run here, because the slices are not reentrant.
 	d, reply := c.d, o.Reply
-	d.environment.Go(func() { d.post(func(c *control, now time.Time) { done(c, now, reply) }) })
+	d.environment.Go(func() { d.post(func(c *control, now time.Time) { call.done(c, now, reply) }) })
 }
 
 // callPeer calls a peer in the background and hands the typed result to the
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -43,7 +43,7 @@
 
 	commands *command.State
 	runner   *command.Runner
-	runCalls map[uint64]runDone // runs that a caller waits for
+	runCalls map[uint64]runCall // runs that a caller waits for
 	nextCall uint64
 	owned    map[string]*route.Service // services as last given to commands
 
@@ -84,7 +84,7 @@
 	c.commands = command.New(cfg, d.started)
 	c.limits = newLimits()
 	c.runner = command.NewRunner(cfg, &commandSlots{slots: c.limits.slots})
-	c.runCalls = map[uint64]runDone{}
+	c.runCalls = map[uint64]runCall{}
 	c.owned = map[string]*route.Service{}
 	c.changes = newChanges()
 	c.changes.hosts, c.changes.all = true, true
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -193,8 +193,11 @@
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, context.Canceled) || errors.Is(err, errKilled) {
 		err = nil
 	}
-	level.Info(d.logger).Log("part", "daemon", "msg", "stopped", "err", err)
-	return err
+	if err != nil {
+		return err
+	}
+	level.Info(d.logger).Log("part", "daemon", "msg", "stopped")
+	return nil
 }
 
 func (d *Daemon) now() route.Time { return route.Time(d.environment.Now().Sub(d.started)) }
--- a/internal/standin/backend_command.go
+++ b/internal/standin/backend_command.go
@@ -83,6 +83,13 @@
 	})
 }
 
+// Busy returns the number of commands in progress.
+func (b *Backend) Busy() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.busy)
+}
+
 func (b *Backend) cancel(caller netip.AddrPort, params json.RawMessage) {
 	var p struct {
 		ID json.RawMessage `json:"id"`
