--- a/internal/demo/evaluate.go
+++ b/internal/demo/evaluate.go
@@ -3,9 +3,14 @@
 import (
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/nutmeglatch/nutmeglatch/internal/standin"
 )
 
+// significantDigits is the precision of latencies.
+const significantDigits = 3
+
 // evaluate fills the report from the records of the callers and of the
 // backend servers.
 func (r *run) evaluate() {
@@ -116,7 +121,11 @@
 			runs[id] += n
 		}
 	}
+	took := hdrhistogram.New(1, commandGiveUp.Milliseconds(), significantDigits)
 	for i, c := range r.load.commands {
+		if c.Outcome == standin.CommandAnswered {
+			_ = took.RecordValue(c.Took.Milliseconds()) // bounded by commandGiveUp
+		}
 		rep.Commands++
 		rep.CommandsByOutcome[string(c.Outcome)]++
 		if c.Outcome != standin.CommandAnswered {
@@ -132,6 +141,7 @@
 			rep.CommandsRunTwice++
 		}
 	}
+	rep.CommandMS = Latency{P50: took.ValueAtQuantile(50), P99: took.ValueAtQuantile(99), Max: took.Max()}
 }
 
 // imbalance returns the greatest ratio of a backend server's flows to the mean
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -31,6 +31,7 @@
 	Commands               int            `json:"commands"`
 	CommandsByOutcome      map[string]int `json:"commands_by_outcome"`
 	CommandsNotAnswered    map[string]int `json:"commands_not_answered_after"` // by the last event before the request
+	CommandMS              Latency        `json:"command_ms"`                  // of answered commands
 	CommandsRunTwice       int            `json:"commands_run_twice"`
 	FalseNotRun            int            `json:"false_not_run"`
 	WrongAnswers           int            `json:"wrong_answers"`
@@ -46,6 +47,13 @@
 	Violations             []string       `json:"violations"`
 }
 
+// Latency is a distribution of times in milliseconds.
+type Latency struct {
+	P50 int64 `json:"p50"`
+	P99 int64 `json:"p99"`
+	Max int64 `json:"max"`
+}
+
 // BrokenFlow describes a flow that ended before its time.
 type BrokenFlow struct {
 	Source     string `json:"source"`
