daemon: move slots and polls out of limits.go

Cause: limits.go had grown to 455 lines with three jobs. Conclusion: daemon, replay and process tests pass.

--- a/internal/daemon/environment.go
+++ b/internal/daemon/environment.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/command"
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/health"
 	"github.com/nutmeglatch/nutmeglatch/internal/platform"
 )
@@ -139,14 +140,14 @@
 	}
 	versions := map[string]uint64{}
 	for name, doc := range s.d.control.config.Current().Services {
-		versions["services/"+name] = doc.Version
+		versions[document.ServiceKeyPrefix+name] = doc.Version
 	}
 	current := s.d.control.config.Current()
 	if current.DataCentres != nil {
-		versions["datacentres"] = current.DataCentres.Version
+		versions[document.DataCentresKey] = current.DataCentres.Version
 	}
 	if current.Hosts != nil {
-		versions["hosts"] = current.Hosts.Version
+		versions[document.HostsKey] = current.Hosts.Version
 	}
 	return versions
 }
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -8,10 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"github.com/nutmeglatch/nutmeglatch/internal/admission"
-	"github.com/nutmeglatch/nutmeglatch/internal/command"
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/health"
 	"github.com/nutmeglatch/nutmeglatch/internal/route"
@@ -200,35 +197,6 @@
 	return in
 }
 
-// slotInput tells which backend servers' commands this host admits.
-func (c *control) slotInput(now time.Time, out map[string]bool, leaving map[netip.AddrPort]bool) {
-	in := map[netip.AddrPort]admission.SlotInput{}
-	self := c.d.settings.HostID
-	for name := range c.limits.owners {
-		doc := c.config.Current().Services[name]
-		if doc.Commands == nil {
-			continue
-		}
-		for _, dc := range doc.DataCentres {
-			if !c.mayObserve(dc.Name) {
-				continue
-			}
-			for _, b := range dc.BackendServers {
-				addr := b.AddrPort()
-				if id, ok := admission.AdmittingHost(addr, dc.Name, c.limits.ranking); ok && id == self {
-					in[addr] = admission.SlotInput{
-						Doc:      b,
-						Deadline: min(doc.Commands.Deadline.Std(), c.d.settings.Limits.CommandDeadline.Std()),
-						Verdict:  c.limits.verdicts[addr],
-						Out:      out[dc.Name] || leaving[addr],
-					}
-				}
-			}
-		}
-	}
-	c.limits.slots.SetBackends(now, in)
-}
-
 // limitRound reads the evidence of the traffic, sends reports and refills the
 // budgets.
 func (c *control) limitRound(now time.Time) {
@@ -331,42 +299,6 @@
 	return false
 }
 
-// pollLoad reads the load reports of the backend servers that this host observes.
-func (d *Daemon) pollLoad(ctx context.Context) error {
-	targets := func() []health.Target {
-		t, err := ask(ctx, d, func(c *control, now time.Time) []health.Target { return c.pollTargets(now) })
-		if err != nil {
-			return nil
-		}
-		return t
-	}
-	d.control.limits.poller.Run(ctx, pollInterval, targets, func(o health.Observation) {
-		d.tryPost(func(c *control, now time.Time) { c.observed(now, o) })
-	})
-	return ctx.Err()
-}
-
-// pollTargets returns the load URLs to read, and notes when that was.
-func (c *control) pollTargets(now time.Time) []health.Target {
-	targets := c.limits.health.Targets()
-	c.limits.polled = map[netip.AddrPort]time.Time{}
-	for _, t := range targets {
-		c.limits.polled[t.Backend] = now
-	}
-	return targets
-}
-
-func (c *control) observed(now time.Time, o health.Observation) {
-	if o.Err != nil {
-		level.Debug(c.logger).Log("msg", "load report could not be read", "backend", o.Backend, "err", o.Err)
-		return
-	}
-	c.limits.health.Report(now, o.Backend, o.Report)
-	if started, ok := c.limits.polled[o.Backend]; ok {
-		c.limits.slots.Observed(now, started, o.Backend, o.Report.SlotsBusy)
-	}
-}
-
 // liveHosts returns this host and the members that are live and not leaving.
 func (c *control) liveHosts() []document.Host {
 	var hosts []document.Host
@@ -408,33 +340,6 @@
 	return ids
 }
 
-// commandSlots adapts the admission slots to the command runner.
-type commandSlots struct {
-	slots *admission.Slots
-	next  command.Token
-	held  map[command.Token]admission.Token
-}
-
-// Acquire takes a slot of a backend server.
-func (s *commandSlots) Acquire(now time.Time, backend netip.AddrPort, deadline time.Time) (command.Token, command.Refusal) {
-	token, refusal := s.slots.Acquire(now, backend, deadline)
-	if refusal != admission.Granted {
-		return 0, command.Refusal(refusal.String())
-	}
-	if s.held == nil {
-		s.held = map[command.Token]admission.Token{}
-	}
-	s.next++
-	s.held[s.next] = token
-	return s.next, ""
-}
-
-// Release returns a slot.
-func (s *commandSlots) Release(t command.Token) {
-	s.slots.Release(s.held[t])
-	delete(s.held, t)
-}
-
 func handleAdmission(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
 	r, err := admission.ParseReport(params)
 	if err != nil {
--- /dev/null
+++ b/internal/daemon/poll.go
@@ -0,0 +1,47 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/health"
+)
+
+// pollLoad reads the load reports of the backend servers that this host observes.
+func (d *Daemon) pollLoad(ctx context.Context) error {
+	targets := func() []health.Target {
+		t, err := ask(ctx, d, func(c *control, now time.Time) []health.Target { return c.pollTargets(now) })
+		if err != nil {
+			return nil
+		}
+		return t
+	}
+	d.control.limits.poller.Run(ctx, pollInterval, targets, func(o health.Observation) {
+		d.tryPost(func(c *control, now time.Time) { c.observed(now, o) })
+	})
+	return ctx.Err()
+}
+
+// pollTargets returns the load URLs to read, and notes when that was.
+func (c *control) pollTargets(now time.Time) []health.Target {
+	targets := c.limits.health.Targets()
+	c.limits.polled = map[netip.AddrPort]time.Time{}
+	for _, t := range targets {
+		c.limits.polled[t.Backend] = now
+	}
+	return targets
+}
+
+func (c *control) observed(now time.Time, o health.Observation) {
+	if o.Err != nil {
+		level.Debug(c.logger).Log("msg", "load report could not be read", "backend", o.Backend, "err", o.Err)
+		return
+	}
+	c.limits.health.Report(now, o.Backend, o.Report)
+	if started, ok := c.limits.polled[o.Backend]; ok {
+		c.limits.slots.Observed(now, started, o.Backend, o.Report.SlotsBusy)
+	}
+}
