daemon: serve the counters of the membership

Cause: the membership counts refusals and retries that no metric showed. Change: its counters and the number of flow entries at /metrics. Conclusion: TestBadInputAtEveryPort checks both names.

--- a/cmd/nutmeglatchd/fault_test.go
+++ b/cmd/nutmeglatchd/fault_test.go
@@ -219,7 +219,7 @@
 	b.waitServing(p)
 	body, err := p.get("/metrics")
 	b.must(err)
-	for _, want := range []string{`nutmeglatch_daemon_dropped_total{port="gue",reason="truncated"}`, `nutmeglatch_daemon_dropped_total{port="peer",reason="tag"}`, `nutmeglatch_peer_datagrams_refused_total{reason=`, `nutmeglatch_peer_connections_refused_total{direction="in",reason=`} {
+	for _, want := range []string{`nutmeglatch_daemon_dropped_total{port="gue",reason="truncated"}`, `nutmeglatch_daemon_dropped_total{port="peer",reason="tag"}`, `nutmeglatch_peer_datagrams_refused_total{reason=`, `nutmeglatch_peer_connections_refused_total{direction="in",reason=`, `nutmeglatch_membership_suspicions_total{`, `nutmeglatch_flow_entries `} {
 		if !strings.Contains(string(body), want) {
 			t.Errorf("no counter %s", want)
 		}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -58,6 +58,8 @@
 	conflicted map[netip.AddrPort]bool // addresses in the last snapshot
 	lastError  string                  // of the platform
 	limits     *limits
+
+	membersCounted map[string]uint64 // counters of the membership, as last added to the metrics
 }
 
 func newControl(d *Daemon) *control {
@@ -86,6 +88,7 @@
 	c.runner = command.NewRunner(cfg, &commandSlots{slots: c.limits.slots})
 	c.runCalls = map[uint64]runCall{}
 	c.owned = map[string]*route.Service{}
+	c.membersCounted = map[string]uint64{}
 	c.changes = newChanges()
 	c.changes.hosts, c.changes.all = true, true
 	c.sync.begin(d.started, s.StartCheck.Std())
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -76,3 +76,12 @@
 func countCallFailure(method string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`nutmeglatch_peer_call_failures_total{method=%q}`, method)).Inc()
 }
+
+// countMembership adds what the membership counted since the last call.
+func (c *control) countMembership() {
+	c.members.Counters().Each(func(name string, value uint64) {
+		metrics.GetOrCreateCounter(name).AddInt64(int64(value - c.membersCounted[name]))
+		c.membersCounted[name] = value
+	})
+	metrics.GetOrCreateGauge("nutmeglatch_flow_entries", nil).Set(float64(c.d.table.Len()))
+}
--- a/internal/daemon/sweep.go
+++ b/internal/daemon/sweep.go
@@ -31,7 +31,10 @@
 				return err
 			}
 			counts := d.sweepOnce(d.snapshot.Load())
-			d.tryPost(func(c *control, now time.Time) { c.charged(now, counts) })
+			d.tryPost(func(c *control, now time.Time) {
+				c.charged(now, counts)
+				c.countMembership()
+			})
 		}
 	}
 }
