packet: keep the fuzz target within its input

Cause: since the version is the first byte, the tag ends one byte later; the fuzz target sealed inputs of 8 bytes and panicked in the test itself.

--- a/internal/packet/packet_test.go
+++ b/internal/packet/packet_test.go
@@ -236,7 +236,7 @@
 func FuzzParseForward(f *testing.F) {
 	f.Add(AppendForward(nil, &forwardKey, &forwardHeader, []byte("inner")))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if len(b) >= tagLen {
+		if len(b) >= kindOffset {
 			putTag(&forwardKey, b)
 		}
 		var h, again ForwardHeader
