--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -9,6 +9,7 @@
 package admission
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -38,20 +39,14 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.ReportInterval, DefaultReportInterval)
-	setDefault(&c.HandoverInterval, DefaultHandoverInterval)
-	setDefault(&c.HandoverHold, DefaultHandoverHold)
-	setDefault(&c.LoanFor, DefaultLoanFor)
-	setDefault(&c.ReportBytes, DefaultReportBytes)
+	c.ReportInterval = cmp.Or(c.ReportInterval, DefaultReportInterval)
+	c.HandoverInterval = cmp.Or(c.HandoverInterval, DefaultHandoverInterval)
+	c.HandoverHold = cmp.Or(c.HandoverHold, DefaultHandoverHold)
+	c.LoanFor = cmp.Or(c.LoanFor, DefaultLoanFor)
+	c.ReportBytes = cmp.Or(c.ReportBytes, DefaultReportBytes)
 	return c
 }
 
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v <= 0 {
-		*v = d
-	}
-}
-
 // ServiceInput is one service whose owner group this host belongs to.
 type ServiceInput struct {
 	Doc *document.Service
--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -79,7 +80,7 @@
 
 // NewSlots returns Slots without backend servers.
 func NewSlots(cfg SlotsConfig) *Slots {
-	setDefault(&cfg.SettleFor, DefaultSettleFor)
+	cfg.SettleFor = cmp.Or(cfg.SettleFor, DefaultSettleFor)
 	return &Slots{cfg: cfg, backends: make(map[netip.AddrPort]*slots)}
 }
 
--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -52,20 +53,13 @@
 )
 
 func (c *Config) setDefaults() {
-	setDefault(&c.Retention, DefaultRetention)
-	setDefault(&c.ClaimTimeout, DefaultClaimTimeout)
-	setDefault(&c.PauseLimit, DefaultPauseLimit)
-	setDefault(&c.MaxClaims, DefaultMaxClaims)
-	setDefault(&c.MaxClaimBytes, DefaultMaxClaimBytes)
-	setDefault(&c.MaxAnswer, MaxAnswerBytes)
-	setDefault(&c.TransferRate, DefaultTransferRate)
-}
-
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
+	c.Retention = cmp.Or(c.Retention, DefaultRetention)
+	c.ClaimTimeout = cmp.Or(c.ClaimTimeout, DefaultClaimTimeout)
+	c.PauseLimit = cmp.Or(c.PauseLimit, DefaultPauseLimit)
+	c.MaxClaims = cmp.Or(c.MaxClaims, DefaultMaxClaims)
+	c.MaxClaimBytes = cmp.Or(c.MaxClaimBytes, DefaultMaxClaimBytes)
+	c.MaxAnswer = cmp.Or(c.MaxAnswer, MaxAnswerBytes)
+	c.TransferRate = cmp.Or(c.TransferRate, DefaultTransferRate)
 }
 
 // Conditions are what a host knows about its place in the fleet. Majority says
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -6,6 +6,7 @@
 package health
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -37,23 +38,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.ReportStaleAfter, DefaultReportStaleAfter)
-	setDefault(&c.EvidenceFor, DefaultEvidenceFor)
-	setDefault(&c.SilentPackets, DefaultSilentPackets)
-	setDefault(&c.ResetLimit, DefaultResetLimit)
-	setDefault(&c.ReportInterval, DefaultReportInterval)
-	setDefault(&c.UptimeSlack, DefaultUptimeSlack)
-	setDefault(&c.ColdSilence, DefaultColdSilence)
-	setDefault(&c.ReportBytes, DefaultReportBytes)
+	c.ReportStaleAfter = cmp.Or(c.ReportStaleAfter, DefaultReportStaleAfter)
+	c.EvidenceFor = cmp.Or(c.EvidenceFor, DefaultEvidenceFor)
+	c.SilentPackets = cmp.Or(c.SilentPackets, DefaultSilentPackets)
+	c.ResetLimit = cmp.Or(c.ResetLimit, DefaultResetLimit)
+	c.ReportInterval = cmp.Or(c.ReportInterval, DefaultReportInterval)
+	c.UptimeSlack = cmp.Or(c.UptimeSlack, DefaultUptimeSlack)
+	c.ColdSilence = cmp.Or(c.ColdSilence, DefaultColdSilence)
+	c.ReportBytes = cmp.Or(c.ReportBytes, DefaultReportBytes)
 	return c
 }
 
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v <= 0 {
-		*v = d
-	}
-}
-
 // Verdict is the judgement about one backend server.
 type Verdict struct {
 	Usable    bool      // may receive new work
--- a/internal/health/poller.go
+++ b/internal/health/poller.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -41,8 +42,8 @@
 // NewPoller returns a Poller. Redirects are not followed: the answer of
 // another address says nothing about this backend server.
 func NewPoller(cfg PollerConfig) *Poller {
-	setDefault(&cfg.Timeout, DefaultPollTimeout)
-	setDefault(&cfg.Concurrency, DefaultPollConcurrency)
+	cfg.Timeout = cmp.Or(cfg.Timeout, DefaultPollTimeout)
+	cfg.Concurrency = cmp.Or(cfg.Concurrency, DefaultPollConcurrency)
 	if cfg.Transport == nil {
 		cfg.Transport = &http.Transport{
 			MaxIdleConnsPerHost:    1,
--- a/internal/platform/directory.go
+++ b/internal/platform/directory.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"io/fs"
@@ -42,8 +43,8 @@
 
 // NewDirectory returns a source that reads a local directory.
 func NewDirectory(cfg DirectoryConfig) Source {
-	setDefault(&cfg.Interval, DefaultDirectoryInterval)
-	setDefault(&cfg.BackoffMax, DefaultBackoffMax)
+	cfg.Interval = cmp.Or(cfg.Interval, DefaultDirectoryInterval)
+	cfg.BackoffMax = cmp.Or(cfg.BackoffMax, DefaultBackoffMax)
 	return &directorySource{cfg, newCounters(cfg.Metrics)}
 }
 
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"encoding/base64"
 	"io"
@@ -79,13 +80,13 @@
 // NewHTTP returns a source that speaks the Consul KV HTTP API.
 func NewHTTP(cfg HTTPConfig) Source {
 	cfg.URL = strings.TrimSuffix(cfg.URL, "/")
-	setDefault(&cfg.Wait, DefaultWait)
-	setDefault(&cfg.Poll, DefaultPoll)
-	setDefault(&cfg.ReadTimeout, DefaultReadTimeout)
-	setDefault(&cfg.MinInterval, DefaultMinInterval)
-	setDefault(&cfg.BackoffMin, DefaultBackoffMin)
-	setDefault(&cfg.BackoffMax, DefaultBackoffMax)
-	setDefault(&cfg.MaxBody, DefaultMaxBody)
+	cfg.Wait = cmp.Or(cfg.Wait, DefaultWait)
+	cfg.Poll = cmp.Or(cfg.Poll, DefaultPoll)
+	cfg.ReadTimeout = cmp.Or(cfg.ReadTimeout, DefaultReadTimeout)
+	cfg.MinInterval = cmp.Or(cfg.MinInterval, DefaultMinInterval)
+	cfg.BackoffMin = cmp.Or(cfg.BackoffMin, DefaultBackoffMin)
+	cfg.BackoffMax = cmp.Or(cfg.BackoffMax, DefaultBackoffMax)
+	cfg.MaxBody = cmp.Or(cfg.MaxBody, DefaultMaxBody)
 	if cfg.Reader == nil {
 		cfg.Reader = func() bool { return true }
 	}
@@ -95,12 +96,6 @@
 	return &httpSource{cfg: cfg, counters: newCounters(cfg.Metrics)}
 }
 
-func setDefault[T ~int64](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 // Watch keeps a blocking read open and polls at long intervals beside it. The
 // two use separate connections, so that the poll still works when the
 // connection of the blocking read stops delivering data.
