Test that a distrusted host stops serving

Before: daemon, replay and process tests passed without the mechanism. After: the new test fails without it.

--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -3,8 +3,34 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/membership"
 )
 
+// Guards against a host that goes on serving with an old view after a pause,
+// or after others acted in its place.
+func TestDistrustStopsServing(t *testing.T) {
+	for name, outcome := range map[string]membership.Outcome{
+		"paused":        membership.Paused{Gap: time.Minute},
+		"declared dead": membership.DeclaredDead{},
+	} {
+		c := newBenchControl(t, 3, nil)
+		now := c.d.started.Add(time.Second)
+		c.sync.checking = true
+		c.checked(now, "test")
+		c.carryOut(now, []membership.Outcome{outcome})
+		c.publish(now)
+		if c.d.snapshot.Load().Serving {
+			t.Errorf("%s: traffic is served before versions are compared", name)
+		}
+		c.checked(now, "test")
+		c.publish(now)
+		if !c.d.snapshot.Load().Serving {
+			t.Errorf("%s: traffic is not served after the comparison", name)
+		}
+	}
+}
+
 // Guards against a graceful shutdown that ends before the answer of the last
 // command has been sent, because only commands in progress were waited for.
 func TestShutdownWaitsForAnswers(t *testing.T) {
