command: do not call idempotent commands "not run"

Claims of idempotent commands stay at their owner, and both sides of a partition run idempotent commands. A request that was repeated ran on one side; the owner on the other side found no free slot and said "not run". Ruled out: non-idempotent commands. In the failing run the only "not run" of a request sent twice was a status command (no_slot); the property TestAtMostOnce passes for non-idempotent ones.

Change: a failed idempotent command is answered "outcome unknown" with its reason. A repeat of it runs again. The flag mayHaveRun is not needed any more.

Conclusion: "not run" is only said where the conditions of at-most-once hold.

--- a/internal/command/claim.go
+++ b/internal/command/claim.go
@@ -57,7 +57,6 @@
 	stored        bool // claimTo has stored the claim
 	peerComplete  bool
 	cleared       bool // surely no earlier run of the request exists
-	mayHaveRun    bool // a run of the idempotent command was lost
 }
 
 func (c *claim) record(now time.Time) ClaimRecord {
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -193,7 +193,6 @@
 // lost handles a run that may have happened.
 func (s *State) lost(now time.Time, c *claim, reason Reason) {
 	if c.idempotent {
-		c.run.mayHaveRun = true
 		s.retry(now, c, reason)
 		return
 	}
@@ -235,9 +234,11 @@
 
 // notRun tells the caller that the command was not run, which the conditions of
 // allowed have to permit. The claim is kept, so that a delayed duplicate of the
-// request is not run either.
+// request is not run either. An idempotent command starts without these
+// conditions: the other side of a partition, or an earlier owner, may have run
+// it, so its outcome is unknown.
 func (s *State) notRun(now time.Time, c *claim, reason Reason) {
-	if c.run.mayHaveRun {
+	if c.idempotent {
 		s.unknown(now, c, reason)
 		return
 	}
--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -191,10 +191,10 @@
 	key := ClaimKey{Service: in.Service, Caller: in.Flow.Source(), ID: req.ID}
 	switch c := s.table.claims[key]; {
 	case c == nil:
-		s.first(now, key, in, req, false)
+		s.first(now, key, in, req)
 	case in.Idempotent && c.state == Unknown && c.digest == req.Digest:
 		s.table.remove(c)
-		s.first(now, key, in, req, true)
+		s.first(now, key, in, req)
 	default:
 		s.repeat(now, c, in, req)
 	}
@@ -233,9 +233,8 @@
 	return ErrorResponse(c.key.ID, CodeUnknown, reason)
 }
 
-// first handles a request without a claim. mayHaveRun says that an earlier run
-// of the idempotent command was lost.
-func (s *State) first(now time.Time, key ClaimKey, in Input, req Request, mayHaveRun bool) {
+// first handles a request without a claim.
+func (s *State) first(now time.Time, key ClaimKey, in Input, req Request) {
 	owners := s.owners(in.Service, in.Bucket)
 	if s.leaving || owners.Primary != s.cfg.Self {
 		s.elsewhere(owners, in, req)
@@ -253,7 +252,7 @@
 		key: key, owner: ClaimOwner{s.cfg.Self, s.nextNonce()}, bucket: in.Bucket, digest: req.Digest,
 		state: Pending, idempotent: in.Idempotent, flow: in.Flow, waiting: true, deadline: now.Add(deadline),
 		run: &runState{
-			request: req, claimingSince: now, mayHaveRun: mayHaveRun,
+			request: req, claimingSince: now,
 			candidates: append([]Candidate(nil), in.Candidates[:min(maxCandidates, len(in.Candidates))]...),
 		},
 	}
@@ -279,17 +278,11 @@
 	return "", true
 }
 
-// reject answers a request for which no claim is held. A delayed duplicate of
-// a non-idempotent request could still run, so "not run" would be a guess.
+// reject answers a request for which no claim is held. A duplicate of it may
+// have run elsewhere or may still run, so "not run" would be a guess.
 func (s *State) reject(in Input, req Request, reason Reason) {
-	code := CodeUnknown
-	if in.Idempotent {
-		code = CodeNotRun
-		countNotRun(reason)
-	} else {
-		countUnknown(reason)
-	}
-	s.emit(Answer{in.Flow, ErrorResponse(req.ID, code, reason)})
+	countUnknown(reason)
+	s.emit(Answer{in.Flow, ErrorResponse(req.ID, CodeUnknown, reason)})
 }
 
 func (s *State) elsewhere(owners Owners, in Input, req Request) {
