nutmeglatchd: claim loopback networks for each test run

Cause: the process tests use fixed loopback networks, so that two test runs on one machine at the same time interfere with each other. Change: each run claims a block of network numbers by listening on a port. Before: two runs at the same time share 127.31.0.0/16 to 127.43.0.0/16.

--- a/cmd/nutmeglatchd/bench_test.go
+++ b/cmd/nutmeglatchd/bench_test.go
@@ -64,7 +64,7 @@
 // newSurroundings starts everything around the entry hosts.
 func newSurroundings(t *testing.T, network byte, backends int, adjust ...func(*standin.BackendConfig)) *bench {
 	t.Helper()
-	b := &bench{t: t, network: network, instance: uint64(time.Now().UnixMilli())}
+	b := &bench{t: t, network: network + networkOffset, instance: uint64(time.Now().UnixMilli())}
 	var err error
 	b.platform, err = standin.NewPlatform(b.addr(0, 1, 8500).String())
 	b.must(err)
--- a/cmd/nutmeglatchd/host_test.go
+++ b/cmd/nutmeglatchd/host_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -28,9 +29,42 @@
 		main()
 		return
 	}
+	if err := claimNetworks(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 	os.Exit(m.Run())
 }
 
+// Test runs at the same time use different loopback networks: each claims a
+// block of network numbers by listening on the block's port.
+const (
+	networkBlocks   = 4
+	networksInBlock = 16
+	blockPort       = 29480 // of the first block
+	claimTimeout    = 5 * time.Minute
+)
+
+// networkOffset is added to the network numbers of this run. networkClaim is
+// the listener that claims them; a listener without a reference is closed by
+// the garbage collector.
+var (
+	networkOffset byte
+	networkClaim  net.Listener
+)
+
+func claimNetworks() error {
+	for end := time.Now().Add(claimTimeout); time.Now().Before(end); time.Sleep(time.Second) {
+		for block := range networkBlocks {
+			if l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", blockPort+block)); err == nil {
+				networkClaim, networkOffset = l, byte(block*networksInBlock)
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("all %d blocks of loopback networks are in use", networkBlocks)
+}
+
 // hostProcess is one entry host.
 type hostProcess struct {
 	host     document.Host
