route: evict cached entries when the flow table fills

Cause: each host that a packet of a flow passes caches the choice. Above 7/8 of max_flows it removes cached entries that the present owners hold, those unused for longest first, down to 3/4. Entries of other owner epochs, guesses and tentative entries stay, since this host may be the only one that holds them.

--- a/internal/flow/bench_test.go
+++ b/internal/flow/bench_test.go
@@ -28,7 +28,7 @@
 	for _, n := range benchSizes {
 		b.Run(fmt.Sprintf("flows=%d", n), func(b *testing.B) {
 			t := benchTable(n)
-			idle := func(Entry) uint32 { return 600 }
+			idle := func(packet.Key, Entry) uint32 { return 600 }
 			counted := 0
 			for b.Loop() {
 				t.Sweep(1, idle, func(packet.Key, Entry) { counted++ })
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -224,18 +224,18 @@
 // Sweep removes the entries that were not used for longer than idle says, in
 // seconds, or for ClosingTime when they are closing, and calls visit for every
 // other one. The table must not be used from either function.
-func (t *Table) Sweep(now uint32, idle func(Entry) uint32, visit func(packet.Key, Entry)) (removed int) {
+func (t *Table) Sweep(now uint32, idle func(packet.Key, Entry) uint32, visit func(packet.Key, Entry)) (removed int) {
 	for i := range t.shards {
 		removed += t.sweepShard(&t.shards[i], now, idle, visit)
 	}
 	return removed
 }
 
-func (t *Table) sweepShard(s *shard, now uint32, idle func(Entry) uint32, visit func(packet.Key, Entry)) (removed int) {
+func (t *Table) sweepShard(s *shard, now uint32, idle func(packet.Key, Entry) uint32, visit func(packet.Key, Entry)) (removed int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for k, e := range s.entries {
-		limit := idle(e)
+		limit := idle(k, e)
 		if e.Closing {
 			limit = min(limit, ClosingTime)
 		}
@@ -250,5 +250,8 @@
 	return removed
 }
 
+// Max returns the number of entries that the table may hold.
+func (t *Table) Max() int { return int(t.max) }
+
 // Len returns the number of entries.
 func (t *Table) Len() int { return int(t.count.Load()) }
--- a/internal/flow/table_test.go
+++ b/internal/flow/table_test.go
@@ -57,7 +57,7 @@
 	}
 	table.Get(key(0), key(0).Hash(), 100)
 	visited := 0
-	idle := func(e Entry) uint32 { return 20 + 30*e.Service }
+	idle := func(_ packet.Key, e Entry) uint32 { return 20 + 30*e.Service }
 	removed := table.Sweep(100, idle, func(packet.Key, Entry) { visited++ })
 	// Service 0: 0 was used, 80 to 98 remain. Service 1: 51 to 99 remain.
 	if visited != 1+10+25 || removed != 100-visited || table.Len() != visited {
--- a/internal/route/closing_test.go
+++ b/internal/route/closing_test.go
@@ -14,13 +14,9 @@
 // primary owners are charged with and the entries that are left.
 func (f *fleet) sweep() (charged, entries int) {
 	for _, n := range f.nodes {
-		svc := n.snap.ByName.Get("gridwatch")
-		idle := func(flow.Entry) uint32 { return uint32(svc.FlowIdle / time.Second) }
-		n.router.Table.Sweep(f.now.seconds(), idle, func(k packet.Key, e flow.Entry) {
-			if e.Charged() && svc.Primary(k) == n.snap.SelfIndex {
-				charged++
-			}
-		})
+		for _, flows := range Sweep(n.snap, n.router.Table, f.now).Charged {
+			charged += flows
+		}
 		entries += n.router.Table.Len()
 	}
 	return charged, entries
