load: measure many flows through entry host processes

Change: internal/load drives flows from one event queue and one socket, in place of the fabric and of the callers. `nutmeglatch load` runs it against running entry hosts, BenchmarkLoad against three nutmeglatchd processes.

--- a/cmd/nutmeglatchd/bench_test.go
+++ b/cmd/nutmeglatchd/bench_test.go
@@ -24,7 +24,7 @@
 // bench is a platform, a fabric, backend servers, a caller and entry hosts on
 // loopback addresses of one network number.
 type bench struct {
-	t           *testing.T
+	t           testing.TB
 	network     byte
 	platform    *standin.Platform
 	fabric      *standin.Fabric
@@ -47,7 +47,7 @@
 var dataCentreNames = []string{"dc-a", "dc-b", "dc-c"}
 
 // newBench starts everything.
-func newBench(t *testing.T, network byte, hosts, backends int, adjust ...func(*standin.BackendConfig)) *bench {
+func newBench(t testing.TB, network byte, hosts, backends int, adjust ...func(*standin.BackendConfig)) *bench {
 	t.Helper()
 	b := newSurroundings(t, network, backends, adjust...)
 	b.newHosts(hosts)
@@ -62,7 +62,7 @@
 }
 
 // newSurroundings starts everything around the entry hosts.
-func newSurroundings(t *testing.T, network byte, backends int, adjust ...func(*standin.BackendConfig)) *bench {
+func newSurroundings(t testing.TB, network byte, backends int, adjust ...func(*standin.BackendConfig)) *bench {
 	t.Helper()
 	b := &bench{t: t, network: network + networkOffset, instance: uint64(time.Now().UnixMilli())}
 	var err error
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -80,6 +80,7 @@
 			t.explainCommand(),
 			t.replayCommand(),
 			t.demoCommand(),
+			t.loadCommand(),
 			t.versionCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
