command: hand claims over before a planned stop is announced

Cause: a host that joins is told the claims of its buckets at 2,048 bytes per second, and is complete only afterwards or after the retention. A trace of three replacements showed owners that stop before that: the remaining owner of the pair covered 0.1 to 0.8 s, the owner that takes the free place covered nothing, and every command of the bucket was answered claims_incomplete. A transfer message also reported the least age of all its buckets, so one bucket that had just been gained hid the ages of the others. The owner that a bucket keeps was itself verified and had stored the claim in all of these cases.

Change: a stopping host stays an owner and asks the other owner of each bucket (command.coverage) whether it has seen all claims for as long as this host has. What is missing is transferred; the leaving state is announced when everything is confirmed, or when only the longest command deadline and the shutdown margin are left of the shutdown limit. Of two owners that stop at the same time, one goes first. A transfer message reports buckets of about the same age only, complete ones first. A refused transfer is repeated after 0.5 s instead of 5 s. A bucket that the receiver does not count yet, for lack of a majority, is refused instead of confirmed without effect.

Conclusion: completeness passes from owner to owner in planned replacements.

--- a/internal/command/fuzz_test.go
+++ b/internal/command/fuzz_test.go
@@ -48,6 +48,7 @@
 	f.Add(uint8(2), []byte(`{"service":"gridwatch","claims":[{"service":"gridwatch","state":3}],"done":"AAE=","age_ms":30000}`))
 	f.Add(uint8(3), []byte(`{"service":"gridwatch","target":"198.51.100.10:7002","backend":"127.0.10.1:6080","deadline_ms":50,"id":"1"}`))
 	f.Add(uint8(4), []byte(`{"backend":"127.0.10.1:6080","body":{"jsonrpc":"2.0","id":1,"result":1}}`))
+	f.Add(uint8(5), []byte(`{"service":"gridwatch","buckets":"AAE=","age_ms":-1}`))
 	f.Fuzz(func(t *testing.T, kind uint8, b []byte) {
 		s := newSim(t, "a", "b")
 		views(ab, "a", "b")(s)
@@ -58,8 +59,9 @@
 			transfer TransferRequest
 			run      RunRequest
 			passed   ReplyRequest
+			coverage CoverageRequest
 		)
-		target := []any{&claim, &complete, &transfer, &run, &passed}[kind%5]
+		target := []any{&claim, &complete, &transfer, &run, &passed, &coverage}[kind%6]
 		if json.Unmarshal(b, target) != nil {
 			return
 		}
@@ -70,6 +72,8 @@
 			h.state.Complete(s.now, "b", complete)
 		case &transfer:
 			h.state.Transfer(s.now, "b", transfer)
+		case &coverage:
+			h.state.Coverage(s.now, "b", coverage)
 		case &run:
 			h.runner.Run(s.now, 1, run, true)
 		case &passed:
--- a/internal/command/message.go
+++ b/internal/command/message.go
@@ -15,6 +15,7 @@
 	MethodComplete = "command.complete"
 	MethodReply    = "command.reply"
 	MethodTransfer = "command.transfer"
+	MethodCoverage = "command.coverage"
 )
 
 // ClaimKey names a request of a caller.
@@ -148,4 +149,19 @@
 	Refused    Reason `json:"refused,omitempty"`
 }
 
+// CoverageRequest asks the other owner of buckets whether the sender may stop:
+// whether it has seen every claim of the last AgeMS milliseconds, as the sender
+// has.
+type CoverageRequest struct {
+	Service string  `json:"service"`
+	Buckets []uint8 `json:"buckets"`
+	AgeMS   int64   `json:"age_ms"`
+}
+
+// CoverageReply answers a CoverageRequest with the buckets of which this is so.
+type CoverageReply struct {
+	Covered []uint8 `json:"covered,omitempty"`
+	Refused Reason  `json:"refused,omitempty"`
+}
+
 func milliseconds(d time.Duration) int64 { return max(0, d.Milliseconds()) }
--- a/internal/command/outcome.go
+++ b/internal/command/outcome.go
@@ -60,6 +60,13 @@
 	Message TransferRequest
 }
 
+// AskCoverage asks for a command.coverage call; its result goes to
+// CoverageResult.
+type AskCoverage struct {
+	To      string
+	Message CoverageRequest
+}
+
 // Forward asks to pass the request on to the host that owns its bucket.
 type Forward struct{ To string }
 
@@ -91,6 +98,7 @@
 func (Answer) outcome()      {}
 func (Complete) outcome()    {}
 func (Transfer) outcome()    {}
+func (AskCoverage) outcome() {}
 func (Forward) outcome()     {}
 func (SendBackend) outcome() {}
 func (Cancel) outcome()      {}
--- a/internal/command/property_test.go
+++ b/internal/command/property_test.go
@@ -86,7 +86,11 @@
 		f.side[id] = 1 - f.side[id]
 	case 4:
 		clear(f.side)
-	case 5:
+	case 5: // with and without the time to hand claims over
+		if n/len(f.ids)%2 == 0 {
+			f.replace(id, func() {})
+			return
+		}
 		leave(id)(f.sim)
 	default: // often the same request at several hosts
 		request := n % (kind - 5)
@@ -127,18 +131,25 @@
 
 func (f *fleet) check() string {
 	for n := range 8 {
-		id := fmt.Sprint(n)
-		ran := f.ran(id)
-		if ran > 1 && method(n) != "status" {
-			return fmt.Sprintf("request %s ran %d times", id, ran)
+		if fault := f.checkRequest(fmt.Sprint(n), method(n) == "status"); fault != "" {
+			return fault
 		}
-		for _, a := range f.answers[id] {
-			if a.code == CodeNotRun && ran != 0 {
-				return fmt.Sprintf("request %s ran, but the caller was told %s", id, a.body)
-			}
-			if a.code == 0 && ran == 0 {
-				return fmt.Sprintf("request %s was answered without a run: %s", id, a.body)
-			}
+	}
+	return ""
+}
+
+// checkRequest compares what was told about a request with its runs.
+func (f *fleet) checkRequest(id string, idempotent bool) string {
+	ran := f.ran(id)
+	if ran > 1 && !idempotent {
+		return fmt.Sprintf("request %s ran %d times", id, ran)
+	}
+	for _, a := range f.answers[id] {
+		if a.code == CodeNotRun && ran != 0 {
+			return fmt.Sprintf("request %s ran, but the caller was told %s", id, a.body)
+		}
+		if a.code == 0 && ran == 0 {
+			return fmt.Sprintf("request %s was answered without a run: %s", id, a.body)
 		}
 	}
 	return ""
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -266,12 +266,13 @@
 }
 
 // Expire handles deadlines, repeats claim calls, removes old claims and
-// continues transfers. It must be called several times per second.
+// continues transfers and the handover. It must be called several times per second.
 func (s *State) Expire(now time.Time) []Outcome {
 	s.begin(now)
 	s.table.pending(func(c *claim) { s.expirePending(now, c) })
 	s.table.expire(now)
 	s.continueTransfers(now)
+	s.continueHandOver(now)
 	return s.take()
 }
 
--- a/internal/command/sim_test.go
+++ b/internal/command/sim_test.go
@@ -280,6 +280,14 @@
 					reply(r)
 				},
 				func(r TransferReply, status CallStatus) { s.do(h, h.state.TransferResult(s.now, o.Seq, r, status)) })
+		case AskCoverage:
+			call(s, MethodCoverage, h, o.To, callTimeout, o.Message,
+				func(to *simHost, m CoverageRequest, reply func(CoverageReply)) {
+					reply(to.state.Coverage(s.now, h.id, m))
+				},
+				func(r CoverageReply, status CallStatus) {
+					s.do(h, h.state.CoverageResult(s.now, o.To, o.Message, r, status))
+				})
 		case Answer:
 			s.answered(o)
 		case SendBackend:
--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -95,11 +95,15 @@
 	services      map[string]*serviceOwners
 	transfers     []*transfer
 	transferBy    tokens
-	retries       tokens
-	nonce         uint64
-	clocks        map[string]time.Duration // admitting hosts' clocks minus this host's
-	last          time.Time
-	out           []Outcome
+	handover      *handover // nil until a planned stop begins
+	// stopping holds the hosts that stop with this host's confirmation, and
+	// when they last asked for it.
+	stopping map[string]time.Time
+	retries  tokens
+	nonce    uint64
+	clocks   map[string]time.Duration // admitting hosts' clocks minus this host's
+	last     time.Time
+	out      []Outcome
 }
 
 // New returns a State that owns no bucket and starts no non-idempotent command
@@ -110,7 +114,7 @@
 		cfg: cfg, table: newClaimTable(&cfg), services: make(map[string]*serviceOwners),
 		transferBy: tokens{rate: float64(cfg.TransferRate), burst: float64(cfg.TransferRate), last: now},
 		retries:    tokens{level: retryBurst, rate: retryPerSecond, burst: retryBurst, last: now},
-		nonce:      cfg.Boot, clocks: make(map[string]time.Duration), last: now,
+		nonce:      cfg.Boot, clocks: make(map[string]time.Duration), stopping: make(map[string]time.Time), last: now,
 	}
 }
 
--- a/internal/command/transfer.go
+++ b/internal/command/transfer.go
@@ -1,12 +1,16 @@
 package command
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
 
 const (
 	transferTimeout = 5 * time.Second
+	// transferRetryAfter is shorter, since a receiver that refuses a message is
+	// usually just starting.
+	transferRetryAfter = 500 * time.Millisecond
 	// transferOverhead is the size of a message and of a record without their
 	// variable parts.
 	transferOverhead = 200
@@ -20,8 +24,8 @@
 // claims have arrived.
 type transfer struct {
 	to, service string
-	all         []uint8    // in order
-	buckets     []uint8    // not yet reported as done, in order
+	all         []uint8    // in the order of their claims
+	buckets     []uint8    // not yet reported as done, the rest of all
 	generation  uint64     // of the receiver, 0 until its first reply
 	claims      []ClaimKey // of the first buckets, not yet sent
 	loaded      int        // number of leading buckets whose claims are in claims or sent
@@ -80,7 +84,7 @@
 		if !s.conditions.Serving {
 			return
 		}
-		s.load(t)
+		s.load(now, t)
 		// Larger messages spend less of the budget on their envelopes.
 		wanted := float64(transferOverhead * (1 + len(t.claims)))
 		if s.transferBy.level < min(s.transferBy.burst/2, wanted) {
@@ -91,24 +95,27 @@
 }
 
 // load collects the claims of the buckets, the first time that it is called.
-func (s *State) load(t *transfer) {
+// The buckets that cover the longest time come first, so that few messages
+// report buckets of different ages.
+func (s *State) load(now time.Time, t *transfer) {
 	if t.loaded == len(t.buckets) {
 		return
 	}
-	var wanted [buckets]bool
-	for _, b := range t.buckets {
-		wanted[b] = true
+	s.sortByAge(now, t.service, t.buckets)
+	var place [buckets]int // 0 for a bucket that is not wanted
+	for i, b := range t.buckets {
+		place[b] = i + 1
 	}
 	t.loaded, t.claims = len(t.buckets), nil
 	for _, c := range s.table.claims {
-		if c.key.Service == t.service && wanted[c.bucket] {
+		if c.key.Service == t.service && place[c.bucket] > 0 {
 			t.claims = append(t.claims, c.key)
 		}
 	}
 	sort.Slice(t.claims, func(i, j int) bool {
 		a, b := s.table.claims[t.claims[i]], s.table.claims[t.claims[j]]
 		if a.bucket != b.bucket {
-			return a.bucket < b.bucket
+			return place[a.bucket] < place[b.bucket]
 		}
 		return a.owner.Nonce < b.owner.Nonce || a.owner.Nonce == b.owner.Nonce && a.key.ID < b.key.ID
 	})
@@ -146,23 +153,22 @@
 	s.emit(Transfer{To: t.to, Seq: t.seq, Message: m})
 }
 
-// doneBuckets returns the buckets of which no claim is left after the message.
+// doneBuckets returns the next buckets of which no claim is left after the
+// message and which cover about the same time, and that time.
 func (s *State) doneBuckets(now time.Time, t *transfer) ([]uint8, int64) {
-	rest := buckets
+	rest := buckets // no bucket
 	for _, key := range t.claims[t.sent:] {
 		if c := s.table.claims[key]; c != nil {
 			rest = int(c.bucket)
 			break
 		}
 	}
-	n := 0
-	oldest := s.cfg.Retention
-	for n < len(t.buckets) && int(t.buckets[n]) < rest {
-		age, _ := s.age(now, t.service, t.buckets[n])
-		oldest = min(oldest, age)
-		n++
+	n := slices.IndexFunc(t.buckets, func(b uint8) bool { return int(b) == rest })
+	if n < 0 {
+		n = len(t.buckets)
 	}
-	return t.buckets[:n:n], milliseconds(oldest)
+	n, age := s.sameAge(now, t.service, t.buckets[:n])
+	return slices.Clone(t.buckets[:n]), milliseconds(age)
 }
 
 func recordBytes(r *ClaimRecord) float64 {
@@ -178,7 +184,8 @@
 		}
 		if status != CallDone || reply.Refused != "" {
 			countRetry(ReasonNotSent)
-			return nil // repeated after transferTimeout
+			t.sentAt = now.Add(transferRetryAfter - transferTimeout)
+			return nil
 		}
 		t.waiting = false
 		if reply.Generation != t.generation {
@@ -190,7 +197,11 @@
 		t.loaded = len(t.buckets)
 		t.sent, t.done = 0, 0
 	}
+	before := len(s.transfers)
 	s.dropTransfers(func(t *transfer) bool { return len(t.buckets) == 0 })
+	if len(s.transfers) < before {
+		s.askCoverage(now)
+	}
 	return s.take()
 }
 
@@ -234,7 +245,11 @@
 		if so.owners[b].other(s.cfg.Self) != from {
 			return s.refuseTransfer(ReasonNotOwner)
 		}
-		if !so.since[b].IsZero() && since.Before(so.since[b]) {
+		if so.since[b].IsZero() {
+			// This host does not count its claims yet, for lack of a majority.
+			return s.refuseTransfer(ReasonNoMajority)
+		}
+		if since.Before(so.since[b]) {
 			so.since[b] = since
 		}
 	}
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -32,6 +32,7 @@
 	command.MethodComplete:    handleComplete,
 	command.MethodReply:       handleReply,
 	command.MethodTransfer:    handleTransfer,
+	command.MethodCoverage:    handleCoverage,
 	admission.Method:          handleAdmission,
 	health.Method:             handleHealth,
 }
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -196,6 +196,8 @@
 			c.call(o.To, command.MethodComplete, o.Message, nil)
 		case command.Transfer:
 			c.transferClaims(o)
+		case command.AskCoverage:
+			c.askCoverage(o)
 		case command.PassReply:
 			if host := c.admittingHost(o.Message.Backend); host != "" {
 				c.call(host, command.MethodReply, o.Message, nil)
@@ -218,6 +220,14 @@
 		})
 }
 
+func (c *control) askCoverage(o command.AskCoverage) {
+	callPeer(c, o.To, command.MethodCoverage, claimCallTimeout, o.Message,
+		func(c *control, now time.Time, reply command.CoverageReply, status command.CallStatus) {
+			c.performCommands(now, c.commands.CoverageResult(now, o.To, o.Message, reply, status))
+			c.handOver(now)
+		})
+}
+
 // runCommand runs a command through the admitting host of its backend server.
 func (c *control) runCommand(now time.Time, o command.Run) {
 	if o.Host == c.d.settings.HostID {
@@ -324,6 +334,12 @@
 	})
 }
 
+func handleCoverage(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
+	return answer(d, ctx, params, func(c *control, now time.Time, m command.CoverageRequest) command.CoverageReply {
+		return c.commands.Coverage(now, from, m)
+	})
+}
+
 func handleReply(d *Daemon, ctx context.Context, _ string, params json.RawMessage) (any, error) {
 	return answer(d, ctx, params, func(c *control, now time.Time, m command.ReplyRequest) bool {
 		c.performCommands(now, c.runner.Reply(now, m.Backend, m.Flow(), m.Body, false))
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -16,6 +16,7 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
 	"github.com/nutmeglatch/nutmeglatch/internal/route"
+	"github.com/nutmeglatch/nutmeglatch/internal/settings"
 )
 
 // Intervals and sizes of the control loop.
@@ -48,6 +49,8 @@
 	owned    map[string]*route.Service // services as last given to commands
 
 	serving    bool
+	stopping   bool // hands claims over, or leaves
+	stoppedAt  time.Time
 	leaving    bool
 	leftAt     time.Time
 	lastBusy   time.Time // newest time with commands in progress while leaving
@@ -154,7 +157,7 @@
 	}
 }
 
-// run is the control loop. It returns when the graceful shutdown that leave
+// run is the control loop. It returns when the graceful shutdown that stop
 // starts is complete, or with an error when the daemon was killed.
 func (c *control) run(ctx context.Context, leave <-chan struct{}) error {
 	c.ctx = ctx
@@ -166,7 +169,7 @@
 			return ctx.Err()
 		case <-leave:
 			leave = nil
-			c.leave(time.Now())
+			c.stop(time.Now())
 		case e := <-c.d.events:
 			e(c, time.Now())
 		case now := <-ticker.C:
@@ -189,6 +192,7 @@
 	c.startCheck(now)
 	c.setConditions(now)
 	c.performCommands(now, c.commands.Expire(now))
+	c.handOver(now)
 	c.performCommands(now, c.runner.Expire(now))
 	c.limitRound(now)
 }
@@ -264,13 +268,46 @@
 	c.sync.begin(now, c.d.settings.StartCheck.Std())
 }
 
-// leave starts the graceful shutdown.
+// stop starts the graceful shutdown. The host goes on as an owner until others
+// have what it knows of claims.
+func (c *control) stop(now time.Time) {
+	if c.stopping {
+		return
+	}
+	c.stopping, c.stoppedAt = true, now
+	c.performCommands(now, c.commands.HandOver(now))
+	level.Info(c.logger).Log("msg", "stopping", "buckets_to_hand_over", c.commands.NotHandedOver(now))
+	c.handOver(now)
+}
+
+// handOver leaves when the claims are handed over, or when only the time is
+// left that commands in progress may take.
+func (c *control) handOver(now time.Time) {
+	if !c.stopping || c.leaving {
+		return
+	}
+	s := c.d.settings
+	missing := c.commands.NotHandedOver(now)
+	limit := s.Shutdown.Limit.Std() - s.Limits.CommandDeadline.Std() - settings.ShutdownMargin
+	switch {
+	case missing == 0:
+		c.leave(now)
+	case now.Sub(c.stoppedAt) >= limit:
+		level.Warn(c.logger).Log("msg", "claims are not handed over in time", "buckets", missing)
+		c.leave(now)
+	}
+}
+
+// leave tells the members that this host owns nothing from now on.
 func (c *control) leave(now time.Time) {
 	if c.leaving {
 		return
 	}
+	if !c.stopping {
+		c.stopping, c.stoppedAt = true, now
+	}
 	c.leaving, c.leftAt, c.dirty, c.changes.hosts = true, now, true, true
-	level.Info(c.logger).Log("msg", "leaving")
+	level.Info(c.logger).Log("msg", "leaving", "after", now.Sub(c.stoppedAt))
 	c.commands.Leave()
 	c.runner.Leave()
 	c.carryOut(now, c.members.Leave(now))
@@ -282,7 +319,7 @@
 		return false
 	}
 	s := c.d.settings.Shutdown
-	if now.Sub(c.leftAt) >= s.Limit.Std() {
+	if now.Sub(c.stoppedAt) >= s.Limit.Std() {
 		level.Warn(c.logger).Log("msg", "shutdown limit reached")
 		return true
 	}
--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/nutmeglatch/nutmeglatch/internal/command"
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
+	"github.com/nutmeglatch/nutmeglatch/internal/route"
+	"github.com/nutmeglatch/nutmeglatch/internal/settings"
 )
 
 // Guards against a host that goes on serving with an old view after a pause,
@@ -51,3 +54,39 @@
 		t.Fatal("did not leave after the quiet time")
 	}
 }
+
+// Guards against a shutdown that waits without end for owners that do not
+// answer, and against one that cuts off commands for that.
+func TestHandOverIsBounded(t *testing.T) {
+	c := newBenchControl(t, 3, nil)
+	s := c.d.settings
+	now := c.d.started.Add(100 * time.Millisecond)
+	var owners [route.Buckets]command.Owners
+	for b := range owners {
+		owners[b] = command.Owners{Primary: s.HostID, Secondary: "does-not-answer"}
+	}
+	c.commands.SetConditions(now, command.Conditions{Majority: true, Serving: true})
+	c.commands.SetOwners(now, "service", &owners)
+	now = now.Add(100 * time.Millisecond)
+	c.stop(now)
+	bound := s.Shutdown.Limit.Std() - s.Limits.CommandDeadline.Std() - settings.ShutdownMargin
+	stopped := now
+	for ; now.Sub(stopped) < bound; now = now.Add(500 * time.Millisecond) {
+		c.commands.Expire(now)
+		c.handOver(now)
+		if c.leaving {
+			t.Fatalf("left after %s, before the claims were handed over", now.Sub(stopped))
+		}
+	}
+	c.handOver(now)
+	if !c.leaving {
+		t.Fatalf("did not leave after %s", now.Sub(stopped))
+	}
+	c.runCalls[1] = runCall{}
+	if c.left(now.Add(s.Limits.CommandDeadline.Std())) {
+		t.Fatal("left before the deadline of a command in progress")
+	}
+	if !c.left(stopped.Add(s.Shutdown.Limit.Std())) {
+		t.Fatal("did not leave at the shutdown limit")
+	}
+}
--- a/internal/daemon/environment.go
+++ b/internal/daemon/environment.go
@@ -130,7 +130,7 @@
 }
 
 // Leave starts the graceful shutdown.
-func (s *Stepper) Leave() { s.d.step(func(c *control, now time.Time) { c.leave(now) }) }
+func (s *Stepper) Leave() { s.d.step(func(c *control, now time.Time) { c.stop(now) }) }
 
 // Versions returns the versions of the accepted values, nil while the daemon
 // does not serve.
