membership: probe a host at once when it is first heard of

Cause: the trace of planned replacements shows two kinds of no_majority answers. A host that had just started had heard of the others, but had not probed them; with one of the others leaving it saw no majority for about 200 ms. A host counts the replacement of another one only after a probe in turn, which takes a round. No partition was involved.

Change: with fewer than 64 hosts, each host that is first heard of, or that has a new boot, is probed once out of turn, at most 8 at a time. Which hosts count for the majority is unchanged.

Conclusion: a planned start and stop leaves the majority uninterrupted.

--- a/cmd/nutmeglatchd/load_test.go
+++ b/cmd/nutmeglatchd/load_test.go
@@ -187,7 +187,7 @@
 			b.t.Errorf("command %v: %s after %d requests: %s", r.ID, r.Outcome, r.Sent, r.Message)
 		}
 	}
-	b.t.Logf("commands by outcome: %v", outcomes)
+	b.t.Logf("commands by outcome: %v, by reason: %v", outcomes, reasonsOf(results))
 	if outcomes[standin.CommandAnswered] == 0 {
 		b.t.Error("no command was answered")
 	}
--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -236,6 +236,40 @@
 	}
 }
 
+// A replaced host must count as soon as it has been heard of, and must itself
+// see a majority then: the next planned stop may follow at once, and hosts
+// without a majority give up commands.
+func TestMajorityWithinReplacements(t *testing.T) {
+	for _, size := range []int{3, 7, 20} {
+		c := newCluster(t, size)
+		c.run(5 * time.Second)
+		for i := range c.list {
+			old := c.nodes[i]
+			c.handle(old, old.Leave(c.now))
+			c.runWithMajority(500*time.Millisecond, c.others(old))
+			old.down = true
+			c.nodes[i] = c.start(i, 2000)
+			c.nodes = c.nodes[:size]
+			c.handle(c.nodes[i], c.nodes[i].Merge(c.now, c.nodes[(i+1)%size].Updates()))
+			c.run(8 * step) // two rounds of probes and their answers
+			c.runWithMajority(100*time.Millisecond, c.nodes)
+		}
+	}
+}
+
+// runWithMajority advances time and reports hosts that see no majority.
+func (c *cluster) runWithMajority(d time.Duration, hosts []*node) {
+	c.t.Helper()
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.run(step)
+		for _, n := range hosts {
+			if !n.Majority(nil) {
+				c.t.Fatalf("%s of %d hosts sees no majority", n.host.ID, len(c.list))
+			}
+		}
+	}
+}
+
 // A host of the smaller side that still saw a majority after the larger side had
 // declared an owner dead would run commands that the larger side runs too.
 func TestOneMajority(t *testing.T) {
--- a/internal/membership/majority.go
+++ b/internal/membership/majority.go
@@ -11,6 +11,9 @@
 	verifyHosts     = 64 // up to this many hosts, each must have answered
 	recentResults   = 8  // latest probes considered above that
 	recentFailLimit = 1  // of those, probes that may have failed
+	// maxVerifyProbes bounds the probes without an answer of hosts that have
+	// not answered yet.
+	maxVerifyProbes = 8
 )
 
 // majority is the evidence that Majority uses beside the states of the hosts.
@@ -70,3 +73,36 @@
 	}
 	return 2*alive > total && !s.superseded
 }
+
+// verify probes each host once when it has first been heard of, so that a fleet
+// in which hosts start and stop as planned sees a majority without
+// interruption. Probes in turn would need a round for that.
+func (s *State) verify(now time.Time, out []Outcome) []Outcome {
+	if !s.MajorityIsVerified() {
+		return out
+	}
+	waiting, probed := 0, make(map[string]bool, len(s.probes))
+	for _, p := range s.probes {
+		if p.relayFor == nil {
+			waiting++
+			probed[p.target] = true
+		}
+	}
+	for _, id := range s.ids {
+		if waiting >= maxVerifyProbes {
+			break
+		}
+		if m := s.members[id]; m != nil && m.unverified() && !probed[id] {
+			waiting++
+			m.asked = true
+			out = append(out, s.startProbe(now, id, probe{}))
+		}
+	}
+	return out
+}
+
+// unverified reports whether a host has been heard of, but not yet asked.
+func (m *member) unverified() bool {
+	e := m.export()
+	return !m.asked && e.Status == Alive && e.Confirmed() && m.answered.IsZero()
+}
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -44,7 +44,7 @@
 	case Ack:
 		out = s.receiveAck(now, from, m, out)
 	}
-	return dedupChanged(out)
+	return dedupChanged(s.verify(now, out))
 }
 
 // answerReplaced tells a process that another one has replaced it. The answer
@@ -123,7 +123,7 @@
 		s.updates.add(u.ID)
 	}
 	if m.boot != before.Boot {
-		m.answered = time.Time{}
+		m.answered, m.asked = time.Time{}, false
 	}
 	if before.Status == Alive && m.status != Alive {
 		s.majority.trouble(now, s.cfg.ProbeTimeout)
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -60,6 +60,7 @@
 	// answered is when the latest probe was sent that the host answered directly.
 	// The time of the answer would also count answers read late.
 	answered time.Time
+	asked    bool // a probe was sent out of turn, see verify
 }
 
 // probe is a probe without an answer yet, started by this host or on request.
@@ -194,7 +195,7 @@
 	for _, u := range updates {
 		out = s.apply(now, u, out)
 	}
-	return dedupChanged(out)
+	return dedupChanged(s.verify(now, out))
 }
 
 // Leave marks this host as leaving, which is final, and tells other hosts.
@@ -243,7 +244,7 @@
 			out = append(out, s.startProbe(now, id, probe{}))
 		}
 	}
-	return out
+	return s.verify(now, out)
 }
 
 // advance notices a pause.
