command: a quorum of voters in place of a majority in large fleets

Cause: with 64 entry hosts or more the majority rule only sampled the latest eight probes, because hearing from every host takes minutes. Ruled out: probing all hosts (19 minutes), a larger sample (no bound), and storing each claim at a majority of voters (five calls per command). Change: each service has nine voters, chosen from the list by rendezvous hash and spread over the data centres of its region. Owners need six of them to have answered a probe sent after the latest suspicion of an owner; the membership probes voters directly after such a suspicion. The conditions of commands are kept per service.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -30,6 +30,7 @@
 	Serving      bool             `json:"serving"`
 	Leaving      bool             `json:"leaving"`
 	Majority     bool             `json:"majority"`
+	NoQuorum     []string         `json:"services_without_quorum,omitempty"` // in fleets of 64 entry hosts or more
 	Flows        int              `json:"flows"`
 	DataCentres  DataCentreStatus `json:"data_centres"`
 	Hosts        []HostStatus     `json:"entry_hosts"`
--- a/internal/cli/remote.go
+++ b/internal/cli/remote.go
@@ -137,6 +137,9 @@
 func printStatus(w io.Writer, st *admin.Status) error {
 	fmt.Fprintf(w, "entry host %s in %s (%s), version %s, up %s\n", st.ID, st.DataCentre, st.Region, st.Version, time.Duration(st.UptimeMS)*time.Millisecond)
 	fmt.Fprintf(w, "serving %t, leaving %t, majority %t, flows %d, platform %s\n", st.Serving, st.Leaving, st.Majority, st.Flows, st.PlatformRead)
+	if len(st.NoQuorum) > 0 {
+		fmt.Fprintf(w, "services without a quorum: %s\n", strings.Join(st.NoQuorum, ", "))
+	}
 	out := "none"
 	if len(st.DataCentres.Out) > 0 {
 		out = strings.Join(st.DataCentres.Out, ", ")
--- a/internal/command/bench_test.go
+++ b/internal/command/bench_test.go
@@ -22,7 +22,7 @@
 	}
 	p := &pair{New(cfg("a"), testStart), New(cfg("b"), testStart), NewRunner(cfg("c"), &freeSlots{}), 0, false}
 	for _, s := range []*State{p.primary, p.secondary} {
-		s.SetConditions(testStart, Conditions{true, true})
+		s.SetConditions(testStart, Conditions{Majority: true, Serving: true})
 		s.SetOwners(testStart, testService, full(ab))
 		s.begin(testStart.Add(time.Second))
 	}
--- a/internal/command/owners.go
+++ b/internal/command/owners.go
@@ -31,6 +31,13 @@
 	since  [buckets]time.Time
 	// generation changes when since starts again for any bucket.
 	generation uint64
+	majority   bool      // or a quorum
+	majorityAt time.Time // newest time with a majority
+}
+
+func (s *State) majority(service string) bool {
+	so := s.services[service]
+	return so != nil && so.majority
 }
 
 func (s *State) owners(service string, bucket uint8) Owners {
@@ -55,20 +62,16 @@
 	return now.Sub(so.since[bucket]), true
 }
 
-func (s *State) resetAges() {
-	for _, so := range s.services {
-		so.since = [buckets]time.Time{}
-		so.generation = s.nextNonce()
-	}
+func (s *State) resetAges(so *serviceOwners) {
+	so.since = [buckets]time.Time{}
+	so.generation = s.nextNonce()
 }
 
 // startAges counts the buckets owned now as seen from now on.
-func (s *State) startAges(now time.Time) {
-	for _, so := range s.services {
-		for b := range so.owners {
-			if so.since[b].IsZero() && so.owners[b].has(s.cfg.Self) {
-				so.since[b] = now
-			}
+func (s *State) startAges(now time.Time, so *serviceOwners) {
+	for b := range so.owners {
+		if so.since[b].IsZero() && so.owners[b].has(s.cfg.Self) {
+			so.since[b] = now
 		}
 	}
 }
@@ -86,7 +89,7 @@
 	}
 	so := s.services[service]
 	if so == nil {
-		so = &serviceOwners{generation: s.nextNonce()}
+		so = &serviceOwners{generation: s.nextNonce(), majority: s.conditions.majority(service), majorityAt: now}
 		s.services[service] = so
 	}
 	changed := s.replaceOwners(now, so, owners)
@@ -114,7 +117,7 @@
 		case !o.has(s.cfg.Self):
 			so.since[b] = time.Time{}
 		case !old.has(s.cfg.Self):
-			if s.conditions.Majority && s.conditions.Serving {
+			if so.majority && s.conditions.Serving {
 				so.since[b] = now
 			}
 		case o.other(s.cfg.Self) != "" && o.other(s.cfg.Self) != old.other(s.cfg.Self):
--- a/internal/command/owners_test.go
+++ b/internal/command/owners_test.go
@@ -14,20 +14,20 @@
 	now := testStart
 	for now.Sub(testStart) < DefaultRetention+time.Second {
 		now = now.Add(500 * time.Millisecond)
-		p.primary.SetConditions(now, Conditions{true, true})
-		p.secondary.SetConditions(now, Conditions{true, true})
+		p.primary.SetConditions(now, Conditions{Majority: true, Serving: true})
+		p.secondary.SetConditions(now, Conditions{Majority: true, Serving: true})
 	}
 	for i := range claims {
 		p.command(now, i, "done")
 	}
 	next := New(Config{Self: "c"}, now)
-	next.SetConditions(now, Conditions{true, true})
+	next.SetConditions(now, Conditions{Majority: true, Serving: true})
 	next.SetOwners(now, testService, full(bc))
 	p.secondary.SetOwners(now, testService, full(bc))
 	changed, sent := now, 0
 	for next.services[testService].since[255].Equal(changed) && now.Sub(changed) < DefaultRetention {
 		now = now.Add(100 * time.Millisecond)
-		next.SetConditions(now, Conditions{true, true})
+		next.SetConditions(now, Conditions{Majority: true, Serving: true})
 		for _, o := range p.secondary.Expire(now) {
 			m := o.(Transfer)
 			raw, _ := json.Marshal(m.Message)
@@ -75,6 +75,12 @@
 			s.SetConditions(at(20*time.Second).Add(500*time.Millisecond), Conditions{Serving: true})
 			s.SetConditions(s.last.Add(500*time.Millisecond), Conditions{Serving: true})
 		}, false},
+		{"quorum of another service lost", func(s *State, at func(time.Duration) time.Time) {
+			s.SetConditions(at(20*time.Second), Conditions{Serving: true, Quorum: func(service string) bool { return service == testService }})
+		}, true},
+		{"quorum lost for a moment", func(s *State, at func(time.Duration) time.Time) {
+			s.SetConditions(at(20*time.Second), Conditions{Serving: true, Quorum: func(service string) bool { return service != testService }})
+		}, false},
 		{"declared dead while the majority is verified", func(s *State, at func(time.Duration) time.Time) {
 			s.SetMajorityGrace(time.Second)
 			s.SetConditions(at(20*time.Second), Conditions{Majority: true})
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -86,7 +86,7 @@
 	switch {
 	case !s.conditions.Serving:
 		return ReasonNotServing, false
-	case !s.conditions.Majority:
+	case !s.majority(c.key.Service):
 		return ReasonNoMajority, false
 	case !owners.has(s.cfg.Self) && !storedAtOwner:
 		return ReasonNotOwner, false
--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -62,9 +62,23 @@
 	c.TransferRate = cmp.Or(c.TransferRate, DefaultTransferRate)
 }
 
-// Conditions are what a host knows about its place in the fleet. Majority says
-// that it sees a majority of the listed entry hosts as alive.
-type Conditions struct{ Majority, Serving bool }
+// Conditions are what a host knows about its place in the fleet.
+type Conditions struct {
+	Serving bool
+	// Majority says that this host sees a majority of the listed entry hosts as
+	// alive.
+	Majority bool
+	// Quorum takes the place of Majority in fleets too large for it: it reports
+	// whether this host sees a quorum of the voters of a service.
+	Quorum func(service string) bool
+}
+
+func (c *Conditions) majority(service string) bool {
+	if c.Quorum != nil {
+		return c.Quorum(service)
+	}
+	return c.Majority
+}
 
 // Candidate is a backend server that may run a command, and its admitting host.
 type Candidate struct {
@@ -85,11 +99,9 @@
 
 // State is the owner side of commands.
 type State struct {
-	cfg        Config
-	table      claimTable
-	conditions Conditions
-	// majorityAt is the newest time with a majority.
-	majorityAt    time.Time
+	cfg           Config
+	table         claimTable
+	conditions    Conditions
 	majorityGrace time.Duration
 	leaving       bool
 	services      map[string]*serviceOwners
@@ -124,7 +136,10 @@
 func (s *State) begin(now time.Time) {
 	if now.Sub(s.last) > s.cfg.PauseLimit {
 		s.conditions = Conditions{}
-		s.resetAges()
+		for _, so := range s.services {
+			so.majority = false
+			s.resetAges(so)
+		}
 	}
 	s.last = laterOf(now, s.last)
 }
@@ -147,16 +162,26 @@
 // once with Serving false, since they may have run commands without it.
 func (s *State) SetConditions(now time.Time, c Conditions) {
 	s.begin(now)
-	if c.Majority {
-		s.majorityAt = s.last
+	resumed := c.Serving && !s.conditions.Serving
+	s.conditions = c
+	for service, so := range s.services {
+		s.setMajority(now, so, c.majority(service), resumed)
+	}
+}
+
+// setMajority records whether this host sees a majority, or a quorum, for a
+// service. resumed says that it has just started to serve.
+func (s *State) setMajority(now time.Time, so *serviceOwners, majority, resumed bool) {
+	if majority {
+		so.majorityAt = s.last
 	}
 	switch {
-	case !c.Serving || !c.Majority && s.last.Sub(s.majorityAt) >= s.majorityGrace:
-		s.resetAges()
-	case c.Majority && s.conditions != c:
-		s.startAges(now)
+	case !s.conditions.Serving || !majority && s.last.Sub(so.majorityAt) >= s.majorityGrace:
+		s.resetAges(so)
+	case majority && (resumed || !so.majority):
+		s.startAges(now, so)
 	}
-	s.conditions = c
+	so.majority = majority
 }
 
 // SetMajorityGrace sets for how long the majority may be missing before this
@@ -276,7 +301,7 @@
 		return ReasonNotServing, false
 	case s.table.full():
 		return ReasonClaimsFull, false
-	case !in.Idempotent && !s.conditions.Majority:
+	case !in.Idempotent && !s.majority(in.Service):
 		return ReasonNoMajority, false
 	}
 	return "", true
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -23,10 +23,6 @@
 // repeats them as long as the command's deadline allows.
 const claimCallTimeout = time.Second
 
-// majorityGrace covers the time in which the members verify each other again
-// after a death: one round of probes of a fleet of today's size.
-const majorityGrace = 2 * time.Second
-
 // runCallMargin is added to a command's deadline for the call to its
 // admitting host, so that the host's answer about the deadline still arrives.
 const runCallMargin = 250 * time.Millisecond
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -47,6 +47,7 @@
 	runCalls map[uint64]runCall // runs that a caller waits for
 	nextCall uint64
 	owned    map[string]*route.Service // services as last given to commands
+	voters   map[string][]string       // by service with a quorum
 
 	serving    bool
 	stopping   bool // hands claims over, or leaves
@@ -91,6 +92,7 @@
 	c.runner = command.NewRunner(cfg, &commandSlots{slots: c.limits.slots})
 	c.runCalls = map[uint64]runCall{}
 	c.owned = map[string]*route.Service{}
+	c.voters = map[string][]string{}
 	c.membersCounted = map[string]uint64{}
 	c.changes = newChanges()
 	c.changes.hosts, c.changes.all = true, true
--- a/internal/daemon/snapshot.go
+++ b/internal/daemon/snapshot.go
@@ -54,6 +54,7 @@
 // ownersChanged tells the command slice who owns which bucket and whether this
 // host sees a majority.
 func (c *control) ownersChanged(now time.Time, snap *route.Snapshot, ch changes) {
+	c.setQuorums(now, snap, ch)
 	c.setConditions(now)
 	if !ch.hosts && !ch.all {
 		for name := range ch.services {
@@ -78,17 +79,6 @@
 	c.performCommands(now, c.commands.SetOwners(now, name, &owners))
 }
 
-// setConditions tells the command slice what this host knows about its place
-// in the fleet.
-func (c *control) setConditions(now time.Time) {
-	grace := time.Duration(0)
-	if c.members.MajorityIsVerified() {
-		grace = majorityGrace
-	}
-	c.commands.SetMajorityGrace(grace)
-	c.commands.SetConditions(now, command.Conditions{Majority: c.members.Majority(c.dataCentresOut()), Serving: c.serving})
-}
-
 // hostID returns the id of a host, empty for none.
 func hostID(s *route.Snapshot, i uint16) string {
 	if i == route.NoHost {
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -33,6 +33,7 @@
 		Serving:      c.serving,
 		Leaving:      c.leaving,
 		Majority:     c.members.Majority(c.dataCentresOut()),
+		NoQuorum:     c.servicesWithoutQuorum(),
 		Flows:        d.table.Len(),
 		PlatformRead: "ok",
 	}
--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -111,6 +111,24 @@
 				s.Majority(nil)
 			}
 		})
+		b.Run(fmt.Sprintf("voters/hosts=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				Voters("gridwatch", hosts)
+			}
+		})
+		// A host of the target owns buckets of ten services.
+		services := make([]string, 10)
+		for i := range services {
+			services[i] = fmt.Sprintf("s%d", i)
+			s.SetQuorum(start, services[i], []string{hosts[0].ID}, Voters(services[i], hosts))
+		}
+		b.Run(fmt.Sprintf("quorum/hosts=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				for _, service := range services {
+					s.Quorum(service)
+				}
+			}
+		})
 		b.Run(fmt.Sprintf("list/hosts=%d", n), func(b *testing.B) {
 			for i := 0; b.Loop(); i++ {
 				s.SetListed(start, hosts[:n-i%2])
--- a/internal/membership/majority.go
+++ b/internal/membership/majority.go
@@ -29,11 +29,17 @@
 	}
 }
 
-// trouble starts a new check of who answers. The probe whose loss caused a
-// suspicion was sent three probe timeouts earlier, and a partition had started
-// when its answer was due, so answers after that time came from this side.
+// trouble starts a new check of who answers.
 func (m *majority) trouble(now time.Time, probeTimeout time.Duration) {
-	m.since = now.Add(-2 * probeTimeout)
+	m.since = troubleStart(now, probeTimeout)
+}
+
+// troubleStart returns the time from which answers count after a suspicion that
+// arises now. The probe whose loss caused it was sent three probe timeouts
+// earlier, and a partition had started when its answer was due, so answers to
+// probes sent after that time came from this side.
+func troubleStart(now time.Time, probeTimeout time.Duration) time.Time {
+	return now.Add(-2 * probeTimeout)
 }
 
 // MajorityIsVerified reports whether Majority counts only hosts that have
@@ -51,6 +57,7 @@
 // the latest suspicion arose, which takes up to 6.4 s at 64 hosts. With more
 // hosts that would take too long; then at most 1 of the latest 8 probes may have
 // failed, which does not exclude two majorities while a partition is found.
+// Commands of such fleets depend on Quorum, and Majority is only reported.
 func (s *State) Majority(excluded []string) bool {
 	total, alive := 0, 0
 	strict := s.MajorityIsVerified()
--- /dev/null
+++ b/internal/membership/quorum.go
@@ -0,0 +1,174 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+)
+
+// MaxVoters is the number of voters of a service. With three data centres,
+// each has three of them, so that a quorum outlasts the loss of one.
+const MaxVoters = 9
+
+// maxVoterProbes bounds the probes of voters that one Tick starts beside the
+// regular one.
+const maxVoterProbes = 2
+
+// Voters returns the voters of a service: the highest-ranked hosts of each data
+// centre by rendezvous hash, the same number from each as far as possible. They
+// are chosen from the list alone, so that both sides of a partition have the
+// same ones.
+func Voters(service string, listed []document.Host) []string {
+	byDC := make(map[string][]rankedHost)
+	for i := range listed {
+		h := &listed[i]
+		if h.State != document.HostLeaving {
+			byDC[h.DataCentre] = append(byDC[h.DataCentre], rankedHost{h.ID, voterRank(service, h.ID)})
+		}
+	}
+	var names []string
+	for name, hosts := range byDC {
+		names = append(names, name)
+		slices.SortFunc(hosts, compareRank)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return compareRank(rankedHost{a, voterRank(service, a)}, rankedHost{b, voterRank(service, b)})
+	})
+	var voters []string
+	for n := 0; len(voters) < MaxVoters; n++ {
+		before := len(voters)
+		for _, name := range names {
+			if hosts := byDC[name]; n < len(hosts) && len(voters) < MaxVoters {
+				voters = append(voters, hosts[n].id)
+			}
+		}
+		if len(voters) == before {
+			break
+		}
+	}
+	return voters
+}
+
+type rankedHost struct {
+	id   string
+	rank uint64
+}
+
+func compareRank(a, b rankedHost) int {
+	return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.id, b.id))
+}
+
+func voterRank(service, id string) uint64 {
+	return xxhash.Sum64String("voter\x00" + service + "\x00" + id)
+}
+
+// threshold is the number of voters that a quorum needs: two thirds. Two sets
+// of 6 out of 9 have a common voter also when the lists of two hosts differ in
+// two voters.
+func threshold(voters int) int { return (2*voters + 2) / 3 }
+
+// quorum is the evidence about the voters of one service.
+type quorum struct {
+	owners []string
+	voters []string
+	since  time.Time // start of the latest trouble with an owner
+}
+
+// SetQuorum sets the owner group and the voters of a service that this host
+// owns buckets of. No owners remove the service.
+func (s *State) SetQuorum(now time.Time, service string, owners, voters []string) {
+	if len(owners) == 0 {
+		delete(s.quorums, service)
+		return
+	}
+	q := s.quorums[service]
+	if q == nil {
+		q = &quorum{since: now}
+		s.quorums[service] = q
+	}
+	q.owners, q.voters = slices.Clone(owners), slices.Clone(voters)
+}
+
+// Quorum reports whether enough voters of a service have answered a probe that
+// this host sent after the latest suspicion of an owner of the service arose.
+//
+// A command may run without one of its previous owners only after that owner
+// was suspected. Answers to probes sent after the loss that caused the
+// suspicion come from this side of a partition, and the voters of two sides
+// that both have a quorum would have to overlap. So only one side has one,
+// whatever the size of the fleet. The probes needed depend on the number of
+// voters, while a majority of all hosts would have to be asked for minutes.
+func (s *State) Quorum(service string) bool {
+	q := s.quorums[service]
+	if q == nil || s.superseded {
+		return false
+	}
+	answered := 0
+	for _, id := range q.voters {
+		if s.verified(id, q.since) {
+			answered++
+		}
+	}
+	return len(q.voters) > 0 && answered >= threshold(len(q.voters))
+}
+
+func (s *State) verified(id string, since time.Time) bool {
+	if id == s.cfg.Self.ID {
+		return true
+	}
+	m := s.members[id]
+	return m != nil && m.status == Alive && m.boot != 0 && !m.answered.Before(since)
+}
+
+// quorumTrouble starts a new check of the voters of each service that an owner
+// is suspected of.
+func (s *State) quorumTrouble(now time.Time, id string) {
+	for _, q := range s.quorums {
+		if slices.Contains(q.owners, id) {
+			q.since = troubleStart(now, s.cfg.ProbeTimeout)
+		}
+	}
+}
+
+// verifyVoters probes voters whose answer a quorum waits for.
+func (s *State) verifyVoters(now time.Time, out []Outcome) []Outcome {
+	started := 0
+	for _, service := range s.sortedQuorums() {
+		q := s.quorums[service]
+		for _, id := range q.voters {
+			m := s.members[id]
+			if m == nil || m.status != Alive || s.verified(id, q.since) || s.probing(id) {
+				continue
+			}
+			if started == maxVoterProbes {
+				return out
+			}
+			started++
+			out = append(out, s.startProbe(now, id, probe{}))
+		}
+	}
+	return out
+}
+
+// probing reports whether a probe of the host waits for its answer.
+func (s *State) probing(id string) bool {
+	for _, p := range s.probes {
+		if p.target == id && p.relayFor == nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) sortedQuorums() []string {
+	names := make([]string, 0, len(s.quorums))
+	for name := range s.quorums {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -127,6 +127,7 @@
 	}
 	if before.Status == Alive && m.status != Alive {
 		s.majority.trouble(now, s.cfg.ProbeTimeout)
+		s.quorumTrouble(now, u.ID)
 	}
 	if m.status != Suspect {
 		delete(s.suspects, u.ID)
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -42,6 +42,7 @@
 	suspects map[string]time.Time // when each suspect is declared dead
 	updates  queue
 	majority majority
+	quorums  map[string]*quorum // by service
 
 	lastEvent time.Time // the latest Tick or Receive
 	nextProbe time.Time
@@ -86,6 +87,7 @@
 		probes:    make(map[uint64]*probe),
 		suspects:  make(map[string]time.Time),
 		updates:   queue{byID: make(map[string]*queued)},
+		quorums:   make(map[string]*quorum),
 		lastEvent: now,
 		nextProbe: now,
 	}
@@ -244,7 +246,7 @@
 			out = append(out, s.startProbe(now, id, probe{}))
 		}
 	}
-	return s.verify(now, out)
+	return s.verifyVoters(now, s.verify(now, out))
 }
 
 // advance notices a pause.
@@ -267,6 +269,9 @@
 	}
 	s.nextProbe = now
 	s.majority.since = now
+	for _, q := range s.quorums {
+		q.since = now
+	}
 }
 
 func (s *State) nextTarget() (string, bool) {
--- a/internal/route/snapshot.go
+++ b/internal/route/snapshot.go
@@ -80,6 +80,9 @@
 	return host != NoHost && slices.Contains(s.group, int(host))
 }
 
+// Group returns the host indexes of the owner group. It must not be changed.
+func (s *Service) Group() []int { return s.group }
+
 // Backend is one backend server of a service.
 type Backend struct {
 	Addr       netip.AddrPort // GUE address
