--- a/internal/command/sim_test.go
+++ b/internal/command/sim_test.go
@@ -66,7 +66,11 @@
 	ran     map[string]int
 	sheds   int // number of requests to reject first
 	service time.Duration
+	varies  bool // run times from half to one and a half of service
 	answer  string
+
+	running, most int
+	busyFor       time.Duration
 }
 
 type simEvent struct {
@@ -316,14 +320,23 @@
 	if s.fault("backend", h.id, "").lost {
 		return
 	}
+	service := b.service
+	if b.varies {
+		service += time.Duration((s.rand.Float64() - 0.5) * float64(service))
+	}
 	body := fmt.Sprintf(`{"jsonrpc":"2.0","id":%q,"result":%q}`, m.ID, "done "+m.ID+b.answer)
 	if b.sheds > 0 {
 		b.sheds--
+		b.running++ // until its reply
 		body = fmt.Sprintf(`{"jsonrpc":"2.0","id":%q,"error":{"code":-32001,"message":"shed"}}`, m.ID)
 	} else {
 		b.ran[m.ID]++
+		b.running++
+		b.most = max(b.most, b.running)
+		b.busyFor += service
 	}
-	s.at(s.now.Add(b.service), nil, func() {
+	s.at(s.now.Add(service), nil, func() {
+		b.running--
 		s.send("reply", "", h, func(h *simHost) {
 			s.do(h, h.runner.Reply(s.now, o.Backend, o.Flow, []byte(body), false))
 		})
