command: let commands wait for a slot

Cause: an admitting host refuses a command at once when every slot is busy, although a slot becomes free within milliseconds. A host that has just taken over the role refuses every command for seconds.

Change: the admitting host keeps a queue for each backend server, in order of arrival. A slot that becomes free goes to the command that has waited longest. The owner first asks its candidates to run the command at once; a refusal tells how long the wait would be, and the owner lets the command wait where that is shortest. A command is refused at once when its expected start leaves too little time for the run (mean and four mean deviations of the run times, at most half of the deadline), and later when the time for its start has passed. At most 64 commands wait for a backend server, and 32 of one owner, since each is a call in progress on a connection that carries 64 and claims need room. A waiting command has not been sent: a planned stop refuses it with "leaving", a change of the admitting host with "not_admitting_host", a pause with "not_serving", each as not run. A repeat of the run joins it; another owner of a non-idempotent command does not, since both could then try it elsewhere. Callers are still told no_slot; the counter run_refused has slot_queue_full, slot_wait_too_long and slot_wait_expired.

Tests: the slots of the fakes have Check; the sim can limit slots and vary run times. No case of an existing test has changed.

Next: the search for a free slot, duplicates of refused runs, and what is passed on a takeover.

--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -139,20 +139,24 @@
 	b.inherited = min(b.inherited, max(busy, 0))
 }
 
+// Check says what Acquire would, without effect on the counters.
+func (s *Slots) Check(now time.Time, addr netip.AddrPort, deadline time.Time) Refusal {
+	b := s.backends[addr]
+	if b == nil || !b.owned {
+		return RefusedUnknown
+	}
+	return b.check(now, deadline)
+}
+
 // Acquire grants a slot for a command that ends by deadline. The slot is held
 // until Release, also past the deadline: the backend server may still work.
 func (s *Slots) Acquire(now time.Time, addr netip.AddrPort, deadline time.Time) (Token, Refusal) {
-	b := s.backends[addr]
-	refusal := RefusedUnknown
-	if b != nil && b.owned {
-		refusal = b.check(now, deadline)
-	}
-	if refusal != Granted {
+	if refusal := s.Check(now, addr, deadline); refusal != Granted {
 		countSlotRefusal(refusal)
 		return Token{}, refusal
 	}
 	s.next++
-	b.held[s.next] = deadline
+	s.backends[addr].held[s.next] = deadline
 	return Token{Backend: addr, id: s.next}, Granted
 }
 
--- a/internal/command/claim.go
+++ b/internal/command/claim.go
@@ -47,7 +47,7 @@
 type runState struct {
 	phase         phase
 	request       Request
-	candidates    []Candidate
+	options       options
 	attempt       int
 	claimingSince time.Time
 	attemptEnds   time.Time
--- a/internal/command/fault_test.go
+++ b/internal/command/fault_test.go
@@ -111,7 +111,7 @@
 func leave(id string) step {
 	return func(s *sim) {
 		s.hosts[id].state.Leave()
-		s.hosts[id].runner.Leave()
+		s.do(s.hosts[id], s.hosts[id].runner.Leave(s.now))
 	}
 }
 
--- a/internal/command/load_test.go
+++ b/internal/command/load_test.go
@@ -30,9 +30,16 @@
 	return &backendSlots{limit: limit, held: make(map[Token]netip.AddrPort), busy: make(map[netip.AddrPort]int)}
 }
 
-func (b *backendSlots) Acquire(_ time.Time, backend netip.AddrPort, _ time.Time) (Token, Refusal) {
+func (b *backendSlots) Check(_ time.Time, backend netip.AddrPort, _ time.Time) Refusal {
 	if b.busy[backend] >= b.limit {
-		return 0, "busy"
+		return SlotsBusy
+	}
+	return ""
+}
+
+func (b *backendSlots) Acquire(now time.Time, backend netip.AddrPort, deadline time.Time) (Token, Refusal) {
+	if refusal := b.Check(now, backend, deadline); refusal != "" {
+		return 0, refusal
 	}
 	b.next++
 	b.held[b.next] = backend
@@ -76,6 +83,7 @@
 	}
 	start, rate := s.now, load*loadBackends*loadSlots/loadRunTime.Seconds()
 	end := start.Add(time.Duration(seconds) * time.Second)
+	s.measureTo = end
 	var sent []time.Duration
 	for t := start; t.Before(end); t = t.Add(time.Duration(s.rand.ExpFloat64() / rate * float64(time.Second))) {
 		id, method := fmt.Sprint(len(sent)), [...]string{"shutoff", "shutoff", "status"}[len(sent)%3]
--- a/internal/command/message.go
+++ b/internal/command/message.go
@@ -84,6 +84,8 @@
 	// Expires is the deadline on the admitting host's clock in Unix
 	// milliseconds, 0 when the owner does not know that clock yet.
 	Expires int64 `json:"expires,omitempty"`
+	// Wait lets the command wait for a slot.
+	Wait bool `json:"wait,omitempty"`
 }
 
 // flow returns the flow of the caller's packets.
@@ -103,12 +105,14 @@
 )
 
 // RunReply answers a RunRequest. Clock is the admitting host's clock in Unix
-// milliseconds.
+// milliseconds. WaitMS is how long the command would wait for a slot, 0 when it
+// may not wait.
 type RunReply struct {
 	Outcome RunOutcome      `json:"outcome"`
 	Reason  Reason          `json:"reason,omitempty"`
 	Answer  json.RawMessage `json:"answer,omitempty"`
 	Clock   int64           `json:"clock"`
+	WaitMS  int64           `json:"wait_ms,omitempty"`
 }
 
 // CompleteRequest tells the other owner how a command ended.
--- a/internal/command/property_test.go
+++ b/internal/command/property_test.go
@@ -147,6 +147,15 @@
 // TestAtMostOnce guards P6 and P7 under any interleaving of losses,
 // duplicates, delays, deaths, restarts, pauses, partitions and repeats.
 func TestAtMostOnce(t *testing.T) {
+	testAtMostOnce(t, func() Slots { return &freeSlots{} })
+}
+
+// TestAtMostOnceWaiting guards the same while commands wait for slots.
+func TestAtMostOnceWaiting(t *testing.T) {
+	testAtMostOnce(t, func() Slots { return newBackendSlots(1) })
+}
+
+func testAtMostOnce(t *testing.T, slots func() Slots) {
 	parameters := gopter.DefaultTestParametersWithSeed(7)
 	parameters.MinSuccessfulTests = 200
 	told := make(map[int]int)
@@ -154,6 +163,10 @@
 	properties.Property("non-idempotent commands run at most once and not run is true", prop.ForAll(
 		func(seed int64, events []uint16) string {
 			f := newFleet(t, seed)
+			f.slots = slots
+			for _, h := range f.hosts {
+				h.runner.slots = slots()
+			}
 			fault := f.play(events)
 			for _, answers := range f.answers {
 				for _, a := range answers {
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -120,14 +120,15 @@
 		s.notRun(now, c, ReasonDeadline)
 		return
 	}
-	if r.attempt >= len(r.candidates) {
+	more := r.options.left() > 1
+	candidate, wait, ok := r.options.next()
+	if !ok {
 		s.notRun(now, c, last)
 		return
 	}
-	if c.idempotent && r.attempt+1 < len(r.candidates) {
+	if c.idempotent && more {
 		remaining = max(minAttempt, remaining/2)
 	}
-	candidate := r.candidates[r.attempt]
 	r.attempt++
 	r.phase = phaseRunning
 	r.attemptEnds = now.Add(remaining + runMargin)
@@ -135,7 +136,7 @@
 		ClaimKey: c.key, ClaimOwner: c.owner, Digest: c.digest, Target: c.flow.Destination(),
 		Backend: candidate.Backend, Attempt: r.attempt, Idempotent: c.idempotent,
 		Method: r.request.Method, Params: r.request.Params, DeadlineMS: milliseconds(remaining),
-		Expires: s.expires(candidate.Host, now.Add(remaining)),
+		Expires: s.expires(candidate.Host, now.Add(remaining)), Wait: wait,
 	}})
 }
 
@@ -180,6 +181,7 @@
 	case reply.Outcome == RunAnswered:
 		s.answered(now, c, reply.Answer)
 	case reply.Outcome == RunNotRun:
+		c.run.options.refused(time.Duration(reply.WaitMS) * time.Millisecond)
 		s.retry(now, c, reply.Reason)
 	case reply.Outcome == RunMismatch:
 		s.unknown(now, c, ReasonMismatch)
@@ -213,10 +215,13 @@
 			return
 		}
 	}
-	if c.run.attempt < len(c.run.candidates) && !s.retries.take(now, 1) {
+	if c.run.options.search() && !s.retries.take(now, 1) {
 		countRetry(ReasonRetryBudget)
-		s.notRun(now, c, reason)
-		return
+		c.run.options.stopSearch()
+		if c.run.options.left() == 0 {
+			s.notRun(now, c, reason)
+			return
+		}
 	}
 	countRetry(reason)
 	s.nextRun(now, c, reason)
--- a/internal/command/runner.go
+++ b/internal/command/runner.go
@@ -15,8 +15,18 @@
 // Refusal says why no slot was given, empty when one was.
 type Refusal string
 
-// Slots gives out the command slots of backend servers.
+// Refusals that end by themselves: a command may wait.
+const (
+	SlotsBusy     Refusal = "busy"
+	SlotsTakeover Refusal = "takeover" // the previous admitting host's commands may hold them
+)
+
+func (r Refusal) temporary() bool { return r == SlotsBusy || r == SlotsTakeover }
+
+// Slots gives out the command slots of backend servers. Check says what
+// Acquire would, and does not count refusals.
 type Slots interface {
+	Check(now time.Time, backend netip.AddrPort, deadline time.Time) Refusal
 	Acquire(now time.Time, backend netip.AddrPort, deadline time.Time) (Token, Refusal)
 	Release(Token)
 }
@@ -36,7 +46,7 @@
 	id      string
 }
 
-// run is one request at a backend server.
+// run is one request at a backend server, or one that waits for a slot of it.
 type run struct {
 	key        runKey
 	claim      ClaimKey
@@ -46,6 +56,10 @@
 	deadline   time.Time
 	cancelled  bool
 	token      Token
+	sentAt     time.Time
+
+	request *RunRequest // while it waits
+	startBy time.Time
 }
 
 // seen is what a Runner remembers of the runs of a non-idempotent command.
@@ -74,19 +88,31 @@
 	queue []expiry
 	out   []Outcome
 
+	queues  map[netip.AddrPort]*slotQueue
+	waiting map[string]int // commands that wait for a slot, by owner
+	ticked  time.Time      // newest Expire
 	leaving bool
 }
 
 // NewRunner returns a Runner without commands in progress.
 func NewRunner(cfg Config, slots Slots) *Runner {
 	cfg.setDefaults()
-	return &Runner{cfg: cfg, slots: slots, runs: make(map[runKey]*run), seen: make(map[ClaimKey]*seen)}
+	return &Runner{
+		cfg: cfg, slots: slots, runs: make(map[runKey]*run), seen: make(map[ClaimKey]*seen),
+		queues: make(map[netip.AddrPort]*slotQueue), waiting: make(map[string]int),
+	}
 }
 
-// Leave refuses new runs; those in progress finish.
-func (r *Runner) Leave() { r.leaving = true }
+// Leave refuses new runs and those that wait for a slot; those at backend
+// servers finish.
+func (r *Runner) Leave(now time.Time) []Outcome {
+	r.leaving = true
+	r.endWaiting(now, ReasonLeaving, func(*run) bool { return true })
+	return r.take()
+}
 
-// InProgress returns the number of commands at backend servers.
+// InProgress returns the number of commands at backend servers and of those
+// that wait for a slot.
 func (r *Runner) InProgress() int { return len(r.runs) }
 
 func (r *Runner) take() []Outcome {
@@ -141,11 +167,26 @@
 	case s == nil && !m.Idempotent && len(r.seen) >= MaxSeen:
 		return r.refuse(now, call, RunNotRun, ReasonSeenFull)
 	}
+	return r.acquire(now, call, &m, key, deadline)
+}
+
+// acquire starts a command when a slot is free and no other command waits for
+// it.
+func (r *Runner) acquire(now time.Time, call uint64, m *RunRequest, key runKey, deadline time.Time) []Outcome {
+	if q := r.queues[m.Backend]; q != nil {
+		r.startWaiting(now, q)
+		if len(q.waiting) > 0 {
+			return r.noSlot(now, call, m, key, deadline)
+		}
+	}
 	token, refusal := r.slots.Acquire(now, m.Backend, deadline.Add(cancelGrace))
-	if refusal != "" {
+	switch {
+	case refusal.temporary():
+		return r.noSlot(now, call, m, key, deadline)
+	case refusal != "":
 		return r.refuse(now, call, RunNotRun, ReasonNoSlot)
 	}
-	r.send(now, call, &m, key, deadline, token)
+	r.send(now, r.accept(now, call, m, key, deadline), m, token)
 	return r.take()
 }
 
@@ -165,27 +206,39 @@
 	return 0, ""
 }
 
-// join lets a repeated call wait for the run in progress.
+// join lets a repeated call wait for the run in progress. A command that has
+// not been sent may still be refused as not run, and then only one owner may
+// try it elsewhere.
 func (r *Runner) join(now time.Time, call uint64, m *RunRequest, current *run) []Outcome {
-	if current.digest != m.Digest || current.claim != m.ClaimKey {
+	switch {
+	case current.digest != m.Digest || current.claim != m.ClaimKey:
 		return r.refuse(now, call, RunMismatch, ReasonMismatch)
+	case current.request != nil && !m.Idempotent && current.request.ClaimOwner != m.ClaimOwner:
+		return r.refuse(now, call, RunUnknown, ReasonSeen)
 	}
 	countRepeat(ReasonPending)
 	current.calls = append(current.calls, call)
 	return r.take()
 }
 
-func (r *Runner) send(now time.Time, call uint64, m *RunRequest, key runKey, deadline time.Time, token Token) {
+// accept records a run that is sent or waits, so that repeats join it.
+func (r *Runner) accept(now time.Time, call uint64, m *RunRequest, key runKey, deadline time.Time) *run {
 	current := &run{
 		key: key, claim: m.ClaimKey, digest: m.Digest, idempotent: m.Idempotent,
-		calls: []uint64{call}, deadline: deadline, token: token,
+		calls: []uint64{call}, deadline: deadline,
 	}
 	r.runs[key] = current
 	r.order = append(r.order, current)
 	if !m.Idempotent {
 		r.remember(now, m, current)
 	}
-	r.out = append(r.out, SendBackend{m.Backend, key.flow, backendRequest(m, deadline.Sub(now))})
+	return current
+}
+
+func (r *Runner) send(now time.Time, current *run, m *RunRequest, token Token) {
+	current.token, current.sentAt, current.request = token, now, nil
+	r.queueOf(now, m.Backend).running++
+	r.out = append(r.out, SendBackend{m.Backend, current.key.flow, backendRequest(m, current.deadline.Sub(now))})
 }
 
 func (r *Runner) remember(now time.Time, m *RunRequest, current *run) {
@@ -209,6 +262,9 @@
 		return nil
 	}
 	current := r.runs[runKey{backend, flow, p.id}]
+	if current != nil && current.request != nil {
+		current = nil // it has not been sent
+	}
 	switch {
 	case current == nil && passOn:
 		r.out = append(r.out, PassReply{ReplyRequest{backend, flow.Source(), flow.Destination(), body}})
@@ -218,11 +274,14 @@
 		return nil
 	case current.cancelled:
 		countReplyDropped(ReasonLate)
-		r.release(current)
-		return nil
+		r.release(now, current)
+		return r.take()
+	}
+	if !p.shed {
+		r.queueOf(now, backend).runTime.add(now.Sub(current.sentAt))
 	}
 	r.end(now, current, r.result(p, body))
-	r.release(current)
+	r.release(now, current)
 	return r.take()
 }
 
@@ -249,36 +308,40 @@
 	}
 }
 
-func (r *Runner) release(current *run) {
+// release returns the slot of a run to the command that has waited longest.
+func (r *Runner) release(now time.Time, current *run) {
 	delete(r.runs, current.key)
 	r.slots.Release(current.token)
+	q := r.queueOf(now, current.key.backend)
+	q.running--
+	r.startWaiting(now, q)
 }
 
-// Expire cancels runs whose deadline has passed and forgets old claims. It
-// must be called several times per second.
+// Expire cancels runs whose deadline has passed, refuses those that have waited
+// too long and forgets old claims. It must be called several times per second.
 func (r *Runner) Expire(now time.Time) []Outcome {
-	kept := r.order[:0]
+	r.tick(now)
 	for _, current := range r.order {
-		if r.runs[current.key] != current {
-			continue
-		}
-		r.expireRun(now, current)
 		if r.runs[current.key] == current {
-			kept = append(kept, current)
+			r.expireRun(now, current)
 		}
 	}
-	clear(r.order[len(kept):])
-	r.order = kept
+	r.order = slices.DeleteFunc(r.order, func(current *run) bool { return r.runs[current.key] != current })
 	r.forget(now)
 	return r.take()
 }
 
 func (r *Runner) expireRun(now time.Time, current *run) {
 	switch {
+	case current.request != nil:
+		if now.After(current.startBy) {
+			r.refuseWaiting(now, current, ReasonWaitExpired)
+		}
 	case current.cancelled && !now.Before(current.deadline.Add(cancelGrace)):
-		r.release(current)
+		r.release(now, current)
 	case !current.cancelled && !now.Before(current.deadline):
 		current.cancelled = true
+		r.queueOf(now, current.key.backend).runTime.add(now.Sub(current.sentAt))
 		r.out = append(r.out, Cancel{current.key.backend, current.key.flow, cancelNotification(current.key.id)})
 		countRunRefused(ReasonNoAnswer)
 		r.end(now, current, RunReply{Outcome: RunUnknown, Reason: ReasonNoAnswer})
--- a/internal/command/sim_test.go
+++ b/internal/command/sim_test.go
@@ -38,6 +38,9 @@
 	// fault decides about each message: kind is a method, "backend", "reply" or "request".
 	fault   func(kind, from, to string) simFault
 	answers map[string][]simAnswer // by request id
+	slots   func() Slots           // of a host that starts
+
+	measureTo time.Time
 }
 
 type simFault struct {
@@ -70,7 +73,7 @@
 	answer  string
 
 	running, most int
-	busyFor       time.Duration
+	busyFor       time.Duration // before measureTo
 }
 
 type simEvent struct {
@@ -82,9 +85,16 @@
 
 type freeSlots struct{ taken, limit int }
 
-func (f *freeSlots) Acquire(time.Time, netip.AddrPort, time.Time) (Token, Refusal) {
+func (f *freeSlots) Check(time.Time, netip.AddrPort, time.Time) Refusal {
 	if f.limit > 0 && f.taken >= f.limit {
-		return 0, "busy"
+		return SlotsBusy
+	}
+	return ""
+}
+
+func (f *freeSlots) Acquire(time.Time, netip.AddrPort, time.Time) (Token, Refusal) {
+	if refusal := f.Check(time.Time{}, netip.AddrPort{}, time.Time{}); refusal != "" {
+		return 0, refusal
 	}
 	f.taken++
 	return Token(f.taken), ""
@@ -96,6 +106,7 @@
 		tb: tb, now: testStart, rand: rand.New(rand.NewSource(1)), hosts: make(map[string]*simHost),
 		backends: make(map[netip.AddrPort]*simBackend), answers: make(map[string][]simAnswer),
 		fault: func(string, string, string) simFault { return simFault{} },
+		slots: func() Slots { return &freeSlots{} },
 	}
 	for _, id := range hosts {
 		s.hosts[id] = &simHost{id: id}
@@ -113,7 +124,7 @@
 	h.boot++
 	h.dead = false
 	cfg := Config{Self: id, Boot: h.boot<<32 | uint64(id[0])<<24}
-	h.state, h.runner = New(cfg, s.now), NewRunner(cfg, &freeSlots{})
+	h.state, h.runner = New(cfg, s.now), NewRunner(cfg, s.slots())
 	h.calls = make(map[uint64]func(RunReply))
 	s.tick(h)
 }
@@ -333,7 +344,7 @@
 		b.ran[m.ID]++
 		b.running++
 		b.most = max(b.most, b.running)
-		b.busyFor += service
+		b.busyFor += max(0, min(service, s.measureTo.Sub(s.now)))
 	}
 	s.at(s.now.Add(service), nil, func() {
 		b.running--
--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -252,8 +252,7 @@
 		key: key, owner: ClaimOwner{s.cfg.Self, s.nextNonce()}, bucket: in.Bucket, digest: req.Digest,
 		state: Pending, idempotent: in.Idempotent, flow: in.Flow, waiting: true, deadline: now.Add(deadline),
 		run: &runState{
-			request: req, claimingSince: now,
-			candidates: append([]Candidate(nil), in.Candidates[:min(maxCandidates, len(in.Candidates))]...),
+			request: req, claimingSince: now, options: newOptions(in.Candidates),
 		},
 	}
 	s.table.insert(now, c)
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -246,8 +246,13 @@
 func (c *control) acceptRun(now time.Time, m command.RunRequest, done runDone) {
 	c.nextCall++
 	c.runCalls[c.nextCall] = runCall{backend: m.Backend, done: done}
-	admits := c.serving && c.admittingHost(m.Backend) == c.d.settings.HostID && c.servesCommands(&m)
-	c.performCommands(now, c.runner.Run(now, c.nextCall, m, admits))
+	c.performCommands(now, c.runner.Run(now, c.nextCall, m, c.admitsRun(&m)))
+}
+
+// admitsRun reports whether this host admits the commands of the backend
+// server of a run.
+func (c *control) admitsRun(m *command.RunRequest) bool {
+	return c.serving && c.admittingHost(m.Backend) == c.d.settings.HostID && c.servesCommands(m)
 }
 
 // servesCommands reports whether the backend server belongs to the service.
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -272,7 +272,7 @@
 	c.leaving, c.leftAt, c.dirty, c.changes.hosts = true, now, true, true
 	level.Info(c.logger).Log("msg", "leaving")
 	c.commands.Leave()
-	c.runner.Leave()
+	c.performCommands(now, c.runner.Leave(now))
 	c.carryOut(now, c.members.Leave(now))
 }
 
--- a/internal/daemon/slots.go
+++ b/internal/daemon/slots.go
@@ -44,11 +44,29 @@
 	held  map[command.Token]admission.Token
 }
 
+// slotRefusal translates a refusal of the admission slots.
+func slotRefusal(r admission.Refusal) command.Refusal {
+	switch r {
+	case admission.Granted:
+		return ""
+	case admission.RefusedBusy:
+		return command.SlotsBusy
+	case admission.RefusedTakeover:
+		return command.SlotsTakeover
+	}
+	return command.Refusal(r.String())
+}
+
+// Check says whether a slot of a backend server is free.
+func (s *commandSlots) Check(now time.Time, backend netip.AddrPort, deadline time.Time) command.Refusal {
+	return slotRefusal(s.slots.Check(now, backend, deadline))
+}
+
 // Acquire takes a slot of a backend server.
 func (s *commandSlots) Acquire(now time.Time, backend netip.AddrPort, deadline time.Time) (command.Token, command.Refusal) {
 	token, refusal := s.slots.Acquire(now, backend, deadline)
 	if refusal != admission.Granted {
-		return 0, command.Refusal(refusal.String())
+		return 0, slotRefusal(refusal)
 	}
 	if s.held == nil {
 		s.held = map[command.Token]admission.Token{}
