command: do not run a duplicate of a refused run

Cause: an admitting host remembers only the runs that it accepted. A duplicate of a run that it refused for want of a slot is run when a slot is free by then, although the owner may have told the caller "not run". The calls between entry hosts do not repeat a message; the tests of this package do. Change: the admitting host also remembers the attempts of non-idempotent commands that it refused for want of a slot or as not the admitting host, for as long as runs, and refuses their duplicates. Another owner is refused only after a run.

Conclusion: "not run" also holds against duplicates of refused runs.

--- a/internal/command/reason.go
+++ b/internal/command/reason.go
@@ -54,6 +54,12 @@
 	ReasonUnmatched   Reason = "unmatched"
 )
 
+// isWait reports whether a reason says why a command does not wait for a slot.
+// Only counters distinguish these; callers are told ReasonNoSlot.
+func (r Reason) isWait() bool {
+	return r == ReasonQueueFull || r == ReasonWaitTooLong || r == ReasonWaitExpired
+}
+
 var (
 	requests = metrics.NewCounter("nutmeglatch_command_requests_total")
 	answers  = metrics.NewCounter("nutmeglatch_command_answers_total")
--- a/internal/command/runner.go
+++ b/internal/command/runner.go
@@ -69,9 +69,16 @@
 	running *run
 	mayRun  bool // a run was started and not surely rejected
 	tried   []netip.AddrPort
+	refused []attempt
 	expires time.Time
 }
 
+// attempt names a run message.
+type attempt struct {
+	owner  ClaimOwner
+	number int
+}
+
 // expiry is a place in the queue of claims to forget.
 type expiry struct {
 	key ClaimKey
@@ -132,6 +139,21 @@
 	return r.take()
 }
 
+// refuseAttempt refuses a run that was possible at another time. Its duplicates
+// are not run, since the caller may have been told that it did not run.
+func (r *Runner) refuseAttempt(now time.Time, call uint64, m *RunRequest, reason Reason, wait time.Duration) []Outcome {
+	if !m.Idempotent {
+		s := r.remember(now, m)
+		s.refused = append(s.refused, attempt{m.ClaimOwner, m.Attempt})
+	}
+	countRunRefused(reason)
+	if reason.isWait() {
+		reason = ReasonNoSlot
+	}
+	r.finish(now, call, RunReply{Outcome: RunNotRun, Reason: reason, WaitMS: milliseconds(wait)})
+	return r.take()
+}
+
 // Run handles a command.run call. admits says whether this host is the
 // admitting host of the backend server and the backend server belongs to the
 // service.
@@ -160,12 +182,12 @@
 		return r.refuse(now, call, RunNotRun, ReasonDeadline)
 	case r.leaving:
 		return r.refuse(now, call, RunNotRun, ReasonLeaving)
-	case !admits:
-		return r.refuse(now, call, RunNotRun, ReasonNotAdmitted)
 	case r.runs[key] != nil:
 		return r.refuse(now, call, RunNotRun, ReasonTried)
 	case s == nil && !m.Idempotent && len(r.seen) >= MaxSeen:
 		return r.refuse(now, call, RunNotRun, ReasonSeenFull)
+	case !admits:
+		return r.refuseAttempt(now, call, &m, ReasonNotAdmitted, 0)
 	}
 	return r.acquire(now, call, &m, key, deadline)
 }
@@ -184,7 +206,7 @@
 	case refusal.temporary():
 		return r.noSlot(now, call, m, key, deadline)
 	case refusal != "":
-		return r.refuse(now, call, RunNotRun, ReasonNoSlot)
+		return r.refuseAttempt(now, call, m, ReasonNoSlot, 0)
 	}
 	r.send(now, r.accept(now, call, m, key, deadline), m, token)
 	return r.take()
@@ -195,7 +217,9 @@
 	switch {
 	case s.digest != m.Digest:
 		return RunMismatch, ReasonMismatch
-	case s.mayRun || s.owner != m.ClaimOwner:
+	case slices.Contains(s.refused, attempt{m.ClaimOwner, m.Attempt}):
+		return RunNotRun, ReasonTried
+	case len(s.tried) > 0 && (s.mayRun || s.owner != m.ClaimOwner):
 		return RunUnknown, ReasonSeen
 	}
 	if slices.Contains(s.tried, m.Backend) {
@@ -230,7 +254,8 @@
 	r.runs[key] = current
 	r.order = append(r.order, current)
 	if !m.Idempotent {
-		r.remember(now, m, current)
+		s := r.remember(now, m)
+		s.owner, s.running, s.mayRun, s.tried = m.ClaimOwner, current, true, append(s.tried, m.Backend)
 	}
 	return current
 }
@@ -241,15 +266,16 @@
 	r.out = append(r.out, SendBackend{m.Backend, current.key.flow, backendRequest(m, current.deadline.Sub(now))})
 }
 
-func (r *Runner) remember(now time.Time, m *RunRequest, current *run) {
+func (r *Runner) remember(now time.Time, m *RunRequest) *seen {
 	s := r.seen[m.ClaimKey]
 	if s == nil {
-		s = &seen{digest: m.Digest, owner: m.ClaimOwner}
+		s = &seen{digest: m.Digest}
 		r.seen[m.ClaimKey] = s
 		r.queue = append(r.queue, expiry{m.ClaimKey, now.Add(r.cfg.Retention)})
 	}
-	s.running, s.mayRun, s.tried = current, true, append(s.tried, m.Backend)
-	s.expires = current.deadline.Add(r.cfg.Retention)
+	end := now.Add(time.Duration(m.DeadlineMS)*time.Millisecond + r.cfg.Retention)
+	s.expires = laterOf(s.expires, end)
+	return s
 }
 
 // Reply handles a packet of flow that a backend server sent to the caller.
--- a/internal/command/wait.go
+++ b/internal/command/wait.go
@@ -82,11 +82,11 @@
 	wait, startBy := q.expectedWait(), q.startBy(now, deadline)
 	switch {
 	case len(q.waiting) >= MaxWaiting || r.waiting[m.Origin] >= MaxWaitingOfOwner:
-		return r.refuseSlot(now, call, ReasonQueueFull, 0)
+		return r.refuseAttempt(now, call, m, ReasonQueueFull, 0)
 	case now.Add(wait).After(startBy):
-		return r.refuseSlot(now, call, ReasonWaitTooLong, 0)
+		return r.refuseAttempt(now, call, m, ReasonWaitTooLong, 0)
 	case !m.Wait:
-		return r.refuseSlot(now, call, ReasonNoSlot, max(time.Millisecond, wait))
+		return r.refuseAttempt(now, call, m, ReasonNoSlot, max(time.Millisecond, wait))
 	}
 	current := r.accept(now, call, m, key, deadline)
 	current.request, current.startBy = m, startBy
@@ -106,14 +106,6 @@
 	}
 }
 
-// refuseSlot refuses a command for want of a slot. Only the counter tells why it
-// does not wait.
-func (r *Runner) refuseSlot(now time.Time, call uint64, why Reason, wait time.Duration) []Outcome {
-	countRunRefused(why)
-	r.finish(now, call, RunReply{Outcome: RunNotRun, Reason: ReasonNoSlot, WaitMS: milliseconds(wait)})
-	return r.take()
-}
-
 // startWaiting starts the commands that have waited longest for a slot of a
 // backend server, as far as slots are free. After a pause another host may
 // admit the backend server's commands; Expire then ends the waiting.
@@ -145,7 +137,7 @@
 	r.dequeue(current)
 	delete(r.runs, current.key)
 	countRunRefused(reason)
-	if reason == ReasonWaitExpired {
+	if reason.isWait() {
 		reason = ReasonNoSlot
 	}
 	r.end(now, current, RunReply{Outcome: RunNotRun, Reason: reason})
--- a/internal/command/wait_test.go
+++ b/internal/command/wait_test.go
@@ -44,6 +44,7 @@
 	}
 	otherOwner := func(m *RunRequest) { m.Origin = "b" }
 	atOnce := func(m *RunRequest) { m.Wait = false }
+	again := func(m *RunRequest) { m.Attempt = 2 }
 	first := askStep(0, 1, nil, "send")
 	tests := []struct {
 		name  string
@@ -54,6 +55,10 @@
 			askStep(4*ms, 4, nil), endStep(5*ms, 2, "answered", "send"), endStep(6*ms, 3, "answered", "send"), endStep(7*ms, 4, "answered"),
 		}},
 		{"owner looks for a free slot elsewhere", []waitStep{first, askStep(1*ms, 2, atOnce, "not run no_slot"), endStep(2*ms, 1, "answered")}},
+		{"duplicate of a refused run", []waitStep{
+			first, askStep(1*ms, 2, atOnce, "not run no_slot"), endStep(2*ms, 1, "answered"),
+			askStep(3*ms, 2, atOnce, "not run backend_server_tried"), askStep(4*ms, 2, again, "send"), endStep(5*ms, 2, "answered"),
+		}},
 		{"repeat joins", []waitStep{
 			first, askStep(1*ms, 2, nil), askStep(2*ms, 2, nil), endStep(3*ms, 1, "answered", "send"), endStep(4*ms, 2, "answered", "answered"),
 		}},
