command: look for a free slot without the retry budget

Cause: the retry budget (20% of requests) also limits the search for a free slot, although a refusal for want of a slot sends nothing to a backend server. Most commands wait at the first candidate. Commands that a leaving admitting host hands back find the budget used up. Change: the second candidate is always asked for a free slot; further ones use the budget. A refusal because another host admits the backend server's commands uses no budget, and lets the owner ask the candidates that it had left out.

New cases of TestFaults: repeats, death, pause and planned stop while a command waits. What is refused in planned stops is left to the takeover.

--- a/internal/command/fault_test.go
+++ b/internal/command/fault_test.go
@@ -119,6 +119,16 @@
 	return func(s *sim) { s.hosts[id].state.table.maxClaims = n }
 }
 
+// waits sends a command while no slot is free at its admitting hosts c and b.
+func waits(s *sim) {
+	for _, id := range []string{"b", "c"} {
+		s.hosts[id].runner.slots = &freeSlots{taken: 1, limit: 1}
+	}
+	s.request("a", "1", "shutoff", Candidate{s.backend(1), "c"}, Candidate{s.backend(2), "b"})
+}
+
+func free(id string) step { return func(s *sim) { s.hosts[id].runner.slots = &freeSlots{} } }
+
 func busy(s *sim) { s.hosts["c"].runner.slots = &freeSlots{taken: 1, limit: 1} }
 
 func views(o Owners, hosts ...string) step {
@@ -202,6 +212,16 @@
 	{"owner pauses before the claim and wakes after the takeover, with a view that is still stale",
 		play(pause("a", 3*sec), command("a"), at(2*sec, takeover), at(2200*ms, command("b")),
 			at(3100*ms, views(ab, "a")), at(3200*ms, command("a"))), "-32002 claim_not_stored", 1, 3},
+	{"waits for a slot", play(waits, at(sec, free("c"))), "answer", 1, 1},
+	{"repeat while it waits", play(waits, at(500*ms, waits), at(sec, free("c"))), "answer", 1, 1},
+	{"admitting host leaves while it waits", play(waits, at(sec, leave("c")), at(2*sec, free("b"))), "answer", 1, 1},
+	{"admitting host pauses while it waits",
+		play(waits, at(sec, pause("c", 2*sec)), at(2*sec, free("b"), free("c"))), "answer", 1, 1},
+	{"admitting host dies while it waits", play(waits, at(sec, kill("c"))), "-32002 no_answer", 0, 1},
+	{"owner dies while it waits",
+		play(waits, at(sec, kill("a"), takeover), at(2*sec, free("c"), command("b"))), "-32002 no_answer", 1, 1},
+	{"owner pauses while it waits",
+		play(waits, at(sec, pause("a", 2*sec)), at(2*sec, free("c"))), "answer", 1, 1},
 	{"majority lost", play(minority("a", ab), command("a")), "-32002 no_majority", 0, 1},
 	{"majority lost while waiting for the claim",
 		play(command("a"), at(2*ms, minority("a", ab))), "-32002 no_majority", 0, 1},
--- a/internal/command/options.go
+++ b/internal/command/options.go
@@ -7,8 +7,9 @@
 // the wait is shortest.
 type options struct {
 	list    []option
-	asked   int // those before this index have been asked
-	current int // asked last
+	asked   int  // those before this index have been asked
+	current int  // asked last
+	stopped bool // the candidates that have not been asked are left out
 }
 
 type option struct {
@@ -25,18 +26,17 @@
 }
 
 // search reports whether there are candidates that have not been asked.
-func (o *options) search() bool { return o.asked < len(o.list) }
-
-// stopSearch leaves out the candidates that have not been asked.
-func (o *options) stopSearch() { o.list = o.list[:o.asked] }
+func (o *options) search() bool { return !o.stopped && o.asked < len(o.list) }
 
 // refused records what the candidate that was asked last says about waiting.
 func (o *options) refused(wait time.Duration) { o.list[o.current].wait = wait }
 
 // left returns how many more times a candidate can be asked.
-func (o *options) left() int {
-	n := len(o.list) - o.asked
-	for i := range o.list[:o.asked] {
+func (o *options) left() (n int) {
+	if o.search() {
+		n = len(o.list) - o.asked
+	}
+	for i := range o.list {
 		if o.list[i].wait > 0 {
 			n++
 		}
--- a/internal/command/reason.go
+++ b/internal/command/reason.go
@@ -54,6 +54,13 @@
 	ReasonUnmatched   Reason = "unmatched"
 )
 
+// moved reports whether a run was refused because another host admits the
+// commands of the backend server. Nothing was sent, so that another attempt
+// adds no load to backend servers and needs no retry budget.
+func (r Reason) moved() bool {
+	return r == ReasonLeaving || r == ReasonNotAdmitted || r == ReasonNotServing
+}
+
 // isWait reports whether a reason says why a command does not wait for a slot.
 // Only counters distinguish these; callers are told ReasonNoSlot.
 func (r Reason) isWait() bool {
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// freeSearch is the number of candidates that are asked for a free slot before
+// the retry budget limits the search. The second one shortens waiting most.
+const freeSearch = 2
+
 func (s *State) storeClaim(now time.Time, c *claim, to string) {
 	c.run.claimTo, c.run.claimSent, c.run.claimWaiting = to, now, true
 	c.run.stored, c.run.peerComplete = false, false
@@ -215,10 +219,13 @@
 			return
 		}
 	}
-	if c.run.options.search() && !s.retries.take(now, 1) {
+	options := &c.run.options
+	options.stopped = options.stopped && !reason.moved()
+	free := reason.moved() || reason == ReasonNoSlot && c.run.attempt < freeSearch
+	if !free && options.search() && !s.retries.take(now, 1) {
 		countRetry(ReasonRetryBudget)
-		c.run.options.stopSearch()
-		if c.run.options.left() == 0 {
+		options.stopped = true
+		if options.left() == 0 {
 			s.notRun(now, c, reason)
 			return
 		}
