standin: answer string prefixes with their own indexes

Cause: the platform stand-in answered every read with the index of the whole store, so that each change ended every blocking read. The Consul KV HTTP API answers a recursive read with the newest index below its string prefix. Change: the index of an answer is that of its prefix, deletions included, or that of the store when the prefix holds nothing. A blocking read waits until the index rises above its own. The stand-in also answers ?keys and reads of one key, serves on a given listener, and can silence one prefix or set an index back. The store is in its own file.

--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -5,12 +5,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
-	"sort"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,13 +38,12 @@
 
 	mu      sync.Mutex
 	mode    PlatformMode
-	index   uint64
-	values  map[string]platformValue
-	stale   map[string]platformValue
-	staleAt uint64
+	now     platformStore
+	stale   platformStore
+	silent  map[string]bool // keys and prefixes whose reads are never answered
 	changed chan struct{}
 
-	reads atomic.Int64
+	reads, sent atomic.Int64
 }
 
 // NewPlatform serves on the address until Close.
@@ -57,12 +52,17 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Platform{addr: l.Addr(), index: 1, values: map[string]platformValue{}, changed: make(chan struct{})}
+	return ServePlatform(l), nil
+}
+
+// ServePlatform serves on a listener until Close.
+func ServePlatform(l net.Listener) *Platform {
+	p := &Platform{addr: l.Addr(), now: newPlatformStore(), silent: map[string]bool{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv/", p.serveKV)
 	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = p.server.Serve(l) }()
-	return p, nil
+	return p
 }
 
 // URL returns the base URL of the configuration service.
@@ -71,64 +71,72 @@
 // Reads returns the number of reads so far; a waiting watch counts as one.
 func (p *Platform) Reads() int64 { return p.reads.Load() }
 
+// SentBytes returns the bytes of all response bodies so far.
+func (p *Platform) SentBytes() int64 { return p.sent.Load() }
+
 // Close stops the server and ends waiting reads.
 func (p *Platform) Close() { _ = p.server.Close() }
 
 // Put publishes a value and wakes the waiting reads.
 func (p *Platform) Put(key string, raw []byte) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.index++
-	p.values[key] = platformValue{index: p.index, raw: append([]byte(nil), raw...)}
-	p.wake()
+	p.change(func() { p.now.put(key, p.now.index+1, raw) })
+}
+
+// PutAt publishes a value with a given index, as a service does that was
+// restored from a copy.
+func (p *Platform) PutAt(key string, index uint64, raw []byte) {
+	p.change(func() { p.now.put(key, index, raw) })
+}
+
+// Delete removes a value. Its index remains as that of a deletion.
+func (p *Platform) Delete(key string) {
+	p.change(func() { p.now.remove(key) })
+}
+
+// Silence stops answering the reads of a key or prefix, or answers them again.
+func (p *Platform) Silence(path string, silent bool) {
+	p.change(func() { p.silent[path] = silent })
 }
 
 // SetMode changes the way in which the platform answers.
 func (p *Platform) SetMode(mode PlatformMode) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if mode == PlatformStale {
-		p.stale, p.staleAt = copyValues(p.values), p.index
-	}
-	p.mode = mode
-	p.wake()
+	p.change(func() {
+		if mode == PlatformStale {
+			p.stale = p.now.clone()
+		}
+		p.mode = mode
+	})
 }
 
-func (p *Platform) wake() {
+// change applies f and wakes the waiting reads.
+func (p *Platform) change(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f()
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
-func copyValues(in map[string]platformValue) map[string]platformValue {
-	out := make(map[string]platformValue, len(in))
-	for k, v := range in {
-		out[k] = v
-	}
-	return out
-}
-
 // view returns what a read sees now, and the channel that a change closes.
-func (p *Platform) view() (PlatformMode, uint64, map[string]platformValue, <-chan struct{}) {
+func (p *Platform) view(q platformQuery) (PlatformMode, platformAnswer, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.silent[q.path] {
+		return PlatformSilent, platformAnswer{}, p.changed
+	}
 	if p.mode == PlatformStale {
-		return p.mode, p.staleAt, p.stale, p.changed
+		return p.mode, p.stale.read(q), p.changed
 	}
-	return p.mode, p.index, copyValues(p.values), p.changed
+	return p.mode, p.now.read(q), p.changed
 }
 
 func (p *Platform) serveKV(w http.ResponseWriter, r *http.Request) {
 	p.reads.Add(1)
-	prefix := strings.TrimPrefix(r.URL.Path, "/v1/kv/")
-	after, _ := strconv.ParseUint(r.URL.Query().Get("index"), 10, 64)
-	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
-	if err != nil || wait > maxWait {
-		wait = maxWait
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	q := parsePlatformQuery(r.URL)
+	ctx, cancel := context.WithTimeout(r.Context(), q.wait)
 	defer cancel()
 	for {
-		mode, index, values, changed := p.view()
+		mode, answer, changed := p.view(q)
 		switch {
 		case mode == PlatformDown:
 			http.Error(w, "service unavailable", http.StatusServiceUnavailable)
@@ -136,42 +144,15 @@
 		case mode == PlatformSilent:
 			<-r.Context().Done()
 			return
-		case after == 0 || index != after:
-			writeKV(w, prefix, index, values)
+		case q.after == 0 || answer.index > q.after:
+			p.sent.Add(answer.write(w, q))
 			return
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			writeKV(w, prefix, index, values)
+			p.sent.Add(answer.write(w, q))
 			return
 		}
 	}
 }
-
-// kvEntry is one element of the answer of the Consul KV HTTP API.
-type kvEntry struct {
-	Key         string
-	ModifyIndex uint64
-	CreateIndex uint64
-	LockIndex   uint64
-	Flags       uint64
-	Value       []byte
-}
-
-func writeKV(w http.ResponseWriter, prefix string, index uint64, values map[string]platformValue) {
-	entries := []kvEntry{}
-	for key, v := range values {
-		if strings.HasPrefix(key, prefix) {
-			entries = append(entries, kvEntry{Key: key, ModifyIndex: v.index, CreateIndex: 1, Value: v.raw})
-		}
-	}
-	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
-	if len(entries) == 0 {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	_ = json.NewEncoder(w).Encode(entries)
-}
