Read the platform in shards above 100 documents

Cause: each read returns the whole prefix. At 6,900 documents a reader gets 9.9 MB for every change (1.4 MB a second) and every host 166 KB a second from its slow poll. Change: the keys are divided into string prefixes, by the first character of a name above 100 documents and by two above 3,000. Two hosts of each data centre watch each shard; the choice is pure code in configsync. The poll reads shards in rotation. At two characters only shards with documents are watched, because an empty prefix is answered with the index of the whole store; a list of names for each first character finds new ones. Up to 100 documents nothing changes. A failure that one loop reported ends with the next success of any.

Bytes per read with headers (go test ./internal/platform -run '^$' -bench ShardRead -benchtime 200ms -cpu 2) at 10, 1,000, 6,900 documents: whole 14,479 1,433,056 9,893,650 one character 1,868 40,554 281,235 two characters 1,567 2,706 9,064 names 155 699 4,008 BenchmarkRead is unchanged within noise (0.21, 21, 148 ms before 0.21, 22, 161 ms, first=false). Computed from the rates of docs/CAPACITY.md (go test ./internal/configsync -run '^$' -bench Shards), bytes per second of a watching host and of the poll: 10 documents, 7 hosts 2,083 + 241 before and after 1,000 documents, 100 hosts 206,000 + 24,000 before, 3,846 + 1,903 after 6,900 documents, 5,700 hosts 1,420,000 + 166,000 before, 446 + 249 after and calls per second of the fleet: 1.0 + 0.1, 10 + 5, 340 + 190 (watch + poll). Tests: TestShardContract has the faults. It fails without the linger of watches that were given up, without the restart of an index that goes backwards, and without the reads of new names; TestShardFailureEnds fails without the shared failure state. Conclusion: document reads are below 1 KB a second per host at the target. Names that share their first two characters stay one shard, and the host list is still one value.

--- /dev/null
+++ b/internal/configsync/shards_test.go
@@ -0,0 +1,157 @@
+package configsync
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/platform"
+)
+
+// randomServices returns n services whose names begin with random characters.
+func randomServices(n int) map[string]*document.Service {
+	random := rand.New(rand.NewPCG(1, 1))
+	services := map[string]*document.Service{}
+	for i := range n {
+		name := fmt.Sprintf("%c%c%d", firstCharacters[random.IntN(len(firstCharacters))], firstCharacters[random.IntN(len(firstCharacters))], i)
+		services[name] = nil
+	}
+	return services
+}
+
+func hostNames(n int) []string {
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("host-%d", i)
+	}
+	return names
+}
+
+// TestShardDepth guards against sizes of today that are read in parts, against
+// a depth that alternates at its bound, and against hosts with too many
+// watches.
+func TestShardDepth(t *testing.T) {
+	rows := []struct{ before, documents, hosts, want int }{
+		{0, 0, 1, 0}, {0, 100, 7, 0}, {0, 101, 7, 1}, {1, 81, 7, 1}, {1, 80, 7, 0},
+		{0, 3000, 800, 1}, {0, 3001, 800, 2}, {1, 3001, 43, 2}, {2, 2401, 800, 2}, {2, 2400, 800, 1},
+		{1, 6900, 42, 1}, {2, 6900, 42, 2}, {2, 6900, 34, 1}, {2, 6900, 1, 1}, {2, 10, 800, 0},
+	}
+	for _, row := range rows {
+		if got := nextDepth(row.before, row.documents, row.hosts); got != row.want {
+			t.Errorf("%+v: depth %d", row, got)
+		}
+	}
+}
+
+// TestShardsHoldEveryName guards against a document that no watch and no poll
+// reads.
+func TestShardsHoldEveryName(t *testing.T) {
+	for _, n := range []int{200, 4000} {
+		services := randomServices(n)
+		services["q"], services["x-y"] = nil, nil
+		var s Shards
+		plan := s.Plan(services, "host-1", "a", hostNames(50))
+		keys := []string{document.DataCentresKey, document.HostsKey}
+		for name := range services {
+			keys = append(keys, document.ServiceKeyPrefix+name)
+		}
+		for _, key := range keys {
+			if !slices.ContainsFunc(plan.Shards, func(s platform.Shard) bool {
+				return s.Scope != platform.ScopeNames && strings.HasPrefix(key, s.Prefix)
+			}) {
+				t.Errorf("%d documents: no shard holds %s", n, key)
+			}
+		}
+		for _, c := range firstCharacters {
+			if prefix := document.ServiceKeyPrefix + string(c); !slices.ContainsFunc(plan.Shards, func(s platform.Shard) bool {
+				return s.Prefix == prefix && s.Scope != platform.ScopeKey
+			}) {
+				t.Errorf("%d documents: a new name below %s is not found", n, prefix)
+			}
+		}
+	}
+}
+
+// TestShardWatchers guards against a shard that fewer than two hosts watch,
+// and against watches that move when an unrelated host leaves.
+func TestShardWatchers(t *testing.T) {
+	services := randomServices(4000)
+	watchers := func(hosts []string) map[platform.Shard][]string {
+		found := map[platform.Shard][]string{}
+		for _, self := range hosts {
+			var s Shards
+			for _, shard := range s.Plan(services, self, "a", hosts).Watch {
+				found[shard] = append(found[shard], self)
+			}
+		}
+		return found
+	}
+	hosts := hostNames(100)
+	before, after := watchers(hosts), watchers(hosts[1:])
+	for shard, ids := range before {
+		if len(ids) != ReadersPerDataCentre {
+			t.Errorf("%v is watched by %v", shard, ids)
+		}
+		if !slices.Contains(ids, hosts[0]) && !slices.Equal(ids, after[shard]) {
+			t.Errorf("%v moved from %v to %v", shard, ids, after[shard])
+		}
+	}
+	for self, n := range watches(before) {
+		if n > 64 {
+			t.Errorf("%s has %d watches", self, n)
+		}
+	}
+}
+
+func watches(shards map[platform.Shard][]string) map[string]int {
+	counts := map[string]int{}
+	for _, ids := range shards {
+		for _, id := range ids {
+			counts[id]++
+		}
+	}
+	return counts
+}
+
+// BenchmarkShards measures the choice of the shards of one host of seven data
+// centres, and reports what its plan costs at the rate of changes of the
+// target: the calls of the whole fleet, and the bytes that a watching host
+// receives if a document has 1,446 bytes in a response and changes are spread
+// evenly. Reads of the host list are left out.
+func BenchmarkShards(b *testing.B) {
+	const dataCentres = 7
+	for _, size := range []struct{ documents, hosts int }{{10, 7}, {1000, 7}, {1000, 100}, {6900, 7}, {6900, 1900}, {6900, 5700}} {
+		b.Run(fmt.Sprintf("documents=%d/hosts=%d", size.documents, size.hosts), func(b *testing.B) {
+			services := randomServices(size.documents)
+			ids := hostNames(size.hosts / dataCentres)
+			var s Shards
+			var plan *platform.Plan
+			for b.Loop() {
+				s = Shards{}
+				plan = s.Plan(services, ids[0], "a", ids)
+			}
+			shards, polls, changes := 1.0, 1.0, 0.061+0.083
+			if plan != nil {
+				shards, polls, changes = float64(len(plan.Shards)), float64(plan.Polls), 0.061
+			}
+			watchers := float64(min(ReadersPerDataCentre, len(ids)) * dataCentres)
+			rate := returnsPerSecond(changes / shards)
+			body := float64(size.documents) / shards * 1446
+			perHost := max(1, watchers*shards/float64(size.hosts))
+			b.ReportMetric(shards, "shards")
+			b.ReportMetric(perHost, "watches/host")
+			b.ReportMetric(watchers*shards*rate, "watch-calls/s")
+			b.ReportMetric(float64(size.hosts)*polls/60, "poll-calls/s")
+			b.ReportMetric(perHost*rate*body, "watch-B/s")
+			b.ReportMetric(polls/60*body, "poll-B/s")
+		})
+	}
+}
+
+// returnsPerSecond is the rate at which a blocking read returns that ends with
+// a change or after 55 s.
+func returnsPerSecond(changes float64) float64 { return changes / -math.Expm1(-changes*55) }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -38,6 +37,8 @@
 
 	members *membership.State
 	config  *configsync.State
+	shards  configsync.Shards
+	planned int // documents for which the reads of the platform were chosen
 	builder *route.Builder
 	sync    syncState
 
@@ -235,7 +236,7 @@
 }
 
 // membersChanged applies the membership to the owners of flows and to the
-// choice of the platform's readers.
+// choice of what this host reads of the platform.
 func (c *control) membersChanged(now time.Time) {
 	c.dirty, c.changes.hosts = true, true
 	addrs := map[string]netip.AddrPort{}
@@ -244,7 +245,7 @@
 	}
 	c.d.listed.Store(&addrs)
 	c.d.probes.Retain(func(id string) bool { _, ok := addrs[id]; return ok })
-	c.chooseReaders()
+	c.chooseReads()
 }
 
 // paused stops serving after this process was not run for a while: its view
@@ -315,12 +316,3 @@
 }
 
 func isLive(s membership.Status) bool { return s == membership.Alive || s == membership.Suspect }
-
-// chooseReaders decides whether this host keeps a blocking read open on the
-// platform.
-func (c *control) chooseReaders() {
-	dc := c.d.settings.DataCentre
-	ids := c.live(func(m *membership.Member) bool { return m.Host.DataCentre == dc && m.Status == membership.Alive })
-	ids = append(ids, c.d.settings.HostID)
-	c.d.reader.Store(slices.Contains(configsync.Readers(dc, ids), c.d.settings.HostID))
-}
--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
 )
 
@@ -51,3 +52,18 @@
 		t.Fatal("did not leave after the quiet time")
 	}
 }
+
+// Guards against sizes of today that are read in shards, and against a plan
+// that does not follow the documents.
+func TestReadsFollowDocuments(t *testing.T) {
+	documents := benchDocuments(101, 1)
+	c := newBenchControl(t, 3, documents[:100])
+	if c.d.plan.Load() != nil || !c.d.reader.Load() {
+		t.Fatal("100 documents are not read as a whole")
+	}
+	c.offered(c.clock, "services/s0100", c.config.OfferParsed(c.clock, configsync.Platform, documents[100]))
+	c.publish(c.clock)
+	if plan := c.d.plan.Load(); plan == nil || len(plan.Watch) != len(plan.Shards) {
+		t.Errorf("101 documents: plan %+v, want one in which the only host of a data centre watches every shard", plan)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -65,7 +65,8 @@
 	events     chan event
 	lastPacket atomic.Int64 // time since start in nanoseconds
 	lastTick   atomic.Int64 // tick of the control loop whose effects are published
-	reader     atomic.Bool  // keeps a blocking read open on the platform
+	reader     atomic.Bool  // keeps a blocking read open on all keys of the platform
+	plan       atomic.Pointer[platform.Plan]
 }
 
 // New opens the sockets of the entry host. Run must be called afterwards.
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -12,6 +13,7 @@
 
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/membership"
 	"github.com/nutmeglatch/nutmeglatch/internal/platform"
 	"github.com/nutmeglatch/nutmeglatch/internal/settings"
 )
@@ -29,6 +31,7 @@
 		Wait:    s.Wait.Std(),
 		Poll:    s.Poll.Std(),
 		Reader:  d.reader.Load,
+		Plan:    d.plan.Load,
 		Dial:    d.dialPlatform,
 		Metrics: metrics.GetDefaultSet(),
 	})
@@ -80,3 +83,22 @@
 	}
 	c.push()
 }
+
+// chooseReads decides what this host reads of the platform: as one of the
+// readers of its data centre all keys, or some of the shards.
+func (c *control) chooseReads() {
+	self, dc := c.d.settings.HostID, c.d.settings.DataCentre
+	ids := c.live(func(m *membership.Member) bool { return m.Host.DataCentre == dc && m.Status == membership.Alive })
+	ids = append(ids, self)
+	services := c.config.Current().Services
+	c.planned = len(services)
+	c.d.reader.Store(slices.Contains(configsync.Readers(dc, ids), self))
+	c.d.plan.Store(c.shards.Plan(services, self, dc, ids))
+}
+
+// documentsAdded chooses the reads again when there are more documents.
+func (c *control) documentsAdded(accepted *configsync.Accepted) {
+	if len(accepted.Services) != c.planned {
+		c.chooseReads()
+	}
+}
--- a/internal/platform/bench_test.go
+++ b/internal/platform/bench_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/base64"
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/standin"
 )
 
 // benchBody returns a response with n documents of 1,000 bytes, about the size
@@ -40,7 +46,7 @@
 					if first || r.seen == nil {
 						r.seen = &digests{byKey: map[string]uint64{}}
 					}
-					if _, err := r.changed(&http.Response{Body: io.NopCloser(bytes.NewReader(body))}, index); err != nil {
+					if _, err := r.changed(b.Context(), &http.Response{Body: io.NopCloser(bytes.NewReader(body))}, index); err != nil {
 						b.Fatal(err)
 					}
 				}
@@ -49,3 +55,69 @@
 		}
 	}
 }
+
+// receiving counts the bytes that a connection receives.
+type receiving struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c receiving) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkShardRead measures one read of the platform stand-in over loopback
+// after a document below it has changed, as a watch and a poll perform it, and
+// reports the bytes that arrive, headers included. Names begin with random
+// characters. Depth 0 is the whole prefix.
+func BenchmarkShardRead(b *testing.B) {
+	const characters = "abcdefghijklmnopqrstuvwxyz0123456789"
+	for _, n := range []int{10, 1000, 6900} {
+		p, err := standin.NewPlatform("127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		random := rand.New(rand.NewPCG(1, 1))
+		value := bytes.Repeat([]byte("x"), 1000)
+		plan := &Plan{}
+		var names []string
+		for i := range n {
+			name := fmt.Sprintf("%c%c%04d", characters[random.IntN(36)], characters[random.IntN(36)], i)
+			names = append(names, name)
+			plan.Shards = append(plan.Shards, Shard{Prefix: "services/" + name[:2]})
+			p.Put("n/services/"+name, value)
+		}
+		var received atomic.Int64
+		h := NewHTTP(HTTPConfig{URL: p.URL(), Plan: func() *Plan { return plan }, Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+			return receiving{c, &received}, err
+		}}).(*httpSource)
+		for _, row := range []struct {
+			name  string
+			shard func(name string) Shard
+		}{
+			{"depth=0", func(string) Shard { return Shard{} }},
+			{"depth=1", func(name string) Shard { return Shard{Prefix: "services/" + name[:1]} }},
+			{"depth=2", func(name string) Shard { return Shard{Prefix: "services/" + name[:2]} }},
+			{"names", func(name string) Shard { return Shard{"services/" + name[:1], ScopeNames} }},
+		} {
+			b.Run(fmt.Sprintf("%s/documents=%d", row.name, n), func(b *testing.B) {
+				r := h.newReader("watch", "n/", &digests{byKey: map[string]uint64{}}, nil)
+				reads := 0
+				start := received.Load()
+				for ; b.Loop(); reads++ {
+					name := names[random.IntN(n)]
+					p.Put("n/services/"+name, value)
+					r.shard = row.shard(name)
+					if _, err := r.read(b.Context(), false); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(received.Load()-start)/float64(reads), "received-B")
+			})
+		}
+		p.Close()
+	}
+}
--- a/internal/platform/decode.go
+++ b/internal/platform/decode.go
@@ -32,14 +32,17 @@
 	return &decoder{json.NewDecoder(b), b}
 }
 
-// each calls visit for every element. An error leaves it open how many
+// each calls visit for every value.
+func (d *decoder) each(visit func(kvEntry)) error { return decodeEach(d, visit) }
+
+// decodeEach calls visit for every element. An error leaves it open how many
 // elements were visited.
-func (d *decoder) each(visit func(kvEntry)) error {
+func decodeEach[T any](d *decoder, visit func(T)) error {
 	if err := d.delimiter('['); err != nil {
 		return err
 	}
 	for d.more() {
-		var e kvEntry
+		var e T
 		if err := d.json.Decode(&e); err != nil {
 			return d.fail(err)
 		}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -45,6 +46,9 @@
 	// Reader reports whether this host keeps a blocking read open. When it
 	// returns false, the host reads once and then only polls. Default true.
 	Reader func() bool
+	// Plan divides the keys into shards that are watched and polled one by
+	// one. When it returns nil, the keys are read as a whole. Default nil.
+	Plan func() *Plan
 	// Dial opens connections. Default net.Dialer.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Metrics receives the counters. Default none.
@@ -75,6 +79,7 @@
 type httpSource struct {
 	cfg      HTTPConfig
 	counters counters
+	failing  atomic.Bool // whether the newest update of any loop was an error
 }
 
 // NewHTTP returns a source that speaks the Consul KV HTTP API.
@@ -90,28 +95,39 @@
 	if cfg.Reader == nil {
 		cfg.Reader = func() bool { return true }
 	}
+	if cfg.Plan == nil {
+		cfg.Plan = func() *Plan { return nil }
+	}
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	return &httpSource{cfg: cfg, counters: newCounters(cfg.Metrics)}
 }
 
-// Watch keeps a blocking read open and polls at long intervals beside it. The
-// two use separate connections, so that the poll still works when the
-// connection of the blocking read stops delivering data.
+// Watch keeps a blocking read open, or one for each shard of the plan that is
+// assigned to this host, and polls at long intervals beside it. Each loop uses
+// a connection of its own, so that the others still work when the connection
+// of one stops delivering data.
 func (h *httpSource) Watch(ctx context.Context, prefix string, out chan<- Update) error {
 	g, ctx := errgroup.WithContext(ctx)
 	seen := &digests{byKey: map[string]uint64{}}
-	g.Go(func() error { return h.newReader("watch", prefix, seen, out).watch(ctx) })
+	whole := h.newReader("watch", prefix, seen, out)
+	g.Go(func() error { return whole.watch(ctx, h.readsWhole) })
+	shards := &shardWatches{httpSource: h, prefix: prefix, seen: seen, out: out, running: map[Shard]*shardWatch{}}
+	g.Go(func() error { return shards.run(ctx) })
 	g.Go(func() error { return h.newReader("poll", prefix, seen, out).poll(ctx) })
 	return g.Wait()
 }
 
-// reader is one of the two loops of a source.
+// readsWhole reports whether this host keeps a blocking read open on all keys.
+func (h *httpSource) readsWhole() bool { return h.cfg.Plan() == nil && h.cfg.Reader() }
+
+// reader is one of the loops of a source.
 type reader struct {
 	*httpSource
 	kind    string
-	prefix  string
+	prefix  string // of the source
+	shard   Shard
 	out     chan<- Update
 	client  *http.Client
 	backoff backoff
@@ -120,7 +136,7 @@
 	healthy bool // whether the last read succeeded
 }
 
-// digests holds, by key, a digest of the last value that was read. The two
+// digests holds, by key, a digest of the last value that was read. The
 // loops of a source share it.
 type digests struct {
 	mu    sync.Mutex
@@ -159,19 +175,15 @@
 	}
 }
 
-// watch reads the values once and then keeps a blocking read open whenever
-// this host is a reader of its data centre.
-func (r *reader) watch(ctx context.Context) error {
+// watch reads the values once and then keeps a blocking read open as long as
+// this host is assigned to do so.
+func (r *reader) watch(ctx context.Context, assigned func() bool) error {
 	defer r.client.CloseIdleConnections()
 	for {
-		start := time.Now()
-		if err := r.step(ctx, r.index > 0); err != nil {
+		if err := r.renew(ctx); err != nil {
 			return err
 		}
-		if err := sleep(ctx, r.cfg.MinInterval-time.Since(start)); err != nil {
-			return err
-		}
-		for r.index > 0 && !r.cfg.Reader() {
+		for r.index > 0 && !assigned() {
 			if err := sleep(ctx, readerCheck); err != nil {
 				return err
 			}
@@ -179,17 +191,13 @@
 	}
 }
 
-// poll reads the values at long intervals.
-func (r *reader) poll(ctx context.Context) error {
-	defer r.client.CloseIdleConnections()
-	for {
-		if err := sleep(ctx, r.cfg.Poll/4+jitter(r.cfg.Poll)); err != nil {
-			return err
-		}
-		if err := r.step(ctx, false); err != nil {
-			return err
-		}
+// renew performs one blocking read and waits until the next may start.
+func (r *reader) renew(ctx context.Context) error {
+	start := time.Now()
+	if err := r.step(ctx, r.index > 0); err != nil {
+		return err
 	}
+	return sleep(ctx, r.cfg.MinInterval-time.Since(start))
 }
 
 // step performs one read, sends its outcome, and waits after a failure. It
@@ -203,6 +211,7 @@
 	if err != nil {
 		r.counters.failed(err)
 		r.healthy = false
+		r.failing.Store(true)
 		r.client.CloseIdleConnections()
 		if err := send(ctx, r.out, Update{Index: r.index, Err: err}); err != nil {
 			return err
@@ -210,7 +219,7 @@
 		return sleep(ctx, r.backoff.next())
 	}
 	r.backoff.reset()
-	recovered := !r.healthy
+	recovered := r.failing.Swap(false) || !r.healthy
 	r.healthy = true
 	if len(values) == 0 && !recovered {
 		return nil
@@ -269,7 +278,7 @@
 		r.advance(index)
 		return nil, nil
 	}
-	return r.changed(resp, index)
+	return r.changed(ctx, resp, index)
 }
 
 // maxDrain is the length of a body that is read to its end only to keep the
@@ -289,13 +298,26 @@
 }
 
 // changed decodes a body and records its index once it is complete.
-func (r *reader) changed(resp *http.Response, index uint64) ([]KeyValue, error) {
+func (r *reader) changed(ctx context.Context, resp *http.Response, index uint64) ([]KeyValue, error) {
 	d := newDecoder(resp.Body, r.cfg.MaxBody)
+	if r.shard.Scope == ScopeNames {
+		return r.listed(ctx, d, index)
+	}
+	values, err := r.decode(d)
+	if err != nil {
+		return nil, err
+	}
+	r.advance(index)
+	return values, nil
+}
+
+// decode returns the values of a body that differ from those read before.
+func (r *reader) decode(d *decoder) ([]KeyValue, error) {
 	var values []KeyValue
 	changed := make(map[string]uint64)
 	err := d.each(func(e kvEntry) {
 		key, ok := strings.CutPrefix(e.Key, r.prefix)
-		if !ok || key == "" {
+		if !ok || key == "" || !r.shard.holds(key) {
 			r.counters.entrySkipped("key")
 			return
 		}
@@ -315,7 +337,6 @@
 		return nil, err
 	}
 	r.seen.add(changed)
-	r.advance(index)
 	return values, nil
 }
 
@@ -334,11 +355,18 @@
 // url returns the request URL. A read with an index blocks until a value
 // changes or the wait is over.
 func (r *reader) url(blocking bool) string {
-	query := url.Values{"recurse": {"true"}}
+	query := url.Values{}
+	switch r.shard.Scope {
+	case ScopeBelow:
+		query.Set("recurse", "true")
+	case ScopeNames:
+		query.Set("keys", "true")
+	case ScopeKey:
+	}
 	if blocking {
 		query.Set("index", strconv.FormatUint(r.index, 10))
 		query.Set("wait", strconv.FormatInt(r.cfg.Wait.Milliseconds(), 10)+"ms")
 	}
-	path := (&url.URL{Path: "/v1/kv/" + r.prefix}).EscapedPath()
+	path := (&url.URL{Path: "/v1/kv/" + r.prefix + r.shard.Prefix}).EscapedPath()
 	return r.cfg.URL + path + "?" + query.Encode()
 }
--- /dev/null
+++ b/internal/platform/shards_test.go
@@ -0,0 +1,213 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/standin"
+)
+
+// plans of a host that watches everything.
+var (
+	shallow = &Plan{Depth: 1, Polls: 1, Shards: []Shard{{Prefix: "hosts"}, {Prefix: "services/a"}, {Prefix: "services/b"}}}
+	deep    = &Plan{Depth: 2, Polls: 1, Shards: []Shard{
+		{Prefix: "hosts"}, {"services/a", ScopeNames}, {"services/a", ScopeKey}, {Prefix: "services/ab"}, {Prefix: "services/ac"}, {Prefix: "services/b"},
+	}}
+)
+
+func init() { shallow.Watch, deep.Watch = shallow.Shards, deep.Shards }
+
+// sharded is a source that reads shards of the platform stand-in.
+type sharded struct {
+	*watched
+	platform *standin.Platform
+	plan     atomic.Pointer[Plan]
+	metrics  *metrics.Set
+}
+
+// watchShards starts a source after the values were published.
+func watchShards(t *testing.T, plan *Plan, values map[string]string) *sharded {
+	l := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+	s := &sharded{platform: standin.ServePlatform(l), metrics: metrics.NewSet()}
+	s.plan.Store(plan)
+	s.put(values)
+	t.Cleanup(s.platform.Close)
+	source := NewHTTP(HTTPConfig{URL: "http://platform.test", Dial: l.dial, Plan: s.plan.Load, Metrics: s.metrics})
+	ctx, cancel := context.WithCancel(t.Context())
+	s.watched = &watched{make(chan Update), make(chan error, 1)}
+	go func() { s.done <- source.Watch(ctx, "n/", s.out) }()
+	t.Cleanup(func() { cancel(); <-s.done })
+	return s
+}
+
+func (s *sharded) put(values map[string]string) {
+	for key, value := range values {
+		s.platform.Put("n/"+key, []byte(value))
+	}
+}
+
+func shardValues() map[string]string {
+	return map[string]string{"hosts": "h", "services/a": "one", "services/ab1": "ab", "services/ac1": "ac", "services/b1": "b"}
+}
+
+// settled lets every read of a new plan start.
+const settled = 5 * time.Second
+
+// TestShardContract runs the faults of a platform that is read in shards:
+// every change arrives, by the watch where one works, else by the poll.
+func TestShardContract(t *testing.T) {
+	rows := []struct {
+		name   string
+		plan   *Plan
+		change func(s *sharded)
+		within time.Duration
+		want   map[string]string
+	}{
+		{"value changes", deep, func(s *sharded) { s.put(map[string]string{"services/ab1": "new", "services/a": "two"}) }, time.Second, map[string]string{"services/ab1": "new", "services/a": "two"}},
+		{"shard appears below a known character", deep, func(s *sharded) { s.put(map[string]string{"services/az1": "new"}) }, time.Second, map[string]string{"services/az1": "new"}},
+		{"shard appears with many names", deep, func(s *sharded) {
+			for i := range 20 {
+				s.put(map[string]string{fmt.Sprintf("services/ay%d", i): "new"})
+			}
+		}, time.Second, nil},
+		{"shard empties and fills again", deep, func(s *sharded) {
+			s.platform.Delete("n/services/b1")
+			s.after(time.Minute)
+			s.put(map[string]string{"services/b2": "new"})
+		}, time.Second, map[string]string{"services/b2": "new"}},
+		{"empty shard appears", shallow, func(s *sharded) {
+			s.platform.Delete("n/services/b1")
+			s.after(2 * DefaultWait)
+			s.put(map[string]string{"hosts": "x", "services/b1": "back"})
+		}, time.Second, map[string]string{"hosts": "x", "services/b1": "back"}},
+		{"value changes as the depth rises", shallow, func(s *sharded) {
+			s.plan.Store(deep)
+			s.put(map[string]string{"services/ab1": "first"})
+			s.after(time.Second / 2)
+			s.put(map[string]string{"services/ab1": "new", "services/ad1": "new"})
+		}, settled, map[string]string{"services/ab1": "new", "services/ad1": "new"}},
+		{"value changes as shards are given up", deep, func(s *sharded) {
+			s.plan.Store(&Plan{Depth: 2, Polls: 1, Shards: deep.Shards})
+			s.after(5 * time.Second)
+			s.put(map[string]string{"services/ab1": "first"})
+			s.after(5 * time.Second)
+			s.put(map[string]string{"services/ab1": "new"})
+		}, time.Second, map[string]string{"services/ab1": "new"}},
+		{"index of one shard goes backwards", deep, func(s *sharded) {
+			s.platform.PutAt("n/services/ab1", 1, []byte("restored"))
+			s.after(DefaultWait * 5 / 4)
+			if n := counter(s.metrics, "nutmeglatch_platform_index_resets_total"); n != 1 {
+				t.Errorf("%d resets, want 1", n)
+			}
+			s.platform.PutAt("n/services/ab1", 2, []byte("new"))
+		}, time.Second, map[string]string{"services/ab1": "new"}},
+		{"one watch is silent, another works", deep, func(s *sharded) {
+			s.platform.Silence("n/services/ab", true)
+			s.put(map[string]string{"services/ab1": "new", "services/ac1": "new"})
+		}, time.Second, map[string]string{"services/ac1": "new"}},
+		{"platform down", deep, func(s *sharded) {
+			s.platform.SetMode(standin.PlatformDown)
+			s.put(map[string]string{"services/ab1": "new"})
+			s.after(2 * time.Minute)
+			s.platform.SetMode(standin.PlatformUp)
+		}, DefaultBackoffMax, map[string]string{"services/ab1": "new"}},
+		{"platform stale", deep, func(s *sharded) {
+			s.platform.SetMode(standin.PlatformStale)
+			s.put(map[string]string{"services/ab1": "new"})
+			if values, _ := s.after(2 * time.Minute); len(values) != 0 {
+				t.Errorf("values of a stale platform: %v", values)
+			}
+			s.platform.SetMode(standin.PlatformUp)
+		}, time.Second, map[string]string{"services/ab1": "new"}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := watchShards(t, row.plan, shardValues())
+				if values, err := s.after(settled); err != nil || len(values) != 5 {
+					t.Fatalf("first read: %v, %v", values, err)
+				}
+				row.change(s)
+				values, _ := s.after(row.within)
+				if row.want == nil && len(values) == 20 {
+					return
+				}
+				if fmt.Sprint(values) != fmt.Sprint(row.want) {
+					t.Errorf("got %v, want %v", values, row.want)
+				}
+			})
+		})
+	}
+}
+
+// TestPollReachesSilentShard guards against a shard whose watch stops
+// delivering data: the rotation of the poll reads it on another connection.
+func TestPollReachesSilentShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		polled := *deep
+		polled.Watch = nil
+		s := watchShards(t, &polled, shardValues())
+		s.after(settled)
+		s.put(map[string]string{"services/ab1": "new", "services/ad1": "new"})
+		values, err := s.after(DefaultPoll * 5 / 4 * time.Duration(len(deep.Shards)))
+		if err != nil || values["services/ab1"] != "new" || values["services/ad1"] != "new" {
+			t.Errorf("values %v, error %v", values, err)
+		}
+	})
+}
+
+// TestShardFailureEnds guards against a reported failure that outlasts the
+// watch that failed.
+func TestShardFailureEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := watchShards(t, deep, shardValues())
+		s.after(settled)
+		s.platform.Silence("n/services/ab", true)
+		if _, err := s.after(2 * DefaultWait); err == nil {
+			t.Fatal("no failure reported")
+		}
+		s.plan.Store(&Plan{Depth: 2, Polls: 1, Shards: shallow.Shards})
+		last := error(nil)
+		for end := time.After(10 * time.Minute); ; {
+			select {
+			case u := <-s.out:
+				last = u.Err
+				continue
+			case <-end:
+			}
+			break
+		}
+		if last != nil {
+			t.Errorf("the last update is %v", last)
+		}
+	})
+}
+
+// TestShardReadLoad guards against shards whose reads exceed one per wait, and
+// against a change that ends the reads of other shards.
+func TestShardReadLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := watchShards(t, deep, shardValues())
+		s.after(settled)
+		before := s.platform.Reads()
+		for i := range 10 {
+			s.put(map[string]string{"services/ab1": fmt.Sprint(i)})
+			s.after(time.Minute)
+		}
+		// Six watches of 11 reads, one poll a minute, and one read more of the
+		// shard and of the list of names for each change.
+		if reads := s.platform.Reads() - before; reads > 6*11+13+2*10 {
+			t.Errorf("%d reads in 10 minutes", reads)
+		}
+		if n := counter(s.metrics, "nutmeglatch_platform_index_resets_total"); n != 0 {
+			t.Errorf("%d resets", n)
+		}
+	})
+}
--- a/internal/platform/source.go
+++ b/internal/platform/source.go
@@ -73,7 +73,8 @@
 
 func wrapRead(reason Reason, err error) error { return &ReadError{reason, err} }
 
-// counters of a source. The kinds of reads are watch, poll and directory.
+// counters of a source. The kinds of reads are watch, poll, name (of a key that
+// a list of names showed) and directory.
 type counters struct{ set *metrics.Set }
 
 func newCounters(set *metrics.Set) counters {
@@ -87,6 +88,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("nutmeglatch_platform_reads_total{kind=%q}", kind)).Inc()
 }
 
+// watches sets the number of open blocking reads of shards.
+func (c counters) watches(n int) {
+	c.set.GetOrCreateGauge("nutmeglatch_platform_shard_watches", nil).Set(float64(n))
+}
+
 func (c counters) unchanged() {
 	c.set.GetOrCreateCounter("nutmeglatch_platform_reads_unchanged_total").Inc()
 }
