configsync: announce large values instead of pushing them

Cause: a change of the host list is pushed in full by each host to four peers, so that every host receives it 3.9 times on average. Change: a value above 4 KiB, except data centre state, is pushed as key, version and digest. The receiver fetches it once from the first host that announced it. When the fetch fails, the next announcement or the comparison of digests starts another one.

Today's host lists are below 4 KiB and pushed as before.

--- a/internal/configsync/bench_test.go
+++ b/internal/configsync/bench_test.go
@@ -177,14 +177,55 @@
 	}
 }
 
+// benchHostList returns a host list of seven data centres.
+func benchHostList(hosts int) []byte {
+	raw := []byte("version: 1\nhosts:\n")
+	for i := range hosts {
+		raw = fmt.Appendf(raw, "  - {id: host-%d, data_centre: dc-%d, region: r, address: 10.0.%d.%d, peer_port: 6090, gue_port: 6080, state: live}\n", i, i%7, i/250, i%250+1)
+	}
+	return raw
+}
+
+// copiesOfPush is the mean number of copies of a push that a host receives;
+// callBytes is what a call costs beside its parameters and result.
+const (
+	copiesOfPush = 3.9
+	callBytes    = 330
+)
+
+// BenchmarkHostListChange reports the bytes that each host receives for a
+// change of the host list: pushed as a value, and as it is pushed now.
+func BenchmarkHostListChange(b *testing.B) {
+	for _, hosts := range []int{7, 100, 1900, 5700} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			s := started()
+			s.Offer(now, Platform, document.HostsKey, benchHostList(hosts))
+			keys := []string{document.HostsKey}
+			var push, fetch []byte
+			for b.Loop() {
+				m, _ := s.PushOf(keys)
+				push, _ = json.Marshal(m)
+				fetch = nil
+				if len(m.Notices) > 0 {
+					fetch, _ = json.Marshal(FetchResponse{Values: s.Values(keys)})
+				}
+			}
+			value, _ := json.Marshal(PushMessage{Values: s.Values(keys)})
+			received := copiesOfPush * float64(len(push)+callBytes)
+			if fetch != nil {
+				received += float64(len(fetch) + callBytes)
+			}
+			b.ReportMetric(copiesOfPush*float64(len(value)+callBytes), "as-values-B")
+			b.ReportMetric(received, "received-B")
+		})
+	}
+}
+
 // BenchmarkHostListCopy measures one more copy of a host list that is in
 // effect, as pushes deliver about four of each.
 func BenchmarkHostListCopy(b *testing.B) {
 	for _, hosts := range []int{7, 100, 1900, 5700} {
-		raw := []byte("version: 1\nhosts:\n")
-		for i := range hosts {
-			raw = fmt.Appendf(raw, "  - {id: host-%d, data_centre: dc-%d, region: r, address: 10.0.%d.%d, peer_port: 6090, gue_port: 6080, state: live}\n", i, i%7, i/250, i%250+1)
-		}
+		raw := benchHostList(hosts)
 		s := New(Config{})
 		if r := s.Offer(time.Time{}, Platform, document.HostsKey, raw); !r.Accepted {
 			b.Fatal(r.Err)
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -21,9 +21,11 @@
 // blocking read open on the platform.
 const ReadersPerDataCentre = 2
 
-// PushMessage carries newly accepted values. It has no result.
+// PushMessage carries newly accepted values, and announces large ones for the
+// receiver to fetch. It has no result.
 type PushMessage struct {
-	Values []Value `json:"values"`
+	Values  []Value   `json:"values"`
+	Notices []Version `json:"notices,omitempty"`
 }
 
 // PartialMessage is the result of config.partial, which has no parameters.
@@ -132,8 +134,8 @@
 
 // Push is one message of newly accepted values and its receivers.
 type Push struct {
-	To     []string
-	Values []Value
+	To []string
+	PushMessage
 }
 
 // pushQueue holds the keys of values that wait to be pushed.
@@ -159,23 +161,24 @@
 	var pushes []Push
 	if len(keys) > 0 && priority(keys[0]) == 0 {
 		to := append(slices.Clone(group), s.pushes.pick(peers, s.cfg.Fanout)...)
-		pushes = appendPush(pushes, unique(to), s.Values(keys[:1]))
+		message, _ := s.PushOf(keys[:1])
+		pushes = appendPush(pushes, unique(to), message)
 		keys = keys[1:]
 	}
 	to := s.pushes.pick(peers, s.cfg.Fanout)
 	for len(keys) > 0 {
-		values := s.Values(keys)
-		pushes = appendPush(pushes, to, values)
-		keys = keys[len(values):]
+		message, covered := s.PushOf(keys)
+		pushes = appendPush(pushes, to, message)
+		keys = keys[covered:]
 	}
 	return pushes
 }
 
-func appendPush(pushes []Push, to []string, values []Value) []Push {
-	if len(to) == 0 || len(values) == 0 {
+func appendPush(pushes []Push, to []string, m PushMessage) []Push {
+	if len(to) == 0 || len(m.Values)+len(m.Notices) == 0 {
 		return pushes
 	}
-	return append(pushes, Push{To: to, Values: values})
+	return append(pushes, Push{To: to, PushMessage: m})
 }
 
 // pick returns n random hosts of peers.
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -130,6 +130,7 @@
 	index     index
 	refusals  refusals
 	pushes    pushQueue
+	fetches   map[string]fetching // of announced values, by key
 	current   *Accepted
 	conflicts map[netip.AddrPort]bool
 }
@@ -157,6 +158,7 @@
 		conflicts: map[netip.AddrPort]bool{},
 		refusals:  newRefusals(cfg.MaxRefusals),
 		pushes:    newPushQueue(cfg.Seed),
+		fetches:   map[string]fetching{},
 	}
 }
 
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -70,7 +70,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return true, d.offer(ctx, from, p.Values)
+	if len(p.Values) > 0 || len(p.Notices) == 0 {
+		if err := d.offer(ctx, from, p.Values); err != nil {
+			return nil, err
+		}
+	}
+	if len(p.Notices) == 0 {
+		return true, nil
+	}
+	return ask(ctx, d, func(c *control, now time.Time) bool { c.announced(now, from, p.Notices); return true })
 }
 
 func handlePartial(d *Daemon, ctx context.Context, _ string, _ json.RawMessage) (any, error) {
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -15,13 +15,14 @@
 var errClosed = net.ErrClosed
 
 var counters = struct {
-	socketErrors, sendErrors, eventsDropped, pauses, compareFailures *metrics.Counter
+	socketErrors, sendErrors, eventsDropped, pauses, compareFailures, fetchFailures *metrics.Counter
 }{
 	socketErrors:    metrics.NewCounter("nutmeglatch_daemon_socket_errors_total"),
 	sendErrors:      metrics.NewCounter("nutmeglatch_daemon_send_errors_total"),
 	eventsDropped:   metrics.NewCounter("nutmeglatch_daemon_events_dropped_total"),
 	pauses:          metrics.NewCounter("nutmeglatch_daemon_pauses_total"),
 	compareFailures: metrics.NewCounter("nutmeglatch_configsync_compare_failures_total"),
+	fetchFailures:   metrics.NewCounter("nutmeglatch_configsync_fetch_failures_total"),
 }
 
 // packetCounters are indexed by action and reason, so that counting a packet
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -177,11 +177,32 @@
 	if len(keys) == 0 {
 		return nil
 	}
-	values, err := ask(ctx, d, func(c *control, _ time.Time) []configsync.Value { return c.config.Values(keys) })
+	message, err := ask(ctx, d, func(c *control, _ time.Time) configsync.PushMessage {
+		m, _ := c.config.PushOf(keys)
+		return m
+	})
 	if err != nil {
 		return err
 	}
-	return d.environment.Call(ctx, id, configsync.MethodPush, configsync.PushMessage{Values: values}, nil)
+	return d.environment.Call(ctx, id, configsync.MethodPush, message, nil)
+}
+
+// announced fetches in the background what a peer has announced and this host
+// lacks.
+func (c *control) announced(now time.Time, from string, notices []configsync.Version) {
+	keys := c.config.Announced(now, configsync.Source{Peer: from}, notices)
+	if len(keys) == 0 {
+		return
+	}
+	d, ctx := c.d, c.ctx
+	d.environment.Go(func() {
+		ctx, cancel := d.environment.WithTimeout(ctx, configCallTimeout)
+		defer cancel()
+		if err := d.fetch(ctx, from, keys); err != nil {
+			counters.fetchFailures.Inc()
+		}
+		d.post(func(c *control, _ time.Time) { c.config.Fetched(keys) })
+	})
 }
 
 // offer gives values of a peer to the configuration.
@@ -244,7 +265,7 @@
 	group := peers[:min(len(peers), c.d.settings.Limits.GroupSize)]
 	for _, p := range c.config.TakePushes(group, peers) {
 		for _, id := range p.To {
-			c.call(id, configsync.MethodPush, configsync.PushMessage{Values: p.Values}, nil)
+			c.call(id, configsync.MethodPush, p.PushMessage, nil)
 		}
 	}
 }
