Accept one host list per data centre

Cause: each change of the host list parses the hosts of every data centre and sends them to every host. Change: the key hosts/<data centre> holds the hosts of one data centre, with a version of its own. It replaces what the value hosts says of that data centre, and a list says nothing about data centres that it does not name. It may be empty when the field is present, so that a data centre can be closed; a truncated list is rejected. Lists that arrive together are applied together. The shards read each list by itself, the directory source and the check command know the files hosts/<data centre>.yaml. A fleet with the single value hosts works as before.

TestDirectoryFaults has one fault more.

--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -69,9 +69,23 @@
 		return KindUnknown, nil, err
 	}
 	kind := recognise(filepath.Base(path), raw)
+	if dataCentre, ok := hostListOf(path); ok && (kind == KindHosts || kind == KindUnknown) {
+		_, err := document.ParseHostListOf(dataCentre, raw)
+		return KindHosts, label(path, err), nil
+	}
 	return kind, label(path, checkAs(kind, raw)), nil
 }
 
+// hostListOf returns the data centre whose host list a file of that path
+// holds: the path hosts/<data centre>.yaml stands for the key.
+func hostListOf(path string) (dataCentre string, ok bool) {
+	name, isValue := strings.CutSuffix(filepath.Base(path), platform.FileExtension)
+	if !isValue || name == document.HostsKey || filepath.Base(filepath.Dir(path)) != document.HostsKey {
+		return "", false
+	}
+	return document.HostListKey(document.HostsKeyPrefix + name)
+}
+
 // recognise determines the kind by the top-level fields, or by the name of the
 // file when no field is distinctive.
 func recognise(name string, raw []byte) Kind {
@@ -149,7 +163,7 @@
 		return nil, err
 	}
 	if len(files) == 0 && !found {
-		return nil, errors.Newf("%s holds no files; allowed: settings.yaml, datacentres.yaml, hosts.yaml, services/*.yaml", root)
+		return nil, errors.Newf("%s holds no files; allowed: settings.yaml, datacentres.yaml, hosts.yaml, hosts/*.yaml, services/*.yaml", root)
 	}
 	state := configsync.New(configsync.Config{})
 	state.Started()
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -83,6 +83,13 @@
 	edit("settings.yaml", "workers: 0", "workers: -1")
 	edit("datacentres.yaml", "out: []", "out: [substation-x]")
 	edit("hosts.yaml", "state: live", "state: dead")
+	own := filepath.Join(root, "hosts", "substation-b.yaml")
+	if err := errors.Join(os.Mkdir(filepath.Dir(own), 0o755), os.WriteFile(own, []byte("version: 1\n"), 0o644)); err != nil {
+		t.Fatal(err)
+	}
+	if kind, faults, _ := Check(own); kind != KindHosts || len(faults) != 1 {
+		t.Errorf("list of one data centre: %s %v", kind, faults)
+	}
 	edit("services/ledgerdesk.yaml", "address: 127.20.21.1", "address: 127.20.11.1")
 	_, faults, err := Check(root)
 	if err != nil {
@@ -94,6 +101,7 @@
 	}
 	want := `datacentres.yaml out substation-x
 hosts.yaml hosts[0].state "dead"
+substation-b.yaml hosts 
 ledgerdesk.yaml address 127.20.11.1:6080
 settings.yaml workers -1`
 	if strings.Join(got, "\n") != want {
--- a/internal/configsync/bench_test.go
+++ b/internal/configsync/bench_test.go
@@ -177,10 +177,12 @@
 	}
 }
 
-// benchHostList returns a host list of seven data centres.
-func benchHostList(hosts int) []byte {
+// benchHostList returns a host list of seven data centres, or of one.
+func benchHostList(hosts int) []byte { return benchHostListOf(hosts, 0, 1) }
+
+func benchHostListOf(hosts, first, step int) []byte {
 	raw := []byte("version: 1\nhosts:\n")
-	for i := range hosts {
+	for i := first; i < hosts; i += step {
 		raw = fmt.Appendf(raw, "  - {id: host-%d, data_centre: dc-%d, region: r, address: 10.0.%d.%d, peer_port: 6090, gue_port: 6080, state: live}\n", i, i%7, i/250, i%250+1)
 	}
 	return raw
@@ -194,29 +196,55 @@
 )
 
 // BenchmarkHostListChange reports the bytes that each host receives for a
-// change of the host list: pushed as a value, and as it is pushed now.
+// change of the host list: pushed as a value, and as it is pushed now. The
+// list is that of all hosts or of one of seven data centres.
 func BenchmarkHostListChange(b *testing.B) {
+	for _, hosts := range []int{7, 100, 1900, 5700} {
+		benchmarkListChange(b, fmt.Sprintf("all/hosts=%d", hosts), document.HostsKey, benchHostList(hosts))
+		benchmarkListChange(b, fmt.Sprintf("data-centre/hosts=%d", hosts), document.HostsKeyPrefix+"dc-0", benchHostListOf(hosts, 0, 7))
+	}
+}
+
+func benchmarkListChange(b *testing.B, name, key string, raw []byte) {
+	b.Run(name, func(b *testing.B) {
+		s := started()
+		if r := s.Offer(now, Platform, key, raw); !r.Accepted {
+			b.Fatal(r.Err)
+		}
+		keys := []string{key}
+		var push, fetch []byte
+		for b.Loop() {
+			m, _ := s.PushOf(keys)
+			push, _ = json.Marshal(m)
+			fetch = nil
+			if len(m.Notices) > 0 {
+				fetch, _ = json.Marshal(FetchResponse{Values: s.Values(keys)})
+			}
+		}
+		value, _ := json.Marshal(PushMessage{Values: s.Values(keys)})
+		received := copiesOfPush * float64(len(push)+callBytes)
+		if fetch != nil {
+			received += float64(len(fetch) + callBytes)
+		}
+		b.ReportMetric(copiesOfPush*float64(len(value)+callBytes), "as-values-B")
+		b.ReportMetric(received, "received-B")
+	})
+}
+
+// BenchmarkHostListMerge measures the list in effect after a change of one of
+// seven lists.
+func BenchmarkHostListMerge(b *testing.B) {
 	for _, hosts := range []int{7, 100, 1900, 5700} {
 		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
 			s := started()
-			s.Offer(now, Platform, document.HostsKey, benchHostList(hosts))
-			keys := []string{document.HostsKey}
-			var push, fetch []byte
+			for dc := range 7 {
+				s.Offer(now, Platform, fmt.Sprintf("hosts/dc-%d", dc), benchHostListOf(hosts, dc, 7))
+			}
 			for b.Loop() {
-				m, _ := s.PushOf(keys)
-				push, _ = json.Marshal(m)
-				fetch = nil
-				if len(m.Notices) > 0 {
-					fetch, _ = json.Marshal(FetchResponse{Values: s.Values(keys)})
+				if merged := s.mergeHostLists().merged; len(merged.Hosts) != hosts {
+					b.Fatalf("%d hosts", len(merged.Hosts))
 				}
 			}
-			value, _ := json.Marshal(PushMessage{Values: s.Values(keys)})
-			received := copiesOfPush * float64(len(push)+callBytes)
-			if fetch != nil {
-				received += float64(len(fetch) + callBytes)
-			}
-			b.ReportMetric(copiesOfPush*float64(len(value)+callBytes), "as-values-B")
-			b.ReportMetric(received, "received-B")
 		})
 	}
 }
--- a/internal/configsync/index.go
+++ b/internal/configsync/index.go
@@ -88,17 +88,16 @@
 }
 
 // priority orders keys for transfer: data centre state first, because packets
-// for a data centre that is taken out must end soonest, then the host list,
+// for a data centre that is taken out must end soonest, then host lists,
 // then services.
 func priority(key string) int {
-	switch key {
-	case document.DataCentresKey:
+	if key == document.DataCentresKey {
 		return 0
-	case document.HostsKey:
+	}
+	if _, ok := document.HostListKey(key); ok {
 		return 1
-	default:
-		return 2
 	}
+	return 2
 }
 
 func sortByPriority[T any](list []T, key func(T) string) {
--- a/internal/configsync/parse.go
+++ b/internal/configsync/parse.go
@@ -49,6 +49,7 @@
 // parse parses the value of key, which selects its kind.
 func parse(key string, raw []byte) (parsed, error) {
 	name, isService := strings.CutPrefix(key, document.ServiceKeyPrefix)
+	dataCentre, isHostList := document.HostListKey(key)
 	switch {
 	case isService && document.ValidName(name):
 		return parseService(name, raw)
@@ -58,19 +59,30 @@
 			return parsed{}, err
 		}
 		return parsed{version: d.Version, dataCentres: d}, nil
-	case key == document.HostsKey:
-		h, err := document.ParseHostList(raw)
-		if err != nil {
-			return parsed{}, err
-		}
-		return parsed{version: h.Version, hosts: h}, nil
+	case isHostList:
+		return parseHostList(dataCentre, raw)
 	default:
 		var faults document.Faults
-		faults.Invalid("key", strconv.Quote(key), "datacentres, hosts or services/<name>")
+		faults.Invalid("key", strconv.Quote(key), "datacentres, hosts, hosts/<data centre> or services/<name>")
 		return parsed{}, faults
 	}
 }
 
+// parseHostList parses the list of a data centre, or of all without a name.
+func parseHostList(dataCentre string, raw []byte) (parsed, error) {
+	var h *document.HostList
+	var err error
+	if dataCentre == "" {
+		h, err = document.ParseHostList(raw)
+	} else {
+		h, err = document.ParseHostListOf(dataCentre, raw)
+	}
+	if err != nil {
+		return parsed{}, err
+	}
+	return parsed{version: h.Version, hosts: h}, nil
+}
+
 func parseService(name string, raw []byte) (parsed, error) {
 	s, err := document.ParseService(raw)
 	if err != nil {
--- a/internal/configsync/shards.go
+++ b/internal/configsync/shards.go
@@ -36,29 +36,31 @@
 type Shards struct {
 	depth     int
 	documents int
+	lists     int // host lists of one data centre
 	hosts     []string
 	plan      *platform.Plan
 }
 
 // Plan returns what a host reads of the platform, and nil while the keys are
 // read as a whole. Hosts are the live ones of its data centre, itself
-// included. Services are never removed, so their number shows whether the last
+// included. Values are never removed, so their number shows whether the last
 // plan still holds.
-func (s *Shards) Plan(services map[string]*document.Service, self, dataCentre string, hosts []string) *platform.Plan {
-	if s.documents == len(services) && slices.Equal(s.hosts, hosts) {
+func (s *Shards) Plan(a *Accepted, self, dataCentre string, hosts []string) *platform.Plan {
+	services := a.Services
+	if s.documents == len(services) && s.lists == len(a.HostLists) && slices.Equal(s.hosts, hosts) {
 		return s.plan
 	}
-	s.documents, s.hosts = len(services), slices.Clone(hosts)
+	s.documents, s.lists, s.hosts = len(services), len(a.HostLists), slices.Clone(hosts)
 	s.depth = nextDepth(s.depth, len(services), len(hosts))
 	s.plan = nil
 	if s.depth > 0 {
-		s.plan = makePlan(services, s.depth, self, dataCentre, hosts)
+		s.plan = makePlan(a, s.depth, self, dataCentre, hosts)
 	}
 	return s.plan
 }
 
-func makePlan(services map[string]*document.Service, depth int, self, dataCentre string, hosts []string) *platform.Plan {
-	plan := &platform.Plan{Shards: shardsOf(services, depth), Depth: depth}
+func makePlan(a *Accepted, depth int, self, dataCentre string, hosts []string) *platform.Plan {
+	plan := &platform.Plan{Shards: append(listShards(a.HostLists), shardsOf(a.Services, depth)...), Depth: depth}
 	plan.Polls = (len(plan.Shards) + len(hosts) - 1) / max(len(hosts), 1)
 	ranks := newShardRanks(dataCentre, hosts)
 	for _, shard := range plan.Shards {
@@ -84,13 +86,28 @@
 	return depth
 }
 
-// shardsOf returns the shards of a depth. At depth 2 they are those that hold
+// listShards returns the shards of data centre state and host lists. When
+// there are lists of one data centre each, they and the list of all are read
+// one by one, and their names show new ones.
+func listShards(dataCentres []string) []platform.Shard {
+	shards := []platform.Shard{{Prefix: document.DataCentresKey}}
+	if len(dataCentres) == 0 {
+		return append(shards, platform.Shard{Prefix: document.HostsKey})
+	}
+	shards = append(shards, platform.Shard{Prefix: document.HostsKey, Scope: platform.ScopeNames}, platform.Shard{Prefix: document.HostsKey, Scope: platform.ScopeKey})
+	for _, dc := range dataCentres {
+		shards = append(shards, platform.Shard{Prefix: document.HostsKeyPrefix + dc, Scope: platform.ScopeKey})
+	}
+	return shards
+}
+
+// shardsOf returns the shards of documents at a depth. At depth 2 they are those that hold
 // a known document, and for each first character a list of names that shows
 // new ones. A shard without values would not do: the platform answers it with
 // the index of the whole store, so that every change ends a blocking read of
 // it, 14 reads for each of about a thousand unused pairs of characters.
 func shardsOf(services map[string]*document.Service, depth int) []platform.Shard {
-	shards := []platform.Shard{{Prefix: document.DataCentresKey}, {Prefix: document.HostsKey}}
+	var shards []platform.Shard
 	below := shardsBelow(services, depth)
 	for _, c := range firstCharacters {
 		prefix := document.ServiceKeyPrefix + string(c)
--- a/internal/configsync/shards_test.go
+++ b/internal/configsync/shards_test.go
@@ -54,8 +54,8 @@
 		services := randomServices(n)
 		services["q"], services["x-y"] = nil, nil
 		var s Shards
-		plan := s.Plan(services, "host-1", "a", hostNames(50))
-		keys := []string{document.DataCentresKey, document.HostsKey}
+		plan := s.Plan(&Accepted{Services: services, HostLists: []string{"a"}}, "host-1", "a", hostNames(50))
+		keys := []string{document.DataCentresKey, document.HostsKey, "hosts/a"}
 		for name := range services {
 			keys = append(keys, document.ServiceKeyPrefix+name)
 		}
@@ -84,7 +84,7 @@
 		found := map[platform.Shard][]string{}
 		for _, self := range hosts {
 			var s Shards
-			for _, shard := range s.Plan(services, self, "a", hosts).Watch {
+			for _, shard := range s.Plan(&Accepted{Services: services}, self, "a", hosts).Watch {
 				found[shard] = append(found[shard], self)
 			}
 		}
@@ -132,7 +132,7 @@
 			var plan *platform.Plan
 			for b.Loop() {
 				s = Shards{}
-				plan = s.Plan(services, ids[0], "a", ids)
+				plan = s.Plan(&Accepted{Services: services}, ids[0], "a", ids)
 			}
 			shards, polls, changes := 1.0, 1.0, 0.061+0.083
 			if plan != nil {
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -103,7 +103,9 @@
 type Accepted struct {
 	Services    map[string]*document.Service
 	DataCentres *document.DataCentres // nil until the first one is accepted
-	Hosts       *document.HostList    // nil until the first one is accepted
+	Hosts       *document.HostList    // all lists together; nil until the first one is accepted
+	// HostLists names the data centres that have a host list of their own.
+	HostLists []string
 	// Conflicted holds the addresses that several accepted services claim.
 	// No service sends to them until a newer version resolves the conflict.
 	Conflicted map[netip.AddrPort]bool
@@ -132,6 +134,7 @@
 	pushes    pushQueue
 	fetches   map[string]fetching // of announced values, by key
 	current   *Accepted
+	hosts     *hostLists // nil after a change of a list
 	conflicts map[netip.AddrPort]bool
 }
 
@@ -239,10 +242,12 @@
 			a.Services[e.parsed.service.Name] = e.parsed.service
 		case e.parsed.dataCentres != nil:
 			a.DataCentres = e.parsed.dataCentres
-		case e.parsed.hosts != nil:
-			a.Hosts = e.parsed.hosts
 		}
 	}
+	if s.hosts == nil {
+		s.hosts = s.mergeHostLists()
+	}
+	a.Hosts, a.HostLists = s.hosts.merged, s.hosts.own
 	for addr := range s.conflicts {
 		a.Conflicted[addr] = true
 	}
@@ -275,4 +280,29 @@
 	s.refusals.resolve(e.Key, e.Version)
 	s.pushes.add(e.Key)
 	s.current = nil
+	if e.parsed.hosts != nil {
+		s.hosts = nil
+	}
+}
+
+// hostLists are the accepted host lists in one.
+type hostLists struct {
+	merged *document.HostList
+	own    []string // data centres with a list of their own
+}
+
+func (s *State) mergeHostLists() *hostLists {
+	var all *document.HostList
+	own := map[string]*document.HostList{}
+	for key, e := range s.values {
+		if e.parsed.hosts == nil {
+			continue
+		}
+		if dc, _ := document.HostListKey(key); dc != "" {
+			own[dc] = e.parsed.hosts
+		} else {
+			all = e.parsed.hosts
+		}
+	}
+	return &hostLists{document.MergeHostLists(all, own), sortedKeys(own)}
 }
--- a/internal/configsync/state_test.go
+++ b/internal/configsync/state_test.go
@@ -94,6 +94,35 @@
 	}
 }
 
+// TestHostLists guards against a list of one data centre whose version is
+// compared with that of another list, and against one that falls back.
+func TestHostLists(t *testing.T) {
+	host := "version: %d\nhosts:\n  - {id: %s, data_centre: %s, region: r, address: 127.0.0.1, peer_port: %d, gue_port: 2, state: live}\n"
+	s := started()
+	rows := []struct {
+		key, id, dc   string
+		version, port int
+		want          Refusal
+		hosts         int
+	}{
+		{"hosts", "b1", "b", 7, 3, RefusalNone, 1},
+		{"hosts/a", "a1", "a", 2, 4, RefusalNone, 2},
+		{"hosts/a", "a1", "a", 1, 4, RefusalOlderVersion, 2},
+		{"hosts/c", "a1", "a", 9, 5, RefusalInvalidValue, 2},
+		{"hosts/b", "b2", "b", 1, 6, RefusalNone, 2},
+		{"hosts", "b3", "b", 8, 7, RefusalNone, 2},
+	}
+	for _, row := range rows {
+		got := offer(s, row.key, fmt.Appendf(nil, host, row.version, row.id, row.dc, row.port))
+		if a := s.Current(); got != row.want || len(a.Hosts.Hosts) != row.hosts {
+			t.Errorf("%+v: %q, hosts %v", row, got, a.Hosts.Hosts)
+		}
+	}
+	if lists := s.Current().HostLists; !slices.Equal(lists, []string{"a", "b"}) {
+		t.Errorf("lists of %v", lists)
+	}
+}
+
 // TestRevertAfterRestart guards against a document that falls back when a
 // host restarts and reads a stale copy after its peers told it the newest one.
 func TestRevertAfterRestart(t *testing.T) {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -38,7 +38,7 @@
 	members *membership.State
 	config  *configsync.State
 	shards  configsync.Shards
-	planned int // documents for which the reads of the platform were chosen
+	planned int // values for which the reads of the platform were chosen
 	builder *route.Builder
 	sync    syncState
 
@@ -58,6 +58,7 @@
 	changes    changes                 // since the last snapshot
 	conflicted map[netip.AddrPort]bool // addresses in the last snapshot
 	lastError  string                  // of the platform
+	newHosts   bool                    // a host list was accepted and is not applied yet
 	limits     *limits
 
 	membersCounted map[string]uint64 // counters of the membership, as last added to the metrics
--- a/internal/daemon/environment.go
+++ b/internal/daemon/environment.go
@@ -149,5 +149,10 @@
 	if current.Hosts != nil {
 		versions[document.HostsKey] = current.Hosts.Version
 	}
+	for _, dc := range current.HostLists {
+		if v, ok := s.d.control.config.Get(document.HostsKeyPrefix + dc); ok {
+			versions[v.Key] = v.Version
+		}
+	}
 	return versions
 }
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -12,14 +12,11 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
-	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
 	"github.com/nutmeglatch/nutmeglatch/internal/platform"
 	"github.com/nutmeglatch/nutmeglatch/internal/settings"
 )
 
-const hostsKey = document.HostsKey
-
 // newSource returns the source that the settings name.
 func (d *Daemon) newSource() platform.Source {
 	s := d.settings.Platform
@@ -81,6 +78,7 @@
 	for i, v := range u.Values {
 		c.offered(now, v.Key, c.config.OfferParsed(now, configsync.Platform, candidates[i]))
 	}
+	c.applyHostLists(now)
 	c.push()
 }
 
@@ -90,15 +88,18 @@
 	self, dc := c.d.settings.HostID, c.d.settings.DataCentre
 	ids := c.live(func(m *membership.Member) bool { return m.Host.DataCentre == dc && m.Status == membership.Alive })
 	ids = append(ids, self)
-	services := c.config.Current().Services
-	c.planned = len(services)
+	accepted := c.config.Current()
+	c.planned = valuesRead(accepted)
 	c.d.reader.Store(slices.Contains(configsync.Readers(dc, ids), self))
-	c.d.plan.Store(c.shards.Plan(services, self, dc, ids))
+	c.d.plan.Store(c.shards.Plan(accepted, self, dc, ids))
 }
 
-// documentsAdded chooses the reads again when there are more documents.
-func (c *control) documentsAdded(accepted *configsync.Accepted) {
-	if len(accepted.Services) != c.planned {
+// valuesAdded chooses the reads again when there are more values.
+func (c *control) valuesAdded(accepted *configsync.Accepted) {
+	if valuesRead(accepted) != c.planned {
 		c.chooseReads()
 	}
 }
+
+// valuesRead is the number of values that the choice of reads depends on.
+func valuesRead(a *configsync.Accepted) int { return len(a.Services) + len(a.HostLists) }
--- a/internal/daemon/snapshot.go
+++ b/internal/daemon/snapshot.go
@@ -32,7 +32,7 @@
 	}
 	c.dirty = false
 	accepted := c.config.Current()
-	c.documentsAdded(accepted)
+	c.valuesAdded(accepted)
 	if !maps.Equal(c.conflicted, accepted.Conflicted) {
 		c.conflicted, c.changes.all = accepted.Conflicted, true
 	}
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -219,6 +219,7 @@
 		for i, v := range values {
 			c.offered(now, v.Key, c.config.OfferParsed(now, configsync.FromPeer(from, v), candidates[i]))
 		}
+		c.applyHostLists(now)
 		c.push()
 		return true
 	})
@@ -253,7 +254,7 @@
 	switch {
 	case r.Accepted:
 		level.Info(c.logger).Log("msg", "value accepted", "key", key)
-		c.configChanged(now, r.Keys)
+		c.configChanged(r.Keys)
 	case r.Err != nil:
 		level.Warn(c.logger).Log("msg", "value refused; the one in effect stays", "key", key, "reason", r.Refusal, "err", r.Err)
 	}
@@ -287,9 +288,8 @@
 }
 
 // configChanged applies newly accepted values.
-func (c *control) configChanged(now time.Time, keys []string) {
+func (c *control) configChanged(keys []string) {
 	c.dirty = true
-	current := c.config.Current()
 	for _, key := range keys {
 		if name, ok := strings.CutPrefix(key, document.ServiceKeyPrefix); ok {
 			c.changes.services[name] = true
@@ -298,9 +298,21 @@
 		// Data centre state and the list of leaving backend servers concern
 		// every service.
 		c.changes.hosts, c.changes.all = true, true
-		if key == hostsKey && current.Hosts != nil {
-			c.carryOut(now, c.members.SetListed(now, current.Hosts.Hosts))
-			c.membersChanged(now)
+		if _, ok := document.HostListKey(key); ok {
+			c.newHosts = true
 		}
 	}
 }
+
+// applyHostLists gives newly accepted host lists to the membership. Lists that
+// arrive together are applied together, because a host that knew only some
+// data centres would take their hosts for all.
+func (c *control) applyHostLists(now time.Time) {
+	hosts := c.config.Current().Hosts
+	if !c.newHosts || hosts == nil {
+		return
+	}
+	c.newHosts = false
+	c.carryOut(now, c.members.SetListed(now, hosts.Hosts))
+	c.membersChanged(now)
+}
--- a/internal/daemon/sync_test.go
+++ b/internal/daemon/sync_test.go
@@ -125,3 +125,21 @@
 		t.Errorf("version %d after a failed fetch and another announcement", inEffect())
 	}
 }
+
+// Guards against a list of one data centre that removes the hosts of another.
+func TestHostListsOfDataCentres(t *testing.T) {
+	host := newPair(t).hosts["host-0"]
+	list := func(i int) platform.KeyValue {
+		h := benchHost(i)
+		raw := fmt.Appendf(nil, "version: 1\nhosts:\n  - {id: %s, data_centre: %s, region: r, address: %s, peer_port: 6090, gue_port: 6080, state: live}\n", h.ID, h.DataCentre, h.Address)
+		return platform.KeyValue{Key: document.HostsKeyPrefix + h.DataCentre, Value: raw}
+	}
+	for _, values := range [][]platform.KeyValue{{list(0), list(1)}, {list(2)}} {
+		host.Platform(platform.Update{Values: values})
+	}
+	for _, id := range []string{"host-1", "host-2"} {
+		if !host.Lists(id) {
+			t.Errorf("%s is not listed", id)
+		}
+	}
+}
--- a/internal/document/check.go
+++ b/internal/document/check.go
@@ -173,6 +173,12 @@
 	c := &checker{}
 	c.version(l.Version)
 	c.Require(len(l.Hosts) > 0, "hosts", "", "at least one entry host")
+	l.checkHosts(c)
+	l.checkLeaving(c)
+	return c.Faults
+}
+
+func (l *HostList) checkHosts(c *checker) {
 	ids := map[string]bool{}
 	endpoints := map[netip.AddrPort]bool{}
 	for i := range l.Hosts {
@@ -187,8 +193,6 @@
 		c.Require(!endpoints[gue], field+".gue_port", gue.String(), "each address and port once")
 		endpoints[gue] = true
 	}
-	l.checkLeaving(c)
-	return c.Faults
 }
 
 func (h *Host) check(c *checker, field string) {
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -13,6 +13,7 @@
 	ServiceKeyPrefix = "services/"
 	DataCentresKey   = "datacentres"
 	HostsKey         = "hosts"
+	HostsKeyPrefix   = "hosts/" // of the lists of one data centre each
 )
 
 // MaxValueBytes is the largest value that the platform holds.
--- a/internal/document/parse_test.go
+++ b/internal/document/parse_test.go
@@ -45,10 +45,11 @@
 var parsers = map[string]func([]byte) error{
 	"service": func(b []byte) error { _, err := ParseService(b); return err },
 	"hosts":   func(b []byte) error { _, err := ParseHostList(b); return err },
+	"list of": func(b []byte) error { _, err := ParseHostListOf("substation-a", b); return err },
 	"state":   func(b []byte) error { _, err := ParseDataCentres(b); return err },
 }
 
-var validInputs = map[string]string{"service": validService, "hosts": validHosts, "state": validDataCentres}
+var validInputs = map[string]string{"service": validService, "hosts": validHosts, "list of": validHosts, "state": validDataCentres}
 
 func TestValidDocuments(t *testing.T) {
 	for kind, raw := range validInputs {
@@ -236,8 +237,10 @@
 	}
 }
 
+// BenchmarkParseHostList measures the list of all hosts, and that of one of
+// seven data centres.
 func BenchmarkParseHostList(b *testing.B) {
-	for _, n := range []int{7, 100, 1900, 5700} {
+	for _, n := range []int{7, 100, 1900, 5700, 1, 14, 271, 814} {
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
 			raw := []byte("version: 3\nhosts:\n")
 			for i := range n {
--- a/internal/platform/directory.go
+++ b/internal/platform/directory.go
@@ -112,7 +112,7 @@
 type File struct{ Key, Path string }
 
 // Files returns the files of a directory that hold values, data centre state
-// and host list first.
+// and host lists first.
 func Files(root string) ([]File, error) {
 	info, err := os.Stat(root)
 	if err != nil {
@@ -128,17 +128,30 @@
 			files = append(files, File{key, path})
 		}
 	}
-	entries, err := os.ReadDir(filepath.Join(root, filepath.FromSlash(document.ServiceKeyPrefix)))
+	for _, prefix := range []string{document.HostsKeyPrefix, document.ServiceKeyPrefix} {
+		below, err := filesBelow(root, prefix)
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, below...)
+	}
+	return files, nil
+}
+
+// filesBelow returns the files of the keys that begin with prefix, which ends
+// with a slash. The directory of the prefix may be missing.
+func filesBelow(root, prefix string) ([]File, error) {
+	dir := filepath.Join(root, filepath.FromSlash(prefix))
+	entries, err := os.ReadDir(dir)
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, err
 	}
+	var files []File
 	for _, e := range entries {
 		name, isValue := strings.CutSuffix(e.Name(), FileExtension)
-		if !isValue || strings.HasPrefix(name, ".") {
-			continue
+		if isValue && !strings.HasPrefix(name, ".") {
+			files = append(files, File{prefix + name, filepath.Join(dir, e.Name())})
 		}
-		path := filepath.Join(root, filepath.FromSlash(document.ServiceKeyPrefix), e.Name())
-		files = append(files, File{document.ServiceKeyPrefix + name, path})
 	}
 	return files, nil
 }
