configsync: compress fetched values above 4 KiB

Cause: with announcements and lists of one data centre each, a host still receives 10.7 KB a second of host lists at 5,700 hosts. The limit for all control traffic is 4 KB. Alternatives: the difference between two versions needs the older version at the sender or a format of its own. A host list repeats its field names for each host, so that compression saves most of the same bytes. Change: config.fetch returns values above 4 KiB compressed (DEFLATE) when the caller asks for it; a caller of an earlier release does not. Unpacked content is cut to one byte above the platform's limit. The benchmark's list has random parts in ids and addresses now, because one in order compresses better than those in use.

--- a/internal/configsync/bench_test.go
+++ b/internal/configsync/bench_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 )
 
@@ -183,7 +185,8 @@
 func benchHostListOf(hosts, first, step int) []byte {
 	raw := []byte("version: 1\nhosts:\n")
 	for i := first; i < hosts; i += step {
-		raw = fmt.Appendf(raw, "  - {id: host-%d, data_centre: dc-%d, region: r, address: 10.0.%d.%d, peer_port: 6090, gue_port: 6080, state: live}\n", i, i%7, i/250, i%250+1)
+		random := xxhash.Sum64String(fmt.Sprint(i)) // a list in order would compress better than those in use
+		raw = fmt.Appendf(raw, "  - {id: host-%d-%04x, data_centre: dc-%d, region: r, address: 10.%d.%d.%d, peer_port: 6090, gue_port: 6080, state: live}\n", i, uint16(random), i%7, i/250, uint8(random>>16), i%250+1)
 	}
 	return raw
 }
@@ -218,7 +221,7 @@
 			push, _ = json.Marshal(m)
 			fetch = nil
 			if len(m.Notices) > 0 {
-				fetch, _ = json.Marshal(FetchResponse{Values: s.Values(keys)})
+				fetch, _ = json.Marshal(FetchResponse{Values: []Value{s.Values(keys)[0].Pack()}})
 			}
 		}
 		value, _ := json.Marshal(PushMessage{Values: s.Values(keys)})
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -48,6 +48,9 @@
 // FetchRequest asks for values.
 type FetchRequest struct {
 	Keys []string `json:"keys"`
+	// Packed is set by callers that unpack values. Those of an earlier
+	// release do not.
+	Packed bool `json:"packed,omitempty"`
 }
 
 // FetchResponse is the result of config.fetch. It may hold fewer values than
--- /dev/null
+++ b/internal/configsync/pack_test.go
@@ -0,0 +1,38 @@
+package configsync
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+)
+
+// TestPack guards against content that changes on its way, and against packed
+// content that takes more memory than the largest value.
+func TestPack(t *testing.T) {
+	for _, size := range []int{0, 10, noticeBytes, noticeBytes + 1, document.MaxValueBytes, 8 * document.MaxValueBytes} {
+		raw := bytes.Repeat([]byte("x"), size)
+		packed := Value{Key: "hosts", Version: 1, Raw: raw}.Pack()
+		if len(packed.Raw)+len(packed.Packed) > noticeBytes+size/50 {
+			t.Errorf("%d bytes: packed into %d", size, len(packed.Raw)+len(packed.Packed))
+		}
+		v, err := packed.Unpack()
+		if want := raw[:min(size, document.MaxValueBytes+1)]; err != nil || !bytes.Equal(v.Raw, want) || v.Version != 1 {
+			t.Errorf("%d bytes: %d bytes after unpacking, error %v", size, len(v.Raw), err)
+		}
+	}
+	if _, err := (Value{Raw: []byte("a"), Packed: []byte("b")}).Unpack(); err == nil {
+		t.Error("two contents were accepted")
+	}
+}
+
+// FuzzUnpack guards against packed content that panics or exceeds the limit.
+func FuzzUnpack(f *testing.F) {
+	f.Add(Value{Raw: bytes.Repeat([]byte("x"), noticeBytes+1)}.Pack().Packed)
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		v, err := Value{Key: "hosts", Packed: packed}.Unpack()
+		if len(v.Raw) > document.MaxValueBytes+1 || err != nil && v.Key != "" {
+			t.Errorf("%d bytes, error %v", len(v.Raw), err)
+		}
+	})
+}
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -95,7 +95,8 @@
 	Key         string `json:"key"`
 	Version     uint64 `json:"version"`
 	Digest      uint64 `json:"digest"`
-	Raw         []byte `json:"raw"`
+	Raw         []byte `json:"raw,omitempty"`
+	Packed      []byte `json:"packed,omitempty"` // compressed content in place of Raw
 	Unconfirmed bool   `json:"unconfirmed,omitempty"`
 }
 
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -98,7 +98,19 @@
 }
 
 func handleFetch(d *Daemon, ctx context.Context, _ string, params json.RawMessage) (any, error) {
-	return answer(d, ctx, params, func(c *control, _ time.Time, p configsync.FetchRequest) configsync.FetchResponse {
-		return configsync.FetchResponse{Values: c.config.Values(p.Keys)}
-	})
+	p, err := decodeParams[configsync.FetchRequest](params)
+	if err != nil {
+		return nil, err
+	}
+	values, err := ask(ctx, d, func(c *control, _ time.Time) []configsync.Value { return c.config.Values(p.Keys) })
+	if err != nil {
+		return nil, err
+	}
+	if !p.Packed {
+		return configsync.FetchResponse{Values: values}, nil
+	}
+	for i, v := range values {
+		values[i] = v.Pack() // outside the control goroutine
+	}
+	return configsync.FetchResponse{Values: values}, nil
 }
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -149,15 +149,20 @@
 func (d *Daemon) fetch(ctx context.Context, id string, keys []string) error {
 	for len(keys) > 0 {
 		var resp configsync.FetchResponse
-		if err := d.environment.Call(ctx, id, configsync.MethodFetch, configsync.FetchRequest{Keys: keys}, &resp); err != nil {
+		if err := d.environment.Call(ctx, id, configsync.MethodFetch, configsync.FetchRequest{Keys: keys, Packed: true}, &resp); err != nil {
 			return err
 		}
 		if len(resp.Values) == 0 {
 			return nil
 		}
 		got := map[string]bool{}
-		for _, v := range resp.Values {
+		for i, v := range resp.Values {
 			got[v.Key] = true
+			var err error
+			if resp.Values[i], err = v.Unpack(); err != nil {
+				countDroppedReason("call", "packed_value")
+				return err
+			}
 		}
 		if err := d.offer(ctx, id, resp.Values); err != nil {
 			return err
