check: report hosts that several host lists name

Cause: with one host list per data centre, a host that two lists name counts once, in the data centre whose name sorts first, and nothing told the operator. Change: the check of a directory reports it. ParseHostListOf also parses the list of all data centres, so that its two callers need no case of their own. Tests: TestDirectoryFaults has one fault more than before. Conclusion: the mistake is found before lists are published.

--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -4,6 +4,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -76,6 +78,37 @@
 	return kind, label(path, checkAs(kind, raw)), nil
 }
 
+// repeatedHosts finds hosts that several host lists name. They count only once,
+// so that one of the lists does not say what its author meant. The list of all
+// data centres, which has no name, does not count for those with their own.
+func repeatedHosts(root string, lists map[string]*document.HostList) []Fault {
+	var faults []Fault
+	first := map[string]string{} // list of a host, by id
+	for _, dataCentre := range slices.Sorted(maps.Keys(lists)) {
+		var found strictyaml.Faults
+		for i, h := range lists[dataCentre].Hosts {
+			if dataCentre == "" && lists[h.DataCentre] != nil {
+				continue
+			}
+			if other, named := first[h.ID]; named {
+				found.Invalid(fmt.Sprintf("hosts[%d].id", i), h.ID, "a host that "+listFile(other)+" does not name")
+				continue
+			}
+			first[h.ID] = dataCentre
+		}
+		faults = append(faults, label(filepath.Join(root, listFile(dataCentre)), found.Err())...)
+	}
+	return faults
+}
+
+// listFile returns the path of the host list of a data centre in a directory.
+func listFile(dataCentre string) string {
+	if dataCentre == "" {
+		return document.HostsKey + platform.FileExtension
+	}
+	return filepath.Join(document.HostsKey, dataCentre+platform.FileExtension)
+}
+
 // hostListOf returns the data centre whose host list a file of that path
 // holds: the path hosts/<data centre>.yaml stands for the key.
 func hostListOf(path string) (dataCentre string, ok bool) {
@@ -167,6 +200,7 @@
 	}
 	state := configsync.New(configsync.Config{})
 	state.Started()
+	lists := map[string]*document.HostList{}
 	for _, f := range files {
 		raw, err := platform.ReadFile(f.Path, document.MaxValueBytes+1)
 		if err != nil {
@@ -174,8 +208,12 @@
 		}
 		result := state.Offer(time.Time{}, configsync.Platform, f.Key, raw)
 		faults = append(faults, label(f.Path, result.Err)...)
+		if dataCentre, ok := document.HostListKey(f.Key); ok && result.Accepted {
+			lists[dataCentre], _ = document.ParseHostListOf(dataCentre, raw)
+		}
 	}
 	faults = append(faults, crossChecks(root, state.Current())...)
+	faults = append(faults, repeatedHosts(root, lists)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.File, b.File) })
 	return faults, nil
 }
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -83,8 +83,11 @@
 	edit("settings.yaml", "workers: 0", "workers: -1")
 	edit("datacentres.yaml", "out: []", "out: [substation-x]")
 	edit("hosts.yaml", "state: live", "state: dead")
+	listed := "version: 1\nhosts: [{id: x-1, data_centre: substation-a, region: ga-north, address: 127.20.1.1, peer_port: 1, gue_port: 2, state: live}]\n"
 	own := filepath.Join(root, "hosts", "substation-b.yaml")
-	if err := errors.Join(os.Mkdir(filepath.Dir(own), 0o755), os.WriteFile(own, []byte("version: 1\n"), 0o644)); err != nil {
+	if err := errors.Join(os.Mkdir(filepath.Dir(own), 0o755), os.WriteFile(own, []byte("version: 1\n"), 0o644),
+		os.WriteFile(filepath.Join(root, "hosts", "substation-a.yaml"), []byte(listed), 0o644),
+		os.WriteFile(filepath.Join(root, "hosts", "substation-c.yaml"), []byte(strings.Replace(listed, "n-a", "n-c", 1)), 0o644)); err != nil {
 		t.Fatal(err)
 	}
 	if kind, faults, _ := Check(own); kind != KindHosts || len(faults) != 1 {
@@ -102,6 +105,7 @@
 	want := `datacentres.yaml out substation-x
 hosts.yaml hosts[0].state "dead"
 substation-b.yaml hosts 
+substation-c.yaml hosts[0].id x-1
 ledgerdesk.yaml address 127.20.11.1:6080
 settings.yaml workers -1`
 	if strings.Join(got, "\n") != want {
--- a/internal/configsync/parse.go
+++ b/internal/configsync/parse.go
@@ -60,7 +60,11 @@
 		}
 		return parsed{version: d.Version, dataCentres: d}, nil
 	case isHostList:
-		return parseHostList(dataCentre, raw)
+		h, err := document.ParseHostListOf(dataCentre, raw)
+		if err != nil {
+			return parsed{}, err
+		}
+		return parsed{version: h.Version, hosts: h}, nil
 	default:
 		var faults document.Faults
 		faults.Invalid("key", strconv.Quote(key), "datacentres, hosts, hosts/<data centre> or services/<name>")
@@ -68,21 +72,6 @@
 	}
 }
 
-// parseHostList parses the list of a data centre, or of all without a name.
-func parseHostList(dataCentre string, raw []byte) (parsed, error) {
-	var h *document.HostList
-	var err error
-	if dataCentre == "" {
-		h, err = document.ParseHostList(raw)
-	} else {
-		h, err = document.ParseHostListOf(dataCentre, raw)
-	}
-	if err != nil {
-		return parsed{}, err
-	}
-	return parsed{version: h.Version, hosts: h}, nil
-}
-
 func parseService(name string, raw []byte) (parsed, error) {
 	s, err := document.ParseService(raw)
 	if err != nil {
--- a/internal/document/hosts.go
+++ b/internal/document/hosts.go
@@ -21,8 +21,12 @@
 }
 
 // ParseHostListOf parses and checks the list of the entry hosts of one data
-// centre. It may be empty, because the data centre may have been closed.
+// centre, or of all without a name. The list of one may be empty, because the
+// data centre may have been closed.
 func ParseHostListOf(dataCentre string, raw []byte) (*HostList, error) {
+	if dataCentre == "" {
+		return ParseHostList(raw)
+	}
 	return parse(raw, func(l *HostList) Faults {
 		c := &checker{}
 		c.version(l.Version)
