--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -39,6 +38,8 @@
 
 	members *membership.State
 	config  *configsync.State
+	shards  configsync.Shards
+	planned int // values for which the reads of the platform were chosen
 	builder *route.Builder
 	sync    syncState
 
@@ -61,6 +62,7 @@
 	changes    changes                 // since the last snapshot
 	conflicted map[netip.AddrPort]bool // addresses in the last snapshot
 	lastError  string                  // of the platform
+	newHosts   bool                    // a host list was accepted and is not applied yet
 	limits     *limits
 
 	membersCounted map[string]uint64 // counters of the membership, as last added to the metrics
@@ -241,7 +243,7 @@
 }
 
 // membersChanged applies the membership to the owners of flows and to the
-// choice of the platform's readers.
+// choice of what this host reads of the platform.
 func (c *control) membersChanged(now time.Time) {
 	c.dirty, c.changes.hosts = true, true
 	addrs := map[string]netip.AddrPort{}
@@ -250,7 +252,7 @@
 	}
 	c.d.listed.Store(&addrs)
 	c.d.probes.Retain(func(id string) bool { _, ok := addrs[id]; return ok })
-	c.chooseReaders()
+	c.chooseReads()
 }
 
 // paused stops serving after this process was not run for a while: its view
@@ -354,12 +356,3 @@
 }
 
 func isLive(s membership.Status) bool { return s == membership.Alive || s == membership.Suspect }
-
-// chooseReaders decides whether this host keeps a blocking read open on the
-// platform.
-func (c *control) chooseReaders() {
-	dc := c.d.settings.DataCentre
-	ids := c.live(func(m *membership.Member) bool { return m.Host.DataCentre == dc && m.Status == membership.Alive })
-	ids = append(ids, c.d.settings.HostID)
-	c.d.reader.Store(slices.Contains(configsync.Readers(dc, ids), c.d.settings.HostID))
-}
