health: poll steady backend servers every 3 s

Cause: a host at the target size observes 14 backend servers and polled each every second: 1,376 bytes of requests and 3,444 bytes of answers, 2.8 KB and 4.9 KB with headers, of a budget of 4 KB for all control traffic. Change: DueTargets returns the load URLs that are due. Backend servers that are cold, shedding, draining, suspect, of another service or of unknown instance, newly observed, or whose command slots are uncertain here are polled every second, all others every 3 s. A host that observes at most 8 backend servers, as at today's sizes (at most 7), polls all of them every second as before.

--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -139,6 +139,13 @@
 	b.inherited = min(b.inherited, max(busy, 0))
 }
 
+// Uncertain reports whether slots of a backend server count as busy until a
+// load report shows that they are free.
+func (s *Slots) Uncertain(now time.Time, addr netip.AddrPort) bool {
+	b := s.backends[addr]
+	return b != nil && b.owned && b.inheritedNow(now) > 0
+}
+
 // Acquire grants a slot for a command that ends by deadline. The slot is held
 // until Release, also past the deadline: the backend server may still work.
 func (s *Slots) Acquire(now time.Time, addr netip.AddrPort, deadline time.Time) (Token, Refusal) {
--- a/internal/admission/slots_test.go
+++ b/internal/admission/slots_test.go
@@ -58,6 +58,9 @@
 			if tt.observe != nil {
 				tt.observe(s)
 			}
+			if got := s.Uncertain(at(tt.when), backendAddr(1)); got != (tt.refusal == RefusedTakeover) {
+				t.Errorf("slots uncertain: %v", got)
+			}
 			granted, refusal := 0, Granted
 			for range 10 {
 				var r Refusal
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -17,7 +17,9 @@
 // Intervals of the limits.
 const (
 	limitInterval = 100 * time.Millisecond
-	pollInterval  = time.Second
+	// pollInterval is how often due polls are looked for. It adds to the time
+	// until a load report is read.
+	pollInterval = 250 * time.Millisecond
 	// evidenceInterval is long enough that a working backend server has
 	// replied to a packet that was sent at its start.
 	evidenceInterval = time.Second
--- a/internal/daemon/poll.go
+++ b/internal/daemon/poll.go
@@ -25,18 +25,21 @@
 	return ctx.Err()
 }
 
-// pollTargets returns the load URLs to read, and notes when that was.
+// pollTargets returns the load URLs that are due, and notes when that was.
 func (c *control) pollTargets(now time.Time) []health.Target {
-	targets := c.limits.health.Targets()
-	c.limits.polled = map[netip.AddrPort]time.Time{}
+	l := c.limits
+	uncertain := func(addr netip.AddrPort) bool { return l.slots.Uncertain(now, addr) }
+	targets := l.health.DueTargets(now, uncertain)
+	l.polled = make(map[netip.AddrPort]time.Time, len(targets))
 	for _, t := range targets {
-		c.limits.polled[t.Backend] = now
+		l.polled[t.Backend] = now
 	}
 	return targets
 }
 
 func (c *control) observed(now time.Time, o health.Observation) {
 	if o.Err != nil {
+		c.limits.health.PollFailed(o.Backend)
 		level.Debug(c.logger).Log("msg", "load report could not be read", "backend", o.Backend, "err", o.Err)
 		return
 	}
--- a/internal/health/bench_test.go
+++ b/internal/health/bench_test.go
@@ -119,6 +119,44 @@
 	}
 }
 
+// BenchmarkPollSecond measures one second of polls by the schedule, of backend
+// servers that are neither cold nor in doubt.
+func BenchmarkPollSecond(b *testing.B) {
+	const tick = 250 * time.Millisecond
+	for _, n := range []int{7, 14, 120} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			transport := &memoryTransport{}
+			p := NewPoller(PollerConfig{Transport: transport})
+			s := newState("host-a", n, nil)
+			now, polls := start, 0
+			second := func() {
+				for range time.Second / tick {
+					due := s.DueTargets(now, certain)
+					p.Poll(context.Background(), due, func(Observation) {})
+					for _, t := range due {
+						s.Report(now, t.Backend, report(now.Sub(start)+time.Hour, nil))
+					}
+					now, polls = now.Add(tick), polls+len(due)
+				}
+			}
+			for range newFor / time.Second {
+				second()
+			}
+			transport.request.Store(0)
+			transport.response.Store(0)
+			polls = 0
+			rounds := 0
+			for b.Loop() {
+				second()
+				rounds++
+			}
+			b.ReportMetric(float64(transport.request.Load())/float64(rounds), "request-B/s")
+			b.ReportMetric(float64(transport.response.Load())/float64(rounds), "response-B/s")
+			b.ReportMetric(float64(polls)/float64(rounds), "polls/s")
+		})
+	}
+}
+
 // memoryTransport answers every request with the same load report and counts
 // the bytes of the messages as they would be written to a connection.
 type memoryTransport struct{ request, response atomic.Int64 }
--- /dev/null
+++ b/internal/health/schedule_test.go
@@ -0,0 +1,103 @@
+package health
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+func certain(netip.AddrPort) bool { return false }
+
+// Guards against backend servers in doubt that are polled rarely, and against
+// all others that are polled more often than the control budget allows.
+func TestPollIntervals(t *testing.T) {
+	drain := func(in *Input) { in.Services[0].Doc.DataCentres[0].BackendServers[0].Draining = true }
+	same := func(time.Time, *LoadReport) {}
+	none := func(time.Time, *State) {}
+	tests := []struct {
+		name    string
+		servers int
+		input   func(*Input)
+		read    func(now time.Time, r *LoadReport)
+		also    func(now time.Time, s *State)
+		polls   int // of the first backend server in the last 30 of 60 s
+	}{
+		{"steady", 9, nil, same, none, 10},
+		{"slots uncertain", 9, nil, same, none, 30},
+		{"few backend servers, as at the sizes of today", 8, nil, same, none, 30},
+		{"cold", 9, nil, func(now time.Time, r *LoadReport) { r.UptimeMillis = now.Sub(at(20)).Milliseconds() }, none, 30},
+		{"shedding", 9, nil, func(_ time.Time, r *LoadReport) { r.Shedding = true }, none, 30},
+		{"draining by load report", 9, nil, func(_ time.Time, r *LoadReport) { r.Draining = true }, none, 30},
+		{"draining by document", 9, drain, same, none, 30},
+		{"another service", 9, nil, func(_ time.Time, r *LoadReport) { r.Service = "ledgerdesk" }, none, 30},
+		{"silent", 9, nil, same, func(now time.Time, s *State) { s.Evidence(now, addr(1), Evidence{Unanswered: 1}) }, 30},
+		{"polls fail", 9, nil, same, func(_ time.Time, s *State) { s.PollFailed(addr(1)) }, 30},
+		{"another instance seen by the other observer", 9, nil, same, func(_ time.Time, s *State) { s.backends[addr(1)].instance = 9 }, 30},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newState("host-a", tt.servers, tt.input)
+			uncertain := func(a netip.AddrPort) bool { return tt.name == "slots uncertain" && a == addr(1) }
+			first, polls := 0, 0
+			for now := at(0); now.Before(at(60)); now = now.Add(250 * time.Millisecond) {
+				for _, target := range s.DueTargets(now, uncertain) {
+					r := report(time.Hour+now.Sub(start), nil)
+					if target.Backend == addr(1) {
+						tt.read(now, &r)
+						first += boolToInt(now.Before(at(10)))
+						polls += boolToInt(!now.Before(at(30)))
+					}
+					s.Report(now, target.Backend, r)
+				}
+				tt.also(now, s)
+			}
+			if polls != tt.polls || first < 10 {
+				t.Errorf("%d polls in 30 s, want %d; %d in the first 10 s, want 10 or more", polls, tt.polls, first)
+			}
+		})
+	}
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Guards the bound of 5 s until a draining backend server gets no new work,
+// with one of its observers dead and polls that take up to their deadline.
+func TestDrainingReachesOwners(t *testing.T) {
+	for offset := time.Duration(0); offset < slowPoll; offset += 100 * time.Millisecond {
+		a, c := newState("host-a", 9, nil), newState("host-c", 9, nil)
+		drains := at(30).Add(offset)
+		type answer struct {
+			at     time.Time
+			addr   netip.AddrPort
+			report LoadReport
+		}
+		var answers []answer
+		now := at(0)
+		for ; !c.Verdicts(now)[addr(1)].Draining; now = now.Add(50 * time.Millisecond) {
+			if now.Sub(drains) > 5*time.Second {
+				t.Fatalf("draining at %v is not known to an owner after 5 s", drains.Sub(start))
+			}
+			if now.Sub(start)%(250*time.Millisecond) == 0 {
+				for _, target := range a.DueTargets(now, certain) {
+					r := report(time.Hour+now.Sub(start), func(r *LoadReport) { r.Draining = !now.Before(drains) })
+					answers = append(answers, answer{now.Add(DefaultPollTimeout), target.Backend, r})
+				}
+			}
+			for len(answers) > 0 && !answers[0].at.After(now) {
+				a.Report(now, answers[0].addr, answers[0].report)
+				answers = answers[1:]
+			}
+			for _, m := range a.Messages(now) {
+				if m.To == "host-c" {
+					c.Receive(now, "host-a", m)
+				}
+				a.Delivered(m)
+			}
+		}
+	}
+}
--- a/internal/health/state.go
+++ b/internal/health/state.go
@@ -30,6 +30,7 @@
 	refill   time.Time
 	seq      uint64
 	hosts    map[string]bool // live entry hosts
+	pollBase time.Time       // first use of DueTargets
 }
 
 type service struct {
@@ -51,6 +52,7 @@
 	remote    map[string]row // reports of other hosts
 	heardCold time.Time      // latest cold start that other hosts reported
 	instance  uint64         // the one that changed last, over all observers
+	polls     schedule
 }
 
 // load is what load reports say, directly or through an observer's report.
@@ -93,13 +95,13 @@
 		ranking.SetHosts(in.Hosts)
 	}
 	for i := range in.Services {
-		s.addService(&in.Services[i], ranking, old)
+		s.addService(now, &in.Services[i], ranking, old)
 	}
 	sort.Slice(s.targets, func(i, j int) bool { return s.targets[i].Backend.Compare(s.targets[j].Backend) < 0 })
 	s.setPeers()
 }
 
-func (s *State) addService(in *ServiceInput, ranking *Ranking, old map[netip.AddrPort]*backend) {
+func (s *State) addService(now time.Time, in *ServiceInput, ranking *Ranking, old map[netip.AddrPort]*backend) {
 	svc := &service{name: in.Doc.Name, group: slices.Clone(in.Group)}
 	slices.Sort(svc.group)
 	s.services[svc.name] = svc
@@ -110,6 +112,7 @@
 			b := s.keepBackend(doc.AddrPort(), svc, old)
 			b.dc, b.draining, b.ramp = dc.Name, doc.Draining, doc.Cold.Ramp.Std()
 			b.observed = doc.LoadURL != "" && slices.Contains(ranking.Observers(b.addr, dc.Name), s.self)
+			b.polls.setObserved(now, b.observed)
 			if b.observed {
 				s.targets = append(s.targets, Target{Backend: b.addr, URL: doc.LoadURL})
 			}
@@ -127,6 +130,7 @@
 	if prev := old[addr]; prev != nil && prev.service.name == svc.name {
 		b.load, b.evidence = prev.load, prev.evidence
 		b.remote, b.heardCold, b.instance = prev.remote, prev.heardCold, prev.instance
+		b.polls = prev.polls
 	}
 	s.backends[addr] = b
 	return b
@@ -160,6 +164,7 @@
 		countDropped(dropUnknownBackend)
 		return
 	}
+	b.polls.failed = false
 	if r.Service != b.service.name {
 		countDropped(dropOtherService)
 		b.load.foreign, b.load.at = true, now
