daemon: send health and admission reports as datagrams

Cause: each report was a call over TCP, which costs 330 bytes beside its content of about 113 bytes: at the target size 1,540 bytes a second for admission and 1,210 for health. Change: reports are sealed as probes are, with one byte for the kind. Both carry sequence numbers. A changed health report is repeated after 0.2 s and then in doubled intervals up to 5 s until a datagram acknowledges it; admission reports carried acknowledgements already. Larger reports, and those after four datagrams without an acknowledgement (a host of an earlier version), are sent as calls. Reports of a replaced process and those that waited during a pause are dropped. The byte budgets count all headers. The type of a group member in both packages is renamed to member, since the package peer is imported. TestMessagesSurviveLoss (30% lost, duplicates, delays up to 0.6 s, 40 seeds) fails without the repeat and without the sequence check. The admission package already tests loss, duplication and delay.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -35,7 +35,7 @@
 	HandoverInterval time.Duration // the same while buckets change hands
 	HandoverHold     time.Duration // a member that does not confirm for so long counts as gone
 	LoanFor          time.Duration // how long lent allowance may be used
-	ReportBytes      int           // bytes per second of all reports
+	ReportBytes      int           // bytes per second of all reports, headers included
 }
 
 func (c Config) withDefaults() Config {
--- a/internal/admission/bench_test.go
+++ b/internal/admission/bench_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/health"
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 )
 
 // fleet is a host under measurement (index 0) and the other members of its
@@ -79,7 +80,7 @@
 		if err != nil {
 			panic(err)
 		}
-		bytes += len(raw) + callOverhead
+		bytes += peer.ReportBytes(len(raw))
 		var to int
 		fmt.Sscanf(r.To, "host-%d", &to)
 		f.states[to].Receive(f.now, hostID(h), r)
--- a/internal/admission/handover.go
+++ b/internal/admission/handover.go
@@ -37,7 +37,7 @@
 // that are gone had charged stays charged at those that took their buckets.
 func (s *State) setPeers(now time.Time, g *group) {
 	old := g.peers
-	g.peers = make(map[string]*peer, len(g.view.hosts))
+	g.peers = make(map[string]*member, len(g.view.hosts))
 	for i := range g.view.hosts {
 		id := g.view.hosts[i].id
 		if id == s.self {
@@ -45,7 +45,7 @@
 		}
 		p := old[id]
 		if p == nil {
-			p = newPeer()
+			p = newMember()
 		}
 		p.restart()
 		g.peers[id] = p
@@ -61,7 +61,7 @@
 
 // retainGone charges this host's part of the last reported charges of a host
 // that cannot report them any more.
-func (s *State) retainGone(now time.Time, g *group, p *peer) {
+func (s *State) retainGone(now time.Time, g *group, p *member) {
 	for _, b := range g.order {
 		s.retainPart(now, b, p.rows[b.addr].charged)
 	}
@@ -71,7 +71,7 @@
 // cannot be compared when the two hosts do not start from the same confirmed
 // view, or when a view in between may have handed charges over; this host then
 // retains the whole charge if it gains buckets.
-func (s *State) retainMoved(now time.Time, g *group, p *peer, base uint32) {
+func (s *State) retainMoved(now time.Time, g *group, p *member, base uint32) {
 	gains := g.view.buckets(s.self) > g.least
 	whole := gains && (g.base.digest() != base || g.skipped)
 	for _, b := range g.order {
--- a/internal/admission/message.go
+++ b/internal/admission/message.go
@@ -23,6 +23,7 @@
 // another. It carries what changed since the receiver last acknowledged.
 type Report struct {
 	To      string `json:"-"`
+	Call    bool   `json:"-"` // to be sent as a call, not as a datagram
 	Service string `json:"s"`
 	Epoch   uint32 `json:"e"`           // digest of document version and bucket counts
 	Base    uint32 `json:"b,omitempty"` // the last view that every member confirmed
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -5,24 +5,27 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 )
 
 const (
-	// callOverhead estimates the JSON-RPC envelope, the answer and the packet
-	// headers of one call, in bytes.
-	callOverhead = 110
 	// maxBackoff limits how often the interval of unanswered reports doubles.
 	maxBackoff = 3
 	// burstSeconds is how many seconds of report bytes may be saved up for the
 	// exchange after a change of the buckets.
 	burstSeconds = 60
+	// maxDatagrams is how many reports are sent as datagrams while the member
+	// acknowledges none. Later ones are sent as calls: it may not know report
+	// datagrams.
+	maxDatagrams = 4
 	// chargedPart is the change (1/n of the last figure) of the charged flows
 	// that is worth a report.
 	chargedPart = 8
 )
 
-// peer is the state of the reports to and from one member of a group.
-type peer struct {
+// member is the state of the reports to and from one member of a group.
+type member struct {
 	rows map[netip.AddrPort]remote // by its reports
 	sent map[netip.AddrPort]sentRow
 
@@ -36,6 +39,7 @@
 	waits     bool // it waits for our confirmation
 	lastOut   time.Time
 	backoff   int
+	unacked   int // reports sent since it last acknowledged one
 }
 
 // remote is what a member reported about a backend server.
@@ -50,13 +54,13 @@
 	seq    uint64 // first report that carried these values
 }
 
-func newPeer() *peer {
-	return &peer{rows: make(map[netip.AddrPort]remote)}
+func newMember() *member {
+	return &member{rows: make(map[netip.AddrPort]remote)}
 }
 
 // restart begins the exchange for a new view. Indexes may have changed, so
 // that everything is sent again. The last reported charges stay known.
-func (p *peer) restart() {
+func (p *member) restart() {
 	p.sent = make(map[netip.AddrPort]sentRow)
 	p.confirmed, p.movedSeen, p.waits = false, false, false
 	p.ready, p.first, p.accepted, p.backoff = 0, 0, 0, 0
@@ -88,7 +92,7 @@
 				return out
 			}
 			if r, ok := s.reportTo(now, g, id); ok {
-				s.bytes -= float64(r.size() + callOverhead)
+				s.bytes -= float64(peer.ReportBytes(r.size()))
 				out = append(out, r)
 			}
 		}
@@ -149,12 +153,14 @@
 	s.setFlags(g, p, &r)
 	if len(r.Rows) > 0 || r.Flags&flagWait != 0 {
 		p.backoff = min(p.backoff+1, maxBackoff)
+		p.unacked++
 	}
+	r.Call = p.unacked > maxDatagrams || r.size() > peer.MaxReport
 	p.ackDue, p.waits, p.lastOut = false, false, now
 	return r, true
 }
 
-func (s *State) setFlags(g *group, p *peer, r *Report) {
+func (s *State) setFlags(g *group, p *member, r *Report) {
 	if p.first == 0 {
 		p.first = r.Seq
 	}
@@ -183,7 +189,7 @@
 }
 
 // interval grows while a member does not answer.
-func (s *State) interval(g *group, p *peer) time.Duration {
+func (s *State) interval(g *group, p *member) time.Duration {
 	base := s.cfg.ReportInterval
 	if !g.complete || p.waits {
 		base = s.cfg.HandoverInterval
@@ -193,7 +199,7 @@
 
 // rowsFor returns the rows with values that the member has not acknowledged,
 // and new loans.
-func (s *State) rowsFor(now time.Time, g *group, id string, p *peer, seq uint64) []int {
+func (s *State) rowsFor(now time.Time, g *group, id string, p *member, seq uint64) []int {
 	var rows []int
 	for i, b := range g.order {
 		last, known := p.sent[b.addr]
@@ -265,10 +271,13 @@
 	return Result{Accepted: true, Answer: r.Flags&flagWait != 0}
 }
 
-func (s *State) accept(now time.Time, g *group, from string, p *peer, r *Report) {
+func (s *State) accept(now time.Time, g *group, from string, p *member, r *Report) {
 	if r.Ack < p.acked {
 		p.restartSending()
 	}
+	if r.Ack > p.acked {
+		p.unacked = 0
+	}
 	p.acked = r.Ack
 	p.accepted = r.Seq
 	p.backoff = 0
@@ -290,12 +299,12 @@
 }
 
 // restartSending sends everything again: the member lost what it had accepted.
-func (p *peer) restartSending() {
+func (p *member) restartSending() {
 	p.sent = make(map[netip.AddrPort]sentRow)
 	p.first = 0
 }
 
-func (s *State) acceptRows(now time.Time, g *group, from string, p *peer, r *Report) {
+func (s *State) acceptRows(now time.Time, g *group, from string, p *member, r *Report) {
 	if r.Flags&flagFull != 0 {
 		clear(p.rows)
 	}
@@ -318,7 +327,7 @@
 	})
 }
 
-func (g *group) settleLoans(from string, p *peer, ack uint64) {
+func (g *group) settleLoans(from string, p *member, ack uint64) {
 	for _, b := range g.order {
 		l := b.lent[from]
 		if l == nil {
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -62,7 +62,7 @@
 	handedOver bool   // moved is final for this view
 	prior      limits // before the changes that no sweep has followed yet
 	freshSweep bool   // the sweep in progress started after the last change
-	peers      map[string]*peer
+	peers      map[string]*member
 }
 
 type backend struct {
@@ -117,7 +117,7 @@
 		svc := &in.Services[i]
 		g := oldGroups[svc.Doc.Name]
 		if g == nil {
-			g = &group{name: svc.Doc.Name, peers: make(map[string]*peer)}
+			g = &group{name: svc.Doc.Name, peers: make(map[string]*member)}
 		}
 		s.groups[g.name] = g
 		s.setDocument(now, g, svc.Doc, oldBackends)
--- a/internal/admission/state_test.go
+++ b/internal/admission/state_test.go
@@ -278,3 +278,39 @@
 		}
 	})
 }
+
+// Guards against a member that knows no report datagrams and gets no reports,
+// and against calls to a member that acknowledges datagrams.
+func TestUnacknowledgedReportsBecomeCalls(t *testing.T) {
+	f := newFleet(6, 2, DefaultReportBytes)
+	s, other := f.states[0], f.states[1]
+	calls := func() (n int) {
+		for range 50 {
+			f.now = f.now.Add(200 * time.Millisecond)
+			for _, r := range s.Report(f.now) {
+				if r.Call {
+					n++
+					other.Receive(f.now, hostID(0), r)
+				}
+			}
+			f.exchange(other.Report(f.now), 1)
+		}
+		return n
+	}
+	if calls() == 0 {
+		t.Error("no call to a member that uses no datagrams")
+	}
+	f.confirm()
+	f.confirm()
+	for range 50 {
+		s.Charged(f.now, f.charges())
+		for _, r := range s.Report(f.now) {
+			if r.Call {
+				t.Fatalf("call of a report with %d rows to a member that uses datagrams", len(r.Rows))
+			}
+			other.Receive(f.now, hostID(0), r)
+		}
+		f.tickOthers()
+		f.now = f.now.Add(time.Second)
+	}
+}
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -176,6 +176,9 @@
 	if err != nil {
 		c.b.Fatal(err)
 	}
+	if isReport(opened.Body) {
+		return
+	}
 	m, err := membership.DecodeMessage(opened.Body)
 	if err != nil {
 		c.b.Fatal(err)
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"context"
-	"encoding/json"
 	"math"
 	"net/netip"
 	"slices"
@@ -218,16 +216,7 @@
 	l.verdicts = verdicts
 	l.shares.SetVerdicts(verdicts)
 	c.admitted(now)
-	for _, r := range l.shares.Report(now) {
-		c.call(r.To, admission.Method, r, nil)
-	}
-	for _, m := range l.health.Messages(now) {
-		c.call(m.To, health.Method, m, func(c *control, _ time.Time, err error) {
-			if err == nil {
-				c.limits.health.Delivered(m)
-			}
-		})
-	}
+	c.sendReports(now)
 	c.refill(now)
 }
 
@@ -341,25 +330,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-func handleAdmission(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
-	r, err := admission.ParseReport(params)
-	if err != nil {
-		countDroppedReason("call", "malformed")
-		return nil, err
-	}
-	return ask(ctx, d, func(c *control, now time.Time) bool {
-		return c.limits.shares.Receive(now, from, r).Accepted
-	})
-}
-
-func handleHealth(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
-	m, err := health.ParseMessage(params)
-	if err != nil {
-		countDroppedReason("call", "malformed")
-		return nil, err
-	}
-	return ask(ctx, d, func(c *control, now time.Time) bool {
-		return c.limits.health.Receive(now, from, m).Accepted
-	})
-}
--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -105,7 +105,7 @@
 	w.perform(snap, w.d.router.FromBackend(snap, from, &w.info, now), inner)
 }
 
-// servePeer handles forwarded packets and probes from other entry hosts.
+// servePeer handles forwarded packets, probes and reports from other entry hosts.
 func (d *Daemon) servePeer(ctx context.Context) error {
 	w := d.newWorker()
 	for {
@@ -122,7 +122,7 @@
 	case len(b) == 0:
 		countDropped("peer", packet.ErrTruncated)
 	case b[0] == peer.DatagramVersion:
-		w.handleProbe(b, from)
+		w.handleSealed(b, from)
 	default: // packet.ForwardVersion; others are refused by the parser
 		w.handleForwarded(b)
 	}
@@ -148,12 +148,17 @@
 	w.perform(snap, d.router.FromPeer(snap, &w.header, &w.info, now), inner)
 }
 
-func (w *worker) handleProbe(b []byte, from netip.AddrPort) {
+// handleSealed handles a probe or a report of another entry host.
+func (w *worker) handleSealed(b []byte, from netip.AddrPort) {
 	d := w.d
 	dg, err := d.probes.Open(b)
 	if err != nil {
 		return // counted by reason
 	}
+	if isReport(dg.Body) {
+		d.handleReport(dg)
+		return
+	}
 	m, err := membership.DecodeMessage(dg.Body)
 	if err != nil {
 		countDropped("probe", err)
--- a/internal/health/bench_test.go
+++ b/internal/health/bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,6 +14,7 @@
 	"time"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 )
 
 // The round of the control loop, once a second, when every load report is new
@@ -65,14 +65,15 @@
 		list := s.Messages(now)
 		b.StopTimer()
 		for _, m := range list {
-			raw, err := json.Marshal(m)
-			if err != nil {
-				b.Fatal(err)
+			bytes += peer.ReportBytes(m.size())
+			messages++
+			// As many acknowledgements are sent as received.
+			if answer := m.Acknowledgement(); m.Answer {
+				bytes += peer.ReportBytes(answer.size())
+				messages++
 			}
-			bytes += len(raw) + callOverhead
 			s.Delivered(m)
 		}
-		messages += len(list)
 		b.StartTimer()
 	}
 	b.ReportMetric(float64(bytes)/float64(b.N), "report-B/s")
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -31,10 +31,10 @@
 	EvidenceFor      time.Duration // how long negative evidence stays in effect
 	SilentPackets    int           // packets without a reply that count as silence
 	ResetLimit       int           // resets without a reply in between that count as a failure
-	ReportInterval   time.Duration // interval of repeated reports to the owner group
+	ReportInterval   time.Duration // longest interval of unacknowledged reports
 	UptimeSlack      time.Duration // a smaller decrease of the uptime is measurement noise
 	ColdSilence      time.Duration // a longer silence counts as a restart
-	ReportBytes      int           // bytes per second of reports to other entry hosts
+	ReportBytes      int           // bytes per second of reports to other entry hosts, headers included
 }
 
 func (c Config) withDefaults() Config {
--- /dev/null
+++ b/internal/health/loss_test.go
@@ -0,0 +1,95 @@
+package health
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+)
+
+// inFlight is a datagram on its way.
+type inFlight struct {
+	at     time.Time
+	m      Message
+	answer bool
+}
+
+// Guards against reports and acknowledgements that are lost, duplicated or
+// reordered and leave an owner with an old view, and against calls instead of
+// datagrams while some datagrams arrive.
+func TestMessagesSurviveLoss(t *testing.T) {
+	for seed := range int64(40) {
+		rng := rand.New(rand.NewSource(seed))
+		a, c := newState("host-a", 3, nil), newState("host-c", 3, nil)
+		var net []inFlight
+		send := func(now time.Time, m Message, answer bool) {
+			for range 1 + rng.Intn(2) { // duplicates
+				if rng.Float64() < 0.3 {
+					continue
+				}
+				delay := time.Duration(rng.Intn(600)) * time.Millisecond
+				net = append(net, inFlight{now.Add(delay), m, answer})
+			}
+		}
+		receive := func(now time.Time, d inFlight) {
+			if d.answer {
+				a.Delivered(d.m)
+				return
+			}
+			if c.Receive(now, "host-a", d.m).Accepted && d.m.Answer {
+				answer := d.m.Acknowledgement()
+				answer.To = "host-c"
+				send(now, answer, true)
+			}
+		}
+		instance, sent := uint64(1), 0
+		for now := at(0); now.Before(at(60)); now = now.Add(100 * time.Millisecond) {
+			if rng.Intn(20) == 0 && now.Before(at(45)) {
+				instance++
+				a.Report(now, addr(1), report(0, func(r *LoadReport) { r.Instance, r.Draining = instance, instance%2 == 0 }))
+			}
+			rest := net
+			net = nil
+			for _, d := range rest {
+				if d.at.After(now) {
+					net = append(net, d)
+					continue
+				}
+				before := c.Verdicts(now)[addr(1)].Instance
+				receive(now, d)
+				if after := c.Verdicts(now)[addr(1)].Instance; after < before {
+					t.Fatalf("seed %d: instance %d after %d", seed, after, before)
+				}
+			}
+			for _, m := range a.Messages(now) {
+				if m.To == "host-c" {
+					send(now, m, false)
+					sent++
+				}
+			}
+		}
+		want, got := a.Verdicts(at(60))[addr(1)], c.Verdicts(at(60))[addr(1)]
+		if got.Instance != want.Instance || got.Draining != want.Draining || sent > 5*int(instance)+10 {
+			t.Errorf("seed %d: %+v after %d reports, want %+v", seed, got, sent, want)
+		}
+	}
+}
+
+// Guards against a host that knows no report datagrams, or a path that loses
+// them all, and gets no reports.
+func TestUnansweredReportsBecomeCalls(t *testing.T) {
+	a := newState("host-a", 1, nil)
+	a.Report(at(0), addr(1), report(time.Hour, nil))
+	datagrams := 0
+	for now := at(0); now.Before(at(10)); now = now.Add(100 * time.Millisecond) {
+		for _, m := range a.Messages(now) {
+			if m.To == "host-c" && m.Call {
+				if datagrams != maxDatagrams || now.After(at(5)) {
+					t.Errorf("call after %d datagrams and %v", datagrams, now.Sub(start))
+				}
+				return
+			}
+			datagrams += boolToInt(m.To == "host-c")
+		}
+	}
+	t.Errorf("no call after %d datagrams", datagrams)
+}
--- a/internal/health/message.go
+++ b/internal/health/message.go
@@ -9,6 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 )
 
 // Method is the JSON-RPC method of messages between entry hosts.
@@ -17,9 +19,15 @@
 // Bounds and estimates of messages.
 const (
 	MaxMessageBytes = 256 << 10
-	callOverhead    = 110 // JSON-RPC envelope, answer and packet headers of one call
 	refreshInterval = 30 * time.Second
 	remoteStale     = 2*refreshInterval + 5*time.Second
+	// firstRepeat is the time until an unacknowledged datagram is repeated. It
+	// doubles with each repeat. Two lost datagrams delay a report by 0.6 s,
+	// which with a poll every 3 s stays within 5 s.
+	firstRepeat = 200 * time.Millisecond
+	// maxDatagrams is how often a report is sent as a datagram. After that it
+	// is sent as a call: the receiver may not know report datagrams.
+	maxDatagrams = 4
 )
 
 // Message is the body of health.report: what one host knows first hand about
@@ -29,12 +37,18 @@
 // clock; a delay of the message makes the ramp start later, which is safe.
 type Message struct {
 	To      string   `json:"-"`
+	Call    bool     `json:"-"` // to be sent as a call, not as a datagram
 	Service string   `json:"s"`
-	Epoch   uint32   `json:"e"` // digest of the backend server addresses
+	Epoch   uint32   `json:"e,omitempty"` // digest of the backend server addresses
 	Seq     uint64   `json:"n"`
-	Rows    []uint64 `json:"r"`
+	Answer  bool     `json:"a,omitempty"` // the sender waits for an acknowledgement
+	Rows    []uint64 `json:"r,omitempty"`
 }
 
+// Acknowledgement returns the message that acknowledges m: it has the service
+// and the sequence number of m, and no rows.
+func (m *Message) Acknowledgement() Message { return Message{Service: m.Service, Seq: m.Seq} }
+
 // Flags of a row.
 const (
 	flagDraining = 1 << iota
@@ -52,8 +66,8 @@
 	at       time.Time // receipt
 }
 
-// peer is the state of reports to and from one entry host.
-type peer struct {
+// member is the state of reports to and from one entry host.
+type member struct {
 	sent     map[string]*sentReport // by service
 	received map[string]uint64      // newest sequence number by service
 }
@@ -62,6 +76,8 @@
 	seq       uint64
 	at        time.Time
 	digest    uint64 // of the rows without ages
+	tries     int    // how often it was sent without an acknowledgement
+	call      bool   // sent as a call
 	delivered bool
 }
 
@@ -117,7 +133,7 @@
 // setPeers forgets hosts that share no owner group with this host.
 func (s *State) setPeers() {
 	old := s.peers
-	s.peers = make(map[string]*peer, len(old))
+	s.peers = make(map[string]*member, len(old))
 	for _, svc := range s.services {
 		for _, id := range svc.group {
 			if id == s.self || s.peers[id] != nil {
@@ -125,7 +141,7 @@
 			}
 			p := old[id]
 			if p == nil {
-				p = &peer{sent: make(map[string]*sentReport), received: make(map[string]uint64)}
+				p = &member{sent: make(map[string]*sentReport), received: make(map[string]uint64)}
 			}
 			s.peers[id] = p
 		}
@@ -133,9 +149,9 @@
 }
 
 // Messages returns the reports to send now. A report is sent at once when its
-// flags, instances or cold starts change, again every ReportInterval until
-// Delivered confirms it, and every 30 s after that. The rate is limited to
-// ReportBytes per second; what exceeds it is sent later.
+// flags, instances or cold starts change, repeated until Delivered confirms
+// it, and sent again every 30 s after that. The rate is limited to ReportBytes
+// per second; what exceeds it is sent later.
 func (s *State) Messages(now time.Time) []Message {
 	s.refillBytes(now)
 	var out []Message
@@ -148,7 +164,7 @@
 }
 
 func (s *State) appendMessages(now time.Time, out []Message, svc *service, rows []uint64, digest uint64) []Message {
-	m := Message{Service: svc.name, Epoch: svc.epoch, Rows: rows}
+	m := Message{Service: svc.name, Epoch: svc.epoch, Answer: true, Rows: rows}
 	size := -1
 	for _, id := range svc.group {
 		if id == s.self {
@@ -159,32 +175,52 @@
 		if sent == nil && len(rows) == 0 || sent != nil && !sent.due(now, digest, s.cfg.ReportInterval) {
 			continue
 		}
+		s.seq = max(s.seq+1, uint64(now.UnixMilli()))
+		m.To, m.Seq = id, s.seq
 		if size < 0 {
-			size = m.size() + callOverhead
+			size = m.size()
 		}
-		if s.bytes < float64(size) {
+		cost := float64(peer.ReportBytes(size))
+		if s.bytes < cost {
 			return out
 		}
-		s.bytes -= float64(size)
-		s.seq = max(s.seq+1, uint64(now.UnixMilli()))
-		m.To, m.Seq = id, s.seq
-		p.sent[svc.name] = &sentReport{seq: m.Seq, at: now, digest: digest}
+		s.bytes -= cost
+		next := sent.next(now, m.Seq, digest, size > peer.MaxReport)
+		p.sent[svc.name] = next
+		m.Call, m.Answer = next.call, !next.delivered
 		out = append(out, m)
 	}
 	return out
 }
 
+// next returns the state after the report is sent. A refresh of what was
+// delivered needs no acknowledgement: the next refresh covers its loss.
+func (r *sentReport) next(now time.Time, seq, digest uint64, large bool) *sentReport {
+	n := &sentReport{seq: seq, at: now, digest: digest, tries: 1}
+	if r != nil && r.digest == digest {
+		n.tries, n.delivered = r.tries+1, r.delivered
+	}
+	n.call = large || !n.delivered && n.tries > maxDatagrams
+	return n
+}
+
 func (r *sentReport) due(now time.Time, digest uint64, interval time.Duration) bool {
-	if r.digest != digest {
+	switch {
+	case r.digest != digest:
 		return true
+	case !r.delivered:
+		return now.Sub(r.at) >= r.repeatAfter(interval)
 	}
-	if r.delivered && digest == 0 {
-		return false
-	}
-	if r.delivered {
-		interval = refreshInterval
+	return digest != 0 && now.Sub(r.at) >= refreshInterval
+}
+
+// repeatAfter returns the time until an unacknowledged report is repeated. A
+// call has a deadline of its own and is repeated after the longest interval.
+func (r *sentReport) repeatAfter(longest time.Duration) time.Duration {
+	if r.call {
+		return longest
 	}
-	return now.Sub(r.at) >= interval
+	return min(firstRepeat<<(r.tries-1), longest)
 }
 
 func (m *Message) size() int {
@@ -195,7 +231,8 @@
 	return len(raw)
 }
 
-// Delivered records that the peer answered the call that carried m.
+// Delivered records that the peer acknowledged m, by the answer of a call or
+// by a datagram. Only To, Service and Seq are used.
 func (s *State) Delivered(m Message) {
 	p := s.peers[m.To]
 	if p == nil {
@@ -231,7 +268,7 @@
 		return dropped(dropMalformed)
 	}
 	if p == nil {
-		p = &peer{sent: make(map[string]*sentReport), received: make(map[string]uint64)}
+		p = &member{sent: make(map[string]*sentReport), received: make(map[string]uint64)}
 		s.peers[from] = p
 	}
 	if m.Seq <= p.received[m.Service] {
--- a/internal/health/schedule_test.go
+++ b/internal/health/schedule_test.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// messagesEvery returns the reports of a host whose rounds have the interval.
+func messagesEvery(interval time.Duration, s *State, now time.Time) []Message {
+	if now.Sub(start)%interval != 0 {
+		return nil
+	}
+	return s.Messages(now)
+}
+
 func boolToInt(b bool) int {
 	if b {
 		return 1
@@ -66,7 +74,8 @@
 }
 
 // Guards the bound of 5 s until a draining backend server gets no new work,
-// with one of its observers dead and polls that take up to their deadline.
+// with one of its observers dead, polls that take up to their deadline, and two
+// lost report datagrams.
 func TestDrainingReachesOwners(t *testing.T) {
 	for offset := time.Duration(0); offset < slowPoll; offset += 100 * time.Millisecond {
 		a, c := newState("host-a", 9, nil), newState("host-c", 9, nil)
@@ -77,6 +86,7 @@
 			report LoadReport
 		}
 		var answers []answer
+		lost := 0
 		now := at(0)
 		for ; !c.Verdicts(now)[addr(1)].Draining; now = now.Add(50 * time.Millisecond) {
 			if now.Sub(drains) > 5*time.Second {
@@ -92,7 +102,11 @@
 				a.Report(now, answers[0].addr, answers[0].report)
 				answers = answers[1:]
 			}
-			for _, m := range a.Messages(now) {
+			for _, m := range messagesEvery(100*time.Millisecond, a, now) {
+				if m.To == "host-c" && !now.Before(drains) && lost < 2 {
+					lost++
+					continue
+				}
 				if m.To == "host-c" {
 					c.Receive(now, "host-a", m)
 				}
--- a/internal/health/state.go
+++ b/internal/health/state.go
@@ -25,7 +25,7 @@
 	targets  []Target
 	out      map[string]bool
 	leaving  map[netip.AddrPort]bool
-	peers    map[string]*peer
+	peers    map[string]*member
 	bytes    float64 // report bytes that may be sent now
 	refill   time.Time
 	seq      uint64
@@ -72,7 +72,7 @@
 		cfg:      cfg.withDefaults(),
 		services: make(map[string]*service),
 		backends: make(map[netip.AddrPort]*backend),
-		peers:    make(map[string]*peer),
+		peers:    make(map[string]*member),
 	}
 }
 
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -21,8 +21,30 @@
 	tagBytes     = 8
 	fixedBytes   = 1 + 1 + 8 + 8 // version, id length, boot, sequence
 	windowLength = 64
+	// MaxReport bounds the content of a report datagram: its body is one byte
+	// for the kind of the report and the content.
+	MaxReport = MaxDatagram - fixedBytes - MaxIDBytes - tagBytes - 1
 )
 
+// Bytes of a message between entry hosts beside its content.
+const (
+	// DatagramOverhead counts the IPv4 and UDP headers, the kind and the seal
+	// with a sender id of 16 bytes.
+	DatagramOverhead = 28 + 1 + fixedBytes + 16 + tagBytes
+	// CallOverhead counts the headers of a request, a response and two
+	// acknowledgements, their frame lengths and JSON-RPC envelopes.
+	CallOverhead = 330
+)
+
+// ReportBytes returns the bytes on the wire of a report with a content of n
+// bytes, which is sent as a datagram if it fits and else as a call.
+func ReportBytes(n int) int {
+	if n > MaxReport {
+		return n + CallOverhead
+	}
+	return n + DatagramOverhead
+}
+
 // Reasons for which a datagram is refused.
 var (
 	ErrShort   = errors.New("datagram is truncated")
@@ -41,6 +63,9 @@
 	Boot uint64
 	Seq  uint64
 	Body []byte
+	// Replaced is set by a ReplayFilter that knows a later process of the
+	// sender.
+	Replaced bool
 }
 
 // SealDatagram appends a datagram with the body to dst. The layout is: version,
@@ -161,6 +186,7 @@
 	}
 	for i := range w {
 		if w[i].boot == d.Boot {
+			d.Replaced = i > 0
 			return w[i].accept(d.Seq)
 		}
 	}
