health: refresh at most one unchanged report a second

Cause: every report was sent again every 30 s. Change: a report is refreshed after 30 s, the oldest first, at most one a second and faster only when a round would take more than 2 minutes. The reports of ranked observers have effect for 305 s, so that one refresh may be lost; those of other hosts, which is what a dead host is, for 65 s as before. Two gaps that longer intervals would widen are closed: a member that restarts under a new boot id is told everything at once, and a report that a call delivered but the receiver refused is repeated. Today's sizes have 12 reports a host and keep the interval of 30 s to 42 s.

--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -95,6 +95,11 @@
 	l.owners = owners
 	l.setBackends(services)
 	l.health.SetServices(now, snap.Self, health.Input{Services: services, Hosts: l.hosts, Ranking: l.ranking, Out: out, Leaving: leaving})
+	if ch.hosts {
+		for _, m := range c.members.Members() {
+			l.health.Started(m.Host.ID, m.Boot)
+		}
+	}
 	l.verdicts = l.health.Verdicts(now)
 	shares.Verdicts = l.verdicts
 	l.shares.SetServices(now, snap.Self, shares)
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/nutmeglatch/nutmeglatch/internal/admission"
 	"github.com/nutmeglatch/nutmeglatch/internal/health"
 	"github.com/nutmeglatch/nutmeglatch/internal/peer"
@@ -110,14 +112,19 @@
 	})
 }
 
-// handleHealth answers a health report that came as a call.
+// handleHealth answers a health report that came as a call. The sender repeats
+// it after an error.
 func handleHealth(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
 	m, err := health.ParseMessage(params)
 	if err != nil {
 		countDroppedReason("call", "malformed")
 		return nil, err
 	}
-	return ask(ctx, d, func(c *control, now time.Time) bool {
-		return c.limits.health.Receive(now, from, m).Accepted
+	r, err := ask(ctx, d, func(c *control, now time.Time) health.Result {
+		return c.limits.health.Receive(now, from, m)
 	})
+	if err == nil && !r.Accepted {
+		err = errors.Newf("health report refused: %s", r.Refusal)
+	}
+	return true, err
 }
--- a/internal/daemon/reports_test.go
+++ b/internal/daemon/reports_test.go
@@ -79,3 +79,31 @@
 	}
 	return s.Messages(c.clock)
 }
+
+// Guards against a restarted member that is not told what it has lost.
+func TestRestartedMemberIsTold(t *testing.T) {
+	c := newBenchControl(t, 7, benchDocuments(10, 1))
+	target := c.limits.health.Targets()[0].Backend
+	name := c.d.snapshot.Load().Backends.Get(target).Service.Name
+	c.limits.health.Report(c.clock, target, health.LoadReport{Service: name, Instance: 1, Draining: true})
+	send := func() (hosts []string) {
+		for _, m := range c.limits.health.Messages(c.clock) {
+			hosts = append(hosts, m.To)
+			c.limits.health.Delivered(m)
+		}
+		return hosts
+	}
+	told := send()
+	if len(told) == 0 {
+		t.Fatal("no host is told of a draining backend server")
+	}
+	for i := range c.hosts {
+		if c.hosts[i].ID == told[0] {
+			c.restart(i)
+		}
+	}
+	c.publish(c.clock)
+	if again := send(); len(again) != 1 || again[0] != told[0] {
+		t.Errorf("%v told after a restart of %s", again, told[0])
+	}
+}
--- a/internal/health/message.go
+++ b/internal/health/message.go
@@ -19,8 +19,6 @@
 // Bounds and estimates of messages.
 const (
 	MaxMessageBytes = 256 << 10
-	refreshInterval = 30 * time.Second
-	remoteStale     = 2*refreshInterval + 5*time.Second
 	// firstRepeat is the time until an unacknowledged datagram is repeated. It
 	// doubles with each repeat. Two lost datagrams delay a report by 0.6 s,
 	// which with a poll every 3 s stays within 5 s.
@@ -68,6 +66,7 @@
 
 // member is the state of reports to and from one entry host.
 type member struct {
+	boot     uint64                 // of its process
 	sent     map[string]*sentReport // by service
 	received map[string]uint64      // newest sequence number by service
 }
@@ -150,49 +149,72 @@
 
 // Messages returns the reports to send now. A report is sent at once when its
 // flags, instances or cold starts change, repeated until Delivered confirms
-// it, and sent again every 30 s after that. The rate is limited to ReportBytes
-// per second; what exceeds it is sent later.
+// it, and refreshed after that. The rate is limited to ReportBytes per second;
+// what exceeds it is sent later.
 func (s *State) Messages(now time.Time) []Message {
 	s.refillBytes(now)
 	var out []Message
+	reports := make([]*outgoing, 0, len(s.services))
 	for _, name := range s.sortedServices() {
-		svc := s.services[name]
-		rows, digest := s.rows(now, svc)
-		out = s.appendMessages(now, out, svc, rows, digest)
+		o := s.newOutgoing(now, s.services[name])
+		reports = append(reports, o)
+		out = s.appendChanged(now, out, o)
 	}
-	return out
+	return s.appendRefreshes(now, out, reports)
+}
+
+// outgoing is what this host reports about a service now.
+type outgoing struct {
+	svc    *service
+	m      Message
+	digest uint64
+	size   int // of the encoded message, 0 until it is known
 }
 
-func (s *State) appendMessages(now time.Time, out []Message, svc *service, rows []uint64, digest uint64) []Message {
-	m := Message{Service: svc.name, Epoch: svc.epoch, Answer: true, Rows: rows}
-	size := -1
-	for _, id := range svc.group {
+func (s *State) newOutgoing(now time.Time, svc *service) *outgoing {
+	rows, digest := s.rows(now, svc)
+	return &outgoing{svc: svc, digest: digest, m: Message{Service: svc.name, Epoch: svc.epoch, Answer: true, Rows: rows}}
+}
+
+// appendChanged appends the reports to the hosts that have not acknowledged
+// what is reported now.
+func (s *State) appendChanged(now time.Time, out []Message, o *outgoing) []Message {
+	for _, id := range o.svc.group {
 		if id == s.self {
 			continue
 		}
-		p := s.peers[id]
-		sent := p.sent[svc.name]
-		if sent == nil && len(rows) == 0 || sent != nil && !sent.due(now, digest, s.cfg.ReportInterval) {
+		sent := s.peers[id].sent[o.svc.name]
+		if sent == nil && len(o.m.Rows) == 0 || sent != nil && !sent.due(now, o.digest, s.cfg.ReportInterval) {
 			continue
 		}
-		s.seq = max(s.seq+1, uint64(now.UnixMilli()))
-		m.To, m.Seq = id, s.seq
-		if size < 0 {
-			size = m.size()
-		}
-		cost := float64(peer.ReportBytes(size))
-		if s.bytes < cost {
-			return out
+		if !s.send(now, o, id, &out) {
+			break
 		}
-		s.bytes -= cost
-		next := sent.next(now, m.Seq, digest, size > peer.MaxReport)
-		p.sent[svc.name] = next
-		m.Call, m.Answer = next.call, !next.delivered
-		out = append(out, m)
 	}
 	return out
 }
 
+// send appends the report to one host, unless the byte limit is reached.
+func (s *State) send(now time.Time, o *outgoing, id string, out *[]Message) bool {
+	m := o.m
+	s.seq = max(s.seq+1, uint64(now.UnixMilli()))
+	m.To, m.Seq = id, s.seq
+	if o.size == 0 {
+		o.size = m.size()
+	}
+	cost := float64(peer.ReportBytes(o.size))
+	if s.bytes < cost {
+		return false
+	}
+	s.bytes -= cost
+	p := s.peers[id]
+	next := p.sent[m.Service].next(now, m.Seq, o.digest, o.size > peer.MaxReport)
+	p.sent[m.Service] = next
+	m.Call, m.Answer = next.call, !next.delivered
+	*out = append(*out, m)
+	return true
+}
+
 // next returns the state after the report is sent. A refresh of what was
 // delivered needs no acknowledgement: the next refresh covers its loss.
 func (r *sentReport) next(now time.Time, seq, digest uint64, large bool) *sentReport {
@@ -204,14 +226,9 @@
 	return n
 }
 
+// due reports whether a report that changed or was not acknowledged is due.
 func (r *sentReport) due(now time.Time, digest uint64, interval time.Duration) bool {
-	switch {
-	case r.digest != digest:
-		return true
-	case !r.delivered:
-		return now.Sub(r.at) >= r.repeatAfter(interval)
-	}
-	return digest != 0 && now.Sub(r.at) >= refreshInterval
+	return r.digest != digest || !r.delivered && now.Sub(r.at) >= r.repeatAfter(interval)
 }
 
 // repeatAfter returns the time until an unacknowledged report is repeated. A
--- a/internal/health/state.go
+++ b/internal/health/state.go
@@ -18,19 +18,20 @@
 // owner groups this host belongs to, and of those that it observes. It is not
 // safe for concurrent use.
 type State struct {
-	cfg      Config
-	self     string
-	services map[string]*service
-	backends map[netip.AddrPort]*backend
-	targets  []Target
-	out      map[string]bool
-	leaving  map[netip.AddrPort]bool
-	peers    map[string]*member
-	bytes    float64 // report bytes that may be sent now
-	refill   time.Time
-	seq      uint64
-	hosts    map[string]bool // live entry hosts
-	pollBase time.Time       // first use of DueTargets
+	cfg       Config
+	self      string
+	services  map[string]*service
+	backends  map[netip.AddrPort]*backend
+	targets   []Target
+	out       map[string]bool
+	leaving   map[netip.AddrPort]bool
+	peers     map[string]*member
+	bytes     float64 // report bytes that may be sent now
+	refill    time.Time
+	seq       uint64
+	hosts     map[string]bool // live entry hosts
+	pollBase  time.Time       // first use of DueTargets
+	refreshed time.Time       // up to when refreshes have been sent
 }
 
 type service struct {
@@ -47,6 +48,7 @@
 	draining  bool // by the document
 	ramp      time.Duration
 	observed  bool // this host is one of the ranked observers
+	observers []string
 	load      load
 	evidence  evidence
 	remote    map[string]row // reports of other hosts
@@ -111,7 +113,8 @@
 			doc := &dc.BackendServers[i]
 			b := s.keepBackend(doc.AddrPort(), svc, old)
 			b.dc, b.draining, b.ramp = dc.Name, doc.Draining, doc.Cold.Ramp.Std()
-			b.observed = doc.LoadURL != "" && slices.Contains(ranking.Observers(b.addr, dc.Name), s.self)
+			b.observers = ranking.Observers(b.addr, dc.Name)
+			b.observed = doc.LoadURL != "" && slices.Contains(b.observers, s.self)
 			b.polls.setObserved(now, b.observed)
 			if b.observed {
 				s.targets = append(s.targets, Target{Backend: b.addr, URL: doc.LoadURL})
--- a/internal/health/verdict.go
+++ b/internal/health/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -105,9 +106,13 @@
 func (b *backend) observedFlags(now time.Time, stale time.Duration) (flags uint64, known bool) {
 	flags = b.flags(now, stale)
 	known = b.load.known
-	for _, r := range b.remote {
+	for from, r := range b.remote {
 		known = known || r.flags&flagKnown != 0
-		if now.Sub(r.at) > remoteStale {
+		limit := remoteStale
+		if slices.Contains(b.observers, from) {
+			limit = observerStale
+		}
+		if now.Sub(r.at) > limit {
 			continue
 		}
 		flags |= r.flags
