route: compact owner tables

Cause: the owners and epochs of a service's 256 buckets took 1.5 KB, 10 MB for 6,900 services, in a process that may hold 64 MB. Change: a table holds one byte per bucket, the index of the pair of owners with their epoch; a group of 8 hosts has at most 56 pairs. The fields Owners and Epochs become methods of the same names; tests call these or owned.

--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -86,7 +86,7 @@
 			continue
 		}
 		in := c.bucketInput(snap, svc, doc)
-		owners[name] = svc.Owners
+		owners[name] = svc.Owners()
 		services = append(services, health.ServiceInput{Doc: doc, Group: keys(in.Buckets)})
 		if _, member := in.Buckets[snap.Self]; member {
 			shares.Services = append(shares.Services, in)
@@ -183,7 +183,7 @@
 func (c *control) bucketInput(snap *route.Snapshot, svc *route.Service, doc *document.Service) admission.ServiceInput {
 	in := admission.ServiceInput{Doc: doc, Buckets: map[string]int{}}
 	previous, known := c.limits.owners[svc.Name]
-	for b, o := range svc.Owners {
+	for b, o := range svc.Owners() {
 		for i, host := range o {
 			if id := hostID(snap, host); id != "" {
 				in.Buckets[id] += 1 - i
--- a/internal/daemon/snapshot.go
+++ b/internal/daemon/snapshot.go
@@ -72,7 +72,7 @@
 	}
 	c.owned[name] = svc
 	var owners [route.Buckets]command.Owners
-	for b, o := range svc.Owners {
+	for b, o := range svc.Owners() {
 		owners[b] = command.Owners{Primary: hostID(snap, o[0]), Secondary: hostID(snap, o[1])}
 	}
 	c.performCommands(now, c.commands.SetOwners(now, name, &owners))
--- a/internal/daemon/snapshot_test.go
+++ b/internal/daemon/snapshot_test.go
@@ -15,8 +15,8 @@
 func describe(s *route.Snapshot) map[string]string {
 	out := map[string]string{}
 	for name, svc := range s.ByName.All() {
-		text := fmt.Sprint(svc.Addr, svc.CommandAddr, svc.FlowIdle, svc.Epochs)
-		for _, o := range svc.Owners {
+		text := fmt.Sprint(svc.Addr, svc.CommandAddr, svc.FlowIdle, svc.Epochs())
+		for _, o := range svc.Owners() {
 			text += fmt.Sprint(hostID(s, o[0]), hostID(s, o[1]))
 		}
 		for _, b := range svc.Backends {
--- a/internal/route/build.go
+++ b/internal/route/build.go
@@ -74,7 +74,7 @@
 	previous, _ := b.byName.get(c.Name)
 	s := newService(&c, b.numbers[c.Name])
 	if previous != nil && previous.Region == c.Region {
-		s.group, s.Owners, s.Epochs = previous.group, previous.Owners, previous.Epochs
+		s.group, s.table = previous.group, previous.table
 	} else {
 		b.setOwners(s, b.rank(&c))
 	}
@@ -208,8 +208,9 @@
 
 func (b *Builder) setOwners(s *Service, group []int) {
 	s.group = group
-	s.Owners = BuildOwners(s.Name, group, b.hosts)
-	s.Epochs = buildEpochs(&s.Owners, group, b.hosts)
+	owners := BuildOwners(s.Name, group, b.hosts)
+	epochs := buildEpochs(&owners, group, b.hosts)
+	s.table = newOwnerTable(&owners, &epochs)
 }
 
 // install publishes a service with its backend servers.
--- a/internal/route/build_test.go
+++ b/internal/route/build_test.go
@@ -127,7 +127,7 @@
 			}
 			fresh.SetService(service(i, len(s.Backends)))
 			want := fresh.Snapshot()
-			if owners(got, s) != owners(want, want.ByName.Get(name)) || s.Epochs != want.ByName.Get(name).Epochs {
+			if owners(got, s) != owners(want, want.ByName.Get(name)) || s.Epochs() != want.ByName.Get(name).Epochs() {
 				t.Fatalf("change %d: owners of %s differ from a new build", n, name)
 			}
 			if got.Services.Get(s.Addr) != s || got.Services.Get(s.CommandAddr) != s || got.Backends.Get(s.Backends[3].Addr) != s.Backends[3] || s.Backends[3].Service != s {
@@ -146,9 +146,27 @@
 	}
 }
 
+// Guards against a compact table that names other owners than were chosen, for
+// the smallest and largest groups that the settings allow.
+func TestOwnerTable(t *testing.T) {
+	for _, size := range []int{0, 1, 2, 8, 64} {
+		hosts := testHosts(70)
+		group := OwnerGroup("service", hosts, size)
+		owners := BuildOwners("service", group, hosts)
+		epochs := buildEpochs(&owners, group, hosts)
+		s := &Service{table: newOwnerTable(&owners, &epochs)}
+		if s.Owners() != owners || s.Epochs() != epochs {
+			t.Errorf("group of %d: owners or epochs differ", size)
+		}
+		if most := max(1, size*(size-1)); len(s.table.pairs) > min(most, Buckets) {
+			t.Errorf("group of %d: %d pairs", size, len(s.table.pairs))
+		}
+	}
+}
+
 // owners returns the owners by ID, since indexes differ between builders.
 func owners(s *Snapshot, svc *Service) (ids [Buckets][2]string) {
-	for bucket, pair := range svc.Owners {
+	for bucket, pair := range svc.Owners() {
 		ids[bucket] = [2]string{s.Hosts[pair[0]].ID, s.Hosts[pair[1]].ID}
 	}
 	return ids
@@ -213,7 +231,7 @@
 	after := snap.ByName.Get("service")
 	for bucket, pair := range owners(snap, after) {
 		owns := slices.Contains(pair[:], hosts[1].ID)
-		if changed := before.Epochs[bucket] != after.Epochs[bucket]; changed != owns {
+		if changed := before.owned(bucket).epoch != after.owned(bucket).epoch; changed != owns {
 			t.Errorf("bucket %d of %v: epoch changed %t", bucket, pair, changed)
 		}
 	}
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -153,7 +153,7 @@
 func bucketOf(hash uint64) int { return int(hash % Buckets) }
 
 // Primary returns the host that owns the bucket of flow k, or NoHost.
-func (s *Service) Primary(k packet.Key) uint16 { return s.Owners[bucketOf(k.Hash())][0] }
+func (s *Service) Primary(k packet.Key) uint16 { return s.owned(bucketOf(k.Hash())).hosts[0] }
 
 // Secondary returns the second owner of the bucket of flow k, or NoHost.
-func (s *Service) Secondary(k packet.Key) uint16 { return s.Owners[bucketOf(k.Hash())][1] }
+func (s *Service) Secondary(k packet.Key) uint16 { return s.owned(bucketOf(k.Hash())).hosts[1] }
--- a/internal/route/decision_test.go
+++ b/internal/route/decision_test.go
@@ -39,7 +39,7 @@
 	svc := x.nodes[host].snap.ByName.Get("gridwatch")
 	e := flow.Entry{
 		Addr: b.Addr.Addr().As16(), Port: b.Addr.Port(), Instance: b.Instance, Service: svc.Index, State: state,
-		LastSeen: x.now.seconds(), Since: x.now.milliseconds(), Epoch: svc.Epochs[bucketOf(x.k.Hash())],
+		LastSeen: x.now.seconds(), Since: x.now.milliseconds(), Epoch: svc.owned(bucketOf(x.k.Hash())).epoch,
 	}
 	x.nodes[host].router.Table.Replace(x.k, x.k.Hash(), e)
 }
@@ -146,7 +146,7 @@
 			t.Errorf("%s: %v", c.name, got)
 		}
 		owners := 0
-		for _, i := range svc.Owners[bucketOf(x.k.Hash())] {
+		for _, i := range svc.owned(bucketOf(x.k.Hash())).hosts {
 			id := x.nodes[x.arrival].snap.Hosts[i].ID
 			if held, _ := x.held(id); id != x.arrival && held == x.backend(4) {
 				owners++
@@ -325,7 +325,7 @@
 	}
 	x.update(former...)
 	s := x.nodes[former[0]].snap
-	owners := s.ByName.Get("gridwatch").Owners[bucketOf(x.k.Hash())]
+	owners := s.ByName.Get("gridwatch").owned(bucketOf(x.k.Hash())).hosts
 	for i, h := range s.Hosts {
 		if uint16(i) != owners[0] && uint16(i) != owners[1] && !h.Leaving {
 			x.arrival = h.ID
--- a/internal/route/fabric.go
+++ b/internal/route/fabric.go
@@ -67,7 +67,7 @@
 // ask forwards a packet without an entry to its primary owner, or acts as
 // the primary when this host is it or no owner can be asked.
 func (r *Router) ask(q *query, h *packet.ForwardHeader) Action {
-	for _, owner := range q.svc.Owners[q.bucket] {
+	for _, owner := range q.svc.owned(q.bucket).hosts {
 		if owner == q.s.SelfIndex {
 			break
 		}
@@ -90,7 +90,7 @@
 // cannot be told from a first packet. A flow that is admitted anew breaks,
 // while a lost packet is sent again.
 func (q *query) suspectOwner() (uint16, bool) {
-	for _, owner := range q.svc.Owners[q.bucket] {
+	for _, owner := range q.svc.owned(q.bucket).hosts {
 		if owner != q.s.SelfIndex && q.suspect(owner) {
 			return owner, q.key.Proto == packet.ProtoUDP
 		}
--- a/internal/route/methods_test.go
+++ b/internal/route/methods_test.go
@@ -98,8 +98,8 @@
 		return
 	}
 	s := x.nodes[id].snap.ByName.Get("gridwatch")
-	for bucket := range s.Owners {
-		s.Owners[bucket][1] = NoHost
+	for i := range s.table.pairs {
+		s.table.pairs[i].hosts[1] = NoHost
 	}
 }
 
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -45,9 +45,9 @@
 	return query{s: s, svc: svc, info: info, key: key, hash: hash, bucket: bucketOf(hash), now: now}
 }
 
-func (q *query) primary() uint16   { return q.svc.Owners[q.bucket][0] }
-func (q *query) secondary() uint16 { return q.svc.Owners[q.bucket][1] }
-func (q *query) epoch() uint16     { return q.svc.Epochs[q.bucket] }
+func (q *query) primary() uint16   { return q.svc.owned(q.bucket).hosts[0] }
+func (q *query) secondary() uint16 { return q.svc.owned(q.bucket).hosts[1] }
+func (q *query) epoch() uint16     { return q.svc.owned(q.bucket).epoch }
 
 // available reports whether another host can be asked.
 func (q *query) available(host uint16) bool {
--- a/internal/route/snapshot.go
+++ b/internal/route/snapshot.go
@@ -68,11 +68,10 @@
 	Index             uint32 // number of the name, never reused in a process
 	Addr, CommandAddr ServiceAddr
 	Backends          []*Backend
-	Owners            [Buckets][2]uint16 // primary and secondary owner
-	Epochs            [Buckets]uint16    // hash of the owners' IDs and boots, never 0
 	FlowIdle          time.Duration
 	Seed              uint64
 	group             []int
+	table             ownerTable
 }
 
 // InGroup reports whether a host is in the service's owner group.
