daemon: leaving hosts keep shares only of their own groups

Cause: the shares of a service listed every leaving host of its region. A host that leaves took part in the groups of all services of its region, and hosts of a data centre that is taken out joined every group, each with reports to all members. docs/CAPACITY.md counted this as 0.8 KB a second for restarts. Change: Service.Leaving returns the leaving hosts that would be in the owner group if none were leaving, at most as many as a group has. At today's sizes a group has all hosts, and nothing changes.

--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -125,14 +125,14 @@
 }
 
 // concerned reports whether this host owns buckets of a service or observes
-// one of its backend servers. A host that leaves is still charged with its
-// flows of every service of its region.
+// one of its backend servers. A host that leaves is still charged with the
+// flows that it owned.
 func (c *control) concerned(snap *route.Snapshot, svc *route.Service, doc *document.Service) bool {
-	if i := snap.SelfIndex; i != route.NoHost {
-		h := &snap.Hosts[i]
-		if svc.InGroup(i) || h.Leaving && h.Region == svc.Region {
-			return true
-		}
+	if svc.InGroup(snap.SelfIndex) {
+		return true
+	}
+	if i := snap.SelfIndex; i != route.NoHost && snap.Hosts[i].Leaving && slices.Contains(c.leavers(snap, svc), i) {
+		return true
 	}
 	for d := range doc.DataCentres {
 		dc := &doc.DataCentres[d]
@@ -194,14 +194,17 @@
 		}
 	}
 	// A host that leaves still answers and is still charged with its flows.
-	for i := range snap.Hosts {
-		if h := &snap.Hosts[i]; h.Leaving && h.ID != "" && h.Region == svc.Region {
-			in.Buckets[h.ID] += 0
-		}
+	for _, i := range c.leavers(snap, svc) {
+		in.Buckets[snap.Hosts[i].ID] += 0
 	}
 	return in
 }
 
+// leavers returns the leaving hosts that may be charged with flows of a service.
+func (c *control) leavers(snap *route.Snapshot, svc *route.Service) []uint16 {
+	return svc.Leaving(snap.Hosts, c.d.settings.Limits.GroupSize)
+}
+
 // limitRound reads the evidence of the traffic, sends reports and refills the
 // budgets.
 func (c *control) limitRound(now time.Time) {
--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/admission"
+	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
 )
 
 // Guards against a service whose owners, observers or admitting host do not
@@ -56,3 +57,48 @@
 		t.Error("a budget admits a flow after its service was given up")
 	}
 }
+
+// Guards against reports of a host that leaves about services that it never
+// owned, and against flows of its own that are not charged any more.
+func TestLeavingHostKeepsItsShares(t *testing.T) {
+	c := newBenchControl(t, 100, benchDocuments(60, 1))
+	before := c.d.snapshot.Load()
+	c.leave(c.clock)
+	c.publish(c.clock)
+	owned := 0
+	for service := range c.config.Current().Services {
+		owner := before.ByName.Get(service).InGroup(before.SelfIndex)
+		buckets, listed := c.buckets(service)[before.Self]
+		_, given := c.limits.owners[service]
+		if listed != owner || buckets != 0 || owner && !given {
+			t.Errorf("%s: listed %v with %d buckets, was in the group %v", service, listed, buckets, owner)
+		}
+		if owner {
+			owned++
+		}
+	}
+	if owned == 0 || owned == 60 {
+		t.Errorf("%d services owned, want some", owned)
+	}
+}
+
+// Guards against owner groups that grow by all hosts of a data centre that is
+// taken out.
+func TestDataCentreOutKeepsGroupsSmall(t *testing.T) {
+	c := newBenchControl(t, 100, benchDocuments(60, 1))
+	r := c.config.OfferParsed(c.clock, configsync.Platform, configsync.Parse("datacentres", []byte("version: 1\nout: [dc-3]\n")))
+	c.offered(c.clock, "", r)
+	c.publish(c.clock)
+	size := c.d.settings.Limits.GroupSize
+	for service := range c.config.Current().Services {
+		if n := len(c.buckets(service)); n < size || n > 2*size {
+			t.Errorf("%s: %d hosts keep shares, want %d to %d", service, n, size, 2*size)
+		}
+	}
+}
+
+// buckets returns the bucket counts that the shares of a service get.
+func (c *benchControl) buckets(service string) map[string]int {
+	snap := c.d.snapshot.Load()
+	return c.bucketInput(snap, snap.ByName.Get(service), c.config.Current().Services[service]).Buckets
+}
--- a/internal/route/owners.go
+++ b/internal/route/owners.go
@@ -76,6 +76,34 @@
 	return group
 }
 
+// Leaving returns the leaving hosts of a service's region that would be in its
+// owner group if none were leaving. There are at most size of them, also when
+// all hosts of a data centre leave.
+func (s *Service) Leaving(hosts []Host, size int) []uint16 {
+	var candidates []Host
+	var indexes []uint16
+	for i := range hosts {
+		if h := hosts[i]; h.ID != "" && h.Leaving && h.Region == s.Region {
+			h.Leaving = false
+			candidates, indexes = append(candidates, h), append(indexes, uint16(i))
+		}
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	leaving := len(candidates)
+	for _, i := range s.group {
+		candidates = append(candidates, hosts[i])
+	}
+	var list []uint16
+	for _, i := range OwnerGroup(s.Name, candidates, size) {
+		if i < leaving {
+			list = append(list, indexes[i])
+		}
+	}
+	return list
+}
+
 // BuildOwners returns the primary and secondary owner of each bucket of a
 // service: the highest-ranked host of the group, and the highest-ranked host
 // in another data centre where there is one. When one owner leaves, or one
