--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"context"
-	"encoding/json"
 	"math"
 	"net/netip"
 	"slices"
@@ -17,7 +15,9 @@
 // Intervals of the limits.
 const (
 	limitInterval = 100 * time.Millisecond
-	pollInterval  = time.Second
+	// pollInterval is how often due polls are looked for. It adds to the time
+	// until a load report is read.
+	pollInterval = 250 * time.Millisecond
 	// evidenceInterval is long enough that a working backend server has
 	// replied to a packet that was sent at its start.
 	evidenceInterval = time.Second
@@ -86,7 +86,7 @@
 			continue
 		}
 		in := c.bucketInput(snap, svc, doc)
-		owners[name] = svc.Owners
+		owners[name] = svc.Owners()
 		services = append(services, health.ServiceInput{Doc: doc, Group: keys(in.Buckets)})
 		if _, member := in.Buckets[snap.Self]; member {
 			shares.Services = append(shares.Services, in)
@@ -95,6 +95,11 @@
 	l.owners = owners
 	l.setBackends(services)
 	l.health.SetServices(now, snap.Self, health.Input{Services: services, Hosts: l.hosts, Ranking: l.ranking, Out: out, Leaving: leaving})
+	if ch.hosts {
+		for _, m := range c.members.Members() {
+			l.health.Started(m.Host.ID, m.Boot)
+		}
+	}
 	l.verdicts = l.health.Verdicts(now)
 	shares.Verdicts = l.verdicts
 	l.shares.SetServices(now, snap.Self, shares)
@@ -120,14 +125,14 @@
 }
 
 // concerned reports whether this host owns buckets of a service or observes
-// one of its backend servers. A host that leaves is still charged with its
-// flows of every service of its region.
+// one of its backend servers. A host that leaves is still charged with the
+// flows that it owned.
 func (c *control) concerned(snap *route.Snapshot, svc *route.Service, doc *document.Service) bool {
-	if i := snap.SelfIndex; i != route.NoHost {
-		h := &snap.Hosts[i]
-		if svc.InGroup(i) || h.Leaving && h.Region == svc.Region {
-			return true
-		}
+	if svc.InGroup(snap.SelfIndex) {
+		return true
+	}
+	if i := snap.SelfIndex; i != route.NoHost && snap.Hosts[i].Leaving && slices.Contains(c.leavers(snap, svc), i) {
+		return true
 	}
 	for d := range doc.DataCentres {
 		dc := &doc.DataCentres[d]
@@ -178,7 +183,7 @@
 func (c *control) bucketInput(snap *route.Snapshot, svc *route.Service, doc *document.Service) admission.ServiceInput {
 	in := admission.ServiceInput{Doc: doc, Buckets: map[string]int{}}
 	previous, known := c.limits.owners[svc.Name]
-	for b, o := range svc.Owners {
+	for b, o := range svc.Owners() {
 		for i, host := range o {
 			if id := hostID(snap, host); id != "" {
 				in.Buckets[id] += 1 - i
@@ -189,14 +194,17 @@
 		}
 	}
 	// A host that leaves still answers and is still charged with its flows.
-	for i := range snap.Hosts {
-		if h := &snap.Hosts[i]; h.Leaving && h.ID != "" && h.Region == svc.Region {
-			in.Buckets[h.ID] += 0
-		}
+	for _, i := range c.leavers(snap, svc) {
+		in.Buckets[snap.Hosts[i].ID] += 0
 	}
 	return in
 }
 
+// leavers returns the leaving hosts that may be charged with flows of a service.
+func (c *control) leavers(snap *route.Snapshot, svc *route.Service) []uint16 {
+	return svc.Leaving(snap.Hosts, c.d.settings.Limits.GroupSize)
+}
+
 // limitRound reads the evidence of the traffic, sends reports and refills the
 // budgets.
 func (c *control) limitRound(now time.Time) {
@@ -216,16 +224,7 @@
 	l.verdicts = verdicts
 	l.shares.SetVerdicts(verdicts)
 	c.admitted(now)
-	for _, r := range l.shares.Report(now) {
-		c.call(r.To, admission.Method, r, nil)
-	}
-	for _, m := range l.health.Messages(now) {
-		c.call(m.To, health.Method, m, func(c *control, _ time.Time, err error) {
-			if err == nil {
-				c.limits.health.Delivered(m)
-			}
-		})
-	}
+	c.sendReports(now)
 	c.refill(now)
 }
 
@@ -339,25 +338,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-func handleAdmission(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
-	r, err := admission.ParseReport(params)
-	if err != nil {
-		countDroppedReason("call", "malformed")
-		return nil, err
-	}
-	return ask(ctx, d, func(c *control, now time.Time) bool {
-		return c.limits.shares.Receive(now, from, r).Accepted
-	})
-}
-
-func handleHealth(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
-	m, err := health.ParseMessage(params)
-	if err != nil {
-		countDroppedReason("call", "malformed")
-		return nil, err
-	}
-	return ask(ctx, d, func(c *control, now time.Time) bool {
-		return c.limits.health.Receive(now, from, m).Accepted
-	})
-}
--- a/internal/health/bench_test.go
+++ b/internal/health/bench_test.go
@@ -1,8 +1,8 @@
 package health
 
 import (
+	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 )
 
 // The round of the control loop, once a second, when every load report is new
@@ -50,7 +51,7 @@
 	targets := s.Targets()
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	now, bytes, messages := start, 0, 0
+	now, sent, messages := start, 0, 0
 	b.ResetTimer()
 	for i := range b.N {
 		now = now.Add(time.Second)
@@ -65,17 +66,18 @@
 		list := s.Messages(now)
 		b.StopTimer()
 		for _, m := range list {
-			raw, err := json.Marshal(m)
-			if err != nil {
-				b.Fatal(err)
+			sent += peer.ReportBytes(m.size())
+			messages++
+			// As many acknowledgements are sent as received.
+			if answer := m.Acknowledgement(); m.Answer {
+				sent += peer.ReportBytes(answer.size())
+				messages++
 			}
-			bytes += len(raw) + callOverhead
 			s.Delivered(m)
 		}
-		messages += len(list)
 		b.StartTimer()
 	}
-	b.ReportMetric(float64(bytes)/float64(b.N), "report-B/s")
+	b.ReportMetric(float64(sent)/float64(b.N), "report-B/s")
 	b.ReportMetric(float64(messages)/float64(b.N), "reports/s")
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "state-B")
 }
@@ -119,13 +121,52 @@
 	}
 }
 
+// BenchmarkPollSecond measures one second of polls by the schedule, of backend
+// servers that are neither cold nor in doubt.
+func BenchmarkPollSecond(b *testing.B) {
+	const tick = 250 * time.Millisecond
+	for _, n := range []int{7, 14, 120} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			transport := &memoryTransport{}
+			p := NewPoller(PollerConfig{Transport: transport})
+			s := newState("host-a", n, nil)
+			now, polls := start, 0
+			second := func() {
+				for range time.Second / tick {
+					due := s.DueTargets(now, certain)
+					p.Poll(context.Background(), due, func(Observation) {})
+					for _, t := range due {
+						s.Report(now, t.Backend, report(now.Sub(start)+time.Hour, nil))
+					}
+					now, polls = now.Add(tick), polls+len(due)
+				}
+			}
+			for range newFor / time.Second {
+				second()
+			}
+			transport.request.Store(0)
+			transport.response.Store(0)
+			polls = 0
+			rounds := 0
+			for b.Loop() {
+				second()
+				rounds++
+			}
+			b.ReportMetric(float64(transport.request.Load())/float64(rounds), "request-B/s")
+			b.ReportMetric(float64(transport.response.Load())/float64(rounds), "response-B/s")
+			b.ReportMetric(float64(polls)/float64(rounds), "polls/s")
+		})
+	}
+}
+
 // memoryTransport answers every request with the same load report and counts
 // the bytes of the messages as they would be written to a connection.
 type memoryTransport struct{ request, response atomic.Int64 }
 
 func (m *memoryTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	raw, err := httputil.DumpRequestOut(req, false)
-	if err != nil {
+	// The Poller disables compression, so its transport adds no header.
+	var raw bytes.Buffer
+	if err := req.Write(&raw); err != nil {
 		return nil, err
 	}
 	const body = `{"service":"gridwatch","instance":1764824465123,"uptime_ms":86400000,"connections":1423,"slots_busy":1,"draining":false,"shedding":false}`
@@ -135,7 +176,7 @@
 		ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)),
 	}
 	answer, err := httputil.DumpResponse(resp, false)
-	m.request.Add(int64(len(raw)))
+	m.request.Add(int64(raw.Len()))
 	m.response.Add(int64(len(answer) + len(body)))
 	return resp, err
 }
--- a/internal/route/sweep_test.go
+++ b/internal/route/sweep_test.go
@@ -94,11 +94,11 @@
 	var kept []packet.Key
 	for i := range 1000 {
 		k := callerKey(i, packet.ProtoTCP)
-		bucket := bucketOf(k.Hash())
-		owned := slices.Contains(svc.Owners[bucket][:], n.snap.SelfIndex)
+		owners := svc.owned(bucketOf(k.Hash()))
+		owned := slices.Contains(owners.hosts[:], n.snap.SelfIndex)
 		e := flow.Entry{
 			Addr: svc.Backends[0].Addr.Addr().As16(), Port: svc.Backends[0].Addr.Port(), Service: svc.Index,
-			State: states[i%len(states)], Epoch: svc.Epochs[bucket], LastSeen: f.now.seconds() - 5,
+			State: states[i%len(states)], Epoch: owners.epoch, LastSeen: f.now.seconds() - 5,
 		}
 		if i%3 == 0 {
 			e.Epoch++ // not replicated under the present owners
@@ -131,7 +131,7 @@
 		for i := range entries {
 			k := callerKey(i>>15<<16|i&0x7fff, packet.ProtoTCP) // callerKey ignores bit 15
 			t.Put(k, k.Hash(), flow.Entry{
-				Service: svc.Index, State: flow.Settled, Epoch: svc.Epochs[bucketOf(k.Hash())], LastSeen: f.now.seconds() - uint32(i%300),
+				Service: svc.Index, State: flow.Settled, Epoch: svc.owned(bucketOf(k.Hash())).epoch, LastSeen: f.now.seconds() - uint32(i%300),
 			})
 		}
 		b.StartTimer()
