platform: publish the values of the shard tests in a fixed order

Cause: TestShardContract expects one reset when the index of one shard goes backwards. Its values were published in the order of a map; when the changed value came last, the list of names lost its newest index too, and there were two resets. Change: values are published in the order of their keys. The check is the same. Conclusion: a fault of the test, not of the reads.

--- a/internal/platform/shards_test.go
+++ b/internal/platform/shards_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -47,9 +49,11 @@
 	return s
 }
 
+// put publishes values in the order of their keys, because the order decides
+// which shards' indexes a value raises.
 func (s *sharded) put(values map[string]string) {
-	for key, value := range values {
-		s.platform.Put("n/"+key, []byte(value))
+	for _, key := range slices.Sorted(maps.Keys(values)) {
+		s.platform.Put("n/"+key, []byte(values[key]))
 	}
 }
 
