nutmeglatchd: test flows of IPv6 callers

Cause: docs/PROMISES.md listed IPv6 end to end on sockets as not tried. Conclusion: no change of the code was needed.

--- a/cmd/nutmeglatchd/load_test.go
+++ b/cmd/nutmeglatchd/load_test.go
@@ -30,6 +30,13 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{203, 0, 113, byte(1 + n/ports)}), uint16(firstPort+n%ports))
 }
 
+// ipv6Source returns an IPv6 address for an IPv4 one.
+func ipv6Source(s netip.AddrPort) netip.AddrPort {
+	ip := netip.MustParseAddr("2001:db8:1::").As16()
+	ip[15] = s.Addr().As4()[3]
+	return netip.AddrPortFrom(netip.AddrFrom16(ip), s.Port())
+}
+
 // openFlows is a set of flows that stay open until they are stopped.
 type openFlows struct {
 	b       *bench
@@ -51,12 +58,19 @@
 func (b *bench) startFlows(svc *document.Service, n int) *openFlows {
 	o := &openFlows{b: b, stop: make(chan struct{}), results: make([]standin.FlowResult, n)}
 	destination := netip.AddrPortFrom(svc.Address, svc.Port)
+	proto := uint8(packet.ProtoTCP)
+	if svc.Protocol == document.UDP {
+		proto = packet.ProtoUDP
+	}
 	for i := range n {
 		source := b.source()
+		if svc.Address.Is6() {
+			source = ipv6Source(source)
+		}
 		o.sources = append(o.sources, source)
 		o.wg.Go(func() {
 			o.results[i] = b.caller.RunFlow(b.t.Context(), standin.FlowConfig{
-				Source: source, Destination: destination, Proto: packet.ProtoTCP,
+				Source: source, Destination: destination, Proto: proto,
 				Interval: flowInterval, Duration: time.Hour, Stop: o.stop, GiveUp: flowGiveUp, Payload: 64,
 			})
 		})
