peer: report datagrams with varint content

Change: the content of a report datagram is the service and numbers as varints. Calls stay JSON. Both packages count what a report costs in the form in which it is sent. Fuzz targets for the new decoders ran 3 s each without a finding.

--- a/internal/admission/bench_test.go
+++ b/internal/admission/bench_test.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand"
 	"net/netip"
@@ -11,7 +10,6 @@
 
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/health"
-	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 )
 
 // fleet is a host under measurement (index 0) and the other members of its
@@ -76,11 +74,7 @@
 // exchange sends the reports of host h and returns their bytes.
 func (f *fleet) exchange(reports []Report, h int) (bytes int) {
 	for _, r := range reports {
-		raw, err := json.Marshal(r)
-		if err != nil {
-			panic(err)
-		}
-		bytes += peer.ReportBytes(len(raw))
+		bytes += r.cost()
 		var to int
 		fmt.Sscanf(r.To, "host-%d", &to)
 		f.states[to].Receive(f.now, hostID(h), r)
--- a/internal/admission/message.go
+++ b/internal/admission/message.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"math"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 )
 
 // Method is the JSON-RPC method of reports between entry hosts.
@@ -137,10 +140,48 @@
 	return rows
 }
 
-func (r *Report) size() int {
+// AppendContent appends the report in the form of a datagram's content: the
+// service, then epoch, base, sequence number, acknowledgement, flags and rows.
+func (r *Report) AppendContent(dst []byte) []byte {
+	dst = peer.AppendText(dst, r.Service)
+	dst = peer.AppendNumbers(dst, uint64(r.Epoch), uint64(r.Base), r.Seq, r.Ack, uint64(r.Flags))
+	for _, v := range r.Rows {
+		dst = peer.AppendNumbers(dst, uint64(v))
+	}
+	return dst
+}
+
+// ParseContent decodes and checks the content of a report datagram.
+func ParseContent(raw []byte) (Report, error) {
+	c := peer.NewContent(raw)
+	r := Report{Service: c.Text()}
+	epoch, base := c.Number(), c.Number()
+	r.Seq, r.Ack = c.Number(), c.Number()
+	flags := c.Number()
+	for c.More() {
+		r.Rows = append(r.Rows, int(c.Number()))
+	}
+	if c.Err() != nil {
+		return Report{}, errors.Mark(c.Err(), ErrMalformed)
+	}
+	if epoch > math.MaxUint32 || base > math.MaxUint32 || flags > math.MaxUint8 {
+		return Report{}, errors.Wrapf(ErrMalformed, "epoch %d, base %d or flags %#x out of range", epoch, base, flags)
+	}
+	r.Epoch, r.Base, r.Flags = uint32(epoch), uint32(base), uint8(flags)
+	return r, r.check()
+}
+
+// fits reports whether the report fits in a datagram.
+func (r *Report) fits() bool { return len(r.AppendContent(nil)) <= peer.MaxReport }
+
+// cost returns the bytes of the report on the wire, headers included.
+func (r *Report) cost() int {
+	if !r.Call {
+		return len(r.AppendContent(nil)) + peer.DatagramOverhead
+	}
 	raw, err := json.Marshal(r)
 	if err != nil {
 		return MaxReportBytes
 	}
-	return len(raw)
+	return len(raw) + peer.CallOverhead
 }
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -5,8 +5,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 )
 
 const (
@@ -92,7 +90,7 @@
 				return out
 			}
 			if r, ok := s.reportTo(now, g, id); ok {
-				s.bytes -= float64(peer.ReportBytes(r.size()))
+				s.bytes -= float64(r.cost())
 				out = append(out, r)
 			}
 		}
@@ -155,7 +153,7 @@
 		p.backoff = min(p.backoff+1, maxBackoff)
 		p.unacked++
 	}
-	r.Call = p.unacked > maxDatagrams || r.size() > peer.MaxReport
+	r.Call = p.unacked > maxDatagrams || !r.fits()
 	p.ackDue, p.waits, p.lastOut = false, false, now
 	return r, true
 }
--- a/internal/admission/state_test.go
+++ b/internal/admission/state_test.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/health"
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 )
 
 // fill lets a host use its whole budget.
@@ -255,6 +257,20 @@
 	}
 }
 
+func FuzzParseContent(f *testing.F) {
+	r := Report{Service: "gridwatch", Epoch: 1 << 31, Base: 3, Seq: 1764824465123, Ack: 7, Flags: flagReady, Rows: []int{32 + 1, 500}}
+	f.Add(r.AppendContent(nil))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r, err := ParseContent(raw)
+		if err != nil {
+			return
+		}
+		if again, err := ParseContent(r.AppendContent(nil)); err != nil || !reflect.DeepEqual(again, r) {
+			t.Errorf("%+v is read as %+v, error %v", r, again, err)
+		}
+	})
+}
+
 func FuzzParseReport(f *testing.F) {
 	f.Add([]byte(`{"s":"gridwatch","e":1,"b":2,"n":3,"a":4,"f":7,"r":[1,5,63,1,2,3,4,5,6]}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
@@ -300,6 +316,9 @@
 	if calls() == 0 {
 		t.Error("no call to a member that uses no datagrams")
 	}
+	if large := (&Report{Service: "gridwatch", Rows: make([]int, peer.MaxReport)}); large.fits() {
+		t.Error("a report that is larger than a datagram fits in one")
+	}
 	f.confirm()
 	f.confirm()
 	for range 50 {
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -12,8 +12,7 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 )
 
-// Kinds of report datagrams: the first byte of the body, before the JSON
-// object of the report. The body of a probe is a JSON object.
+// Kinds of report datagrams: the first byte of the body, before the content. The body of a probe is a JSON object.
 const (
 	kindAdmission    = 'a'
 	kindHealth       = 'h'
@@ -27,11 +26,11 @@
 			c.call(r.To, admission.Method, r, nil)
 			continue
 		}
-		c.sendReport(r.To, kindAdmission, r)
+		c.sendReport(r.To, kindAdmission, &r)
 	}
 	for _, m := range c.limits.health.Messages(now) {
 		if !m.Call {
-			c.sendReport(m.To, kindHealth, m)
+			c.sendReport(m.To, kindHealth, &m)
 			continue
 		}
 		c.call(m.To, health.Method, m, func(c *control, _ time.Time, err error) {
@@ -42,16 +41,18 @@
 	}
 }
 
+// content is a report that can be sent in a datagram.
+type content interface{ AppendContent(dst []byte) []byte }
+
 // sendReport sends a report in one datagram. Its sender repeats it until it is
 // acknowledged.
-func (c *control) sendReport(to string, kind byte, report any) {
+func (c *control) sendReport(to string, kind byte, report content) {
 	addr, listed := (*c.d.listed.Load())[to]
-	content, err := json.Marshal(report)
-	if !listed || err != nil || len(content) > peer.MaxReport {
+	body := report.AppendContent([]byte{kind})
+	if !listed || len(body)-1 > peer.MaxReport {
 		counters.sendErrors.Inc()
 		return
 	}
-	body := append([]byte{kind}, content...)
 	if _, err := c.d.peerUDP.WriteToUDPAddrPort(c.d.probes.Seal(nil, body), addr); err != nil {
 		counters.sendErrors.Inc()
 	}
@@ -85,17 +86,18 @@
 // decodeReport returns the use of a report on the control goroutine.
 func decodeReport(from string, kind byte, content []byte) (event, error) {
 	if kind == kindAdmission {
-		r, err := admission.ParseReport(content)
+		r, err := admission.ParseContent(content)
 		return func(c *control, now time.Time) { c.limits.shares.Receive(now, from, r) }, err
 	}
-	m, err := health.ParseMessage(content)
+	m, err := health.ParseContent(content)
 	if kind == kindHealthAnswer {
 		m.To = from
 		return func(c *control, _ time.Time) { c.limits.health.Delivered(m) }, err
 	}
 	return func(c *control, now time.Time) {
 		if c.limits.health.Receive(now, from, m).Accepted && m.Answer {
-			c.sendReport(from, kindHealthAnswer, m.Acknowledgement())
+			answer := m.Acknowledgement()
+			c.sendReport(from, kindHealthAnswer, &answer)
 		}
 	}, err
 }
--- a/internal/daemon/reports_test.go
+++ b/internal/daemon/reports_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"encoding/json"
 	"testing"
 	"time"
 
@@ -32,8 +31,7 @@
 	}
 	report := func(boot uint64) []datagram {
 		service.Seq++
-		raw, _ := json.Marshal(service)
-		return deliver(boot, kindHealth, raw)
+		return deliver(boot, kindHealth, service.AppendContent(nil))
 	}
 	sent := report(2)
 	if len(sent) != 1 || sent[0].to != c.hosts[sender].PeerAddr() {
@@ -43,7 +41,7 @@
 	if err != nil || opened.Body[0] != kindHealthAnswer {
 		t.Fatalf("body %q, error %v", opened.Body, err)
 	}
-	if answer, err := health.ParseMessage(opened.Body[1:]); err != nil || answer.Seq != service.Seq || answer.Service != service.Service {
+	if answer, err := health.ParseContent(opened.Body[1:]); err != nil || answer.Seq != service.Seq || answer.Service != service.Service {
 		t.Errorf("acknowledgement %+v, error %v", answer, err)
 	}
 	if n := len(report(1)); n != 0 {
--- a/internal/health/bench_test.go
+++ b/internal/health/bench_test.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
-	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 )
 
 // The round of the control loop, once a second, when every load report is new
@@ -66,11 +65,11 @@
 		list := s.Messages(now)
 		b.StopTimer()
 		for _, m := range list {
-			sent += peer.ReportBytes(m.size())
+			sent += m.cost()
 			messages++
 			// As many acknowledgements are sent as received.
 			if answer := m.Acknowledgement(); m.Answer {
-				sent += peer.ReportBytes(answer.size())
+				sent += answer.cost()
 				messages++
 			}
 			s.Delivered(m)
--- a/internal/health/loss_test.go
+++ b/internal/health/loss_test.go
@@ -4,6 +4,8 @@
 	"math/rand"
 	"testing"
 	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 )
 
 // inFlight is a datagram on its way.
@@ -74,6 +76,25 @@
 	}
 }
 
+// Guards against reports that are too large for a datagram and never arrive.
+func TestLargeReportsAreCalls(t *testing.T) {
+	for servers, call := range map[int]bool{10: false, 160: true} {
+		a := newState("host-a", servers, nil)
+		for i := range servers {
+			a.Report(at(0), addr(i+1), report(time.Hour, func(r *LoadReport) { r.Instance = 1764824465123 }))
+		}
+		messages := a.Messages(at(0))
+		if len(messages) != 2 {
+			t.Errorf("%d backend servers: %d reports, want 2", servers, len(messages))
+		}
+		for _, m := range messages {
+			if fits := len(m.AppendContent(nil)) <= peer.MaxReport; m.Call != call || fits == call {
+				t.Errorf("%d backend servers: call %v, fits in a datagram %v", servers, m.Call, fits)
+			}
+		}
+	}
+}
+
 // Guards against a host that knows no report datagrams, or a path that loses
 // them all, and gets no reports.
 func TestUnansweredReportsBecomeCalls(t *testing.T) {
--- a/internal/health/message.go
+++ b/internal/health/message.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -23,6 +24,9 @@
 	// doubles with each repeat. Two lost datagrams delay a report by 0.6 s,
 	// which with a poll every 3 s stays within 5 s.
 	firstRepeat = 200 * time.Millisecond
+	// maxContent leaves room for the sequence number and the wish for an
+	// answer, which differ between the receivers of one report.
+	maxContent = peer.MaxReport - 11
 	// maxDatagrams is how often a report is sent as a datagram. After that it
 	// is sent as a call: the receiver may not know report datagrams.
 	maxDatagrams = 4
@@ -89,10 +93,14 @@
 	if err := json.Unmarshal(raw, &m); err != nil {
 		return m, errors.Mark(errors.Wrap(err, "health report"), ErrMalformed)
 	}
+	return m, m.check()
+}
+
+func (m *Message) check() error {
 	if m.Service == "" || len(m.Service) > maxServiceName {
-		return m, errors.Wrapf(ErrMalformed, "service name of %d bytes, allowed 1 to %d", len(m.Service), maxServiceName)
+		return errors.Wrapf(ErrMalformed, "service name of %d bytes, allowed 1 to %d", len(m.Service), maxServiceName)
 	}
-	return m, m.eachRow(func(uint64, uint64, uint64, time.Duration) {})
+	return m.eachRow(func(uint64, uint64, uint64, time.Duration) {})
 }
 
 // eachRow visits the rows and reports the first fault. Rows before a fault
@@ -168,12 +176,11 @@
 	svc    *service
 	m      Message
 	digest uint64
-	size   int // of the encoded message, 0 until it is known
 }
 
 func (s *State) newOutgoing(now time.Time, svc *service) *outgoing {
 	rows, digest := s.rows(now, svc)
-	return &outgoing{svc: svc, digest: digest, m: Message{Service: svc.name, Epoch: svc.epoch, Answer: true, Rows: rows}}
+	return &outgoing{svc: svc, digest: digest, m: Message{Service: svc.name, Epoch: svc.epoch, Rows: rows}}
 }
 
 // appendChanged appends the reports to the hosts that have not acknowledged
@@ -196,21 +203,17 @@
 
 // send appends the report to one host, unless the byte limit is reached.
 func (s *State) send(now time.Time, o *outgoing, id string, out *[]Message) bool {
-	m := o.m
+	m, p := o.m, s.peers[id]
 	s.seq = max(s.seq+1, uint64(now.UnixMilli()))
-	m.To, m.Seq = id, s.seq
-	if o.size == 0 {
-		o.size = m.size()
-	}
-	cost := float64(peer.ReportBytes(o.size))
+	large := len(m.AppendContent(nil)) > maxContent
+	next := p.sent[m.Service].next(now, s.seq, o.digest, large)
+	m.To, m.Seq, m.Call, m.Answer = id, s.seq, next.call, !next.delivered
+	cost := float64(m.cost())
 	if s.bytes < cost {
 		return false
 	}
 	s.bytes -= cost
-	p := s.peers[id]
-	next := p.sent[m.Service].next(now, m.Seq, o.digest, o.size > peer.MaxReport)
 	p.sent[m.Service] = next
-	m.Call, m.Answer = next.call, !next.delivered
 	*out = append(*out, m)
 	return true
 }
@@ -240,12 +243,48 @@
 	return min(firstRepeat<<(r.tries-1), longest)
 }
 
-func (m *Message) size() int {
+// AppendContent appends the message in the form of a datagram's content: the
+// service, then epoch, sequence number, 1 if an answer is wanted, and rows.
+func (m *Message) AppendContent(dst []byte) []byte {
+	answer := uint64(0)
+	if m.Answer {
+		answer = 1
+	}
+	dst = peer.AppendText(dst, m.Service)
+	dst = peer.AppendNumbers(dst, uint64(m.Epoch), m.Seq, answer)
+	return peer.AppendNumbers(dst, m.Rows...)
+}
+
+// ParseContent decodes and checks the content of a report datagram.
+func ParseContent(raw []byte) (Message, error) {
+	c := peer.NewContent(raw)
+	m := Message{Service: c.Text()}
+	epoch := c.Number()
+	m.Seq = c.Number()
+	answer := c.Number()
+	for c.More() {
+		m.Rows = append(m.Rows, c.Number())
+	}
+	if c.Err() != nil {
+		return Message{}, errors.Mark(c.Err(), ErrMalformed)
+	}
+	if epoch > math.MaxUint32 || answer > 1 {
+		return Message{}, errors.Wrapf(ErrMalformed, "epoch %d or answer %d out of range", epoch, answer)
+	}
+	m.Epoch, m.Answer = uint32(epoch), answer == 1
+	return m, m.check()
+}
+
+// cost returns the bytes of the message on the wire, headers included.
+func (m *Message) cost() int {
+	if !m.Call {
+		return len(m.AppendContent(nil)) + peer.DatagramOverhead
+	}
 	raw, err := json.Marshal(m)
 	if err != nil {
 		return MaxMessageBytes
 	}
-	return len(raw)
+	return len(raw) + peer.CallOverhead
 }
 
 // Delivered records that the peer acknowledged m, by the answer of a call or
--- a/internal/health/state_test.go
+++ b/internal/health/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
@@ -277,6 +278,20 @@
 	})
 }
 
+func FuzzParseContent(f *testing.F) {
+	m := Message{Service: "gridwatch", Epoch: 1 << 31, Seq: 1764824465123, Answer: true, Rows: []uint64{0, 24, 7, 1000, 1, 1}}
+	f.Add(m.AppendContent(nil))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		m, err := ParseContent(raw)
+		if err != nil {
+			return
+		}
+		if again, err := ParseContent(m.AppendContent(nil)); err != nil || !reflect.DeepEqual(again, m) {
+			t.Errorf("%+v is read as %+v, error %v", m, again, err)
+		}
+	})
+}
+
 func FuzzParseMessage(f *testing.F) {
 	f.Add([]byte(`{"s":"gridwatch","e":1,"n":2,"r":[0,24,7,1000,1,1]}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
--- /dev/null
+++ b/internal/peer/content.go
@@ -0,0 +1,64 @@
+package peer
+
+import (
+	"encoding/binary"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrContent is returned for the content of a report datagram that is
+// truncated or has a number of more than 64 bits.
+var ErrContent = errors.New("report content is truncated or has an oversized number")
+
+// AppendText appends a string with its length to the content of a report
+// datagram.
+func AppendText(dst []byte, s string) []byte {
+	return append(binary.AppendUvarint(dst, uint64(len(s))), s...)
+}
+
+// AppendNumbers appends numbers in a form that is short for small ones.
+func AppendNumbers(dst []byte, numbers ...uint64) []byte {
+	for _, n := range numbers {
+		dst = binary.AppendUvarint(dst, n)
+	}
+	return dst
+}
+
+// Content reads the content of a report datagram. Reads after a failed one
+// return zero values.
+type Content struct {
+	rest []byte
+	err  error
+}
+
+// NewContent returns a Content that reads raw.
+func NewContent(raw []byte) *Content { return &Content{rest: raw} }
+
+// Number reads one number.
+func (c *Content) Number() uint64 {
+	v, n := binary.Uvarint(c.rest)
+	if n <= 0 {
+		c.rest, c.err = nil, ErrContent
+		return 0
+	}
+	c.rest = c.rest[n:]
+	return v
+}
+
+// Text reads one string.
+func (c *Content) Text() string {
+	n := c.Number()
+	if n > uint64(len(c.rest)) {
+		c.rest, c.err = nil, ErrContent
+		return ""
+	}
+	s := string(c.rest[:n])
+	c.rest = c.rest[n:]
+	return s
+}
+
+// More reports whether there is more to read.
+func (c *Content) More() bool { return len(c.rest) > 0 }
+
+// Err returns the first error of the reads.
+func (c *Content) Err() error { return c.err }
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -36,15 +36,6 @@
 	CallOverhead = 330
 )
 
-// ReportBytes returns the bytes on the wire of a report with a content of n
-// bytes, which is sent as a datagram if it fits and else as a call.
-func ReportBytes(n int) int {
-	if n > MaxReport {
-		return n + CallOverhead
-	}
-	return n + DatagramOverhead
-}
-
 // Reasons for which a datagram is refused.
 var (
 	ErrShort   = errors.New("datagram is truncated")
