command: measure how long a handover takes

Change: BenchmarkHandOver hands the claims of one host to an owner that has just joined, in simulated time.

--- a/internal/command/bench_test.go
+++ b/internal/command/bench_test.go
@@ -105,3 +105,54 @@
 		runtime.KeepAlive(p)
 	}
 }
+
+// BenchmarkHandOver measures in simulated time how long a planned stop waits
+// when the other owner has just joined, up to the retention.
+func BenchmarkHandOver(b *testing.B) {
+	for _, claims := range []int{0, 50, 100, 1000, 10000} {
+		b.Run(fmt.Sprintf("claims=%d", claims), func(b *testing.B) {
+			for b.Loop() {
+				waited, sent := handOver(claims)
+				b.ReportMetric(waited.Seconds(), "s-waited")
+				b.ReportMetric(float64(sent), "bytes")
+			}
+		})
+	}
+}
+
+func handOver(claims int) (waited time.Duration, sent int) {
+	p := newPair(DefaultRetention, 20000)
+	now := testStart.Add(time.Second)
+	for ; now.Sub(testStart) < DefaultRetention+time.Second; now = now.Add(500 * time.Millisecond) {
+		p.primary.SetConditions(now, Conditions{true, true})
+		p.secondary.SetConditions(now, Conditions{true, true})
+	}
+	for i := range claims {
+		p.command(now, i, "done")
+	}
+	next := New(Config{Self: "c", MaxClaims: 20000}, now)
+	next.SetConditions(now, Conditions{true, true})
+	next.SetOwners(now, testService, full(ac))
+	p.primary.SetOwners(now, testService, full(ac))
+	joined := now
+	out := p.primary.HandOver(now)
+	for p.primary.NotHandedOver(now) > 0 {
+		for ; len(out) > 0; out = out[1:] {
+			switch o := out[0].(type) {
+			case Transfer:
+				raw, _ := json.Marshal(o.Message)
+				sent += len(raw)
+				reply, _ := next.Transfer(now, "a", o.Message)
+				out = append(out, p.primary.TransferResult(now, o.Seq, reply, CallDone)...)
+			case AskCoverage:
+				raw, _ := json.Marshal(o.Message)
+				sent += len(raw)
+				out = append(out, p.primary.CoverageResult(now, "c", o.Message, next.Coverage(now, "a", o.Message), CallDone)...)
+			}
+		}
+		now = now.Add(50 * time.Millisecond)
+		next.SetConditions(now, Conditions{true, true})
+		out = p.primary.Expire(now)
+	}
+	return now.Sub(joined), sent
+}
