command: let commands wait while the majority is verified again

Change: while claims stay complete without a majority (2 s, fleets below 64 hosts), a command that is not idempotent is claimed and waits; it runs only if all conditions hold then, as for a command that arrives then. The wait for the claim and the majority is 2.5 s at most instead of 1 s. A command that has reached no backend server and is retried waits too.

Tests: five cases of TestFaults, of which four fail without the change.

--- a/internal/command/fault_test.go
+++ b/internal/command/fault_test.go
@@ -131,6 +131,15 @@
 
 func minority(id string, o Owners) step { return func(s *sim) { s.setView(id, o, false) } }
 
+// grace lets the host count as complete while its majority is verified again.
+func grace(id string) step {
+	return func(s *sim) { s.hosts[id].state.SetMajorityGrace(2 * time.Second) }
+}
+
+func distrust(id string) step {
+	return func(s *sim) { s.hosts[id].state.SetConditions(s.now, Conditions{}) }
+}
+
 var (
 	shedOnce  = simBackend{sheds: 1}
 	takesOne  = simBackend{service: time.Second}
@@ -205,6 +214,17 @@
 	{"majority lost", play(minority("a", ab), command("a")), "-32002 no_majority", 0, 1},
 	{"majority lost while waiting for the claim",
 		play(command("a"), at(2*ms, minority("a", ab))), "-32002 no_majority", 0, 1},
+	{"majority verified again while the command waits",
+		play(views(ab, "a"), grace("a"), minority("a", ab), command("a"), at(300*ms, views(ab, "a"))), "answer", 1, 1},
+	{"majority lost and verified again while waiting for the claim",
+		play(views(ab, "a"), grace("a"), command("a"), at(2*ms, minority("a", ab)), at(300*ms, views(ab, "a"))), "answer", 1, 1},
+	{"majority not verified again",
+		play(views(ab, "a"), grace("a"), minority("a", ab), command("a")), "-32002 no_majority", 0, 1},
+	{"declared dead while the majority is verified again",
+		play(views(ab, "a"), grace("a"), minority("a", ab), command("a"), at(300*ms, distrust("a"))),
+		"-32002 not_serving", 0, 1},
+	{"other owner dies before it stores the claim",
+		play(kill("b"), command("a"), at(1800*ms, views(ac, "a", "c"))), "answer", 1, 1},
 	{"admitting host is leaving", play(leave("c"), command("a")), "-32001 leaving", 0, 1},
 	{"minority side of a partition",
 		play(cut("a"), minority("a", Owners{"a", ""}), command("a"), at(sec, takeover, command("b"))), "answer", 1, 2},
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -81,7 +81,6 @@
 // bucket may finish a claim that a present owner has stored.
 func (s *State) allowed(now time.Time, c *claim) (Reason, bool) {
 	owners := s.owners(c.key.Service, c.bucket)
-	other := owners.other(s.cfg.Self)
 	storedAtOwner := c.run.stored && owners.has(c.run.claimTo)
 	switch {
 	case !s.conditions.Serving:
@@ -90,7 +89,7 @@
 		return ReasonNoMajority, false
 	case !owners.has(s.cfg.Self) && !storedAtOwner:
 		return ReasonNotOwner, false
-	case owners.has(s.cfg.Self) && other != "" && !(storedAtOwner && c.run.claimTo == other):
+	case owners.has(s.cfg.Self) && !s.secured(c, owners):
 		return ReasonClaimNotStored, false
 	case c.run.cleared:
 		return "", true
@@ -101,9 +100,21 @@
 	return "", true
 }
 
+// secured reports whether the other owner, if there is one, holds the claim.
+func (s *State) secured(c *claim, owners Owners) bool {
+	other := owners.other(s.cfg.Self)
+	return other == "" || c.run.stored && c.run.claimTo == other
+}
+
+// start runs a command that is claimed, or lets it wait until the majority is
+// verified again.
 func (s *State) start(now time.Time, c *claim) {
 	if !c.idempotent {
-		if reason, ok := s.allowed(now, c); !ok {
+		reason, ok := s.allowed(now, c)
+		if reason == ReasonNoMajority && s.verifying(now) {
+			return
+		}
+		if !ok {
 			s.unknown(now, c, reason)
 			return
 		}
@@ -203,8 +214,9 @@
 func (s *State) retry(now time.Time, c *claim, reason Reason) {
 	if !c.idempotent {
 		why, ok := s.allowed(now, c)
-		if why == ReasonClaimNotStored {
-			// The other owner has changed; its reply decides.
+		if why == ReasonClaimNotStored || why == ReasonNoMajority && s.verifying(now) {
+			// The other owner has changed and its reply decides, or the members
+			// are verified again.
 			c.run.phase, c.run.claimingSince = phaseClaiming, now
 			return
 		}
@@ -288,8 +300,8 @@
 	other := owners.other(s.cfg.Self)
 	switch {
 	case r.phase == phaseClaiming && (now.Sub(r.claimingSince) >= s.cfg.ClaimTimeout || !now.Before(c.deadline)):
-		s.unknown(now, c, ReasonClaimNotStored)
-	case r.phase == phaseClaiming && owners.has(s.cfg.Self) && other == "":
+		s.unknown(now, c, s.waitsFor(c, owners))
+	case r.phase == phaseClaiming && s.secured(c, owners) && (r.stored || owners.has(s.cfg.Self)):
 		s.start(now, c)
 	case r.phase == phaseRunning && !now.Before(c.deadline):
 		s.unknown(now, c, ReasonNoAnswer)
@@ -299,6 +311,14 @@
 	s.repeatClaim(now, c, other)
 }
 
+// waitsFor returns what a command that has not started is waiting for.
+func (s *State) waitsFor(c *claim, owners Owners) Reason {
+	if s.secured(c, owners) && !s.conditions.Majority {
+		return ReasonNoMajority
+	}
+	return ReasonClaimNotStored
+}
+
 // expireForeign ends the wait for another host's run.
 func (s *State) expireForeign(now time.Time, c *claim) {
 	countUnknown(ReasonNoAnswer)
--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -16,7 +16,9 @@
 	Boot uint64
 	// Retention must be at least twice the longest command deadline.
 	Retention time.Duration
-	// ClaimTimeout bounds the wait for the other owner to store a claim.
+	// ClaimTimeout bounds the wait for the other owner to store a claim, and
+	// for the majority to be verified again. It should exceed the time in which
+	// a death is detected, after which the bucket has another owner.
 	ClaimTimeout time.Duration
 	// PauseLimit is the gap between two calls after which the host no longer
 	// counts as having seen every claim.
@@ -32,7 +34,7 @@
 // Defaults of Config.
 const (
 	DefaultRetention     = 30 * time.Second
-	DefaultClaimTimeout  = time.Second
+	DefaultClaimTimeout  = 2500 * time.Millisecond
 	DefaultPauseLimit    = time.Second
 	DefaultMaxClaims     = 20000
 	DefaultMaxClaimBytes = 24 << 20
@@ -167,6 +169,10 @@
 // leaves the majority unverified for some tenths of a second.
 func (s *State) SetMajorityGrace(d time.Duration) { s.majorityGrace = d }
 
+// verifying reports whether the majority is missing only for as long as it may
+// take to verify it again.
+func (s *State) verifying(now time.Time) bool { return now.Sub(s.majorityAt) < s.majorityGrace }
+
 // Leave stops the start of new requests; those in progress finish.
 func (s *State) Leave() { s.leaving = true }
 
@@ -261,11 +267,11 @@
 		},
 	}
 	s.table.insert(now, c)
+	c.run.phase = phaseClaiming
 	if c.idempotent || owners.other(s.cfg.Self) == "" {
 		s.start(now, c)
 		return
 	}
-	c.run.phase = phaseClaiming
 	s.storeClaim(now, c, owners.other(s.cfg.Self))
 }
 
@@ -276,7 +282,7 @@
 		return ReasonNotServing, false
 	case s.table.full():
 		return ReasonClaimsFull, false
-	case !in.Idempotent && !s.conditions.Majority:
+	case !in.Idempotent && !s.conditions.Majority && !s.verifying(now):
 		return ReasonNoMajority, false
 	}
 	return "", true
