command: pass answers on when the owner that asked for them has died

The backend server had answered, and its admitting host had the answer, but only the dead owner was told; the other owner waited for the deadline.

When the owner that asked for one is dead or replaced by a new process, the answer goes to the owners of the bucket as a completion of the claim. Only answers are passed on: a rejected run may have been repeated elsewhere.

The messages of undisturbed commands are unchanged.

Conclusion: one admitting host that dies with the command, and what it alone had received, remain.

--- a/internal/command/fault_test.go
+++ b/internal/command/fault_test.go
@@ -131,6 +131,15 @@
 
 func minority(id string, o Owners) step { return func(s *sim) { s.setView(id, o, false) } }
 
+// passOn lets an admitting host notice that another host has died.
+func passOn(id, dead string) step {
+	return func(s *sim) {
+		h := s.hosts[id]
+		h.process[dead]++
+		s.do(h, h.state.PassOn(s.now, h.results.Take(s.now, func(host string) uint64 { return h.process[host] })))
+	}
+}
+
 // grace lets the host count as complete while its majority is verified again.
 func grace(id string) step {
 	return func(s *sim) { s.hosts[id].state.SetMajorityGrace(2 * time.Second) }
@@ -179,6 +188,15 @@
 	{"primary dies while the command runs",
 		play(server(1, takesOne), command("a"), at(500*ms, kill("a"), takeover), at(2*sec, command("b"))),
 		"-32002 no_answer", 1, 1},
+	{"primary dies while the command runs, and its answer is passed on",
+		play(server(1, takesOne), command("a"), at(500*ms, kill("a")), at(1800*ms, takeover, command("b"), passOn("c", "a"))),
+		"answer", 1, 1},
+	{"the answer arrives after the death of the primary was noticed",
+		play(server(1, simBackend{service: 3 * sec}), command("a"), at(500*ms, kill("a")),
+			at(1800*ms, takeover, command("b"), passOn("c", "a")), at(4*sec, passOn("c", ""))), "answer", 1, 1},
+	{"a shed run of a primary that died is not passed on",
+		play(server(1, shedsLate), command("a"), at(500*ms, kill("a")), at(1800*ms, takeover, command("b"), passOn("c", "a"))),
+		"-32002 no_answer", 0, 1},
 	{"planned change while the command runs",
 		play(server(1, takesOne), command("a"), at(500*ms, leave("a"), planned), at(600*ms, command("b"))), "answer", 1, 2},
 	{"new owner's claims are full while the command runs",
--- a/internal/command/property_test.go
+++ b/internal/command/property_test.go
@@ -62,7 +62,9 @@
 	var alive []string
 	h := f.hosts[id]
 	for _, other := range f.ids {
+		h.process[other] = f.hosts[other].boot
 		if !f.reaches(id, other) {
+			delete(h.process, other)
 			f.dead[[2]string{id, other}] = true
 			continue
 		}
@@ -72,6 +74,9 @@
 			h.state.SetConditions(f.now, Conditions{})
 		}
 	}
+	if !h.dead {
+		f.do(h, h.state.PassOn(f.now, h.results.Take(f.now, func(host string) uint64 { return h.process[host] })))
+	}
 	h.state.SetMajorityGrace(f.grace)
 	alive = append(alive, "", "")
 	f.setView(id, Owners{alive[0], alive[1]}, 2*(len(alive)-2) > len(f.ids))
--- a/internal/command/sim_test.go
+++ b/internal/command/sim_test.go
@@ -60,6 +60,9 @@
 	paused time.Time
 	boot   uint64
 	calls  map[uint64]func(RunReply)
+
+	results *Results
+	process map[string]uint64 // by host
 }
 
 type simBackend struct {
@@ -111,6 +114,7 @@
 	cfg := Config{Self: id, Boot: h.boot<<32 | uint64(id[0])<<24}
 	h.state, h.runner = New(cfg, s.now), NewRunner(cfg, &freeSlots{})
 	h.calls = make(map[uint64]func(RunReply))
+	h.results, h.process = NewResults(cfg), make(map[string]uint64)
 	s.tick(h)
 }
 
@@ -264,7 +268,11 @@
 			call(s, MethodRun, h, o.Host, 6*time.Second, o.Message,
 				func(to *simHost, m RunRequest, reply func(RunReply)) {
 					s.seq++
-					to.calls[uint64(s.seq)] = reply
+					process := to.process[m.Origin]
+					to.calls[uint64(s.seq)] = func(r RunReply) {
+						to.results.Add(s.now, process, m, r)
+						reply(r)
+					}
 					s.do(to, to.runner.Run(s.now, uint64(s.seq), m, true))
 				},
 				func(r RunReply, status CallStatus) { s.do(h, h.state.RunResult(s.now, o.Host, o.Ref, r, status)) })
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -245,7 +245,8 @@
 
 // runCall is a run that a caller waits for.
 type runCall struct {
-	backend netip.AddrPort
+	request command.RunRequest
+	process uint64 // of the origin
 	done    runDone
 }
 
@@ -255,7 +256,7 @@
 // acceptRun gives a run to the local runner and remembers who waits for it.
 func (c *control) acceptRun(now time.Time, m command.RunRequest, done runDone) {
 	c.nextCall++
-	c.runCalls[c.nextCall] = runCall{backend: m.Backend, done: done}
+	c.runCalls[c.nextCall] = runCall{request: m, process: c.processes[m.Origin], done: done}
 	admits := c.serving && c.admittingHost(m.Backend) == c.d.settings.HostID && c.servesCommands(&m)
 	c.performCommands(now, c.runner.Run(now, c.nextCall, m, admits))
 }
@@ -273,14 +274,25 @@
 	}
 	delete(c.runCalls, o.Call)
 	if o.Reply.Reason == command.ReasonShed {
-		c.limits.health.Evidence(now, call.backend, health.Evidence{Sheds: 1})
+		c.limits.health.Evidence(now, call.request.Backend, health.Evidence{Sheds: 1})
 		c.dirty = true // the slots follow before the next command is admitted
 	}
+	c.results.Add(now, call.process, call.request, o.Reply)
+	if c.processes[call.request.Origin] != call.process {
+		c.passOnResults(now)
+	}
 	// The event is queued, not run here, because the slices are not reentrant.
 	d, reply := c.d, o.Reply
 	d.environment.Go(func() { d.post(func(c *control, now time.Time) { call.done(c, now, reply) }) })
 }
 
+// passOnResults gives the answers of commands whose owner has died to the
+// other owner.
+func (c *control) passOnResults(now time.Time) {
+	records := c.results.Take(now, func(host string) uint64 { return c.processes[host] })
+	c.performCommands(now, c.commands.PassOn(now, records))
+}
+
 // callPeer calls a peer in the background and hands the typed result to the
 // control goroutine.
 func callPeer[R any](c *control, id, method string, timeout time.Duration, params any, done func(c *control, now time.Time, reply R, status command.CallStatus)) {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -46,7 +46,10 @@
 	runner   *command.Runner
 	runCalls map[uint64]runCall // runs that a caller waits for
 	nextCall uint64
-	owned    map[string]*route.Service // services as last given to commands
+	results  *command.Results
+	// processes holds the boots of the hosts that are not dead.
+	processes map[string]uint64
+	owned     map[string]*route.Service // services as last given to commands
 
 	serving    bool
 	stopping   bool // hands claims over, or leaves
@@ -90,6 +93,7 @@
 	c.limits = newLimits()
 	c.runner = command.NewRunner(cfg, &commandSlots{slots: c.limits.slots})
 	c.runCalls = map[uint64]runCall{}
+	c.results = command.NewResults(cfg)
 	c.owned = map[string]*route.Service{}
 	c.membersCounted = map[string]uint64{}
 	c.changes = newChanges()
@@ -243,9 +247,14 @@
 func (c *control) membersChanged(now time.Time) {
 	c.dirty, c.changes.hosts = true, true
 	addrs := map[string]netip.AddrPort{}
+	c.processes = map[string]uint64{}
 	for _, m := range c.members.Members() {
 		addrs[m.Host.ID] = m.Host.PeerAddr()
+		if m.Status != membership.Dead {
+			c.processes[m.Host.ID] = m.Boot
+		}
 	}
+	c.passOnResults(now)
 	c.d.listed.Store(&addrs)
 	c.d.probes.Retain(func(id string) bool { _, ok := addrs[id]; return ok })
 	c.chooseReaders()
