admission: learn busy slots from the previous admitting host

Cause: a host that takes over a backend server counts all its slots as busy until load reports after 2 s show otherwise, or the longest deadline has passed, although on a planned stop the previous host knows which are in use. The same holds when the replaced host comes back.

Change: the new admitting host asks the previous one (admission.slots), every 100 ms while it counts slots as busy. A host answers for what it gave up, with the slots in use by its own commands and by those of earlier hosts, and until when. It answers only the first host that asks, since that one may grant the rest. The asking host uses an answer only from the host that it took over from, and only to a query that it sent since. The previous host is the first in rank among the hosts that were live before; for a host that has just started, among all others, and such a host admits no command before it serves. A dead host is not asked: all slots stay busy, as before.

TestSlotHandover fails without each of the other rules.

--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -25,6 +25,9 @@
 	Deadline time.Duration // longest deadline of the service's commands
 	Verdict  health.Verdict
 	Out      bool // data centre out of service, or leaving by the host list
+	// Previous is the admitting host before this one, empty when unknown. It
+	// is read when this host takes over.
+	Previous string
 }
 
 // Refusal says why no slot was granted.
@@ -62,7 +65,8 @@
 
 // Slots admits commands to the backend servers that this host is responsible
 // for. A host that takes a backend server over counts its slots as busy until
-// the longest deadline has passed or a load report shows that they are free.
+// the longest deadline has passed or a load report or the previous admitting
+// host shows that they are free.
 type Slots struct {
 	cfg      SlotsConfig
 	backends map[netip.AddrPort]*slots
@@ -76,6 +80,10 @@
 	until     time.Time            // when the last of those commands has ended
 	held      map[uint64]time.Time // deadlines of granted slots
 	owned     bool                 // this host still admits
+	previous  string               // admitting host before
+	asked     time.Time            // newest query to it
+	gaveUp    time.Time            // when not owned
+	next      string               // host that learned what is in use since
 }
 
 // NewSlots returns Slots without backend servers.
@@ -95,15 +103,15 @@
 }
 
 // SetBackends replaces the backend servers that this host admits commands to.
-// Slots in use are remembered when it gives one up, until they are released.
+// Slots in use are remembered when it gives one up, until they are released and
+// the next admitting host knows.
 func (s *Slots) SetBackends(now time.Time, in map[netip.AddrPort]SlotInput) {
 	for addr, b := range s.backends {
 		if _, ok := in[addr]; ok {
 			continue
 		}
-		b.owned = false
-		if len(b.held) == 0 {
-			delete(s.backends, addr)
+		if b.owned {
+			b.owned, b.gaveUp, b.next = false, now, ""
 		}
 	}
 	for addr, input := range in {
@@ -124,7 +132,7 @@
 
 func (b *slots) takeOver(now time.Time, in *SlotInput, settle time.Duration) {
 	b.inherited = in.Doc.Slots
-	b.takenOver = now
+	b.takenOver, b.previous = now, in.Previous
 	b.until = now.Add(in.Deadline + settle)
 }
 
@@ -204,12 +212,15 @@
 	}
 	_, ok := b.held[t.id]
 	delete(b.held, t.id)
-	if !b.owned && len(b.held) == 0 {
-		delete(s.backends, t.Backend)
-	}
 	return ok
 }
 
+// Owned reports whether this host admits the commands of a backend server.
+func (s *Slots) Owned(addr netip.AddrPort) bool {
+	b := s.backends[addr]
+	return b != nil && b.owned
+}
+
 // Busy returns the slots in use by commands admitted here.
 func (s *Slots) Busy(addr netip.AddrPort) int {
 	if b := s.backends[addr]; b != nil {
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -33,6 +33,7 @@
 	command.MethodReply:       handleReply,
 	command.MethodTransfer:    handleTransfer,
 	admission.Method:          handleAdmission,
+	admission.MethodSlots:     handleSlots,
 	health.Method:             handleHealth,
 }
 
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -50,6 +50,7 @@
 	verdicts map[netip.AddrPort]health.Verdict
 	owners   map[string][route.Buckets][2]uint16 // by service, as last given to the slices
 	polled   map[netip.AddrPort]time.Time        // start of the newest poll
+	admits   bool                                // this host has served and admits commands
 
 	lastRound, lastEvidence time.Time
 }
@@ -71,7 +72,7 @@
 // budgets. The slices learn only of the services that this host is an owner of
 // and of those that it observes a backend server of.
 func (c *control) limitInput(now time.Time, snap *route.Snapshot, ch changes) {
-	l := c.limits
+	l, before := c.limits, c.limits.hosts
 	if ch.hosts {
 		l.hosts = c.liveHosts()
 		l.ranking.SetHosts(l.hosts)
@@ -98,7 +99,7 @@
 	l.verdicts = l.health.Verdicts(now)
 	shares.Verdicts = l.verdicts
 	l.shares.SetServices(now, snap.Self, shares)
-	c.slotInput(now, out, leaving)
+	c.slotInput(now, before, out, leaving)
 	c.admitted(now)
 	c.refill(now)
 }
@@ -227,6 +228,7 @@
 		})
 	}
 	c.refill(now)
+	c.querySlots(now)
 }
 
 // admitted tells the shares how many flows were admitted since the last call.
