daemon: leave room for waiting commands in calls between entry hosts

Cause: a run is a call in progress until the command ends. Calls end after 5 s by default, also when the document allows commands up to 15 s, so that the owner answers "outcome unknown" while the command waits or runs. A connection carries 64 requests; 32 of them may now wait and leave less room for claims. Change: calls may last as long as the longest command and its margin, and 32 more requests may be in progress on a connection. Every call of the daemon has a shorter deadline of its own, but for runs.

Before: TestCallsCarryWaitingCommands fails on the configuration without the two values. After: it passes, and cmd/nutmeglatchd passes. Conclusion: waiting does not cut off commands with deadlines above 5 s.

--- a/internal/command/wait.go
+++ b/internal/command/wait.go
@@ -11,8 +11,7 @@
 	// server.
 	MaxWaiting = 64
 	// MaxWaitingOfOwner bounds the commands of one owner that wait. Each is a
-	// call in progress on the owner's connection, which carries 64 and has to
-	// leave room for claims.
+	// call in progress on the owner's connection, which also carries claims.
 	MaxWaitingOfOwner = 32
 	// initialRunTime is the estimate before the first run has ended.
 	initialRunTime = 250 * time.Millisecond
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/admin"
+	"github.com/nutmeglatch/nutmeglatch/internal/command"
 	"github.com/nutmeglatch/nutmeglatch/internal/flow"
 	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 	"github.com/nutmeglatch/nutmeglatch/internal/platform"
@@ -103,20 +104,27 @@
 		d.closeSockets()
 		return nil, err
 	}
-	d.pool = peer.NewPool(peer.Config{
-		Self:       o.Settings.HostID,
-		Listener:   d.peerTCP,
-		Key:        o.Settings.PeerKey,
-		MaxMessage: o.Settings.Limits.MaxMessage,
-		Dial:       d.network.Dial,
-		Logger:     d.logger,
-		Metrics:    metrics.GetDefaultSet(),
-	}, d.lookup, peer.HandlerFunc(d.handleCall))
+	d.pool = peer.NewPool(d.peerConfig(), d.lookup, peer.HandlerFunc(d.handleCall))
 	d.control = newControl(d)
 	d.snapshot.Store(d.control.buildSnapshot(d.control.changes))
 	return d, nil
 }
 
+func (d *Daemon) peerConfig() peer.Config {
+	return peer.Config{
+		Self:       d.settings.HostID,
+		Listener:   d.peerTCP,
+		Key:        d.settings.PeerKey,
+		MaxMessage: d.settings.Limits.MaxMessage,
+		// Commands that wait or run are calls in progress.
+		CallTimeout: max(peer.DefaultCallTimeout, d.settings.Limits.CommandDeadline.Std()+runCallMargin),
+		MaxRequests: peer.DefaultMaxRequests + command.MaxWaitingOfOwner,
+		Dial:        d.network.Dial,
+		Logger:      d.logger,
+		Metrics:     metrics.GetDefaultSet(),
+	}
+}
+
 func (d *Daemon) listen() error {
 	var err error
 	if d.gue, err = d.network.ListenUDP(d.settings.GUE); err != nil {
