--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -34,6 +34,7 @@
 	command.MethodTransfer:    handleTransfer,
 	command.MethodCoverage:    handleCoverage,
 	admission.Method:          handleAdmission,
+	admission.MethodSlots:     handleSlots,
 	health.Method:             handleHealth,
 }
 
