daemon: accept values of an update that reports an error

Cause: the directory source reports readable values together with the error of an unreadable file, and marks them as seen. The daemon dropped the values of such an update, so that they did not take effect until they changed again. Change: the daemon accepts the values and keeps the error. Before: TestValuesBesideAnErrorAreAccepted failed. After: it passes, with the tests of daemon and replay (-race). Conclusion: an unreadable file no longer hides changes of others.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -64,17 +64,7 @@
 }
 
 func (c *control) platformUpdate(now time.Time, u platform.Update, candidates []configsync.Candidate) {
-	if u.Err != nil {
-		if c.lastError == "" {
-			level.Warn(c.logger).Log("msg", "platform cannot be read; accepted values stay in effect", "err", u.Err)
-		}
-		c.lastError = u.Err.Error()
-		return
-	}
-	if c.lastError != "" {
-		level.Info(c.logger).Log("msg", "platform can be read again")
-		c.lastError = ""
-	}
+	c.platformRead(u.Err)
 	for i, v := range u.Values {
 		c.offered(now, v.Key, c.config.OfferParsed(now, configsync.Platform, candidates[i]))
 	}
@@ -82,6 +72,20 @@
 	c.push()
 }
 
+// platformRead keeps the outcome of the newest read for status output.
+func (c *control) platformRead(err error) {
+	switch {
+	case err != nil && c.lastError == "":
+		level.Warn(c.logger).Log("msg", "platform cannot be read; accepted values stay in effect", "err", err)
+	case err == nil && c.lastError != "":
+		level.Info(c.logger).Log("msg", "platform can be read again")
+	}
+	c.lastError = ""
+	if err != nil {
+		c.lastError = err.Error()
+	}
+}
+
 // chooseReads decides what this host reads of the platform: as one of the
 // readers of its data centre all keys, or some of the shards.
 func (c *control) chooseReads() {
--- a/internal/daemon/sync_test.go
+++ b/internal/daemon/sync_test.go
@@ -120,3 +120,15 @@
 		}
 	}
 }
+
+// Guards against values that are lost because the same update reports that
+// others could not be read. The source does not send them again.
+func TestValuesBesideAnErrorAreAccepted(t *testing.T) {
+	host := newStepped(t, 0, &callsTo{})
+	u := listOf(document.HostsKey, 1, 0, 2)
+	u.Err = errors.New("another file cannot be read")
+	host.Platform(u)
+	if !host.Lists("host-1") || host.d.control.config.Current().Hosts == nil || host.d.control.lastError == "" {
+		t.Error("the value was not accepted, or the error not kept")
+	}
+}
--- a/internal/platform/source.go
+++ b/internal/platform/source.go
@@ -32,7 +32,7 @@
 }
 
 // Update holds the values that changed since the previous update of the same
-// source, or the error of a read. An update without values and error reports
+// source, and the error of a read that failed or returned only some. An update without values and error reports
 // that reads succeed, at first or again. Values that were removed from the
 // platform are not reported: they stay in effect.
 type Update struct {
