platform: read new names apart from the list that shows them

Cause: a new name whose value could not be read took the deadline of the whole list with it, so that the values of other new names were lost, although they counted as seen; the failure was counted but not reported, and the list was read again without a delay. Change: the reads of new names follow the list, each with its own deadline. Their values are sent together with the failure, and the list is read again after the usual delay. Before: the new row of TestShardContract failed (az2 was missing for a minute, no error). After: go test -race ./internal/platform passes; the row fails without the repeated read of the list. Conclusion: one unreadable value does not hide others.

--- a/internal/platform/bench_test.go
+++ b/internal/platform/bench_test.go
@@ -46,7 +46,7 @@
 					if first || r.seen == nil {
 						r.seen = &digests{byKey: map[string]uint64{}}
 					}
-					if _, err := r.changed(b.Context(), &http.Response{Body: io.NopCloser(bytes.NewReader(body))}, index); err != nil {
+					if _, err := r.changed(&http.Response{Body: io.NopCloser(bytes.NewReader(body))}, index); err != nil {
 						b.Fatal(err)
 					}
 				}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -131,7 +131,8 @@
 	out     chan<- Update
 	client  *http.Client
 	backoff backoff
-	index   uint64 // of the last read; 0 when the next one does not block
+	index   uint64  // of the last read; 0 when the next one does not block
+	missing []Shard // keys that the last read listed and no shard holds
 	seen    *digests
 	healthy bool // whether the last read succeeded
 }
@@ -205,6 +206,9 @@
 func (r *reader) step(ctx context.Context, blocking bool) error {
 	r.counters.read(r.kind)
 	values, err := r.read(ctx, blocking)
+	if err == nil && len(r.missing) > 0 {
+		values, err = r.readMissing(ctx)
+	}
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
@@ -213,7 +217,7 @@
 		r.healthy = false
 		r.failing.Store(true)
 		r.client.CloseIdleConnections()
-		if err := send(ctx, r.out, Update{Index: r.index, Err: err}); err != nil {
+		if err := send(ctx, r.out, Update{Values: values, Index: r.index, Err: err}); err != nil {
 			return err
 		}
 		return sleep(ctx, r.backoff.next())
@@ -278,7 +282,7 @@
 		r.advance(index)
 		return nil, nil
 	}
-	return r.changed(ctx, resp, index)
+	return r.changed(resp, index)
 }
 
 // maxDrain is the length of a body that is read to its end only to keep the
@@ -298,12 +302,15 @@
 }
 
 // changed decodes a body and records its index once it is complete.
-func (r *reader) changed(ctx context.Context, resp *http.Response, index uint64) ([]KeyValue, error) {
+func (r *reader) changed(resp *http.Response, index uint64) ([]KeyValue, error) {
 	d := newDecoder(resp.Body, r.cfg.MaxBody)
+	var values []KeyValue
+	var err error
 	if r.shard.Scope == ScopeNames {
-		return r.listed(ctx, d, index)
+		err = r.listed(d)
+	} else {
+		values, err = r.decode(d)
 	}
-	values, err := r.decode(d)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/platform/shards.go
+++ b/internal/platform/shards.go
@@ -169,37 +169,27 @@
 	}
 }
 
-// listed decodes a list of names and reads the keys that no shard holds.
-func (r *reader) listed(ctx context.Context, d *decoder, index uint64) ([]KeyValue, error) {
-	missing, err := r.missing(d)
-	if err != nil {
-		return nil, err
-	}
-	var values []KeyValue
-	complete := true
-	for _, s := range missing {
+// readMissing reads the keys that no shard holds, each with a deadline of its
+// own. After a failure the list of names is read again.
+func (r *reader) readMissing(ctx context.Context) (values []KeyValue, failed error) {
+	for _, s := range r.missing {
 		single := *r
 		single.shard, single.index = s, 0
 		r.counters.read("name")
 		read, err := single.read(ctx, false)
 		if err != nil {
-			r.counters.failed(err)
-			complete = false
-			continue
+			failed, r.index = err, 0
 		}
 		values = append(values, read...)
 	}
-	r.advance(index)
-	if !complete {
-		r.index = 0 // reads the list again
-	}
-	return values, nil
+	r.missing = nil
+	return values, failed
 }
 
-// missing returns the reads of the listed keys that no shard holds.
-func (r *reader) missing(d *decoder) ([]Shard, error) {
-	var missing []Shard
+// listed decodes a list of names and notes the keys that no shard holds.
+func (r *reader) listed(d *decoder) error {
 	known := r.cfg.Plan().below(r.shard.Prefix)
+	r.missing = nil
 	err := decodeEach(d, func(name string) {
 		key, ok := strings.CutPrefix(name, r.prefix)
 		if !ok || !strings.HasPrefix(key, r.shard.Prefix) {
@@ -207,13 +197,16 @@
 			return
 		}
 		if !slices.ContainsFunc(known, func(s Shard) bool { return s.holds(key) }) {
-			missing = append(missing, Shard{key, ScopeKey})
+			r.missing = append(r.missing, Shard{key, ScopeKey})
 		}
 	})
-	if len(missing) > maxSingleReads {
-		missing = []Shard{{r.shard.Prefix, ScopeBelow}}
+	if err != nil {
+		r.missing = nil
+	}
+	if len(r.missing) > maxSingleReads {
+		r.missing = []Shard{{r.shard.Prefix, ScopeBelow}}
 	}
-	return missing, err
+	return err
 }
 
 // below returns the shards with values whose prefix begins with prefix.
--- a/internal/platform/shards_test.go
+++ b/internal/platform/shards_test.go
@@ -108,6 +108,19 @@
 			s.platform.Silence("n/services/ab", true)
 			s.put(map[string]string{"services/ab1": "new", "services/ac1": "new"})
 		}, time.Second, map[string]string{"services/ac1": "new"}},
+		{"new name cannot be read at first", deep, func(s *sharded) {
+			s.platform.Silence("n/services/az1", true)
+			s.put(map[string]string{"services/az1": "new", "services/az2": "new"})
+			if values, err := s.after(time.Minute); err == nil || values["services/az2"] != "new" {
+				t.Errorf("values %v and error %v while a name cannot be read", values, err)
+			}
+			before := s.platform.Reads()
+			s.after(time.Minute)
+			if n := s.platform.Reads() - before; n > 25 {
+				t.Errorf("%d reads in a minute while a name cannot be read", n)
+			}
+			s.platform.Silence("n/services/az1", false)
+		}, DefaultBackoffMax + DefaultReadTimeout, map[string]string{"services/az1": "new"}},
 		{"only polled", &Plan{Depth: 2, Polls: 1, Shards: deep.Shards}, func(s *sharded) {
 			s.put(map[string]string{"services/ab1": "new", "services/ad1": "new"})
 		}, DefaultPoll * 5 / 4 * 6, map[string]string{"services/ab1": "new", "services/ad1": "new"}},
