--- a/internal/command/reason.go
+++ b/internal/command/reason.go
@@ -44,6 +44,9 @@
 	ReasonShed        Reason = "shed"
 	ReasonNotAdmitted Reason = "not_admitting_host"
 	ReasonNoSlot      Reason = "no_slot"
+	ReasonQueueFull   Reason = "slot_queue_full"
+	ReasonWaitTooLong Reason = "slot_wait_too_long"
+	ReasonWaitExpired Reason = "slot_wait_expired"
 	ReasonSeen        Reason = "already_seen"
 	ReasonTried       Reason = "backend_server_tried"
 	ReasonSeenFull    Reason = "seen_full"
@@ -51,6 +54,19 @@
 	ReasonUnmatched   Reason = "unmatched"
 )
 
+// moved reports whether a run was refused because another host admits the
+// commands of the backend server. Nothing was sent, so that another attempt
+// adds no load to backend servers and needs no retry budget.
+func (r Reason) moved() bool {
+	return r == ReasonLeaving || r == ReasonNotAdmitted || r == ReasonNotServing
+}
+
+// isWait reports whether a reason says why a command does not wait for a slot.
+// Only counters distinguish these; callers are told ReasonNoSlot.
+func (r Reason) isWait() bool {
+	return r == ReasonQueueFull || r == ReasonWaitTooLong || r == ReasonWaitExpired
+}
+
 var (
 	requests = metrics.NewCounter("nutmeglatch_command_requests_total")
 	answers  = metrics.NewCounter("nutmeglatch_command_answers_total")
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// freeSearch is the number of candidates that are asked for a free slot before
+// the retry budget limits the search. The second one shortens waiting most.
+const freeSearch = 2
+
 func (s *State) storeClaim(now time.Time, c *claim, to string) {
 	c.run.claimTo, c.run.claimSent, c.run.claimWaiting = to, now, true
 	c.run.stored, c.run.peerComplete = false, false
@@ -86,7 +90,7 @@
 	switch {
 	case !s.conditions.Serving:
 		return ReasonNotServing, false
-	case !s.conditions.Majority:
+	case !s.majority(c.key.Service):
 		return ReasonNoMajority, false
 	case !owners.has(s.cfg.Self) && !storedAtOwner:
 		return ReasonNotOwner, false
@@ -120,14 +124,15 @@
 		s.notRun(now, c, ReasonDeadline)
 		return
 	}
-	if r.attempt >= len(r.candidates) {
+	more := r.options.left() > 1
+	candidate, wait, ok := r.options.next()
+	if !ok {
 		s.notRun(now, c, last)
 		return
 	}
-	if c.idempotent && r.attempt+1 < len(r.candidates) {
+	if c.idempotent && more {
 		remaining = max(minAttempt, remaining/2)
 	}
-	candidate := r.candidates[r.attempt]
 	r.attempt++
 	r.phase = phaseRunning
 	r.attemptEnds = now.Add(remaining + runMargin)
@@ -135,7 +140,7 @@
 		ClaimKey: c.key, ClaimOwner: c.owner, Digest: c.digest, Target: c.flow.Destination(),
 		Backend: candidate.Backend, Attempt: r.attempt, Idempotent: c.idempotent,
 		Method: r.request.Method, Params: r.request.Params, DeadlineMS: milliseconds(remaining),
-		Expires: s.expires(candidate.Host, now.Add(remaining)),
+		Expires: s.expires(candidate.Host, now.Add(remaining)), Wait: wait,
 	}})
 }
 
@@ -180,6 +185,7 @@
 	case reply.Outcome == RunAnswered:
 		s.answered(now, c, reply.Answer)
 	case reply.Outcome == RunNotRun:
+		c.run.options.refused(time.Duration(reply.WaitMS) * time.Millisecond)
 		s.retry(now, c, reply.Reason)
 	case reply.Outcome == RunMismatch:
 		s.unknown(now, c, ReasonMismatch)
@@ -213,10 +219,16 @@
 			return
 		}
 	}
-	if c.run.attempt < len(c.run.candidates) && !s.retries.take(now, 1) {
+	options := &c.run.options
+	options.stopped = options.stopped && !reason.moved()
+	free := reason.moved() || reason == ReasonNoSlot && c.run.attempt < freeSearch
+	if !free && options.search() && !s.retries.take(now, 1) {
 		countRetry(ReasonRetryBudget)
-		s.notRun(now, c, reason)
-		return
+		options.stopped = true
+		if options.left() == 0 {
+			s.notRun(now, c, reason)
+			return
+		}
 	}
 	countRetry(reason)
 	s.nextRun(now, c, reason)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -48,6 +48,7 @@
 	runCalls map[uint64]runCall // runs that a caller waits for
 	nextCall uint64
 	owned    map[string]*route.Service // services as last given to commands
+	voters   map[string][]string       // by service with a quorum
 
 	serving    bool
 	stopping   bool // hands claims over, or leaves
@@ -93,6 +94,7 @@
 	c.runner = command.NewRunner(cfg, &commandSlots{slots: c.limits.slots})
 	c.runCalls = map[uint64]runCall{}
 	c.owned = map[string]*route.Service{}
+	c.voters = map[string][]string{}
 	c.membersCounted = map[string]uint64{}
 	c.changes = newChanges()
 	c.changes.hosts, c.changes.all = true, true
@@ -311,7 +313,7 @@
 	c.leaving, c.leftAt, c.dirty, c.changes.hosts = true, now, true, true
 	level.Info(c.logger).Log("msg", "leaving", "after", now.Sub(c.stoppedAt))
 	c.commands.Leave()
-	c.runner.Leave()
+	c.performCommands(now, c.runner.Leave(now))
 	c.carryOut(now, c.members.Leave(now))
 }
 
--- a/internal/route/sweep.go
+++ b/internal/route/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/flow"
@@ -118,7 +119,6 @@
 	if svc == nil || e.State < flow.Settled || e.Epoch == 0 {
 		return false
 	}
-	bucket := bucketOf(k.Hash())
-	owners := svc.Owners[bucket]
-	return e.Epoch == svc.Epochs[bucket] && owners[0] != w.s.SelfIndex && owners[1] != w.s.SelfIndex
+	owners := svc.owned(bucketOf(k.Hash()))
+	return e.Epoch == owners.epoch && !slices.Contains(owners.hosts[:], w.s.SelfIndex)
 }
