daemon: count control bytes; measure fleets of processes

Cause: docs/CAPACITY.md counts control traffic from benchmarks of single parts; nothing showed it in running processes. Change: nutmeglatch_daemon_control_bytes_total by kind and direction, counted at the sockets. BenchmarkFleet starts 10, 40 and 120 nutmeglatchd processes with 21 services and measures processor time and control bytes without traffic, the spread of a document and the detection of a death.

--- /dev/null
+++ b/cmd/nutmeglatchd/fleet_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/admin"
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+)
+
+// Figures of BenchmarkFleet.
+const (
+	fleetServices = 20 // besides the first one
+	fleetIdle     = 10 * time.Second
+	fleetLimit    = 12 * time.Second // until a change is in effect everywhere
+)
+
+// BenchmarkFleet measures what fleets of entry host processes cost without
+// traffic, how fast a changed document is in effect everywhere, and how fast
+// every host learns of a death. Run it with -benchtime 1x.
+func BenchmarkFleet(b *testing.B) {
+	for _, hosts := range []int{10, 40, 120} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			for b.Loop() {
+				runFleet(b, hosts)
+			}
+		})
+	}
+}
+
+func runFleet(b *testing.B, hosts int) {
+	f := newBench(b, 46, hosts, 6)
+	f.addServices(fleetServices)
+	f.waitStatus("sees every host and service", func(st *admin.Status) bool {
+		alive := 0
+		for _, h := range st.Hosts {
+			if h.State == "alive" {
+				alive++
+			}
+		}
+		return alive == hosts && len(st.Services) == 1+fleetServices
+	}, f.hosts...)
+	time.Sleep(fleetIdle) // reports of the start end
+
+	before, sent, received := f.processorTime(), f.controlBytes("sent"), f.controlBytes("received")
+	time.Sleep(fleetIdle)
+	perHostSecond := 1 / float64(hosts) / fleetIdle.Seconds()
+	b.ReportMetric(100*(f.processorTime()-before).Seconds()*perHostSecond, "%core/host")
+	b.ReportMetric((f.controlBytes("sent")-sent)*perHostSecond, "sent-B/s/host")
+	b.ReportMetric((f.controlBytes("received")-received)*perHostSecond, "received-B/s/host")
+	b.ReportMetric(f.peakMemory(), "peak-MB/host")
+
+	f.publish(&f.service)
+	spread := f.timeUntil(f.hosts, func(st *admin.Status) bool { return versionOf(st, f.service.Name) == f.service.Version })
+	if spread > fleetLimit {
+		b.Errorf("a document was in effect everywhere after %s, want %s", spread, fleetLimit)
+	}
+	b.ReportMetric(float64(spread.Milliseconds()), "spread-ms")
+
+	killed := f.hosts[hosts/2]
+	f.kill(killed)
+	death := f.timeUntil(f.others(killed), func(st *admin.Status) bool {
+		for _, h := range st.Hosts {
+			if h.ID == killed.host.ID {
+				return h.State == "dead"
+			}
+		}
+		return false
+	})
+	b.ReportMetric(float64(death.Milliseconds()), "death-ms")
+}
+
+// addServices publishes services with three backend servers each.
+func (b *bench) addServices(n int) {
+	for i := range n {
+		svc := b.service
+		svc.Name, svc.Commands, svc.Version, svc.DataCentres = fmt.Sprintf("service-%d", i), nil, 0, nil
+		svc.Address = netip.AddrFrom4([4]byte{198, 51, 101, byte(i)})
+		for dc, name := range dataCentreNames {
+			svc.DataCentres = append(svc.DataCentres, document.DataCentre{Name: name})
+			b.addBackend(&svc, dc, byte(50+3*i+dc))
+		}
+		b.publish(&svc)
+	}
+}
+
+// timeUntil returns the time until the status of each host fulfils a condition.
+func (b *bench) timeUntil(hosts []*hostProcess, condition func(*admin.Status) bool) time.Duration {
+	start := time.Now()
+	var wg sync.WaitGroup
+	for _, p := range hosts {
+		wg.Go(func() {
+			for time.Since(start) < conditionLimit {
+				if st, err := p.status(); err == nil && condition(&st) {
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	return time.Since(start)
+}
+
+// controlBytes sums the control traffic of all hosts in one direction.
+func (b *bench) controlBytes(direction string) float64 {
+	sum := 0.0
+	for _, p := range b.hosts {
+		body, err := p.get("/metrics")
+		b.must(err)
+		for line := range strings.Lines(string(body)) {
+			name, value, _ := strings.Cut(strings.TrimSpace(line), " ")
+			if strings.HasPrefix(name, "nutmeglatch_daemon_control_bytes_total") && strings.Contains(name, strconv.Quote(direction)) {
+				n, err := strconv.ParseFloat(value, 64)
+				b.must(err)
+				sum += n
+			}
+		}
+	}
+	return sum
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -236,10 +236,7 @@
 		counters.sendErrors.Inc()
 		return
 	}
-	d := c.d
-	if _, err := d.peerUDP.WriteToUDPAddrPort(d.probes.Seal(nil, body), s.Addr); err != nil {
-		counters.sendErrors.Inc()
-	}
+	c.d.sendSealed(probeBytes, body, s.Addr)
 }
 
 func (c *control) receiveProbe(now time.Time, from membership.Sender, m membership.Message) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -120,7 +120,7 @@
 		// Commands that wait or run are calls in progress.
 		CallTimeout: max(peer.DefaultCallTimeout, d.settings.Limits.CommandDeadline.Std()+runCallMargin),
 		MaxRequests: peer.DefaultMaxRequests + command.MaxWaitingOfOwner,
-		Dial:        d.network.Dial,
+		Dial:        callBytes.dialer(d.network.Dial),
 		Logger:      d.logger,
 		Metrics:     metrics.GetDefaultSet(),
 	}
@@ -137,9 +137,11 @@
 	if d.stepped {
 		return nil
 	}
-	if d.peerTCP, err = d.network.Listen(d.settings.Peer); err != nil {
+	l, err := d.network.Listen(d.settings.Peer)
+	if err != nil {
 		return errors.Wrapf(err, "peer %s", d.settings.Peer)
 	}
+	d.peerTCP = countedListener{l, callBytes}
 	// Operators reach the host whatever a test does to its network.
 	d.adminTCP, err = SystemNetwork{}.Listen(d.settings.Admin)
 	return errors.Wrapf(err, "admin %s", d.settings.Admin)
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -61,7 +61,7 @@
 		ranking:  health.NewRanking(),
 		shares:   admission.New(admission.Config{}),
 		slots:    admission.NewSlots(admission.SlotsConfig{}),
-		poller:   health.NewPoller(health.PollerConfig{}),
+		poller:   health.NewPoller(health.PollerConfig{Wrap: loadBytes.wrap}),
 		backends: map[netip.AddrPort]*backendLimit{},
 		verdicts: map[netip.AddrPort]health.Verdict{},
 		owners:   map[string][route.Buckets][2]uint16{},
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "platform address")
 	}
-	return d.network.Dial(ctx, to)
+	return platformBytes.dialer(d.network.Dial)(ctx, to)
 }
 
 // watchPlatform passes the platform's values to the control goroutine.
--- a/internal/daemon/reports.go
+++ b/internal/daemon/reports.go
@@ -53,9 +53,7 @@
 		counters.sendErrors.Inc()
 		return
 	}
-	if _, err := c.d.peerUDP.WriteToUDPAddrPort(c.d.probes.Seal(nil, body), addr); err != nil {
-		counters.sendErrors.Inc()
-	}
+	c.d.sendSealed(reportBytes, body, addr)
 }
 
 // isReport reports whether a datagram carries a report.
--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -156,9 +156,11 @@
 		return // counted by reason
 	}
 	if isReport(dg.Body) {
+		reportBytes.received.Add(len(b))
 		d.handleReport(dg)
 		return
 	}
+	probeBytes.received.Add(len(b))
 	m, err := membership.DecodeMessage(dg.Body)
 	if err != nil {
 		countDropped("probe", err)
--- a/internal/health/poller.go
+++ b/internal/health/poller.go
@@ -28,6 +28,9 @@
 	Timeout     time.Duration // deadline of one poll, connection included
 	Concurrency int           // polls in progress at a time
 	Transport   http.RoundTripper
+	// Wrap wraps the connections of the default transport, to count their bytes.
+	// Default none.
+	Wrap func(net.Conn) net.Conn
 }
 
 // Poller reads load URLs. It keeps no state about backend servers.
@@ -55,7 +58,7 @@
 			ResponseHeaderTimeout:  cfg.Timeout,
 			MaxResponseHeaderBytes: MaxLoadReportBytes,
 			DisableCompression:     true,
-			DialContext:            (&net.Dialer{Timeout: cfg.Timeout}).DialContext,
+			DialContext:            cfg.dial,
 		}
 	}
 	return &Poller{cfg: cfg, client: &http.Client{
@@ -66,6 +69,15 @@
 	}}
 }
 
+func (cfg *PollerConfig) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: cfg.Timeout}
+	conn, err := d.DialContext(ctx, network, addr)
+	if err != nil || cfg.Wrap == nil {
+		return conn, err
+	}
+	return cfg.Wrap(conn), nil
+}
+
 // Poll reads every target once and passes each outcome to deliver, which is
 // called from several goroutines. It returns when all polls have ended.
 func (p *Poller) Poll(ctx context.Context, targets []Target, deliver func(Observation)) {
