--- a/internal/command/fault_test.go
+++ b/internal/command/fault_test.go
@@ -141,6 +141,24 @@
 
 func minority(id string, o Owners) step { return func(s *sim) { s.setView(id, o, false) } }
 
+// passOn lets an admitting host notice that another host has died.
+func passOn(id, dead string) step {
+	return func(s *sim) {
+		h := s.hosts[id]
+		h.process[dead]++
+		s.do(h, h.state.PassOn(s.now, h.results.Take(s.now, func(host string) uint64 { return h.process[host] })))
+	}
+}
+
+// grace lets the host count as complete while its majority is verified again.
+func grace(id string) step {
+	return func(s *sim) { s.hosts[id].state.SetMajorityGrace(2 * time.Second) }
+}
+
+func distrust(id string) step {
+	return func(s *sim) { s.hosts[id].state.SetConditions(s.now, Conditions{}) }
+}
+
 var (
 	shedOnce  = simBackend{sheds: 1}
 	takesOne  = simBackend{service: time.Second}
@@ -180,6 +198,15 @@
 	{"primary dies while the command runs",
 		play(server(1, takesOne), command("a"), at(500*ms, kill("a"), takeover), at(2*sec, command("b"))),
 		"-32002 no_answer", 1, 1},
+	{"primary dies while the command runs, and its answer is passed on",
+		play(server(1, takesOne), command("a"), at(500*ms, kill("a")), at(1800*ms, takeover, command("b"), passOn("c", "a"))),
+		"answer", 1, 1},
+	{"the answer arrives after the death of the primary was noticed",
+		play(server(1, simBackend{service: 3 * sec}), command("a"), at(500*ms, kill("a")),
+			at(1800*ms, takeover, command("b"), passOn("c", "a")), at(4*sec, passOn("c", ""))), "answer", 1, 1},
+	{"a shed run of a primary that died is not passed on",
+		play(server(1, shedsLate), command("a"), at(500*ms, kill("a")), at(1800*ms, takeover, command("b"), passOn("c", "a"))),
+		"-32002 no_answer", 0, 1},
 	{"planned change while the command runs",
 		play(server(1, takesOne), command("a"), at(500*ms, leave("a"), planned), at(600*ms, command("b"))), "answer", 1, 2},
 	{"new owner's claims are full while the command runs",
@@ -225,6 +252,17 @@
 	{"majority lost", play(minority("a", ab), command("a")), "-32002 no_majority", 0, 1},
 	{"majority lost while waiting for the claim",
 		play(command("a"), at(2*ms, minority("a", ab))), "-32002 no_majority", 0, 1},
+	{"majority verified again while the command waits",
+		play(views(ab, "a"), grace("a"), minority("a", ab), command("a"), at(300*ms, views(ab, "a"))), "answer", 1, 1},
+	{"majority lost and verified again while waiting for the claim",
+		play(views(ab, "a"), grace("a"), command("a"), at(2*ms, minority("a", ab)), at(300*ms, views(ab, "a"))), "answer", 1, 1},
+	{"majority not verified again",
+		play(views(ab, "a"), grace("a"), minority("a", ab), command("a")), "-32002 no_majority", 0, 1},
+	{"declared dead while the majority is verified again",
+		play(views(ab, "a"), grace("a"), minority("a", ab), command("a"), at(300*ms, distrust("a"))),
+		"-32002 not_serving", 0, 1},
+	{"other owner dies before it stores the claim",
+		play(kill("b"), command("a"), at(1800*ms, views(ac, "a", "c"))), "answer", 1, 1},
 	{"admitting host is leaving", play(leave("c"), command("a")), "-32001 leaving", 0, 1},
 	{"minority side of a partition",
 		play(cut("a"), minority("a", Owners{"a", ""}), command("a"), at(sec, takeover, command("b"))), "answer", 1, 2},
--- a/internal/command/owners.go
+++ b/internal/command/owners.go
@@ -89,7 +89,10 @@
 	}
 	so := s.services[service]
 	if so == nil {
-		so = &serviceOwners{generation: s.nextNonce(), majority: s.conditions.majority(service), majorityAt: now}
+		so = &serviceOwners{generation: s.nextNonce(), majority: s.conditions.majority(service)}
+		if so.majority {
+			so.majorityAt = now
+		}
 		s.services[service] = so
 	}
 	changed := s.replaceOwners(now, so, owners)
