daemon: end the calls of the test control before it is stepped

Change: the environment of the test control waits for its calls and starts no further ones. Conclusion: a fault of the test only; no daemon changes the field.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -86,9 +87,29 @@
 	return configsync.Parse(fmt.Sprintf("services/s%04d", i), raw)
 }
 
+// benchEnvironment starts no call once its calls are ended, so that a test may
+// then change what calls in progress read.
+type benchEnvironment struct {
+	processEnvironment
+	calls sync.WaitGroup
+	ended bool // set by the goroutine that steps the control loop
+}
+
+func (e *benchEnvironment) Go(f func()) {
+	if !e.ended {
+		e.calls.Go(f)
+	}
+}
+
+func (e *benchEnvironment) endCalls() {
+	e.ended = true
+	e.calls.Wait()
+}
+
 // benchControl is the control loop of one host among synthetic members.
 type benchControl struct {
 	*control
+	env    *benchEnvironment
 	b      testing.TB
 	conn   *captureConn
 	hosts  []document.Host
@@ -109,10 +130,12 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+	env := &benchEnvironment{processEnvironment: processEnvironment{d}}
+	d.environment = env
 	ended := make(chan struct{})
 	go drainEvents(d.events, ended)
 	b.Cleanup(func() { close(ended); d.closeSockets() })
-	c := &benchControl{control: d.control, b: b, conn: conn, byAddr: map[netip.AddrPort]int{}, clock: d.started}
+	c := &benchControl{control: d.control, env: env, b: b, conn: conn, byAddr: map[netip.AddrPort]int{}, clock: d.started}
 	for i := range hosts {
 		h := benchHost(i)
 		c.hosts, c.boots = append(c.hosts, h), append(c.boots, benchBoot)
