route: order the connections of a flow

Change: entries and the choice in the forwarding header hold the caller's initial sequence number and the age of the connection. An entry of an earlier connection never replaces, closes or reopens that of a later one; S corrects P by a conflict. A reply soon after the connection was opened that comes from another backend server does not outrank its entry (TestEarlierConnection). The version of the forwarding header rises to 3, so that hosts with the old header drop such packets under unknown version. A conflict always removes the receiver's proposal.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -35,6 +35,8 @@
 	State    State
 	Closing  bool   // a FIN or reset of the flow passed
 	End      uint32 // the caller's sequence number after that packet
+	Conn     uint32 // initial sequence number of the caller's connection, 0 when unknown
+	Opened   uint32 // milliseconds since process start when the connection was admitted, or first seen when unknown
 }
 
 // ClosingTime is how long an unused entry of a closing flow stays, in seconds.
@@ -52,6 +54,32 @@
 	return e.Addr == o.Addr && e.Port == o.Port && e.Instance == o.Instance && e.Service == o.Service
 }
 
+// Older reports whether e belongs to an earlier connection of the flow than o.
+// An entry of an unknown connection that another backend server's reply made
+// soon after o was opened may be from a late packet of an earlier connection.
+func (e *Entry) Older(o *Entry) bool {
+	later := int32(e.Opened - o.Opened) // wraps as Opened does
+	switch {
+	case e.Conn == o.Conn || o.Conn == 0:
+		return false
+	case e.Conn == 0:
+		return !e.SameBackend(o) && later < ClosingTime*1000
+	}
+	return later < 0
+}
+
+// sameConn reports whether the entries may belong to the same connection.
+func (e *Entry) sameConn(o *Entry) bool {
+	return e.Conn == o.Conn || e.Conn == 0 || o.Conn == 0
+}
+
+// learnConn takes the connection from an entry that knows it.
+func (e *Entry) learnConn(o *Entry) {
+	if e.Conn == 0 && o.Conn != 0 {
+		e.Conn, e.Opened = o.Conn, o.Opened
+	}
+}
+
 // Charged reports whether the flow counts against its backend server's allowance.
 func (e *Entry) Charged() bool { return !e.Closing }
 
@@ -117,8 +145,10 @@
 }
 
 // Put stores e unless the table has an entry of the same or a stronger state.
-// It returns the entry that the table holds afterwards, or e when full. Between
-// different backend servers an open entry takes precedence over a closing one.
+// It returns the entry that the table holds afterwards, or e when full. An entry
+// of an earlier connection never replaces one of a later connection; the other
+// way round it does once the owners have settled it. Between different backend
+// servers an open entry takes precedence over a closing one.
 // An entry that is closing stays so when e names the same backend server.
 func (t *Table) Put(k packet.Key, hash uint64, e Entry) (Entry, PutResult) {
 	return t.merge(k, hash, e, keepOnTie)
@@ -147,6 +177,10 @@
 // replaces reports whether e takes the place of old.
 func (e *Entry) replaces(old *Entry, rule mergeRule) bool {
 	switch {
+	case e.Older(old):
+		return false
+	case old.Older(e) && e.State >= Settled:
+		return true
 	case old.Closing != e.Closing && (rule == replaceClosing || !e.SameBackend(old)):
 		return old.Closing
 	case old.State != e.State:
@@ -169,11 +203,14 @@
 		return e, Stored
 	}
 	reopened := rule == replaceClosing && !e.Closing
-	same := e.SameBackend(&old)
+	same := e.SameBackend(&old) && e.sameConn(&old)
 	if !e.replaces(&old, rule) {
 		if same && e.Closing {
 			old.Closing, old.End = true, e.End
 		}
+		if same {
+			old.learnConn(&e)
+		}
 		old.LastSeen = e.LastSeen
 		s.entries[k] = old
 		return old, Kept
@@ -181,18 +218,21 @@
 	if same && old.Closing && !e.Closing && !reopened {
 		e.Closing, e.End = true, old.End
 	}
+	if same && !reopened {
+		e.learnConn(&old)
+	}
 	s.entries[k] = e
 	return e, Stored
 }
 
-// Update replaces the entry of a flow if it still names the backend server of
-// old in old's state, and is closing if old is. It reports whether it did.
+// Update replaces the entry of a flow if it still names the backend server and
+// connection of old in old's state, and is closing if old is. It reports whether it did.
 func (t *Table) Update(k packet.Key, hash uint64, old, e Entry) bool {
 	s := t.shard(hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current, ok := s.entries[k]
-	if !ok || !current.SameBackend(&old) || current.State != old.State || current.Closing != old.Closing {
+	if !ok || !current.SameBackend(&old) || current.Conn != old.Conn || current.State != old.State || current.Closing != old.Closing {
 		return false
 	}
 	s.entries[k] = e
--- a/internal/flow/table_test.go
+++ b/internal/flow/table_test.go
@@ -98,3 +98,33 @@
 		t.Fatalf("%d entries", n)
 	}
 }
+
+// Guards against an entry of an earlier connection that outranks, closes or
+// reopens the entry of a later one.
+func TestConnectionsOfAFlow(t *testing.T) {
+	const second = 1000
+	early := Entry{Port: 1, State: Proven, Conn: 7, Opened: 10 * second}
+	late := Entry{Port: 2, State: Settled, Conn: 9, Opened: 20 * second}
+	with := func(e Entry, change func(e *Entry)) Entry { change(&e); return e }
+	reply := func(at uint32) Entry { return Entry{Port: 3, State: Proven, Opened: at} }
+	for _, c := range []struct {
+		name         string
+		old, e, want Entry
+	}{
+		{"earlier, stronger", late, early, late},
+		{"later, weaker", early, late, late},
+		{"later, not agreed on", early, with(late, func(e *Entry) { e.State = Tentative }), early},
+		{"times wrap", with(early, func(e *Entry) { e.Opened = 1<<32 - second }), late, late},
+		{"end of an earlier connection to the same server", late, with(early, func(e *Entry) { e.Port, e.Closing = 2, true }), late},
+		{"reply soon after", late, reply(25 * second), late},
+		{"reply long after", late, reply(60 * second), reply(60 * second)},
+		{"agreed on soon before a reply", reply(25 * second), late, late},
+		{"same server, connection learned", Entry{Port: 2, State: Proven}, late, with(late, func(e *Entry) { e.State = Proven })},
+	} {
+		table := NewTable(1)
+		table.Put(key(1), key(1).Hash(), c.old)
+		if got, _ := table.Put(key(1), key(1).Hash(), c.e); got != c.want {
+			t.Errorf("%s: %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/packet/forward.go
+++ b/internal/packet/forward.go
@@ -48,6 +48,8 @@
 	Addr     netip.AddrPort
 	Instance uint64
 	Flags    ChoiceFlags
+	Conn     uint32 // initial sequence number of the caller's connection, 0 when unknown
+	Age      uint32 // milliseconds since the connection was admitted
 }
 
 // ForwardHeader stands before the inner packet between entry hosts. The version
@@ -62,7 +64,7 @@
 }
 
 // ForwardVersion is the first byte of a forwarded packet.
-const ForwardVersion = 0x01
+const ForwardVersion = 0x03
 
 const (
 	addrPortLen = 16 + 2
@@ -78,8 +80,11 @@
 	choiceOffset   = senderOffset + addrPortLen
 	instanceOffset = choiceOffset + addrPortLen
 
+	connOffset = instanceOffset + 8
+	ageOffset  = connOffset + 4
+
 	// ForwardHeaderLen is the number of bytes before the inner packet.
-	ForwardHeaderLen = instanceOffset + 8
+	ForwardHeaderLen = ageOffset + 4
 )
 
 // Reasons for which a forwarded packet is refused, besides ErrTruncated.
@@ -99,6 +104,8 @@
 	dst = appendAddrPort(dst, h.Sender)
 	dst = appendAddrPort(dst, h.Choice.Addr)
 	dst = binary.BigEndian.AppendUint64(dst, h.Choice.Instance)
+	dst = binary.BigEndian.AppendUint32(dst, h.Choice.Conn)
+	dst = binary.BigEndian.AppendUint32(dst, h.Choice.Age)
 	dst = append(dst, inner...)
 	putTag(key, dst[start:])
 	return dst
@@ -134,6 +141,8 @@
 	h.Sender = addrPort(b[senderOffset:])
 	h.Choice.Addr = addrPort(b[choiceOffset:])
 	h.Choice.Instance = binary.BigEndian.Uint64(b[instanceOffset:])
+	h.Choice.Conn = binary.BigEndian.Uint32(b[connOffset:])
+	h.Choice.Age = binary.BigEndian.Uint32(b[ageOffset:])
 	return b[ForwardHeaderLen:], nil
 }
 
--- a/internal/packet/packet_test.go
+++ b/internal/packet/packet_test.go
@@ -153,7 +153,7 @@
 		Kind: KindPropose, Hops: 3,
 		Origin: netip.MustParseAddrPort("127.0.0.1:6081"),
 		Sender: netip.MustParseAddrPort("[2001:db8::5]:6081"),
-		Choice: Choice{Addr: netip.MustParseAddrPort("127.0.10.1:6080"), Instance: 5, Flags: FlagTentative | FlagSecondary},
+		Choice: Choice{Addr: netip.MustParseAddrPort("127.0.10.1:6080"), Instance: 5, Flags: FlagTentative | FlagSecondary, Conn: 7, Age: 8},
 	}
 )
 
--- a/internal/packet/parse.go
+++ b/internal/packet/parse.go
@@ -64,6 +64,11 @@
 	return i.Key.Proto == ProtoTCP && i.TCPFlags&(FlagSYN|FlagACK|FlagRST) == FlagSYN
 }
 
+// AcceptsSYN reports whether the packet accepts a TCP connection.
+func (i *Info) AcceptsSYN() bool {
+	return i.Key.Proto == ProtoTCP && i.TCPFlags&(FlagSYN|FlagACK|FlagRST) == FlagSYN|FlagACK
+}
+
 // RST reports whether the packet resets a TCP connection.
 func (i *Info) RST() bool {
 	return i.Key.Proto == ProtoTCP && i.TCPFlags&FlagRST != 0
--- a/internal/route/action.go
+++ b/internal/route/action.go
@@ -35,10 +35,10 @@
 // Action is the decision about one packet.
 type Action struct {
 	Kind    ActionKind
+	Reason  Reason   // of Drop and ResetCaller
 	Backend *Backend // receiver, or sender of a reply to a command
 	Peer    netip.AddrPort
 	Header  packet.ForwardHeader
-	Reason  Reason // of Drop and ResetCaller
 }
 
 func drop(r Reason) Action { return Action{Kind: Drop, Reason: r} }
--- a/internal/route/closing.go
+++ b/internal/route/closing.go
@@ -104,7 +104,7 @@
 	told := *e
 	told.Since = q.now.milliseconds()
 	r.Table.Update(q.key, q.hash, *e, told)
-	return q.forwardTo(h, other, packet.KindRefresh, choiceOf(e, flags))
+	return q.forwardTo(h, other, packet.KindRefresh, q.choice(e, flags))
 }
 
 // otherOwner returns the owner that a choice held here is sent to, and the
--- a/internal/route/closing_test.go
+++ b/internal/route/closing_test.go
@@ -196,6 +196,59 @@
 	}
 }
 
+// Guards against a late reply or a cache of an earlier connection from the same
+// port that outranks the owners' entry, so that the backend server's reset of a
+// packet that went astray reaches the caller.
+func TestEarlierConnection(t *testing.T) {
+	for n := 1; n < 4; n++ {
+		lateReply, restart := n&1 != 0, n&2 != 0
+		x := newTrio(t)
+		deliver := func(host string, flags uint8, seq uint32, payload string) result {
+			raw := x.segment(flags, seq, payload)
+			return x.settle(x.k, raw, x.arrive(host, raw))
+		}
+		deliver(x.arrival, packet.FlagSYN, 7, "")
+		other := x.arrival // another host that is no owner
+		for _, h := range x.hosts {
+			deliver(h.ID, packet.FlagACK, 8, "data") // the replies prove every entry
+			if h.ID != x.primary && h.ID != x.secondary && other == x.arrival {
+				other = h.ID
+			}
+		}
+		former := x.serving[x.k]
+		for i := range x.services[0].Backends {
+			x.services[0].Backends[i].Draining = x.services[0].Backends[i].Addr == former
+		}
+		x.update()
+		// The second of two more connections stays at the backend server of the first.
+		for n := range uint32(2) {
+			x.now += Time(time.Second)
+			deliver(x.primary, finAck, 12+n<<30, "")
+			delete(x.serving, x.k)
+			if got := deliver(other, packet.FlagSYN, 11+(n+1)<<30, ""); got != delivered || x.serving[x.k] == former {
+				t.Fatalf("SYN: %v at %v", got, x.serving[x.k])
+			}
+		}
+		if lateReply {
+			x.nodes[x.arrival].router.Table.Delete(x.k, x.k.Hash())
+			x.reply(x.arrival, former, replyTo(x.k, packet.FlagACK))
+		}
+		if restart {
+			for i := range x.hosts {
+				x.hosts[i].Boot++
+			}
+			x.start(x.primary)
+			x.update()
+			x.now += Time(time.Second)
+		}
+		for try, host := range []string{x.arrival, x.arrival, x.arrival, x.primary, x.secondary, other} {
+			if got := deliver(host, packet.FlagACK, 12+2<<30, "data"); got == broken || try > 1 && got != delivered {
+				t.Errorf("late reply %v, restart %v: packet %d through %s: %v", lateReply, restart, try, host, got)
+			}
+		}
+	}
+}
+
 // Guards against half-closed downloads that break once the owners have
 // removed their entries.
 func TestHalfClosed(t *testing.T) {
--- a/internal/route/fabric.go
+++ b/internal/route/fabric.go
@@ -61,7 +61,7 @@
 	// an entry that is closing.
 	refreshed.Closing = reopened
 	r.Table.Update(q.key, q.hash, *e, refreshed)
-	return q.forwardTo(h, other, packet.KindRefresh, choiceOf(e, flags))
+	return q.forwardTo(h, other, packet.KindRefresh, q.choice(e, flags))
 }
 
 // ask forwards a packet without an entry to its primary owner, or acts as
@@ -114,10 +114,10 @@
 			e = r.reopen(q, e, q.replicated())
 		}
 		if e.State == flow.Tentative && present {
-			return q.forwardTo(h, arbiter, packet.KindPropose, choiceOf(&e, packet.FlagSecondary))
+			return q.forwardTo(h, arbiter, packet.KindPropose, q.choice(&e, packet.FlagSecondary))
 		}
 		if present && (resumed || q.closes()) && q.s.Hosts[arbiter].Peer != h.Origin {
-			return q.forwardTo(h, arbiter, packet.KindRefresh, choiceOf(&e, packet.FlagSecondary))
+			return q.forwardTo(h, arbiter, packet.KindRefresh, q.choice(&e, packet.FlagSecondary))
 		}
 		return q.answer(h, &e, b)
 	}
@@ -152,7 +152,7 @@
 	}
 	e := q.entry(b.Addr, b.Instance, flow.Tentative)
 	if owner, ok := q.suspectOwner(); ok {
-		return q.forwardTo(h, owner, packet.KindPropose, choiceOf(&e, packet.FlagSecondary))
+		return q.forwardTo(h, owner, packet.KindPropose, q.choice(&e, packet.FlagSecondary))
 	}
 	e.Epoch = q.replicated()
 	e, result := r.Table.Reopen(q.key, q.hash, e)
@@ -166,7 +166,7 @@
 		}
 	}
 	if arbiter, present := q.arbiter(); present {
-		c := choiceOf(&e, packet.FlagSecondary)
+		c := q.choice(&e, packet.FlagSecondary)
 		if previous != nil && b != previous && result == flow.Stored {
 			// Outlasts caches that still prove the previous backend server.
 			c.Flags = c.Flags&^packet.FlagTentative | packet.FlagProven
@@ -181,7 +181,7 @@
 	if q.isOrigin(h) {
 		return toBackend(b)
 	}
-	return q.forward(h, h.Origin, packet.KindAnswer, agreed(e))
+	return q.forward(h, h.Origin, packet.KindAnswer, q.agreed(e))
 }
 
 // noChoice handles a packet of a flow that no owner knows.
--- a/internal/route/peers.go
+++ b/internal/route/peers.go
@@ -84,7 +84,7 @@
 		e = r.reopen(q, e, e.Epoch)
 	}
 	if h.Sender != h.Origin {
-		return q.forward(h, h.Sender, packet.KindAnswer, agreed(&e))
+		return q.forward(h, h.Sender, packet.KindAnswer, q.agreed(&e))
 	}
 	return q.answer(h, &e, b)
 }
@@ -111,11 +111,11 @@
 		return drop(reason)
 	}
 	if e.AddrPort() != h.Choice.Addr && h.Sender != q.s.SelfPeer {
-		return q.forward(h, h.Sender, packet.KindConflict, choiceOf(&e, 0))
+		return q.forward(h, h.Sender, packet.KindConflict, q.choice(&e, 0))
 	}
 	moved := h.Choice.Flags&packet.FlagProven != 0
 	if (result == flow.Kept || moved) && h.Sender != h.Origin && h.Sender != q.s.SelfPeer {
-		return q.forward(h, h.Sender, packet.KindAnswer, agreed(&e))
+		return q.forward(h, h.Sender, packet.KindAnswer, q.agreed(&e))
 	}
 	return q.answer(h, &e, b)
 }
@@ -123,12 +123,14 @@
 // conflict stores the secondary owner's entry instead of this host's proposal
 // and returns the packet to the arrival host.
 func (r *Router) conflict(q *query, h *packet.ForwardHeader) Action {
-	if b, _ := q.check(h.Choice.Addr, h.Choice.Instance); b == nil {
-		// This host's documents may be older than the secondary's. Its own
-		// proposal was overruled all the same and must not settle.
-		if e, ok := r.Table.Peek(q.key, q.hash); ok && e.State <= stateOf(&h.Choice) {
-			r.Table.DeleteIf(q.key, q.hash, e)
-		}
+	b, _ := q.check(h.Choice.Addr, h.Choice.Instance)
+	// The own proposal must not settle, even if it is of a later connection or
+	// this host's documents are older than the secondary's.
+	e, ok := r.Table.Peek(q.key, q.hash)
+	if ok && (e.State <= flow.Tentative || b == nil && e.State <= stateOf(&h.Choice)) {
+		r.Table.DeleteIf(q.key, q.hash, e)
+	}
+	if b == nil {
 		return q.send(h)
 	}
 	return r.store(q, h, stateOf(&h.Choice))
@@ -188,36 +190,61 @@
 
 // refresh stores the choice of an established flow as an owner. A SYN may open
 // a new connection, of which the sender's entry says nothing: unless the flow
-// is known here, it is admitted again. A cached choice yields to an own entry.
+// is known here, it is admitted again. A cached choice yields to an own entry,
+// and one of an earlier connection to that of a later one.
 func (r *Router) refresh(q *query, h *packet.ForwardHeader, secondary bool) Action {
 	if b, _ := q.check(h.Choice.Addr, h.Choice.Instance); b == nil {
 		return q.forward(h, h.Origin, packet.KindRefresh, h.Choice)
 	}
+	chosen := q.chosen(&h.Choice, stateOf(&h.Choice))
 	own, ownBackend, _ := r.lookup(q) // removes an entry that is not valid any more
 	known := ownBackend != nil && own.State != flow.Guess
 	differs := own.AddrPort() != h.Choice.Addr
-	cached := own.Closing && differs || q.info.SYN() || h.Choice.Flags&packet.FlagCached != 0
+	older := known && chosen.Older(&own)
 	switch {
 	case !secondary && q.info.SYN() && !known:
 		return r.admit(q, h, q.s.Backends.Get(h.Choice.Addr))
-	case !secondary && known && cached && (differs || q.revives(&own)):
+	case !secondary && known && (older || q.yields(h, &chosen, &own) && (differs || q.revives(&own))):
 		return r.primary(q, h)
-	case secondary && known && cached && differs && !q.info.SYN():
+	case older && q.storedBefore(h):
+		return q.forward(h, h.Sender, packet.KindConflict, q.agreed(&own))
+	case secondary && known && differs && !q.info.SYN() && q.yields(h, &chosen, &own):
 		return q.answer(h, &own, ownBackend)
 	}
-	e, _ := r.put(q, q.chosen(&h.Choice, stateOf(&h.Choice)))
+	return r.storeRefreshed(q, h, chosen, secondary)
+}
+
+// yields reports whether a refreshed choice has no precedence over an own entry.
+func (q *query) yields(h *packet.ForwardHeader, chosen, own *flow.Entry) bool {
+	if q.info.SYN() {
+		return true
+	}
+	cached := own.Closing && own.AddrPort() != h.Choice.Addr || h.Choice.Flags&packet.FlagCached != 0
+	return cached && !own.Older(chosen)
+}
+
+// storedBefore reports whether the primary has stored the choice that this
+// host, as the secondary, is asked to store.
+func (q *query) storedBefore(h *packet.ForwardHeader) bool {
+	secondary := h.Choice.Flags&packet.FlagSecondary != 0
+	return secondary && h.Sender != h.Origin && h.Sender != q.s.SelfPeer
+}
+
+// storeRefreshed stores a refreshed choice unless a stronger entry exists, and
+// passes the packet to the other owner or back to the arrival host.
+func (r *Router) storeRefreshed(q *query, h *packet.ForwardHeader, chosen flow.Entry, secondary bool) Action {
+	e, _ := r.put(q, chosen)
 	b, reason := q.check(e.AddrPort(), e.Instance)
 	if b == nil {
 		return drop(reason)
 	}
-	if secondary && e.AddrPort() != h.Choice.Addr && h.Sender != h.Origin && h.Sender != q.s.SelfPeer {
-		// The primary stored the choice that was overruled.
-		return q.forward(h, h.Sender, packet.KindConflict, choiceOf(&e, 0))
+	if e.AddrPort() != h.Choice.Addr && q.storedBefore(h) {
+		return q.forward(h, h.Sender, packet.KindConflict, q.choice(&e, 0))
 	}
 	arbiter, present := q.arbiter()
 	if secondary || !present || q.s.Hosts[arbiter].Peer == h.Origin {
 		return q.answer(h, &e, b)
 	}
 	flags := packet.FlagSecondary | h.Choice.Flags&packet.FlagCached
-	return q.forwardTo(h, arbiter, packet.KindRefresh, choiceOf(&e, flags))
+	return q.forwardTo(h, arbiter, packet.KindRefresh, q.choice(&e, flags))
 }
--- a/internal/route/replies.go
+++ b/internal/route/replies.go
@@ -54,6 +54,7 @@
 	e.Since -= refreshInterval // the next packet tells the owners at once
 	if same && old.State != flow.Guess {
 		e.Epoch, e.Since, e.Instance = old.Epoch, old.Since, old.Instance
+		e.Conn, e.Opened = old.Conn, old.Opened
 	}
 	if ok && !same {
 		r.lookup(q) // removes an entry that is not valid any more
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -67,6 +67,18 @@
 	return q.epoch()
 }
 
+// conn identifies the connection that the packet opens, 0 for any other packet.
+// Sequence number 0 counts as 1.
+func (q *query) conn() uint32 {
+	switch {
+	case q.info.SYN():
+		return max(1, q.info.Seq)
+	case q.reply && q.info.AcceptsSYN():
+		return max(1, q.info.Ack-1)
+	}
+	return 0
+}
+
 // opens reports whether the packet may start a flow.
 func (q *query) opens() bool {
 	return q.key.Proto != packet.ProtoTCP || q.info.SYN()
@@ -160,6 +172,7 @@
 		Addr: addr.Addr().As16(), Port: addr.Port(), Instance: instance,
 		Service: q.svc.Index, LastSeen: q.now.seconds(), Since: q.now.milliseconds(), State: state,
 		Closing: q.info.Closes(), End: q.end(),
+		Conn: q.conn(), Opened: q.now.milliseconds(),
 	}
 }
 
@@ -167,13 +180,14 @@
 func (q *query) chosen(c *packet.Choice, state flow.State) flow.Entry {
 	e := q.entry(c.Addr, c.Instance, state)
 	e.Epoch = q.replicated()
+	e.Conn, e.Opened = c.Conn, q.now.milliseconds()-c.Age
 	if c.Flags&packet.FlagClosing != 0 && q.key.Proto == packet.ProtoTCP {
 		e.Closing = true
 	}
 	return e
 }
 
-func choiceOf(e *flow.Entry, flags packet.ChoiceFlags) packet.Choice {
+func (q *query) choice(e *flow.Entry, flags packet.ChoiceFlags) packet.Choice {
 	switch e.State {
 	case flow.Proven:
 		flags |= packet.FlagProven
@@ -183,12 +197,15 @@
 	if e.Closing {
 		flags |= packet.FlagClosing
 	}
-	return packet.Choice{Addr: e.AddrPort(), Instance: e.Instance, Flags: flags}
+	return packet.Choice{
+		Addr: e.AddrPort(), Instance: e.Instance, Flags: flags,
+		Conn: e.Conn, Age: q.now.milliseconds() - e.Opened,
+	}
 }
 
 // agreed is the choice of an answer: the owners agreed on it.
-func agreed(e *flow.Entry) packet.Choice {
-	c := choiceOf(e, 0)
+func (q *query) agreed(e *flow.Entry) packet.Choice {
+	c := q.choice(e, 0)
 	c.Flags &^= packet.FlagTentative
 	return c
 }
