--- a/internal/admission/bench_test.go
+++ b/internal/admission/bench_test.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand"
 	"net/netip"
@@ -75,11 +74,7 @@
 // exchange sends the reports of host h and returns their bytes.
 func (f *fleet) exchange(reports []Report, h int) (bytes int) {
 	for _, r := range reports {
-		raw, err := json.Marshal(r)
-		if err != nil {
-			panic(err)
-		}
-		bytes += len(raw) + callOverhead
+		bytes += r.cost()
 		var to int
 		fmt.Sscanf(r.To, "host-%d", &to)
 		f.states[to].Receive(f.now, hostID(h), r)
--- a/internal/command/message.go
+++ b/internal/command/message.go
@@ -15,6 +15,7 @@
 	MethodComplete = "command.complete"
 	MethodReply    = "command.reply"
 	MethodTransfer = "command.transfer"
+	MethodCoverage = "command.coverage"
 )
 
 // ClaimKey names a request of a caller.
@@ -84,6 +85,8 @@
 	// Expires is the deadline on the admitting host's clock in Unix
 	// milliseconds, 0 when the owner does not know that clock yet.
 	Expires int64 `json:"expires,omitempty"`
+	// Wait lets the command wait for a slot.
+	Wait bool `json:"wait,omitempty"`
 }
 
 // flow returns the flow of the caller's packets.
@@ -103,12 +106,14 @@
 )
 
 // RunReply answers a RunRequest. Clock is the admitting host's clock in Unix
-// milliseconds.
+// milliseconds. WaitMS is how long the command would wait for a slot, 0 when it
+// may not wait.
 type RunReply struct {
 	Outcome RunOutcome      `json:"outcome"`
 	Reason  Reason          `json:"reason,omitempty"`
 	Answer  json.RawMessage `json:"answer,omitempty"`
 	Clock   int64           `json:"clock"`
+	WaitMS  int64           `json:"wait_ms,omitempty"`
 }
 
 // CompleteRequest tells the other owner how a command ended.
@@ -148,4 +153,19 @@
 	Refused    Reason `json:"refused,omitempty"`
 }
 
+// CoverageRequest asks the other owner of buckets whether the sender may stop:
+// whether it has seen every claim of the last AgeMS milliseconds, as the sender
+// has.
+type CoverageRequest struct {
+	Service string  `json:"service"`
+	Buckets []uint8 `json:"buckets"`
+	AgeMS   int64   `json:"age_ms"`
+}
+
+// CoverageReply answers a CoverageRequest with the buckets of which this is so.
+type CoverageReply struct {
+	Covered []uint8 `json:"covered,omitempty"`
+	Refused Reason  `json:"refused,omitempty"`
+}
+
 func milliseconds(d time.Duration) int64 { return max(0, d.Milliseconds()) }
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -23,10 +23,6 @@
 // repeats them as long as the command's deadline allows.
 const claimCallTimeout = time.Second
 
-// majorityGrace covers the time in which the members verify each other again
-// after a death: one round of probes of a fleet of today's size.
-const majorityGrace = 2 * time.Second
-
 // runCallMargin is added to a command's deadline for the call to its
 // admitting host, so that the host's answer about the deadline still arrives.
 const runCallMargin = 250 * time.Millisecond
@@ -196,6 +192,8 @@
 			c.call(o.To, command.MethodComplete, o.Message, nil)
 		case command.Transfer:
 			c.transferClaims(o)
+		case command.AskCoverage:
+			c.askCoverage(o)
 		case command.PassReply:
 			if host := c.admittingHost(o.Message.Backend); host != "" {
 				c.call(host, command.MethodReply, o.Message, nil)
@@ -218,6 +216,14 @@
 		})
 }
 
+func (c *control) askCoverage(o command.AskCoverage) {
+	callPeer(c, o.To, command.MethodCoverage, claimCallTimeout, o.Message,
+		func(c *control, now time.Time, reply command.CoverageReply, status command.CallStatus) {
+			c.performCommands(now, c.commands.CoverageResult(now, o.To, o.Message, reply, status))
+			c.handOver(now)
+		})
+}
+
 // runCommand runs a command through the admitting host of its backend server.
 func (c *control) runCommand(now time.Time, o command.Run) {
 	if o.Host == c.d.settings.HostID {
@@ -246,8 +252,13 @@
 func (c *control) acceptRun(now time.Time, m command.RunRequest, done runDone) {
 	c.nextCall++
 	c.runCalls[c.nextCall] = runCall{backend: m.Backend, done: done}
-	admits := c.serving && c.admittingHost(m.Backend) == c.d.settings.HostID && c.servesCommands(&m)
-	c.performCommands(now, c.runner.Run(now, c.nextCall, m, admits))
+	c.performCommands(now, c.runner.Run(now, c.nextCall, m, c.admitsRun(&m)))
+}
+
+// admitsRun reports whether this host admits the commands of the backend
+// server of a run.
+func (c *control) admitsRun(m *command.RunRequest) bool {
+	return c.serving && c.admittingHost(m.Backend) == c.d.settings.HostID && c.servesCommands(m)
 }
 
 // servesCommands reports whether the backend server belongs to the service.
@@ -324,6 +335,12 @@
 	})
 }
 
+func handleCoverage(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
+	return answer(d, ctx, params, func(c *control, now time.Time, m command.CoverageRequest) command.CoverageReply {
+		return c.commands.Coverage(now, from, m)
+	})
+}
+
 func handleReply(d *Daemon, ctx context.Context, _ string, params json.RawMessage) (any, error) {
 	return answer(d, ctx, params, func(c *control, now time.Time, m command.ReplyRequest) bool {
 		c.performCommands(now, c.runner.Reply(now, m.Backend, m.Flow(), m.Body, false))
--- a/internal/daemon/environment.go
+++ b/internal/daemon/environment.go
@@ -130,7 +130,7 @@
 }
 
 // Leave starts the graceful shutdown.
-func (s *Stepper) Leave() { s.d.step(func(c *control, now time.Time) { c.leave(now) }) }
+func (s *Stepper) Leave() { s.d.step(func(c *control, now time.Time) { c.stop(now) }) }
 
 // Versions returns the versions of the accepted values, nil while the daemon
 // does not serve.
@@ -149,5 +149,10 @@
 	if current.Hosts != nil {
 		versions[document.HostsKey] = current.Hosts.Version
 	}
+	for _, dc := range current.HostLists {
+		if v, ok := s.d.control.config.Get(document.HostsKeyPrefix + dc); ok {
+			versions[v.Key] = v.Version
+		}
+	}
 	return versions
 }
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -149,15 +149,20 @@
 func (d *Daemon) fetch(ctx context.Context, id string, keys []string) error {
 	for len(keys) > 0 {
 		var resp configsync.FetchResponse
-		if err := d.environment.Call(ctx, id, configsync.MethodFetch, configsync.FetchRequest{Keys: keys}, &resp); err != nil {
+		if err := d.environment.Call(ctx, id, configsync.MethodFetch, configsync.FetchRequest{Keys: keys, Packed: true}, &resp); err != nil {
 			return err
 		}
 		if len(resp.Values) == 0 {
 			return nil
 		}
 		got := map[string]bool{}
-		for _, v := range resp.Values {
+		for i, v := range resp.Values {
 			got[v.Key] = true
+			var err error
+			if resp.Values[i], err = v.Unpack(); err != nil {
+				countDroppedReason("call", "packed_value")
+				return err
+			}
 		}
 		if err := d.offer(ctx, id, resp.Values); err != nil {
 			return err
@@ -177,11 +182,32 @@
 	if len(keys) == 0 {
 		return nil
 	}
-	values, err := ask(ctx, d, func(c *control, _ time.Time) []configsync.Value { return c.config.Values(keys) })
+	message, err := ask(ctx, d, func(c *control, _ time.Time) configsync.PushMessage {
+		m, _ := c.config.PushOf(keys)
+		return m
+	})
 	if err != nil {
 		return err
 	}
-	return d.environment.Call(ctx, id, configsync.MethodPush, configsync.PushMessage{Values: values}, nil)
+	return d.environment.Call(ctx, id, configsync.MethodPush, message, nil)
+}
+
+// announced fetches in the background what a peer has announced and this host
+// lacks.
+func (c *control) announced(now time.Time, from string, notices []configsync.Version) {
+	keys := c.config.Announced(now, configsync.Source{Peer: from}, notices)
+	if len(keys) == 0 {
+		return
+	}
+	d, ctx := c.d, c.ctx
+	d.environment.Go(func() {
+		ctx, cancel := d.environment.WithTimeout(ctx, configCallTimeout)
+		defer cancel()
+		if err := d.fetch(ctx, from, keys); err != nil {
+			counters.fetchFailures.Inc()
+		}
+		d.post(func(c *control, _ time.Time) { c.config.Fetched(keys) })
+	})
 }
 
 // offer gives values of a peer to the configuration.
@@ -198,6 +224,7 @@
 		for i, v := range values {
 			c.offered(now, v.Key, c.config.OfferParsed(now, configsync.FromPeer(from, v), candidates[i]))
 		}
+		c.applyHostLists(now)
 		c.push()
 		return true
 	})
@@ -232,7 +259,7 @@
 	switch {
 	case r.Accepted:
 		level.Info(c.logger).Log("msg", "value accepted", "key", key)
-		c.configChanged(now, r.Keys)
+		c.configChanged(r.Keys)
 	case r.Err != nil:
 		level.Warn(c.logger).Log("msg", "value refused; the one in effect stays", "key", key, "reason", r.Refusal, "err", r.Err)
 	}
@@ -244,7 +271,7 @@
 	group := peers[:min(len(peers), c.d.settings.Limits.GroupSize)]
 	for _, p := range c.config.TakePushes(group, peers) {
 		for _, id := range p.To {
-			c.call(id, configsync.MethodPush, configsync.PushMessage{Values: p.Values}, nil)
+			c.call(id, configsync.MethodPush, p.PushMessage, nil)
 		}
 	}
 }
@@ -266,9 +293,8 @@
 }
 
 // configChanged applies newly accepted values.
-func (c *control) configChanged(now time.Time, keys []string) {
+func (c *control) configChanged(keys []string) {
 	c.dirty = true
-	current := c.config.Current()
 	for _, key := range keys {
 		if name, ok := strings.CutPrefix(key, document.ServiceKeyPrefix); ok {
 			c.changes.services[name] = true
@@ -277,9 +303,21 @@
 		// Data centre state and the list of leaving backend servers concern
 		// every service.
 		c.changes.hosts, c.changes.all = true, true
-		if key == hostsKey && current.Hosts != nil {
-			c.carryOut(now, c.members.SetListed(now, current.Hosts.Hosts))
-			c.membersChanged(now)
+		if _, ok := document.HostListKey(key); ok {
+			c.newHosts = true
 		}
 	}
 }
+
+// applyHostLists gives newly accepted host lists to the membership. Lists that
+// arrive together are applied together, because a host that knew only some
+// data centres would take their hosts for all.
+func (c *control) applyHostLists(now time.Time) {
+	hosts := c.config.Current().Hosts
+	if !c.newHosts || hosts == nil {
+		return
+	}
+	c.newHosts = false
+	c.carryOut(now, c.members.SetListed(now, hosts.Hosts))
+	c.membersChanged(now)
+}
--- a/internal/health/state.go
+++ b/internal/health/state.go
@@ -18,18 +18,20 @@
 // owner groups this host belongs to, and of those that it observes. It is not
 // safe for concurrent use.
 type State struct {
-	cfg      Config
-	self     string
-	services map[string]*service
-	backends map[netip.AddrPort]*backend
-	targets  []Target
-	out      map[string]bool
-	leaving  map[netip.AddrPort]bool
-	peers    map[string]*peer
-	bytes    float64 // report bytes that may be sent now
-	refill   time.Time
-	seq      uint64
-	hosts    map[string]bool // live entry hosts
+	cfg       Config
+	self      string
+	services  map[string]*service
+	backends  map[netip.AddrPort]*backend
+	targets   []Target
+	out       map[string]bool
+	leaving   map[netip.AddrPort]bool
+	peers     map[string]*member
+	bytes     float64 // report bytes that may be sent now
+	refill    time.Time
+	seq       uint64
+	hosts     map[string]bool // live entry hosts
+	pollBase  time.Time       // first use of DueTargets
+	refreshed time.Time       // up to when refreshes have been sent
 }
 
 type service struct {
@@ -46,11 +48,13 @@
 	draining  bool // by the document
 	ramp      time.Duration
 	observed  bool // this host is one of the ranked observers
+	observers []string
 	load      load
 	evidence  evidence
 	remote    map[string]row // reports of other hosts
 	heardCold time.Time      // latest cold start that other hosts reported
 	instance  uint64         // the one that changed last, over all observers
+	polls     schedule
 }
 
 // load is what load reports say, directly or through an observer's report.
@@ -70,7 +74,7 @@
 		cfg:      cfg.withDefaults(),
 		services: make(map[string]*service),
 		backends: make(map[netip.AddrPort]*backend),
-		peers:    make(map[string]*peer),
+		peers:    make(map[string]*member),
 	}
 }
 
@@ -93,13 +97,13 @@
 		ranking.SetHosts(in.Hosts)
 	}
 	for i := range in.Services {
-		s.addService(&in.Services[i], ranking, old)
+		s.addService(now, &in.Services[i], ranking, old)
 	}
 	sort.Slice(s.targets, func(i, j int) bool { return s.targets[i].Backend.Compare(s.targets[j].Backend) < 0 })
 	s.setPeers()
 }
 
-func (s *State) addService(in *ServiceInput, ranking *Ranking, old map[netip.AddrPort]*backend) {
+func (s *State) addService(now time.Time, in *ServiceInput, ranking *Ranking, old map[netip.AddrPort]*backend) {
 	svc := &service{name: in.Doc.Name, group: slices.Clone(in.Group)}
 	slices.Sort(svc.group)
 	s.services[svc.name] = svc
@@ -109,7 +113,9 @@
 			doc := &dc.BackendServers[i]
 			b := s.keepBackend(doc.AddrPort(), svc, old)
 			b.dc, b.draining, b.ramp = dc.Name, doc.Draining, doc.Cold.Ramp.Std()
-			b.observed = doc.LoadURL != "" && slices.Contains(ranking.Observers(b.addr, dc.Name), s.self)
+			b.observers = ranking.Observers(b.addr, dc.Name)
+			b.observed = doc.LoadURL != "" && slices.Contains(b.observers, s.self)
+			b.polls.setObserved(now, b.observed)
 			if b.observed {
 				s.targets = append(s.targets, Target{Backend: b.addr, URL: doc.LoadURL})
 			}
@@ -127,6 +133,7 @@
 	if prev := old[addr]; prev != nil && prev.service.name == svc.name {
 		b.load, b.evidence = prev.load, prev.evidence
 		b.remote, b.heardCold, b.instance = prev.remote, prev.heardCold, prev.instance
+		b.polls = prev.polls
 	}
 	s.backends[addr] = b
 	return b
@@ -160,6 +167,7 @@
 		countDropped(dropUnknownBackend)
 		return
 	}
+	b.polls.failed = false
 	if r.Service != b.service.name {
 		countDropped(dropOtherService)
 		b.load.foreign, b.load.at = true, now
--- a/internal/membership/majority.go
+++ b/internal/membership/majority.go
@@ -11,6 +11,9 @@
 	verifyHosts     = 64 // up to this many hosts, each must have answered
 	recentResults   = 8  // latest probes considered above that
 	recentFailLimit = 1  // of those, probes that may have failed
+	// maxVerifyProbes bounds the probes without an answer of hosts that have
+	// not answered yet.
+	maxVerifyProbes = 8
 )
 
 // majority is the evidence that Majority uses beside the states of the hosts.
@@ -26,11 +29,17 @@
 	}
 }
 
-// trouble starts a new check of who answers. The probe whose loss caused a
-// suspicion was sent three probe timeouts earlier, and a partition had started
-// when its answer was due, so answers after that time came from this side.
+// trouble starts a new check of who answers.
 func (m *majority) trouble(now time.Time, probeTimeout time.Duration) {
-	m.since = now.Add(-2 * probeTimeout)
+	m.since = troubleStart(now, probeTimeout)
+}
+
+// troubleStart returns the time from which answers count after a suspicion that
+// arises now. The probe whose loss caused it was sent three probe timeouts
+// earlier, and a partition had started when its answer was due, so answers to
+// probes sent after that time came from this side.
+func troubleStart(now time.Time, probeTimeout time.Duration) time.Time {
+	return now.Add(-2 * probeTimeout)
 }
 
 // MajorityIsVerified reports whether Majority counts only hosts that have
@@ -48,6 +57,7 @@
 // the latest suspicion arose, which takes up to 6.4 s at 64 hosts. With more
 // hosts that would take too long; then at most 1 of the latest 8 probes may have
 // failed, which does not exclude two majorities while a partition is found.
+// Commands of such fleets depend on Quorum, and Majority is only reported.
 func (s *State) Majority(excluded []string) bool {
 	total, alive := 0, 0
 	strict := s.MajorityIsVerified()
@@ -70,3 +80,36 @@
 	}
 	return 2*alive > total && !s.superseded
 }
+
+// verify probes each host once when it has first been heard of, so that a fleet
+// in which hosts start and stop as planned sees a majority without
+// interruption. Probes in turn would need a round for that.
+func (s *State) verify(now time.Time, out []Outcome) []Outcome {
+	if !s.MajorityIsVerified() {
+		return out
+	}
+	waiting, probed := 0, make(map[string]bool, len(s.probes))
+	for _, p := range s.probes {
+		if p.relayFor == nil {
+			waiting++
+			probed[p.target] = true
+		}
+	}
+	for _, id := range s.ids {
+		if waiting >= maxVerifyProbes {
+			break
+		}
+		if m := s.members[id]; m != nil && m.unverified() && !probed[id] {
+			waiting++
+			m.asked = true
+			out = append(out, s.startProbe(now, id, probe{}))
+		}
+	}
+	return out
+}
+
+// unverified reports whether a host has been heard of, but not yet asked.
+func (m *member) unverified() bool {
+	e := m.export()
+	return !m.asked && e.Status == Alive && e.Confirmed() && m.answered.IsZero()
+}
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -42,6 +42,7 @@
 	suspects map[string]time.Time // when each suspect is declared dead
 	updates  queue
 	majority majority
+	quorums  map[string]*quorum // by service
 
 	lastEvent time.Time // the latest Tick or Receive
 	nextProbe time.Time
@@ -60,6 +61,7 @@
 	// answered is when the latest probe was sent that the host answered directly.
 	// The time of the answer would also count answers read late.
 	answered time.Time
+	asked    bool // a probe was sent out of turn, see verify
 }
 
 // probe is a probe without an answer yet, started by this host or on request.
@@ -85,6 +87,7 @@
 		probes:    make(map[uint64]*probe),
 		suspects:  make(map[string]time.Time),
 		updates:   queue{byID: make(map[string]*queued)},
+		quorums:   make(map[string]*quorum),
 		lastEvent: now,
 		nextProbe: now,
 	}
@@ -194,7 +197,7 @@
 	for _, u := range updates {
 		out = s.apply(now, u, out)
 	}
-	return dedupChanged(out)
+	return dedupChanged(s.verify(now, out))
 }
 
 // Leave marks this host as leaving, which is final, and tells other hosts.
@@ -243,7 +246,7 @@
 			out = append(out, s.startProbe(now, id, probe{}))
 		}
 	}
-	return out
+	return s.verifyVoters(now, s.verify(now, out))
 }
 
 // advance notices a pause.
@@ -266,6 +269,9 @@
 	}
 	s.nextProbe = now
 	s.majority.since = now
+	for _, q := range s.quorums {
+		q.since = now
+	}
 }
 
 func (s *State) nextTarget() (string, bool) {
--- a/internal/route/snapshot.go
+++ b/internal/route/snapshot.go
@@ -68,11 +68,10 @@
 	Index             uint32 // number of the name, never reused in a process
 	Addr, CommandAddr ServiceAddr
 	Backends          []*Backend
-	Owners            [Buckets][2]uint16 // primary and secondary owner
-	Epochs            [Buckets]uint16    // hash of the owners' IDs and boots, never 0
 	FlowIdle          time.Duration
 	Seed              uint64
 	group             []int
+	table             ownerTable
 }
 
 // InGroup reports whether a host is in the service's owner group.
@@ -80,6 +79,9 @@
 	return host != NoHost && slices.Contains(s.group, int(host))
 }
 
+// Group returns the host indexes of the owner group. It must not be changed.
+func (s *Service) Group() []int { return s.group }
+
 // Backend is one backend server of a service.
 type Backend struct {
 	Addr       netip.AddrPort // GUE address
