route: keep flows opened before the report of a restart

Cause: an entry holds the instance that was known when its flow was admitted. A flow that a new process of the backend server accepted before its load report arrived has the old instance, so that the report dropped the entry and reset the caller.

Change: the verdict of health says by when the process of an instance had surely started: the first report of the instance less its uptime, but not before the previous instance's last report, plus 1 s for the rounding of the uptime. Observers tell it to the owner group as an age in the rows of cold backend servers. A router keeps an entry or a choice of an older instance if its connection was opened after that time, and stores it with the new instance. Every entry holds the time since the connections of a flow are ordered, so that no host has to ask the owners for it. Ages above 12 days are counted as 12 days: the times wrap after 49 days. The row flag is new: a host without this change refuses the rows of cold backend servers as malformed.

Conclusion: only flows opened within the uncertainty are reset, and those of hosts that start after the cold ramp and get an old instance.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -201,4 +201,13 @@
 	return nil
 }
 
+// since returns a time of the control loop as time since the start of the
+// daemon, and the zero time as 0.
+func (d *Daemon) since(t time.Time) route.Time {
+	if t.IsZero() {
+		return 0
+	}
+	return route.Time(t.Sub(d.started))
+}
+
 func (d *Daemon) now() route.Time { return route.Time(d.environment.Now().Sub(d.started)) }
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -291,7 +291,7 @@
 	for addr, v := range b {
 		old, ok := a[addr]
 		if !ok || old.Usable != v.Usable || old.Draining != v.Draining || old.Foreign != v.Foreign ||
-			old.Instance != v.Instance || !old.ColdSince.Equal(v.ColdSince) {
+			old.Instance != v.Instance || !old.StartedBy.Equal(v.StartedBy) || !old.ColdSince.Equal(v.ColdSince) {
 			return true
 		}
 	}
--- a/internal/daemon/snapshot.go
+++ b/internal/daemon/snapshot.go
@@ -166,6 +166,7 @@
 		Addr:       addr,
 		DataCentre: dc,
 		Instance:   verdict.Instance,
+		StartedBy:  c.d.since(verdict.StartedBy),
 		Out:        out,
 		Draining:   b.Draining || leaving || verdict.Draining,
 		Stable:     !limit.cold,
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -57,6 +57,7 @@
 	Foreign   bool      // load reports name another service: never used for this one
 	Shedding  bool      // sheds load at present
 	Instance  uint64    // start generation, 0 when unknown
+	StartedBy time.Time // when the process of Instance had surely started; zero when unknown
 	Known     bool      // ColdSince comes from a load report or evidence
 	ColdSince time.Time // start of the cold ramp; zero when no cold start is known
 	SlotsBusy int       // command slots in use by the newest load report
--- a/internal/health/message.go
+++ b/internal/health/message.go
@@ -35,8 +35,9 @@
 // Message is the body of health.report: what one host knows first hand about
 // backend servers of one service. Rows holds, for each backend server, its
 // index in address order, flags, and with flagKnown the instance, and with
-// flagCold the age of the cold start in milliseconds. Ages need no common
-// clock; a delay of the message makes the ramp start later, which is safe.
+// flagCold the age of the cold start, and with flagStarted that of the process,
+// in milliseconds. Ages need no common clock; a delay of the message makes both
+// starts later, which is safe.
 type Message struct {
 	To      string   `json:"-"`
 	Call    bool     `json:"-"` // to be sent as a call, not as a datagram
@@ -58,6 +59,7 @@
 	flagForeign
 	flagKnown
 	flagCold
+	flagStarted
 	flagMask = 1<<iota - 1
 )
 
@@ -65,7 +67,9 @@
 type row struct {
 	flags    uint64
 	instance uint64
-	at       time.Time // receipt
+	cold     time.Duration // age of the cold start
+	started  time.Duration // age of the process
+	at       time.Time     // receipt
 }
 
 // member is the state of reports to and from one entry host.
@@ -100,12 +104,12 @@
 	if m.Service == "" || len(m.Service) > maxServiceName {
 		return errors.Wrapf(ErrMalformed, "service name of %d bytes, allowed 1 to %d", len(m.Service), maxServiceName)
 	}
-	return m.eachRow(func(uint64, uint64, uint64, time.Duration) {})
+	return m.eachRow(func(uint64, row) {})
 }
 
 // eachRow visits the rows and reports the first fault. Rows before a fault
 // are visited, so callers check a message before they use it.
-func (m *Message) eachRow(visit func(index, flags, instance uint64, age time.Duration)) error {
+func (m *Message) eachRow(visit func(index uint64, r row)) error {
 	rest := m.Rows
 	for len(rest) > 0 {
 		if len(rest) < 2 {
@@ -116,11 +120,11 @@
 		if flags&^flagMask != 0 {
 			return errors.Wrapf(ErrMalformed, "flags %#x, allowed %#x", flags, uint64(flagMask))
 		}
-		var instance, age uint64
+		var instance, cold, started uint64
 		for _, f := range []struct {
 			flag uint64
 			to   *uint64
-		}{{flagKnown, &instance}, {flagCold, &age}} {
+		}{{flagKnown, &instance}, {flagCold, &cold}, {flagStarted, &started}} {
 			if flags&f.flag == 0 {
 				continue
 			}
@@ -129,10 +133,13 @@
 			}
 			*f.to, rest = rest[0], rest[1:]
 		}
-		if age > maxUptimeMillis {
+		if age := max(cold, started); age > maxUptimeMillis {
 			return errors.Wrapf(ErrMalformed, "age of %d ms, allowed %d", age, int64(maxUptimeMillis))
 		}
-		visit(index, flags, instance, time.Duration(age)*time.Millisecond)
+		visit(index, row{
+			flags: flags, instance: instance,
+			cold: time.Duration(cold) * time.Millisecond, started: time.Duration(started) * time.Millisecond,
+		})
 	}
 	return nil
 }
@@ -320,7 +327,7 @@
 		return dropped(dropUnknownHost)
 	case m.Epoch != svc.epoch:
 		return dropped(dropEpoch)
-	case m.eachRow(func(uint64, uint64, uint64, time.Duration) {}) != nil:
+	case m.eachRow(func(uint64, row) {}) != nil:
 		return dropped(dropMalformed)
 	}
 	if p == nil {
@@ -337,14 +344,15 @@
 
 func (s *State) useRows(now time.Time, from string, svc *service, m *Message) {
 	seen := make(map[netip.AddrPort]bool, len(svc.order))
-	_ = m.eachRow(func(index, flags, instance uint64, age time.Duration) {
+	_ = m.eachRow(func(index uint64, r row) {
 		if index >= uint64(len(svc.order)) {
 			countDropped(dropUnknownBackend)
 			return
 		}
 		b := svc.order[index]
 		seen[b.addr] = true
-		b.useRow(now, from, row{flags: flags, instance: instance, at: now}, age)
+		r.at = now
+		b.useRow(now, from, r)
 	})
 	for _, b := range svc.order {
 		if !seen[b.addr] {
@@ -355,13 +363,16 @@
 
 // useRow records one row. The start of a cold ramp is the latest one heard:
 // delays of messages then only make the ramp start later.
-func (b *backend) useRow(now time.Time, from string, r row, age time.Duration) {
+func (b *backend) useRow(now time.Time, from string, r row) {
 	old, known := b.remote[from]
 	if r.flags&flagCold != 0 {
-		b.heardCold = later(b.heardCold, now.Add(-age))
+		b.heardCold = later(b.heardCold, now.Add(-r.cold))
 	}
-	if r.flags&flagKnown != 0 && (!known || old.instance != r.instance) {
-		b.instance = r.instance
+	if r.flags&flagKnown != 0 && (!known || old.instance != r.instance) && b.instance != r.instance {
+		b.instance, b.begun = r.instance, time.Time{}
+	}
+	if r.flags&flagStarted != 0 && b.instance == r.instance && b.begun.IsZero() {
+		b.begun = now.Add(-r.started)
 	}
 	if b.remote == nil {
 		b.remote = make(map[string]row)
@@ -390,6 +401,11 @@
 			rows = append(rows, uint64(age.Milliseconds()))
 			fmt.Fprint(&d, " c", b.load.cold.UnixNano())
 		}
+		if flags&flagStarted != 0 {
+			age := max(now.Sub(b.load.begun), 0)
+			rows = append(rows, uint64(age.Milliseconds()))
+			fmt.Fprint(&d, " s", b.load.begun.UnixNano())
+		}
 	}
 	if len(rows) == 0 {
 		return nil, 0
@@ -414,6 +430,8 @@
 	set(l.report.Shedding && now.Sub(l.at) <= stale, flagShedding)
 	set(l.foreign, flagForeign)
 	set(l.known && !l.foreign, flagKnown)
+	// A new instance is cold. After the ramp, its report has arrived.
+	set(f&flagKnown != 0 && f&flagCold != 0 && !l.begun.IsZero(), flagStarted)
 	return f
 }
 
--- a/internal/health/state.go
+++ b/internal/health/state.go
@@ -54,6 +54,7 @@
 	remote    map[string]row // reports of other hosts
 	heardCold time.Time      // latest cold start that other hosts reported
 	instance  uint64         // the one that changed last, over all observers
+	begun     time.Time      // latest start of its process; zero when unknown
 	polls     schedule
 }
 
@@ -64,6 +65,7 @@
 	foreign  bool
 	instance uint64
 	started  time.Time // now minus the uptime, the latest seen
+	begun    time.Time // latest start of the process: by the first report of the instance
 	known    bool
 	cold     time.Time
 }
@@ -132,7 +134,7 @@
 	b := &backend{addr: addr, service: svc}
 	if prev := old[addr]; prev != nil && prev.service.name == svc.name {
 		b.load, b.evidence = prev.load, prev.evidence
-		b.remote, b.heardCold, b.instance = prev.remote, prev.heardCold, prev.instance
+		b.remote, b.heardCold, b.instance, b.begun = prev.remote, prev.heardCold, prev.instance, prev.begun
 		b.polls = prev.polls
 	}
 	s.backends[addr] = b
@@ -196,6 +198,9 @@
 	if r.Instance != l.instance || b.instance == 0 {
 		b.instance = r.Instance
 		l.started = started
+		// The previous process answered the previous poll.
+		l.begun = later(started, l.at)
+		b.begun = l.begun
 	}
 	l.instance = r.Instance
 	l.started = later(l.started, started)
--- a/internal/health/state_test.go
+++ b/internal/health/state_test.go
@@ -307,3 +307,27 @@
 		s.Verdicts(start)
 	})
 }
+
+// Guards against a start that is told too early: flows of the previous process
+// would be taken for flows of the new one.
+func TestStartOfANewProcess(t *testing.T) {
+	a, c := newState("host-a", 1, nil), newState("host-c", 1, nil)
+	a.Report(at(10), addr(1), report(time.Hour, nil))
+	a.Report(at(13), addr(1), report(500*time.Millisecond, func(r *LoadReport) { r.Instance = 8 }))
+	for _, m := range a.Messages(at(13)) {
+		if m.To == "host-c" {
+			c.Receive(at(14), "host-a", m)
+		}
+	}
+	a.Report(at(16), addr(1), report(3500*time.Millisecond, func(r *LoadReport) { r.Instance = 8 }))
+	if got := a.Verdicts(at(16))[addr(1)].StartedBy; !got.Equal(at(13.5)) {
+		t.Errorf("by the load report: %v", got.Sub(start))
+	}
+	if got := c.Verdicts(at(16))[addr(1)]; got.Instance != 8 || !got.StartedBy.Equal(at(14.5)) {
+		t.Errorf("by the message: instance %d, %v", got.Instance, got.StartedBy.Sub(start))
+	}
+	a.Report(at(20), addr(1), report(time.Minute, func(r *LoadReport) { r.Instance = 9 }))
+	if got := a.Verdicts(at(20))[addr(1)].StartedBy; !got.Equal(at(17)) {
+		t.Errorf("by an uptime that reaches back before the previous process's report: %v", got.Sub(start))
+	}
+}
--- a/internal/health/verdict.go
+++ b/internal/health/verdict.go
@@ -71,6 +71,7 @@
 		Foreign:   flags&flagForeign != 0,
 		Shedding:  shed || flags&flagShedding != 0,
 		Instance:  b.instance,
+		StartedBy: b.startedBy(),
 		Known:     known,
 		ColdSince: later(b.load.cold, b.heardCold),
 		SlotsBusy: b.load.report.SlotsBusy,
@@ -93,6 +94,17 @@
 	return v
 }
 
+// uptimeRounding is by how much backend servers may round their uptime up.
+const uptimeRounding = time.Second
+
+// startedBy returns when the process of the newest instance had surely started.
+func (b *backend) startedBy() time.Time {
+	if b.begun.IsZero() {
+		return b.begun
+	}
+	return b.begun.Add(uptimeRounding)
+}
+
 // answersNow reports whether this host's own traffic shows a backend server
 // that answers. Such evidence outranks a load report that says otherwise.
 func (b *backend) answersNow(now time.Time) bool {
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -11,7 +11,7 @@
 )
 
 // DatagramVersion is the first byte of a sealed datagram. Forwarded packets,
-// which arrive on the same port, start with 0x01.
+// which arrive on the same port, start with 0x03.
 const DatagramVersion = 0x02
 
 // Sizes of sealed datagrams.
--- a/internal/route/build.go
+++ b/internal/route/build.go
@@ -23,6 +23,7 @@
 	Addr                            netip.AddrPort
 	DataCentre                      string
 	Instance                        uint64
+	StartedBy                       Time
 	Out, Draining, Stable, Unusable bool
 	Weight                          float64
 	Admit                           *Budget
@@ -249,7 +250,7 @@
 func newBackend(s *Service, c *BackendConfig) Backend {
 	hi, lo := words(c.Addr.Addr())
 	return Backend{
-		Addr: c.Addr, Service: s, DataCentre: c.DataCentre, Instance: c.Instance,
+		Addr: c.Addr, Service: s, DataCentre: c.DataCentre, Instance: c.Instance, StartedBy: c.StartedBy,
 		Out: c.Out, Draining: c.Draining, Stable: c.Stable, Unusable: c.Unusable,
 		Weight: c.Weight, Admit: c.Admit, Traffic: c.Traffic,
 		seed: mix(mix(s.Seed^hi^uint64(c.Addr.Port())) ^ bits.RotateLeft64(lo, 32)),
--- a/internal/route/fabric.go
+++ b/internal/route/fabric.go
@@ -161,7 +161,7 @@
 	}
 	if result == flow.Kept {
 		var reason Reason
-		if b, reason = q.check(e.AddrPort(), e.Instance); b == nil {
+		if b, reason = q.check(&e); b == nil {
 			return drop(reason)
 		}
 	}
@@ -212,7 +212,7 @@
 	e, result := r.Table.Put(q.key, q.hash, q.entry(b.Addr, b.Instance, flow.Guess))
 	if result == flow.Kept {
 		var reason Reason
-		if b, reason = q.check(e.AddrPort(), e.Instance); b == nil {
+		if b, reason = q.check(&e); b == nil {
 			return drop(reason)
 		}
 	}
--- a/internal/route/failure_test.go
+++ b/internal/route/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -177,3 +178,50 @@
 		}
 	}
 }
+
+// Guards against flows that a new process accepted before a load report told of
+// its start and that are reset when the report arrives, and against flows of
+// the old process that reach the new one.
+func TestRestartBeforeTheReport(t *testing.T) {
+	const restart, margin = 10 * time.Second, time.Second // the start, and its uncertainty
+	for _, c := range []struct {
+		opened   time.Duration
+		empty    bool // the primary restarts after the report
+		survives bool
+	}{
+		{0, false, false}, {restart, false, false}, {restart + margin/2, false, false},
+		{restart + 2*margin, false, true}, {restart + 2*margin, true, true},
+	} {
+		x := newTrio(t)
+		began := x.now
+		x.now += Time(c.opened)
+		for _, flags := range []uint8{packet.FlagSYN, packet.FlagACK} {
+			if got := x.send(x.arrival, x.k, flags); got != delivered {
+				t.Fatal(got)
+			}
+		}
+		x.now = began + Time(restart+5*margin)
+		for i := range x.services[0].Backends {
+			if b := &x.services[0].Backends[i]; b.Addr == x.serving[x.k] {
+				b.Instance, b.StartedBy = 2, began+Time(restart+margin)
+			}
+		}
+		x.update(x.arrival)
+		order := []string{x.arrival, x.primary, x.secondary, x.arrival}
+		for n, host := range order {
+			if got := x.send(host, x.k, packet.FlagACK); (got == delivered) != c.survives {
+				t.Errorf("%+v: packet %d: %v", c, n, got)
+			}
+			if !c.survives {
+				break // hosts without an entry guess
+			}
+			if c.empty && n == 0 {
+				i := slices.IndexFunc(x.hosts, func(h Host) bool { return h.ID == x.primary })
+				x.hosts[i].Boot++
+				x.start(x.primary)
+			}
+			x.update()
+			x.now += Time(time.Second)
+		}
+	}
+}
--- a/internal/route/peers.go
+++ b/internal/route/peers.go
@@ -94,7 +94,7 @@
 // already stored, or that moves a reopened flow, passes the primary, whose
 // entry settles by it. The primary does not settle its entry by time: it may have asked a host that is gone.
 func (r *Router) propose(q *query, h *packet.ForwardHeader) Action {
-	b, _ := q.check(h.Choice.Addr, h.Choice.Instance)
+	b, _ := q.checkChoice(&h.Choice)
 	if _, own, _ := r.lookup(q); b == nil && own == nil {
 		// The proposer's documents are newer or older. The arrival host checks the choice itself.
 		return q.send(h)
@@ -102,11 +102,11 @@
 	var e flow.Entry
 	result := flow.Kept
 	if b != nil {
-		e, result = r.put(q, q.chosen(&h.Choice, stateOf(&h.Choice)))
+		e, result = r.put(q, q.chosen(&h.Choice, b, stateOf(&h.Choice)))
 	} else {
 		e, _ = r.Table.Peek(q.key, q.hash)
 	}
-	b, reason := q.check(e.AddrPort(), e.Instance)
+	b, reason := q.check(&e)
 	if b == nil {
 		return drop(reason)
 	}
@@ -123,7 +123,7 @@
 // conflict stores the secondary owner's entry instead of this host's proposal
 // and returns the packet to the arrival host.
 func (r *Router) conflict(q *query, h *packet.ForwardHeader) Action {
-	b, _ := q.check(h.Choice.Addr, h.Choice.Instance)
+	b, _ := q.checkChoice(&h.Choice)
 	// The own proposal must not settle, even if it is of a later connection or
 	// this host's documents are older than the secondary's.
 	e, ok := r.Table.Peek(q.key, q.hash)
@@ -133,7 +133,7 @@
 	if b == nil {
 		return q.send(h)
 	}
-	return r.store(q, h, stateOf(&h.Choice))
+	return r.store(q, h, b, stateOf(&h.Choice))
 }
 
 // accept handles the owners' answer, at the arrival host or at a primary that
@@ -142,18 +142,18 @@
 	if !h.Choice.Addr.IsValid() {
 		return r.noChoice(q, h)
 	}
-	if b, reason := q.check(h.Choice.Addr, h.Choice.Instance); b == nil {
+	b, reason := q.checkChoice(&h.Choice)
+	if b == nil {
 		return q.unusable(h, reason)
 	}
-	return r.store(q, h, max(flow.Settled, stateOf(&h.Choice)))
+	return r.store(q, h, b, max(flow.Settled, stateOf(&h.Choice)))
 }
 
 // store keeps a choice that the owners made and passes the packet on with the
 // entry that this host then holds.
-func (r *Router) store(q *query, h *packet.ForwardHeader, state flow.State) Action {
-	e := q.chosen(&h.Choice, state)
-	e = r.replace(q, e)
-	b, reason := q.check(e.AddrPort(), e.Instance)
+func (r *Router) store(q *query, h *packet.ForwardHeader, chosen *Backend, state flow.State) Action {
+	e := r.replace(q, q.chosen(&h.Choice, chosen, state))
+	b, reason := q.check(&e)
 	if b == nil {
 		return drop(reason)
 	}
@@ -168,7 +168,7 @@
 		c.Flags &^= packet.FlagTentative | packet.FlagSecondary
 		return q.forward(h, h.Origin, packet.KindAnswer, c)
 	}
-	b, reason := q.check(h.Choice.Addr, h.Choice.Instance)
+	b, reason := q.checkChoice(&h.Choice)
 	if b == nil {
 		return q.unusable(h, reason)
 	}
@@ -193,17 +193,18 @@
 // is known here, it is admitted again. A cached choice yields to an own entry,
 // and one of an earlier connection to that of a later one.
 func (r *Router) refresh(q *query, h *packet.ForwardHeader, secondary bool) Action {
-	if b, _ := q.check(h.Choice.Addr, h.Choice.Instance); b == nil {
+	b, _ := q.checkChoice(&h.Choice)
+	if b == nil {
 		return q.forward(h, h.Origin, packet.KindRefresh, h.Choice)
 	}
-	chosen := q.chosen(&h.Choice, stateOf(&h.Choice))
+	chosen := q.chosen(&h.Choice, b, stateOf(&h.Choice))
 	own, ownBackend, _ := r.lookup(q) // removes an entry that is not valid any more
 	known := ownBackend != nil && own.State != flow.Guess
 	differs := own.AddrPort() != h.Choice.Addr
 	older := known && chosen.Older(&own)
 	switch {
 	case !secondary && q.info.SYN() && !known:
-		return r.admit(q, h, q.s.Backends.Get(h.Choice.Addr))
+		return r.admit(q, h, b)
 	case !secondary && known && (older || q.yields(h, &chosen, &own) && (differs || q.revives(&own))):
 		return r.primary(q, h)
 	case older && q.storedBefore(h):
@@ -234,7 +235,7 @@
 // passes the packet to the other owner or back to the arrival host.
 func (r *Router) storeRefreshed(q *query, h *packet.ForwardHeader, chosen flow.Entry, secondary bool) Action {
 	e, _ := r.put(q, chosen)
-	b, reason := q.check(e.AddrPort(), e.Instance)
+	b, reason := q.check(&e)
 	if b == nil {
 		return drop(reason)
 	}
--- a/internal/route/replies.go
+++ b/internal/route/replies.go
@@ -129,7 +129,7 @@
 	case known && e.AddrPort() != h.Choice.Addr:
 		return drop(ReasonOtherBackendReset)
 	}
-	b, reason := q.check(h.Choice.Addr, h.Choice.Instance)
+	b, reason := q.checkChoice(&h.Choice)
 	if b == nil {
 		return drop(reason)
 	}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -17,6 +17,9 @@
 	// delays one packet and not every packet of the flow.
 	refreshInterval = 200 // milliseconds
 
+	// maxAge bounds the ages of connections, which wrap after 49 days.
+	maxAge = 1 << 30 // milliseconds
+
 	// keepaliveParts is how many times within FlowIdle an entry in use is
 	// refreshed, so that the owners do not remove it as idle.
 	keepaliveParts = 3
@@ -112,8 +115,22 @@
 	return q.forward(h, q.s.Hosts[host].Peer, kind, c)
 }
 
-// check returns the backend server at an address if the flow may use it.
-func (q *query) check(addr netip.AddrPort, instance uint64) (*Backend, Reason) {
+// check returns the backend server of an entry if the flow may use it.
+func (q *query) check(e *flow.Entry) (*Backend, Reason) {
+	return q.usable(e.AddrPort(), e.Instance, e.Opened)
+}
+
+// checkChoice returns the backend server of a choice if the flow may use it.
+func (q *query) checkChoice(c *packet.Choice) (*Backend, Reason) {
+	return q.usable(c.Addr, c.Instance, q.opened(c))
+}
+
+// opened is when the connection of a choice was admitted, by this host's clock.
+func (q *query) opened(c *packet.Choice) uint32 { return q.now.milliseconds() - c.Age }
+
+// usable returns the backend server at an address if a flow that was opened at
+// a process with an instance, and at a time, may use it.
+func (q *query) usable(addr netip.AddrPort, instance uint64, opened uint32) (*Backend, Reason) {
 	b := q.s.Backends.Get(addr)
 	switch {
 	case b == nil:
@@ -124,12 +141,19 @@
 		return nil, ReasonDataCentreOut
 	case b.Unusable:
 		return nil, ReasonBackendUnusable
-	case instance != 0 && instance < b.Instance:
+	case instance != 0 && instance < b.Instance && !b.startedBefore(opened):
 		return nil, ReasonInstanceReplaced
 	}
 	return b, ReasonNone
 }
 
+// startedBefore reports whether the process had surely started at a time of
+// flow.Entry.Opened. A flow that was opened later belongs to it, even if the
+// process was not known yet.
+func (b *Backend) startedBefore(opened uint32) bool {
+	return b.StartedBy != 0 && int32(opened-b.StartedBy.milliseconds()) > 0
+}
+
 // lookup returns the flow's entry and its backend server after checking them
 // against the snapshot. An entry that fails is removed and the reason returned.
 // The caller's FIN or reset marks the entry as closing.
@@ -141,15 +165,19 @@
 	reason := ReasonServiceChanged
 	var b *Backend
 	if e.Service == q.svc.Index {
-		b, reason = q.check(e.AddrPort(), e.Instance)
+		b, reason = q.check(&e)
 	}
 	if b == nil {
 		r.Table.DeleteIf(q.key, q.hash, e)
 		return e, nil, reason
 	}
-	if e.Instance == 0 && b.Instance != 0 {
+	old := int32(q.now.milliseconds()-e.Opened) > maxAge
+	if e.Instance < b.Instance || old {
 		learned := e
-		learned.Instance = b.Instance
+		learned.Instance = max(e.Instance, b.Instance)
+		if old {
+			learned.Opened = q.now.milliseconds() - maxAge
+		}
 		r.Table.Update(q.key, q.hash, e, learned)
 		e = learned
 	}
@@ -176,11 +204,11 @@
 	}
 }
 
-// chosen returns the entry for a choice in a header.
-func (q *query) chosen(c *packet.Choice, state flow.State) flow.Entry {
-	e := q.entry(c.Addr, c.Instance, state)
+// chosen returns the entry for a choice in a header, whose backend server is b.
+func (q *query) chosen(c *packet.Choice, b *Backend, state flow.State) flow.Entry {
+	e := q.entry(c.Addr, max(c.Instance, b.Instance), state)
 	e.Epoch = q.replicated()
-	e.Conn, e.Opened = c.Conn, q.now.milliseconds()-c.Age
+	e.Conn, e.Opened = c.Conn, q.opened(c)
 	if c.Flags&packet.FlagClosing != 0 && q.key.Proto == packet.ProtoTCP {
 		e.Closing = true
 	}
--- a/internal/route/snapshot.go
+++ b/internal/route/snapshot.go
@@ -88,6 +88,7 @@
 	Service    *Service
 	DataCentre string
 	Instance   uint64 // start generation: rises with each start, 0 when unknown
+	StartedBy  Time   // when the process of Instance had surely started, 0 when unknown
 	Out        bool   // its data centre is out of service
 	Draining   bool
 	Stable     bool // long in the set and not cold
