command: follow a backend server to its new admitting host

Cause: an owner learns the admitting hosts when a request arrives. When the only candidate's host leaves while the command waits there, the caller is told "leaving", although another host admits by then. Change: a refusal because another host admits is followed by one more attempt at the present admitting host, when the owner knows another one than the one that refused. The counter command_slot_waits counts the commands that waited.

Before: the new case of TestFaults was told "-32002 leaving" and ran 0 times. After: it is answered; hosts that disagree about who admits are asked once each. Conclusion: a planned stop hands waiting commands over also when all candidates had one admitting host.

--- a/internal/command/fault_test.go
+++ b/internal/command/fault_test.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -127,6 +128,11 @@
 	s.request("a", "1", "shutoff", Candidate{s.backend(1), "c"}, Candidate{s.backend(2), "b"})
 }
 
+// moved tells the owner a which host admits commands now.
+func moved(to string) step {
+	return func(s *sim) { s.hosts["a"].state.cfg.AdmittingHost = func(netip.AddrPort) string { return to } }
+}
+
 func free(id string) step { return func(s *sim) { s.hosts[id].runner.slots = &freeSlots{} } }
 
 func busy(s *sim) { s.hosts["c"].runner.slots = &freeSlots{taken: 1, limit: 1} }
@@ -215,6 +221,10 @@
 	{"waits for a slot", play(waits, at(sec, free("c"))), "answer", 1, 1},
 	{"repeat while it waits", play(waits, at(500*ms, waits), at(sec, free("c"))), "answer", 1, 1},
 	{"admitting host leaves while it waits", play(waits, at(sec, leave("c")), at(2*sec, free("b"))), "answer", 1, 1},
+	{"only admitting host leaves while it waits",
+		play(busy, status("a", "c"), at(sec, moved("b"), leave("c"))), "answer", 1, 1},
+	{"admitting hosts that disagree",
+		play(leave("b"), leave("c"), moved("b"), status("a", "c")), "-32002 leaving", 0, 1},
 	{"admitting host pauses while it waits",
 		play(waits, at(sec, pause("c", 2*sec)), at(2*sec, free("b"), free("c"))), "answer", 1, 1},
 	{"admitting host dies while it waits", play(waits, at(sec, kill("c"))), "-32002 no_answer", 0, 1},
--- a/internal/command/options.go
+++ b/internal/command/options.go
@@ -1,6 +1,12 @@
 package command
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
+
+// minWait is the shortest expected wait.
+const minWait = time.Millisecond
 
 // options are the candidates of a request. Each is first asked to run the
 // command at once. When none of them has a free slot, the command waits where
@@ -14,7 +20,8 @@
 
 type option struct {
 	Candidate
-	wait time.Duration // expected wait for a slot, 0 when the command may not wait there
+	wait  time.Duration // expected wait for a slot, 0 when the command may not wait there
+	moved bool          // Host is no longer the one of the candidate
 }
 
 func newOptions(candidates []Candidate) options {
@@ -31,6 +38,18 @@
 // refused records what the candidate that was asked last says about waiting.
 func (o *options) refused(wait time.Duration) { o.list[o.current].wait = wait }
 
+// move asks the candidate that was asked last again at its present admitting
+// host. It does so once, since the hosts may disagree about who admits.
+func (o *options) move(host func(netip.AddrPort) string) {
+	c := &o.list[o.current]
+	if host == nil || c.moved {
+		return
+	}
+	if to := host(c.Backend); to != "" && to != c.Host {
+		c.Host, c.wait, c.moved = to, minWait, true
+	}
+}
+
 // left returns how many more times a candidate can be asked.
 func (o *options) left() (n int) {
 	if o.search() {
--- a/internal/command/reason.go
+++ b/internal/command/reason.go
@@ -68,8 +68,9 @@
 }
 
 var (
-	requests = metrics.NewCounter("nutmeglatch_command_requests_total")
-	answers  = metrics.NewCounter("nutmeglatch_command_answers_total")
+	requests  = metrics.NewCounter("nutmeglatch_command_requests_total")
+	answers   = metrics.NewCounter("nutmeglatch_command_answers_total")
+	slotWaits = metrics.NewCounter("nutmeglatch_command_slot_waits_total")
 )
 
 func count(what string, reason Reason) {
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -220,7 +220,10 @@
 		}
 	}
 	options := &c.run.options
-	options.stopped = options.stopped && !reason.moved()
+	if reason.moved() {
+		options.stopped = false
+		options.move(s.cfg.AdmittingHost)
+	}
 	free := reason.moved() || reason == ReasonNoSlot && c.run.attempt < freeSearch
 	if !free && options.search() && !s.retries.take(now, 1) {
 		countRetry(ReasonRetryBudget)
--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -27,6 +27,9 @@
 	// TransferRate is the budget for passing claims to new owners, in bytes
 	// per second.
 	TransferRate int
+	// AdmittingHost returns the present admitting host of a backend server. It
+	// is asked when a candidate's host has refused because it is another one.
+	AdmittingHost func(netip.AddrPort) string
 }
 
 // Defaults of Config.
--- a/internal/command/wait.go
+++ b/internal/command/wait.go
@@ -85,12 +85,13 @@
 	case now.Add(wait).After(startBy):
 		return r.refuseAttempt(now, call, m, ReasonWaitTooLong, 0)
 	case !m.Wait:
-		return r.refuseAttempt(now, call, m, ReasonNoSlot, max(time.Millisecond, wait))
+		return r.refuseAttempt(now, call, m, ReasonNoSlot, max(minWait, wait))
 	}
 	current := r.accept(now, call, m, key, deadline)
 	current.request, current.startBy = m, startBy
 	q.waiting = append(q.waiting, current)
 	r.waiting[m.Origin]++
+	slotWaits.Inc()
 	return r.take()
 }
 
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -83,6 +83,7 @@
 		builder: route.NewBuilder(s.HostID, s.DataCentre, s.Limits.GroupSize),
 	}
 	cfg := command.Config{Self: s.HostID, Boot: uint64(d.started.UnixNano()), Retention: s.Limits.ClaimRetention.Std(), PauseLimit: s.PauseLimit.Std()}
+	cfg.AdmittingHost = c.admittingHost
 	c.commands = command.New(cfg, d.started)
 	c.limits = newLimits()
 	c.runner = command.NewRunner(cfg, &commandSlots{slots: c.limits.slots})
