--- a/internal/command/property_test.go
+++ b/internal/command/property_test.go
@@ -15,14 +15,19 @@
 // fleet drives a sim with five hosts whose views of each other lag.
 type fleet struct {
 	*sim
-	ids  []string
-	side map[string]int
+	ids   []string
+	side  map[string]int
+	grace time.Duration
+	dead  map[[2]string]bool // the first host has declared the second one dead
 }
 
 func newFleet(t *testing.T, seed int64) *fleet {
 	ids := []string{"a", "b", "c", "d", "e"}
-	f := &fleet{sim: newSim(t, ids...), ids: ids, side: make(map[string]int)}
+	f := &fleet{sim: newSim(t, ids...), ids: ids, side: make(map[string]int), dead: make(map[[2]string]bool)}
 	f.rand = rand.New(rand.NewSource(seed))
+	if seed%2 == 0 {
+		f.grace = 2 * time.Second
+	}
 	for _, id := range ids {
 		f.look(id)
 	}
@@ -51,14 +56,28 @@
 	return !h.state.leaving && (from == to || !h.dead && !h.paused.After(f.now) && f.side[from] == f.side[to])
 }
 
-// look gives a host a view that agrees with the present state of the fleet.
+// look gives a host a view that agrees with the present state of the fleet. A
+// host is told by those that it reaches again that they had declared it dead.
 func (f *fleet) look(id string) {
 	var alive []string
+	h := f.hosts[id]
 	for _, other := range f.ids {
-		if f.reaches(id, other) {
-			alive = append(alive, other)
+		h.process[other] = f.hosts[other].boot
+		if !f.reaches(id, other) {
+			delete(h.process, other)
+			f.dead[[2]string{id, other}] = true
+			continue
 		}
+		alive = append(alive, other)
+		if f.dead[[2]string{other, id}] {
+			delete(f.dead, [2]string{other, id})
+			h.state.SetConditions(f.now, Conditions{})
+		}
+	}
+	if !h.dead {
+		f.do(h, h.state.PassOn(f.now, h.results.Take(f.now, func(host string) uint64 { return h.process[host] })))
 	}
+	h.state.SetMajorityGrace(f.grace)
 	alive = append(alive, "", "")
 	f.setView(id, Owners{alive[0], alive[1]}, 2*(len(alive)-2) > len(f.ids))
 }
@@ -86,7 +105,11 @@
 		f.side[id] = 1 - f.side[id]
 	case 4:
 		clear(f.side)
-	case 5:
+	case 5: // with and without the time to hand claims over
+		if n/len(f.ids)%2 == 0 {
+			f.replace(id, func() {})
+			return
+		}
 		leave(id)(f.sim)
 	default: // often the same request at several hosts
 		request := n % (kind - 5)
@@ -127,18 +150,25 @@
 
 func (f *fleet) check() string {
 	for n := range 8 {
-		id := fmt.Sprint(n)
-		ran := f.ran(id)
-		if ran > 1 && method(n) != "status" {
-			return fmt.Sprintf("request %s ran %d times", id, ran)
+		if fault := f.checkRequest(fmt.Sprint(n), method(n) == "status"); fault != "" {
+			return fault
 		}
-		for _, a := range f.answers[id] {
-			if a.code == CodeNotRun && ran != 0 {
-				return fmt.Sprintf("request %s ran, but the caller was told %s", id, a.body)
-			}
-			if a.code == 0 && ran == 0 {
-				return fmt.Sprintf("request %s was answered without a run: %s", id, a.body)
-			}
+	}
+	return ""
+}
+
+// checkRequest compares what was told about a request with its runs.
+func (f *fleet) checkRequest(id string, idempotent bool) string {
+	ran := f.ran(id)
+	if ran > 1 && !idempotent {
+		return fmt.Sprintf("request %s ran %d times", id, ran)
+	}
+	for _, a := range f.answers[id] {
+		if a.code == CodeNotRun && ran != 0 {
+			return fmt.Sprintf("request %s ran, but the caller was told %s", id, a.body)
+		}
+		if a.code == 0 && ran == 0 {
+			return fmt.Sprintf("request %s was answered without a run: %s", id, a.body)
 		}
 	}
 	return ""
--- a/internal/configsync/bench_test.go
+++ b/internal/configsync/bench_test.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"runtime"
@@ -8,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 )
 
@@ -177,14 +180,102 @@
 	}
 }
 
+// benchHostList returns a host list of seven data centres, or of one.
+func benchHostList(hosts int) []byte { return benchHostListOf(hosts, 0, 1) }
+
+func benchHostListOf(hosts, first, step int) []byte {
+	raw := []byte("version: 1\nhosts:\n")
+	for i := first; i < hosts; i += step {
+		random := xxhash.Sum64String(fmt.Sprint(i)) // a list in order would compress better than those in use
+		raw = fmt.Appendf(raw, "  - {id: host-%d-%04x, data_centre: dc-%d, region: r, address: 10.%d.%d.%d, peer_port: 6090, gue_port: 6080, state: live}\n", i, uint16(random), i%7, i/250, uint8(random>>16), i%250+1)
+	}
+	return raw
+}
+
+// copiesOfPush is the mean number of copies of a push that a host receives;
+// callBytes is what a call costs beside its parameters and result.
+const (
+	copiesOfPush = 3.9
+	callBytes    = 330
+)
+
+// BenchmarkHostListChange reports the bytes that each host receives for a
+// change of the host list: pushed as a value, and as it is pushed now. The
+// list is that of all hosts or of one of seven data centres.
+func BenchmarkHostListChange(b *testing.B) {
+	for _, hosts := range []int{7, 100, 1900, 5700} {
+		benchmarkListChange(b, fmt.Sprintf("all/hosts=%d", hosts), document.HostsKey, benchHostList(hosts))
+		benchmarkListChange(b, fmt.Sprintf("data-centre/hosts=%d", hosts), document.HostsKeyPrefix+"dc-0", benchHostListOf(hosts, 0, 7))
+	}
+}
+
+func benchmarkListChange(b *testing.B, name, key string, raw []byte) {
+	b.Run(name, func(b *testing.B) {
+		s := started()
+		if r := s.Offer(now, Platform, key, raw); !r.Accepted {
+			b.Fatal(r.Err)
+		}
+		keys := []string{key}
+		have := s.Have(keys)
+		next := bytes.Replace(bytes.Replace(raw, []byte("version: 1"), []byte("version: 2"), 1), []byte("live"), []byte("leaving"), 1)
+		if r := s.Offer(now, Platform, key, next); !r.Accepted {
+			b.Fatal(r.Err)
+		}
+		var push, fetch []byte
+		for b.Loop() {
+			m, _ := s.PushOf(keys)
+			push, _ = json.Marshal(m)
+			fetch = nil
+			if len(m.Notices) > 0 {
+				fetch, _ = json.Marshal(FetchResponse{Values: []Value{s.Fetch(FetchRequest{Keys: keys, Have: have})[0].Pack()}})
+			}
+		}
+		value, _ := json.Marshal(PushMessage{Values: s.Values(keys)})
+		received := copiesOfPush * float64(len(push)+callBytes)
+		if fetch != nil {
+			received += float64(len(fetch) + callBytes)
+		}
+		b.ReportMetric(copiesOfPush*float64(len(value)+callBytes), "as-values-B")
+		b.ReportMetric(received, "received-B")
+	})
+}
+
+// BenchmarkHostListMerge measures the list in effect after a change of one of
+// seven lists.
+func BenchmarkHostListMerge(b *testing.B) {
+	for _, hosts := range []int{7, 100, 1900, 5700} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			s := started()
+			for dc := range 7 {
+				s.Offer(now, Platform, fmt.Sprintf("hosts/dc-%d", dc), benchHostListOf(hosts, dc, 7))
+			}
+			for b.Loop() {
+				if merged := s.mergeHostLists().merged; len(merged.Hosts) != hosts {
+					b.Fatalf("%d hosts", len(merged.Hosts))
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkDelta measures the difference of two versions, once per change.
+func BenchmarkDelta(b *testing.B) {
+	for _, hosts := range []int{7, 100, 1900, 5700} {
+		raw := benchHostList(hosts)
+		next := bytes.Replace(raw, []byte("live"), []byte("leaving"), 1)
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			for b.Loop() {
+				newDelta(raw, next)
+			}
+		})
+	}
+}
+
 // BenchmarkHostListCopy measures one more copy of a host list that is in
 // effect, as pushes deliver about four of each.
 func BenchmarkHostListCopy(b *testing.B) {
 	for _, hosts := range []int{7, 100, 1900, 5700} {
-		raw := []byte("version: 1\nhosts:\n")
-		for i := range hosts {
-			raw = fmt.Appendf(raw, "  - {id: host-%d, data_centre: dc-%d, region: r, address: 10.0.%d.%d, peer_port: 6090, gue_port: 6080, state: live}\n", i, i%7, i/250, i%250+1)
-		}
+		raw := benchHostList(hosts)
 		s := New(Config{})
 		if r := s.Offer(time.Time{}, Platform, document.HostsKey, raw); !r.Accepted {
 			b.Fatal(r.Err)
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -32,6 +32,7 @@
 	command.MethodComplete:    handleComplete,
 	command.MethodReply:       handleReply,
 	command.MethodTransfer:    handleTransfer,
+	command.MethodCoverage:    handleCoverage,
 	admission.Method:          handleAdmission,
 	admission.MethodSlots:     handleSlots,
 	health.Method:             handleHealth,
@@ -71,7 +72,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return true, d.offer(ctx, from, p.Values)
+	if len(p.Values) > 0 || len(p.Notices) == 0 {
+		if err := d.offer(ctx, from, p.Values); err != nil {
+			return nil, err
+		}
+	}
+	if len(p.Notices) == 0 {
+		return true, nil
+	}
+	return ask(ctx, d, func(c *control, now time.Time) bool { c.announced(now, from, p.Notices); return true })
 }
 
 func handlePartial(d *Daemon, ctx context.Context, _ string, _ json.RawMessage) (any, error) {
@@ -91,7 +100,19 @@
 }
 
 func handleFetch(d *Daemon, ctx context.Context, _ string, params json.RawMessage) (any, error) {
-	return answer(d, ctx, params, func(c *control, _ time.Time, p configsync.FetchRequest) configsync.FetchResponse {
-		return configsync.FetchResponse{Values: c.config.Values(p.Keys)}
-	})
+	p, err := decodeParams[configsync.FetchRequest](params)
+	if err != nil {
+		return nil, err
+	}
+	values, err := ask(ctx, d, func(c *control, _ time.Time) []configsync.Value { return c.config.Fetch(p) })
+	if err != nil {
+		return nil, err
+	}
+	if !p.Packed {
+		return configsync.FetchResponse{Values: values}, nil
+	}
+	for i, v := range values {
+		values[i] = v.Pack() // outside the control goroutine
+	}
+	return configsync.FetchResponse{Values: values}, nil
 }
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -23,10 +23,6 @@
 // repeats them as long as the command's deadline allows.
 const claimCallTimeout = time.Second
 
-// majorityGrace covers the time in which the members verify each other again
-// after a death: one round of probes of a fleet of today's size.
-const majorityGrace = 2 * time.Second
-
 // runCallMargin is added to a command's deadline for the call to its
 // admitting host, so that the host's answer about the deadline still arrives.
 const runCallMargin = 250 * time.Millisecond
@@ -196,6 +192,8 @@
 			c.call(o.To, command.MethodComplete, o.Message, nil)
 		case command.Transfer:
 			c.transferClaims(o)
+		case command.AskCoverage:
+			c.askCoverage(o)
 		case command.PassReply:
 			if host := c.admittingHost(o.Message.Backend); host != "" {
 				c.call(host, command.MethodReply, o.Message, nil)
@@ -218,6 +216,14 @@
 		})
 }
 
+func (c *control) askCoverage(o command.AskCoverage) {
+	callPeer(c, o.To, command.MethodCoverage, claimCallTimeout, o.Message,
+		func(c *control, now time.Time, reply command.CoverageReply, status command.CallStatus) {
+			c.performCommands(now, c.commands.CoverageResult(now, o.To, o.Message, reply, status))
+			c.handOver(now)
+		})
+}
+
 // runCommand runs a command through the admitting host of its backend server.
 func (c *control) runCommand(now time.Time, o command.Run) {
 	if o.Host == c.d.settings.HostID {
@@ -235,7 +241,8 @@
 
 // runCall is a run that a caller waits for.
 type runCall struct {
-	backend netip.AddrPort
+	request command.RunRequest
+	process uint64 // of the origin
 	done    runDone
 }
 
@@ -245,7 +252,7 @@
 // acceptRun gives a run to the local runner and remembers who waits for it.
 func (c *control) acceptRun(now time.Time, m command.RunRequest, done runDone) {
 	c.nextCall++
-	c.runCalls[c.nextCall] = runCall{backend: m.Backend, done: done}
+	c.runCalls[c.nextCall] = runCall{request: m, process: c.processes[m.Origin], done: done}
 	c.performCommands(now, c.runner.Run(now, c.nextCall, m, c.admitsRun(&m)))
 }
 
@@ -268,14 +275,25 @@
 	}
 	delete(c.runCalls, o.Call)
 	if o.Reply.Reason == command.ReasonShed {
-		c.limits.health.Evidence(now, call.backend, health.Evidence{Sheds: 1})
+		c.limits.health.Evidence(now, call.request.Backend, health.Evidence{Sheds: 1})
 		c.dirty = true // the slots follow before the next command is admitted
 	}
+	c.results.Add(now, call.process, call.request, o.Reply)
+	if c.processes[call.request.Origin] != call.process {
+		c.passOnResults(now)
+	}
 	// The event is queued, not run here, because the slices are not reentrant.
 	d, reply := c.d, o.Reply
 	d.environment.Go(func() { d.post(func(c *control, now time.Time) { call.done(c, now, reply) }) })
 }
 
+// passOnResults gives the answers of commands whose owner has died to the
+// other owner.
+func (c *control) passOnResults(now time.Time) {
+	records := c.results.Take(now, func(host string) uint64 { return c.processes[host] })
+	c.performCommands(now, c.commands.PassOn(now, records))
+}
+
 // callPeer calls a peer in the background and hands the typed result to the
 // control goroutine.
 func callPeer[R any](c *control, id, method string, timeout time.Duration, params any, done func(c *control, now time.Time, reply R, status command.CallStatus)) {
@@ -329,6 +347,12 @@
 	})
 }
 
+func handleCoverage(d *Daemon, ctx context.Context, from string, params json.RawMessage) (any, error) {
+	return answer(d, ctx, params, func(c *control, now time.Time, m command.CoverageRequest) command.CoverageReply {
+		return c.commands.Coverage(now, from, m)
+	})
+}
+
 func handleReply(d *Daemon, ctx context.Context, _ string, params json.RawMessage) (any, error) {
 	return answer(d, ctx, params, func(c *control, now time.Time, m command.ReplyRequest) bool {
 		c.performCommands(now, c.runner.Reply(now, m.Backend, m.Flow(), m.Body, false))
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -16,6 +15,7 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
 	"github.com/nutmeglatch/nutmeglatch/internal/route"
+	"github.com/nutmeglatch/nutmeglatch/internal/settings"
 )
 
 // Intervals and sizes of the control loop.
@@ -38,6 +38,8 @@
 
 	members *membership.State
 	config  *configsync.State
+	shards  configsync.Shards
+	planned int // values for which the reads of the platform were chosen
 	builder *route.Builder
 	sync    syncState
 
@@ -45,9 +47,15 @@
 	runner   *command.Runner
 	runCalls map[uint64]runCall // runs that a caller waits for
 	nextCall uint64
-	owned    map[string]*route.Service // services as last given to commands
+	results  *command.Results
+	// processes holds the boots of the hosts that are not dead.
+	processes map[string]uint64
+	owned     map[string]*route.Service // services as last given to commands
+	voters    map[string][]string       // by service with a quorum
 
 	serving    bool
+	stopping   bool // hands claims over, or leaves
+	stoppedAt  time.Time
 	leaving    bool
 	leftAt     time.Time
 	lastBusy   time.Time // newest time with commands in progress while leaving
@@ -57,6 +65,7 @@
 	changes    changes                 // since the last snapshot
 	conflicted map[netip.AddrPort]bool // addresses in the last snapshot
 	lastError  string                  // of the platform
+	newHosts   bool                    // a host list was accepted and is not applied yet
 	limits     *limits
 
 	membersCounted map[string]uint64 // counters of the membership, as last added to the metrics
@@ -88,7 +97,9 @@
 	c.limits = newLimits()
 	c.runner = command.NewRunner(cfg, &commandSlots{slots: c.limits.slots})
 	c.runCalls = map[uint64]runCall{}
+	c.results = command.NewResults(cfg)
 	c.owned = map[string]*route.Service{}
+	c.voters = map[string][]string{}
 	c.membersCounted = map[string]uint64{}
 	c.changes = newChanges()
 	c.changes.hosts, c.changes.all = true, true
@@ -155,7 +166,7 @@
 	}
 }
 
-// run is the control loop. It returns when the graceful shutdown that leave
+// run is the control loop. It returns when the graceful shutdown that stop
 // starts is complete, or with an error when the daemon was killed.
 func (c *control) run(ctx context.Context, leave <-chan struct{}) error {
 	c.ctx = ctx
@@ -167,7 +178,7 @@
 			return ctx.Err()
 		case <-leave:
 			leave = nil
-			c.leave(time.Now())
+			c.stop(time.Now())
 		case e := <-c.d.events:
 			e(c, time.Now())
 		case now := <-ticker.C:
@@ -190,6 +201,7 @@
 	c.startCheck(now)
 	c.setConditions(now)
 	c.performCommands(now, c.commands.Expire(now))
+	c.handOver(now)
 	c.performCommands(now, c.runner.Expire(now))
 	c.limitRound(now)
 }
@@ -236,16 +248,21 @@
 }
 
 // membersChanged applies the membership to the owners of flows and to the
-// choice of the platform's readers.
+// choice of what this host reads of the platform.
 func (c *control) membersChanged(now time.Time) {
 	c.dirty, c.changes.hosts = true, true
 	addrs := map[string]netip.AddrPort{}
+	c.processes = map[string]uint64{}
 	for _, m := range c.members.Members() {
 		addrs[m.Host.ID] = m.Host.PeerAddr()
+		if m.Status != membership.Dead {
+			c.processes[m.Host.ID] = m.Boot
+		}
 	}
+	c.passOnResults(now)
 	c.d.listed.Store(&addrs)
 	c.d.probes.Retain(func(id string) bool { _, ok := addrs[id]; return ok })
-	c.chooseReaders()
+	c.chooseReads()
 }
 
 // paused stops serving after this process was not run for a while: its view
@@ -265,13 +282,46 @@
 	c.sync.begin(now, c.d.settings.StartCheck.Std())
 }
 
-// leave starts the graceful shutdown.
+// stop starts the graceful shutdown. The host goes on as an owner until others
+// have what it knows of claims.
+func (c *control) stop(now time.Time) {
+	if c.stopping {
+		return
+	}
+	c.stopping, c.stoppedAt = true, now
+	c.performCommands(now, c.commands.HandOver(now))
+	level.Info(c.logger).Log("msg", "stopping", "buckets_to_hand_over", c.commands.NotHandedOver(now))
+	c.handOver(now)
+}
+
+// handOver leaves when the claims are handed over, or when only the time is
+// left that commands in progress may take.
+func (c *control) handOver(now time.Time) {
+	if !c.stopping || c.leaving {
+		return
+	}
+	s := c.d.settings
+	missing := c.commands.NotHandedOver(now)
+	limit := s.Shutdown.Limit.Std() - s.Limits.CommandDeadline.Std() - settings.ShutdownMargin
+	switch {
+	case missing == 0:
+		c.leave(now)
+	case now.Sub(c.stoppedAt) >= limit:
+		level.Warn(c.logger).Log("msg", "claims are not handed over in time", "buckets", missing)
+		c.leave(now)
+	}
+}
+
+// leave tells the members that this host owns nothing from now on.
 func (c *control) leave(now time.Time) {
 	if c.leaving {
 		return
 	}
+	if !c.stopping {
+		c.stopping, c.stoppedAt = true, now
+	}
 	c.leaving, c.leftAt, c.dirty, c.changes.hosts = true, now, true, true
-	level.Info(c.logger).Log("msg", "leaving")
+	level.Info(c.logger).Log("msg", "leaving", "after", now.Sub(c.stoppedAt))
 	c.commands.Leave()
 	c.performCommands(now, c.runner.Leave(now))
 	c.carryOut(now, c.members.Leave(now))
@@ -283,7 +333,7 @@
 		return false
 	}
 	s := c.d.settings.Shutdown
-	if now.Sub(c.leftAt) >= s.Limit.Std() {
+	if now.Sub(c.stoppedAt) >= s.Limit.Std() {
 		level.Warn(c.logger).Log("msg", "shutdown limit reached")
 		return true
 	}
@@ -316,12 +366,3 @@
 }
 
 func isLive(s membership.Status) bool { return s == membership.Alive || s == membership.Suspect }
-
-// chooseReaders decides whether this host keeps a blocking read open on the
-// platform.
-func (c *control) chooseReaders() {
-	dc := c.d.settings.DataCentre
-	ids := c.live(func(m *membership.Member) bool { return m.Host.DataCentre == dc && m.Status == membership.Alive })
-	ids = append(ids, c.d.settings.HostID)
-	c.d.reader.Store(slices.Contains(configsync.Readers(dc, ids), c.d.settings.HostID))
-}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,13 +12,11 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
-	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/membership"
 	"github.com/nutmeglatch/nutmeglatch/internal/platform"
 	"github.com/nutmeglatch/nutmeglatch/internal/settings"
 )
 
-const hostsKey = document.HostsKey
-
 // newSource returns the source that the settings name.
 func (d *Daemon) newSource() platform.Source {
 	s := d.settings.Platform
@@ -29,6 +28,7 @@
 		Wait:    s.Wait.Std(),
 		Poll:    s.Poll.Std(),
 		Reader:  d.reader.Load,
+		Plan:    d.plan.Load,
 		Dial:    d.dialPlatform,
 		Metrics: metrics.GetDefaultSet(),
 	})
@@ -64,19 +64,46 @@
 }
 
 func (c *control) platformUpdate(now time.Time, u platform.Update, candidates []configsync.Candidate) {
-	if u.Err != nil {
-		if c.lastError == "" {
-			level.Warn(c.logger).Log("msg", "platform cannot be read; accepted values stay in effect", "err", u.Err)
-		}
-		c.lastError = u.Err.Error()
-		return
-	}
-	if c.lastError != "" {
-		level.Info(c.logger).Log("msg", "platform can be read again")
-		c.lastError = ""
-	}
+	c.platformRead(u.Err)
 	for i, v := range u.Values {
 		c.offered(now, v.Key, c.config.OfferParsed(now, configsync.Platform, candidates[i]))
 	}
+	c.applyHostLists(now)
 	c.push()
 }
+
+// platformRead keeps the outcome of the newest read for status output.
+func (c *control) platformRead(err error) {
+	switch {
+	case err != nil && c.lastError == "":
+		level.Warn(c.logger).Log("msg", "platform cannot be read; accepted values stay in effect", "err", err)
+	case err == nil && c.lastError != "":
+		level.Info(c.logger).Log("msg", "platform can be read again")
+	}
+	c.lastError = ""
+	if err != nil {
+		c.lastError = err.Error()
+	}
+}
+
+// chooseReads decides what this host reads of the platform: as one of the
+// readers of its data centre all keys, or some of the shards.
+func (c *control) chooseReads() {
+	self, dc := c.d.settings.HostID, c.d.settings.DataCentre
+	ids := c.live(func(m *membership.Member) bool { return m.Host.DataCentre == dc && m.Status == membership.Alive })
+	ids = append(ids, self)
+	accepted := c.config.Current()
+	c.planned = valuesRead(accepted)
+	c.d.reader.Store(slices.Contains(configsync.Readers(dc, ids), self))
+	c.d.plan.Store(c.shards.Plan(accepted, self, dc, ids))
+}
+
+// valuesAdded chooses the reads again when there are more values.
+func (c *control) valuesAdded(accepted *configsync.Accepted) {
+	if valuesRead(accepted) != c.planned {
+		c.chooseReads()
+	}
+}
+
+// valuesRead is the number of values that the choice of reads depends on.
+func valuesRead(a *configsync.Accepted) int { return len(a.Services) + len(a.HostLists) }
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -145,43 +146,94 @@
 }
 
 // fetch reads values of a peer. A response may hold only some of them, so it
-// asks again for the rest as long as something arrives.
+// asks again for the rest as long as something arrives, and for whole values
+// after one that could not be restored.
 func (d *Daemon) fetch(ctx context.Context, id string, keys []string) error {
+	have, err := ask(ctx, d, func(c *control, _ time.Time) map[string]uint64 { return c.config.Have(keys) })
+	if err != nil {
+		return err
+	}
 	for len(keys) > 0 {
 		var resp configsync.FetchResponse
-		if err := d.environment.Call(ctx, id, configsync.MethodFetch, configsync.FetchRequest{Keys: keys}, &resp); err != nil {
+		req := configsync.FetchRequest{Keys: keys, Packed: true, Have: have}
+		if err := d.environment.Call(ctx, id, configsync.MethodFetch, req, &resp); err != nil {
 			return err
 		}
 		if len(resp.Values) == 0 {
 			return nil
 		}
-		got := map[string]bool{}
-		for _, v := range resp.Values {
-			got[v.Key] = true
+		values, err := d.unpack(ctx, resp.Values)
+		if err != nil {
+			countDroppedReason("call", "packed_value")
+			if len(have) == 0 {
+				return err
+			}
+			have = nil
+			continue
 		}
-		if err := d.offer(ctx, id, resp.Values); err != nil {
+		if err := d.offer(ctx, id, values); err != nil {
 			return err
 		}
-		rest := keys[:0:0]
-		for _, k := range keys {
-			if !got[k] {
-				rest = append(rest, k)
-			}
+		got := map[string]bool{}
+		for _, v := range values {
+			got[v.Key] = true
 		}
-		keys = rest
+		keys = slices.DeleteFunc(slices.Clone(keys), func(key string) bool { return got[key] })
 	}
 	return nil
 }
 
+// unpack restores values as a peer has accepted them.
+func (d *Daemon) unpack(ctx context.Context, values []configsync.Value) ([]configsync.Value, error) {
+	bases, err := ask(ctx, d, func(c *control, _ time.Time) [][]byte {
+		bases := make([][]byte, len(values))
+		for i, v := range values {
+			mine, _ := c.config.Get(v.Key)
+			bases[i] = mine.Raw
+		}
+		return bases
+	})
+	if err != nil {
+		return nil, err
+	}
+	for i, v := range values {
+		if values[i], err = v.Unpack(bases[i]); err != nil {
+			return nil, err
+		}
+	}
+	return values, nil
+}
+
 func (d *Daemon) sendValues(ctx context.Context, id string, keys []string) error {
 	if len(keys) == 0 {
 		return nil
 	}
-	values, err := ask(ctx, d, func(c *control, _ time.Time) []configsync.Value { return c.config.Values(keys) })
+	message, err := ask(ctx, d, func(c *control, _ time.Time) configsync.PushMessage {
+		m, _ := c.config.PushOf(keys)
+		return m
+	})
 	if err != nil {
 		return err
 	}
-	return d.environment.Call(ctx, id, configsync.MethodPush, configsync.PushMessage{Values: values}, nil)
+	return d.environment.Call(ctx, id, configsync.MethodPush, message, nil)
+}
+
+// announced fetches in the background what a peer has announced and this host
+// lacks.
+func (c *control) announced(now time.Time, from string, notices []configsync.Version) {
+	keys := c.config.Announced(now, configsync.Source{Peer: from}, notices)
+	if len(keys) == 0 {
+		return
+	}
+	d, ctx := c.d, c.ctx
+	d.environment.Go(func() {
+		ctx, cancel := d.environment.WithTimeout(ctx, configCallTimeout)
+		defer cancel()
+		if err := d.fetch(ctx, from, keys); err != nil {
+			counters.fetchFailures.Inc()
+		}
+		d.post(func(c *control, _ time.Time) { c.config.Fetched(keys) })
+	})
 }
 
 // offer gives values of a peer to the configuration.
@@ -198,6 +250,7 @@
 		for i, v := range values {
 			c.offered(now, v.Key, c.config.OfferParsed(now, configsync.FromPeer(from, v), candidates[i]))
 		}
+		c.applyHostLists(now)
 		c.push()
 		return true
 	})
@@ -232,7 +285,7 @@
 	switch {
 	case r.Accepted:
 		level.Info(c.logger).Log("msg", "value accepted", "key", key)
-		c.configChanged(now, r.Keys)
+		c.configChanged(r.Keys)
 	case r.Err != nil:
 		level.Warn(c.logger).Log("msg", "value refused; the one in effect stays", "key", key, "reason", r.Refusal, "err", r.Err)
 	}
@@ -244,7 +297,7 @@
 	group := peers[:min(len(peers), c.d.settings.Limits.GroupSize)]
 	for _, p := range c.config.TakePushes(group, peers) {
 		for _, id := range p.To {
-			c.call(id, configsync.MethodPush, configsync.PushMessage{Values: p.Values}, nil)
+			c.call(id, configsync.MethodPush, p.PushMessage, nil)
 		}
 	}
 }
@@ -266,9 +319,8 @@
 }
 
 // configChanged applies newly accepted values.
-func (c *control) configChanged(now time.Time, keys []string) {
+func (c *control) configChanged(keys []string) {
 	c.dirty = true
-	current := c.config.Current()
 	for _, key := range keys {
 		if name, ok := strings.CutPrefix(key, document.ServiceKeyPrefix); ok {
 			c.changes.services[name] = true
@@ -277,9 +329,21 @@
 		// Data centre state and the list of leaving backend servers concern
 		// every service.
 		c.changes.hosts, c.changes.all = true, true
-		if key == hostsKey && current.Hosts != nil {
-			c.carryOut(now, c.members.SetListed(now, current.Hosts.Hosts))
-			c.membersChanged(now)
+		if _, ok := document.HostListKey(key); ok {
+			c.newHosts = true
 		}
 	}
 }
+
+// applyHostLists gives newly accepted host lists to the membership. Lists that
+// arrive together are applied together, because a host that knew only some
+// data centres would take their hosts for all.
+func (c *control) applyHostLists(now time.Time) {
+	hosts := c.config.Current().Hosts
+	if !c.newHosts || hosts == nil {
+		return
+	}
+	c.newHosts = false
+	c.carryOut(now, c.members.SetListed(now, hosts.Hosts))
+	c.membersChanged(now)
+}
--- /dev/null
+++ b/internal/daemon/sync_test.go
@@ -0,0 +1,141 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/platform"
+	"github.com/nutmeglatch/nutmeglatch/internal/settings"
+)
+
+// callsTo is the environment of stepped daemons whose calls all reach host.
+// They wait until run.
+type callsTo struct {
+	host    *Stepper
+	fetches int
+	bytes   int  // of the last result
+	damage  bool // of differences between versions
+	queue   []func()
+}
+
+func (e *callsTo) Now() time.Time { return time.Unix(1_000_000, 0) }
+func (e *callsTo) Go(f func())    { e.queue = append(e.queue, f) }
+
+func (e *callsTo) WithTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, d)
+}
+
+func (e *callsTo) Call(_ context.Context, _, method string, params, result any) (err error) {
+	if e.host == nil {
+		return errors.New("not reached")
+	}
+	if method == configsync.MethodFetch {
+		e.fetches++
+	}
+	raw, _ := json.Marshal(params)
+	e.host.Call("other", method, raw, func(v any, failed error) {
+		raw, _ = json.Marshal(v)
+		if e.damage {
+			raw = bytes.Replace(raw, []byte(`"length":`), []byte(`"length":9`), 1)
+		}
+		e.bytes = len(raw)
+		err = errors.CombineErrors(failed, json.Unmarshal(raw, result))
+	})
+	return err
+}
+
+func (e *callsTo) run() {
+	for ; len(e.queue) > 0; e.queue = e.queue[1:] {
+		e.queue[0]()
+	}
+}
+
+func newStepped(t *testing.T, i int, e Environment) *Stepper {
+	s, self := settings.Default(), benchHost(i)
+	s.HostID, s.DataCentre, s.Region, s.Peer = self.ID, self.DataCentre, self.Region, self.PeerAddr()
+	s.PeerKey = make(settings.Key, settings.MinKeyBytes)
+	host, err := NewStepper(Options{Settings: &s, Network: benchNetwork{&captureConn{}}}, e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return host
+}
+
+// listOf returns a host list of benchHosts as an update of the platform.
+func listOf(key string, version, from, to int) platform.Update {
+	raw := fmt.Appendf(nil, "version: %d\nhosts:\n", version)
+	for i := from; i < to; i++ {
+		h := benchHost(i)
+		raw = fmt.Appendf(raw, "  - {id: %s, data_centre: %s, region: r, address: %s, peer_port: 6090, gue_port: 6080, state: live}\n", h.ID, h.DataCentre, h.Address)
+	}
+	return platform.Update{Values: []platform.KeyValue{{Key: key, Value: raw}}}
+}
+
+// Guards against an announced value that is fetched more than once, as a whole
+// in place of its difference, not at all, or not after a failure.
+func TestAnnouncedValueIsFetched(t *testing.T) {
+	sender, e := newStepped(t, 0, &callsTo{}), &callsTo{}
+	receiver := newStepped(t, 1, e)
+	for _, row := range []struct {
+		version, announced, fetches, bytes int
+		reached, damage                    bool
+	}{
+		{1, 2, 1, 4096, true, false}, {2, 1, 1, 4096, false, false}, {2, 1, 2, 512, true, false}, {3, 1, 4, 4096, true, true},
+	} {
+		sender.Platform(listOf(document.HostsKey, row.version, 0, 50))
+		m, _ := sender.d.control.config.PushOf([]string{document.HostsKey})
+		raw, err := json.Marshal(m)
+		if err != nil || len(raw) > 512 {
+			t.Fatalf("push of %d bytes, error %v", len(raw), err)
+		}
+		e.host, e.damage = nil, row.damage
+		if row.reached {
+			e.host = sender
+		}
+		for range row.announced {
+			receiver.Call("host-0", configsync.MethodPush, raw, func(_ any, err error) {
+				if err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		e.run()
+		v, _ := receiver.d.control.config.Get(document.HostsKey)
+		if v.Version == uint64(row.version) != row.reached || e.fetches != row.fetches || e.bytes > row.bytes {
+			t.Errorf("%+v: version %d, %d fetches, %d bytes", row, v.Version, e.fetches, e.bytes)
+		}
+	}
+}
+
+// Guards against a list of one data centre that removes the hosts of another.
+func TestHostListsOfDataCentres(t *testing.T) {
+	host := newStepped(t, 0, &callsTo{})
+	for i := range 3 {
+		host.Platform(listOf(document.HostsKeyPrefix+benchHost(i).DataCentre, 1, i, i+1))
+	}
+	for _, id := range []string{"host-1", "host-2"} {
+		if !host.Lists(id) {
+			t.Errorf("%s is not listed", id)
+		}
+	}
+}
+
+// Guards against values that are lost because the same update reports that
+// others could not be read. The source does not send them again.
+func TestValuesBesideAnErrorAreAccepted(t *testing.T) {
+	host := newStepped(t, 0, &callsTo{})
+	u := listOf(document.HostsKey, 1, 0, 2)
+	u.Err = errors.New("another file cannot be read")
+	host.Platform(u)
+	if !host.Lists("host-1") || host.d.control.config.Current().Hosts == nil || host.d.control.lastError == "" {
+		t.Error("the value was not accepted, or the error not kept")
+	}
+}
