--- a/internal/command/wait.go
+++ b/internal/command/wait.go
@@ -88,7 +88,8 @@
 		return r.refuseAttempt(now, call, m, ReasonNoSlot, max(minWait, wait))
 	}
 	current := r.accept(now, call, m, key, deadline)
-	current.request, current.startBy = m, startBy
+	request := *m
+	current.request, current.startBy = &request, startBy
 	q.waiting = append(q.waiting, current)
 	r.waiting[m.Origin]++
 	slotWaits.Inc()
