--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,5 +1,5 @@
 // Package peer carries messages between entry hosts: JSON-RPC 2.0 calls over
-// authenticated TCP connections, and sealed probe datagrams.
+// authenticated TCP connections, and sealed datagrams with probes and reports.
 //
 // A connection authenticates both hosts when it is opened. It is used for the
 // calls of the host that dialled it, one connection per host called, and is
--- a/internal/route/build.go
+++ b/internal/route/build.go
@@ -17,16 +17,18 @@
 	Backends          []BackendConfig
 }
 
-// BackendConfig is what a Builder needs to know about a backend server. The
-// fields are those of Backend.
+// BackendConfig is what a Builder needs to know about a backend server.
 type BackendConfig struct {
-	Addr                            netip.AddrPort
-	DataCentre                      string
-	Instance                        uint64
-	Out, Draining, Stable, Unusable bool
-	Weight                          float64
-	Admit                           *Budget
-	Traffic                         *Traffic
+	Addr       netip.AddrPort // GUE address
+	DataCentre string
+	Instance   uint64 // start generation: rises with each start, 0 when unknown
+	Out        bool   // its data centre is out of service
+	Draining   bool
+	Stable     bool // long in the set and not cold
+	Unusable   bool // it identified itself as another service
+	Weight     float64
+	Admit      *Budget  // nil admits without limit
+	Traffic    *Traffic // nil counts nothing
 }
 
 // Builder makes snapshots. A change costs in proportion to the services that
@@ -39,7 +41,6 @@
 	hosts        []Host
 	published    []Host         // copy of hosts in the last snapshot, nil after a change
 	slots        map[string]int // host index by ID
-	configs      map[string]ServiceConfig
 	numbers      map[string]uint32
 	services     indexBuilder[ServiceAddr, *Service]
 	backends     indexBuilder[netip.AddrPort, *Backend]
@@ -51,7 +52,6 @@
 	return &Builder{
 		self: self, selfDC: dc, groupSize: groupSize,
 		slots:   make(map[string]int),
-		configs: make(map[string]ServiceConfig),
 		numbers: make(map[string]uint32),
 	}
 }
@@ -62,23 +62,20 @@
 // SetService adds a service or replaces it. It does nothing when the service
 // is unchanged, and reports whether it was changed.
 func (b *Builder) SetService(c ServiceConfig) bool {
-	old, ok := b.configs[c.Name]
-	if ok && equalConfig(&old, &c) {
+	previous, ok := b.byName.get(c.Name)
+	if ok && previous.follows(&c) {
 		return false
 	}
-	c.Backends = slices.Clone(c.Backends)
-	b.configs[c.Name] = c
 	if _, known := b.numbers[c.Name]; !known {
 		b.numbers[c.Name] = uint32(len(b.numbers) + 1)
 	}
-	previous, _ := b.byName.get(c.Name)
 	s := newService(&c, b.numbers[c.Name])
-	if previous != nil && previous.Region == c.Region {
+	if ok && previous.Region == c.Region {
 		s.group, s.table = previous.group, previous.table
 	} else {
-		b.setOwners(s, b.rank(&c))
+		b.setOwners(s, b.rank(s))
 	}
-	b.install(&c, previous, s)
+	b.install(previous, s, c.Backends)
 	return true
 }
 
@@ -87,7 +84,6 @@
 	if previous, ok := b.byName.get(name); ok {
 		b.uninstall(previous)
 		b.byName.remove(name)
-		delete(b.configs, name)
 	}
 }
 
@@ -98,13 +94,14 @@
 	if len(added) == 0 && len(removed) == 0 {
 		return
 	}
-	for name, c := range b.configs {
-		previous, _ := b.byName.get(name)
-		group, changed := b.regroup(&c, previous.group, added, removed)
-		if changed {
-			s := newService(&c, previous.Index)
-			b.setOwners(s, group)
-			b.install(&c, previous, s)
+	for _, shard := range b.byName.shards {
+		for _, previous := range shard {
+			group, changed := b.regroup(previous, added, removed)
+			if changed {
+				s := *previous
+				b.setOwners(&s, group)
+				b.install(previous, &s, previous.backendConfigs())
+			}
 		}
 	}
 }
@@ -175,27 +172,27 @@
 // regroup returns the owner group after a change of hosts. A group that lost
 // no host can only change by the added hosts, so that ranking all the others
 // again is unnecessary.
-func (b *Builder) regroup(c *ServiceConfig, old, added, removed []int) (group []int, changed bool) {
+func (b *Builder) regroup(s *Service, added, removed []int) (group []int, changed bool) {
 	for _, i := range removed {
-		if slices.Contains(old, i) {
-			return b.rank(c), true
+		if slices.Contains(s.group, i) {
+			return b.rank(s), true
 		}
 	}
 	if len(added) == 0 {
-		return old, false
+		return s.group, false
 	}
-	candidates := append(slices.Clone(old), added...)
-	group = ownerGroup(c.Name, c.Region, b.hosts, candidates, b.groupSize)
-	return group, !slices.Equal(group, old)
+	candidates := append(slices.Clone(s.group), added...)
+	group = ownerGroup(s.Name, s.Region, b.hosts, candidates, b.groupSize)
+	return group, !slices.Equal(group, s.group)
 }
 
 // rank returns the owner group among all hosts.
-func (b *Builder) rank(c *ServiceConfig) []int {
+func (b *Builder) rank(s *Service) []int {
 	candidates := make([]int, len(b.hosts))
 	for i := range candidates {
 		candidates[i] = i
 	}
-	return ownerGroup(c.Name, c.Region, b.hosts, candidates, b.groupSize)
+	return ownerGroup(s.Name, s.Region, b.hosts, candidates, b.groupSize)
 }
 
 func newService(c *ServiceConfig, index uint32) *Service {
@@ -214,22 +211,22 @@
 }
 
 // install publishes a service with its backend servers.
-func (b *Builder) install(c *ServiceConfig, previous, s *Service) {
+func (b *Builder) install(previous, s *Service, configs []BackendConfig) {
 	if previous != nil {
 		b.uninstall(previous)
 	}
-	servers := make([]Backend, len(c.Backends))
-	s.Backends = make([]*Backend, len(c.Backends))
-	for i := range c.Backends {
-		servers[i] = newBackend(s, &c.Backends[i])
+	servers := make([]Backend, len(configs))
+	s.Backends = make([]*Backend, len(configs))
+	for i := range configs {
+		servers[i] = newBackend(s, &configs[i])
 		s.Backends[i] = &servers[i]
 		b.backends.set(servers[i].Addr, s.Backends[i])
 	}
-	b.services.set(c.Addr, s)
-	if c.CommandAddr != (ServiceAddr{}) {
-		b.services.set(c.CommandAddr, s)
+	b.services.set(s.Addr, s)
+	if s.CommandAddr != (ServiceAddr{}) {
+		b.services.set(s.CommandAddr, s)
 	}
-	b.byName.set(c.Name, s)
+	b.byName.set(s.Name, s)
 }
 
 // uninstall removes the addresses of a service that no other service took.
@@ -249,14 +246,23 @@
 func newBackend(s *Service, c *BackendConfig) Backend {
 	hi, lo := words(c.Addr.Addr())
 	return Backend{
-		Addr: c.Addr, Service: s, DataCentre: c.DataCentre, Instance: c.Instance,
-		Out: c.Out, Draining: c.Draining, Stable: c.Stable, Unusable: c.Unusable,
-		Weight: c.Weight, Admit: c.Admit, Traffic: c.Traffic,
-		seed: mix(mix(s.Seed^hi^uint64(c.Addr.Port())) ^ bits.RotateLeft64(lo, 32)),
+		BackendConfig: *c,
+		Service:       s,
+		seed:          mix(mix(s.Seed^hi^uint64(c.Addr.Port())) ^ bits.RotateLeft64(lo, 32)),
 	}
 }
 
-func equalConfig(a, b *ServiceConfig) bool {
-	return a.Name == b.Name && a.Region == b.Region && a.Addr == b.Addr && a.CommandAddr == b.CommandAddr &&
-		a.FlowIdle == b.FlowIdle && slices.Equal(a.Backends, b.Backends)
+// follows reports whether a service was built from an equal configuration.
+func (s *Service) follows(c *ServiceConfig) bool {
+	return s.Name == c.Name && s.Region == c.Region && s.Addr == c.Addr && s.CommandAddr == c.CommandAddr &&
+		s.FlowIdle == c.FlowIdle && slices.EqualFunc(s.Backends, c.Backends, func(b *Backend, c BackendConfig) bool { return b.BackendConfig == c })
+}
+
+// backendConfigs returns what the backend servers were built from.
+func (s *Service) backendConfigs() []BackendConfig {
+	configs := make([]BackendConfig, len(s.Backends))
+	for i, b := range s.Backends {
+		configs[i] = b.BackendConfig
+	}
+	return configs
 }
--- a/internal/route/snapshot.go
+++ b/internal/route/snapshot.go
@@ -81,18 +81,9 @@
 
 // Backend is one backend server of a service.
 type Backend struct {
-	Addr       netip.AddrPort // GUE address
-	Service    *Service
-	DataCentre string
-	Instance   uint64 // start generation: rises with each start, 0 when unknown
-	Out        bool   // its data centre is out of service
-	Draining   bool
-	Stable     bool // long in the set and not cold
-	Unusable   bool // it identified itself as another service
-	Weight     float64
-	Admit      *Budget  // nil admits without limit
-	Traffic    *Traffic // nil counts nothing
-	seed       uint64
+	BackendConfig
+	Service *Service
+	seed    uint64
 }
 
 // Traffic counts what passed between this host and a backend server. The
