Merge branch 'main' into control

Conflicts in docs/CAPACITY.md (the memory figure of this branch, the other rows of main) and docs/design.md (subsections 12.5 and 12.6 are both built and removed).

--- a/internal/command/fault_test.go
+++ b/internal/command/fault_test.go
@@ -111,7 +111,7 @@
 func leave(id string) step {
 	return func(s *sim) {
 		s.hosts[id].state.Leave()
-		s.hosts[id].runner.Leave()
+		s.do(s.hosts[id], s.hosts[id].runner.Leave(s.now))
 	}
 }
 
@@ -119,6 +119,16 @@
 	return func(s *sim) { s.hosts[id].state.table.maxClaims = n }
 }
 
+// waits sends a command while no slot is free at its admitting hosts c and b.
+func waits(s *sim) {
+	for _, id := range []string{"b", "c"} {
+		s.hosts[id].runner.slots = &freeSlots{taken: 1, limit: 1}
+	}
+	s.request("a", "1", "shutoff", Candidate{s.backend(1), "c"}, Candidate{s.backend(2), "b"})
+}
+
+func free(id string) step { return func(s *sim) { s.hosts[id].runner.slots = &freeSlots{} } }
+
 func busy(s *sim) { s.hosts["c"].runner.slots = &freeSlots{taken: 1, limit: 1} }
 
 func views(o Owners, hosts ...string) step {
@@ -131,6 +141,24 @@
 
 func minority(id string, o Owners) step { return func(s *sim) { s.setView(id, o, false) } }
 
+// passOn lets an admitting host notice that another host has died.
+func passOn(id, dead string) step {
+	return func(s *sim) {
+		h := s.hosts[id]
+		h.process[dead]++
+		s.do(h, h.state.PassOn(s.now, h.results.Take(s.now, func(host string) uint64 { return h.process[host] })))
+	}
+}
+
+// grace lets the host count as complete while its majority is verified again.
+func grace(id string) step {
+	return func(s *sim) { s.hosts[id].state.SetMajorityGrace(2 * time.Second) }
+}
+
+func distrust(id string) step {
+	return func(s *sim) { s.hosts[id].state.SetConditions(s.now, Conditions{}) }
+}
+
 var (
 	shedOnce  = simBackend{sheds: 1}
 	takesOne  = simBackend{service: time.Second}
@@ -170,6 +198,15 @@
 	{"primary dies while the command runs",
 		play(server(1, takesOne), command("a"), at(500*ms, kill("a"), takeover), at(2*sec, command("b"))),
 		"-32002 no_answer", 1, 1},
+	{"primary dies while the command runs, and its answer is passed on",
+		play(server(1, takesOne), command("a"), at(500*ms, kill("a")), at(1800*ms, takeover, command("b"), passOn("c", "a"))),
+		"answer", 1, 1},
+	{"the answer arrives after the death of the primary was noticed",
+		play(server(1, simBackend{service: 3 * sec}), command("a"), at(500*ms, kill("a")),
+			at(1800*ms, takeover, command("b"), passOn("c", "a")), at(4*sec, passOn("c", ""))), "answer", 1, 1},
+	{"a shed run of a primary that died is not passed on",
+		play(server(1, shedsLate), command("a"), at(500*ms, kill("a")), at(1800*ms, takeover, command("b"), passOn("c", "a"))),
+		"-32002 no_answer", 0, 1},
 	{"planned change while the command runs",
 		play(server(1, takesOne), command("a"), at(500*ms, leave("a"), planned), at(600*ms, command("b"))), "answer", 1, 2},
 	{"new owner's claims are full while the command runs",
@@ -202,9 +239,30 @@
 	{"owner pauses before the claim and wakes after the takeover, with a view that is still stale",
 		play(pause("a", 3*sec), command("a"), at(2*sec, takeover), at(2200*ms, command("b")),
 			at(3100*ms, views(ab, "a")), at(3200*ms, command("a"))), "-32002 claim_not_stored", 1, 3},
+	{"waits for a slot", play(waits, at(sec, free("c"))), "answer", 1, 1},
+	{"repeat while it waits", play(waits, at(500*ms, waits), at(sec, free("c"))), "answer", 1, 1},
+	{"admitting host leaves while it waits", play(waits, at(sec, leave("c")), at(2*sec, free("b"))), "answer", 1, 1},
+	{"admitting host pauses while it waits",
+		play(waits, at(sec, pause("c", 2*sec)), at(2*sec, free("b"), free("c"))), "answer", 1, 1},
+	{"admitting host dies while it waits", play(waits, at(sec, kill("c"))), "-32002 no_answer", 0, 1},
+	{"owner dies while it waits",
+		play(waits, at(sec, kill("a"), takeover), at(2*sec, free("c"), command("b"))), "-32002 no_answer", 1, 1},
+	{"owner pauses while it waits",
+		play(waits, at(sec, pause("a", 2*sec)), at(2*sec, free("c"))), "answer", 1, 1},
 	{"majority lost", play(minority("a", ab), command("a")), "-32002 no_majority", 0, 1},
 	{"majority lost while waiting for the claim",
 		play(command("a"), at(2*ms, minority("a", ab))), "-32002 no_majority", 0, 1},
+	{"majority verified again while the command waits",
+		play(views(ab, "a"), grace("a"), minority("a", ab), command("a"), at(300*ms, views(ab, "a"))), "answer", 1, 1},
+	{"majority lost and verified again while waiting for the claim",
+		play(views(ab, "a"), grace("a"), command("a"), at(2*ms, minority("a", ab)), at(300*ms, views(ab, "a"))), "answer", 1, 1},
+	{"majority not verified again",
+		play(views(ab, "a"), grace("a"), minority("a", ab), command("a")), "-32002 no_majority", 0, 1},
+	{"declared dead while the majority is verified again",
+		play(views(ab, "a"), grace("a"), minority("a", ab), command("a"), at(300*ms, distrust("a"))),
+		"-32002 not_serving", 0, 1},
+	{"other owner dies before it stores the claim",
+		play(kill("b"), command("a"), at(1800*ms, views(ac, "a", "c"))), "answer", 1, 1},
 	{"admitting host is leaving", play(leave("c"), command("a")), "-32001 leaving", 0, 1},
 	{"minority side of a partition",
 		play(cut("a"), minority("a", Owners{"a", ""}), command("a"), at(sec, takeover, command("b"))), "answer", 1, 2},
--- a/internal/command/sim_test.go
+++ b/internal/command/sim_test.go
@@ -38,6 +38,9 @@
 	// fault decides about each message: kind is a method, "backend", "reply" or "request".
 	fault   func(kind, from, to string) simFault
 	answers map[string][]simAnswer // by request id
+	slots   func() Slots           // of a host that starts
+
+	measureTo time.Time
 }
 
 type simFault struct {
@@ -60,13 +63,20 @@
 	paused time.Time
 	boot   uint64
 	calls  map[uint64]func(RunReply)
+
+	results *Results
+	process map[string]uint64 // by host
 }
 
 type simBackend struct {
 	ran     map[string]int
 	sheds   int // number of requests to reject first
 	service time.Duration
+	varies  bool // run times from half to one and a half of service
 	answer  string
+
+	running, most int
+	busyFor       time.Duration // before measureTo
 }
 
 type simEvent struct {
@@ -78,9 +88,16 @@
 
 type freeSlots struct{ taken, limit int }
 
-func (f *freeSlots) Acquire(time.Time, netip.AddrPort, time.Time) (Token, Refusal) {
+func (f *freeSlots) Check(time.Time, netip.AddrPort, time.Time) Refusal {
 	if f.limit > 0 && f.taken >= f.limit {
-		return 0, "busy"
+		return SlotsBusy
+	}
+	return ""
+}
+
+func (f *freeSlots) Acquire(time.Time, netip.AddrPort, time.Time) (Token, Refusal) {
+	if refusal := f.Check(time.Time{}, netip.AddrPort{}, time.Time{}); refusal != "" {
+		return 0, refusal
 	}
 	f.taken++
 	return Token(f.taken), ""
@@ -92,6 +109,7 @@
 		tb: tb, now: testStart, rand: rand.New(rand.NewSource(1)), hosts: make(map[string]*simHost),
 		backends: make(map[netip.AddrPort]*simBackend), answers: make(map[string][]simAnswer),
 		fault: func(string, string, string) simFault { return simFault{} },
+		slots: func() Slots { return &freeSlots{} },
 	}
 	for _, id := range hosts {
 		s.hosts[id] = &simHost{id: id}
@@ -109,8 +127,9 @@
 	h.boot++
 	h.dead = false
 	cfg := Config{Self: id, Boot: h.boot<<32 | uint64(id[0])<<24}
-	h.state, h.runner = New(cfg, s.now), NewRunner(cfg, &freeSlots{})
+	h.state, h.runner = New(cfg, s.now), NewRunner(cfg, s.slots())
 	h.calls = make(map[uint64]func(RunReply))
+	h.results, h.process = NewResults(cfg), make(map[string]uint64)
 	s.tick(h)
 }
 
@@ -264,7 +283,11 @@
 			call(s, MethodRun, h, o.Host, 6*time.Second, o.Message,
 				func(to *simHost, m RunRequest, reply func(RunReply)) {
 					s.seq++
-					to.calls[uint64(s.seq)] = reply
+					process := to.process[m.Origin]
+					to.calls[uint64(s.seq)] = func(r RunReply) {
+						to.results.Add(s.now, process, m, r)
+						reply(r)
+					}
 					s.do(to, to.runner.Run(s.now, uint64(s.seq), m, true))
 				},
 				func(r RunReply, status CallStatus) { s.do(h, h.state.RunResult(s.now, o.Host, o.Ref, r, status)) })
@@ -324,14 +347,23 @@
 	if s.fault("backend", h.id, "").lost {
 		return
 	}
+	service := b.service
+	if b.varies {
+		service += time.Duration((s.rand.Float64() - 0.5) * float64(service))
+	}
 	body := fmt.Sprintf(`{"jsonrpc":"2.0","id":%q,"result":%q}`, m.ID, "done "+m.ID+b.answer)
 	if b.sheds > 0 {
 		b.sheds--
+		b.running++ // until its reply
 		body = fmt.Sprintf(`{"jsonrpc":"2.0","id":%q,"error":{"code":-32001,"message":"shed"}}`, m.ID)
 	} else {
 		b.ran[m.ID]++
+		b.running++
+		b.most = max(b.most, b.running)
+		b.busyFor += max(0, min(service, s.measureTo.Sub(s.now)))
 	}
-	s.at(s.now.Add(b.service), nil, func() {
+	s.at(s.now.Add(service), nil, func() {
+		b.running--
 		s.send("reply", "", h, func(h *simHost) {
 			s.do(h, h.runner.Reply(s.now, o.Backend, o.Flow, []byte(body), false))
 		})
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -95,7 +95,9 @@
 	Key         string `json:"key"`
 	Version     uint64 `json:"version"`
 	Digest      uint64 `json:"digest"`
-	Raw         []byte `json:"raw"`
+	Raw         []byte `json:"raw,omitempty"`
+	Packed      []byte `json:"packed,omitempty"` // compressed content in place of Raw
+	Delta       *Delta `json:"delta,omitempty"`  // from an earlier version, in place of Raw
 	Unconfirmed bool   `json:"unconfirmed,omitempty"`
 }
 
@@ -103,7 +105,9 @@
 type Accepted struct {
 	Services    map[string]*document.Service
 	DataCentres *document.DataCentres // nil until the first one is accepted
-	Hosts       *document.HostList    // nil until the first one is accepted
+	Hosts       *document.HostList    // all lists together; nil until the first one is accepted
+	// HostLists names the data centres that have a host list of their own.
+	HostLists []string
 	// Conflicted holds the addresses that several accepted services claim.
 	// No service sends to them until a newer version resolves the conflict.
 	Conflicted map[netip.AddrPort]bool
@@ -113,7 +117,8 @@
 type entry struct {
 	Value
 	parsed   parsed
-	fromPeer bool // a peer accepted it otherwise than at its own start
+	delta    *Delta // from the version before, of announced values
+	fromPeer bool   // a peer accepted it otherwise than at its own start
 }
 
 // State holds the accepted values.
@@ -130,7 +135,9 @@
 	index     index
 	refusals  refusals
 	pushes    pushQueue
+	fetches   map[string]fetching // of announced values, by key
 	current   *Accepted
+	hosts     *hostLists // nil after a change of a list
 	conflicts map[netip.AddrPort]bool
 }
 
@@ -157,6 +164,7 @@
 		conflicts: map[netip.AddrPort]bool{},
 		refusals:  newRefusals(cfg.MaxRefusals),
 		pushes:    newPushQueue(cfg.Seed),
+		fetches:   map[string]fetching{},
 	}
 }
 
@@ -237,10 +245,12 @@
 			a.Services[e.parsed.service.Name] = e.parsed.service
 		case e.parsed.dataCentres != nil:
 			a.DataCentres = e.parsed.dataCentres
-		case e.parsed.hosts != nil:
-			a.Hosts = e.parsed.hosts
 		}
 	}
+	if s.hosts == nil {
+		s.hosts = s.mergeHostLists()
+	}
+	a.Hosts, a.HostLists = s.hosts.merged, s.hosts.own
 	for addr := range s.conflicts {
 		a.Conflicted[addr] = true
 	}
@@ -262,6 +272,7 @@
 	if old := s.values[e.Key]; old != nil {
 		s.index.remove(old.Value)
 		s.releaseClaims(old)
+		e.delta = deltaFrom(old, e)
 	}
 	if held := s.pending[e.Key]; held != nil && held.Version <= e.Version {
 		delete(s.pending, e.Key)
@@ -273,4 +284,29 @@
 	s.refusals.resolve(e.Key, e.Version)
 	s.pushes.add(e.Key)
 	s.current = nil
+	if e.parsed.hosts != nil {
+		s.hosts = nil
+	}
+}
+
+// hostLists are the accepted host lists in one.
+type hostLists struct {
+	merged *document.HostList
+	own    []string // data centres with a list of their own
+}
+
+func (s *State) mergeHostLists() *hostLists {
+	var all *document.HostList
+	own := map[string]*document.HostList{}
+	for key, e := range s.values {
+		if e.parsed.hosts == nil {
+			continue
+		}
+		if dc, _ := document.HostListKey(key); dc != "" {
+			own[dc] = e.parsed.hosts
+		} else {
+			all = e.parsed.hosts
+		}
+	}
+	return &hostLists{document.MergeHostLists(all, own), sortedKeys(own)}
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -39,6 +38,8 @@
 
 	members *membership.State
 	config  *configsync.State
+	shards  configsync.Shards
+	planned int // values for which the reads of the platform were chosen
 	builder *route.Builder
 	sync    syncState
 
@@ -46,7 +47,11 @@
 	runner   *command.Runner
 	runCalls map[uint64]runCall // runs that a caller waits for
 	nextCall uint64
-	owned    map[string]*route.Service // services as last given to commands
+	results  *command.Results
+	// processes holds the boots of the hosts that are not dead.
+	processes map[string]uint64
+	owned     map[string]*route.Service // services as last given to commands
+	voters    map[string][]string       // by service with a quorum
 
 	serving    bool
 	stopping   bool // hands claims over, or leaves
@@ -60,6 +65,7 @@
 	changes    changes                 // since the last snapshot
 	conflicted map[netip.AddrPort]bool // addresses in the last snapshot
 	lastError  string                  // of the platform
+	newHosts   bool                    // a host list was accepted and is not applied yet
 	limits     *limits
 
 	membersCounted map[string]uint64 // counters of the membership, as last added to the metrics
@@ -90,7 +96,9 @@
 	c.limits = newLimits()
 	c.runner = command.NewRunner(cfg, &commandSlots{slots: c.limits.slots})
 	c.runCalls = map[uint64]runCall{}
+	c.results = command.NewResults(cfg)
 	c.owned = map[string]*route.Service{}
+	c.voters = map[string][]string{}
 	c.membersCounted = map[string]uint64{}
 	c.changes = newChanges()
 	c.changes.hosts, c.changes.all = true, true
@@ -239,16 +247,21 @@
 }
 
 // membersChanged applies the membership to the owners of flows and to the
-// choice of the platform's readers.
+// choice of what this host reads of the platform.
 func (c *control) membersChanged(now time.Time) {
 	c.dirty, c.changes.hosts = true, true
 	addrs := map[string]netip.AddrPort{}
+	c.processes = map[string]uint64{}
 	for _, m := range c.members.Members() {
 		addrs[m.Host.ID] = m.Host.PeerAddr()
+		if m.Status != membership.Dead {
+			c.processes[m.Host.ID] = m.Boot
+		}
 	}
+	c.passOnResults(now)
 	c.d.listed.Store(&addrs)
 	c.d.probes.Retain(func(id string) bool { _, ok := addrs[id]; return ok })
-	c.chooseReaders()
+	c.chooseReads()
 }
 
 // paused stops serving after this process was not run for a while: its view
@@ -309,7 +322,7 @@
 	c.leaving, c.leftAt, c.dirty, c.changes.hosts = true, now, true, true
 	level.Info(c.logger).Log("msg", "leaving", "after", now.Sub(c.stoppedAt))
 	c.commands.Leave()
-	c.runner.Leave()
+	c.performCommands(now, c.runner.Leave(now))
 	c.carryOut(now, c.members.Leave(now))
 }
 
@@ -352,12 +365,3 @@
 }
 
 func isLive(s membership.Status) bool { return s == membership.Alive || s == membership.Suspect }
-
-// chooseReaders decides whether this host keeps a blocking read open on the
-// platform.
-func (c *control) chooseReaders() {
-	dc := c.d.settings.DataCentre
-	ids := c.live(func(m *membership.Member) bool { return m.Host.DataCentre == dc && m.Status == membership.Alive })
-	ids = append(ids, c.d.settings.HostID)
-	c.d.reader.Store(slices.Contains(configsync.Readers(dc, ids), c.d.settings.HostID))
-}
--- a/internal/route/sweep.go
+++ b/internal/route/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/flow"
@@ -118,6 +119,6 @@
 	if svc == nil || e.State < flow.Settled || e.Epoch == 0 {
 		return false
 	}
-	owned := svc.owned(bucketOf(k.Hash()))
-	return e.Epoch == owned.epoch && owned.hosts[0] != w.s.SelfIndex && owned.hosts[1] != w.s.SelfIndex
+	owners := svc.owned(bucketOf(k.Hash()))
+	return e.Epoch == owners.epoch && !slices.Contains(owners.hosts[:], w.s.SelfIndex)
 }
--- a/internal/route/sweep_test.go
+++ b/internal/route/sweep_test.go
@@ -94,11 +94,11 @@
 	var kept []packet.Key
 	for i := range 1000 {
 		k := callerKey(i, packet.ProtoTCP)
-		bucket := bucketOf(k.Hash())
-		owned := slices.Contains(svc.owned(bucket).hosts[:], n.snap.SelfIndex)
+		owners := svc.owned(bucketOf(k.Hash()))
+		owned := slices.Contains(owners.hosts[:], n.snap.SelfIndex)
 		e := flow.Entry{
 			Addr: svc.Backends[0].Addr.Addr().As16(), Port: svc.Backends[0].Addr.Port(), Service: svc.Index,
-			State: states[i%len(states)], Epoch: svc.owned(bucket).epoch, LastSeen: f.now.seconds() - 5,
+			State: states[i%len(states)], Epoch: owners.epoch, LastSeen: f.now.seconds() - 5,
 		}
 		if i%3 == 0 {
 			e.Epoch++ // not replicated under the present owners
