daemon: TestReportDatagrams without goroutines

Change: the test creates its daemon with an environment that makes no calls. The test checks the same. Conclusion: a fault of the test, not of the daemon.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -98,6 +98,12 @@
 }
 
 func newBenchControl(b testing.TB, hosts int, documents []configsync.Candidate) *benchControl {
+	return newBenchControlIn(b, nil, hosts, documents)
+}
+
+// newBenchControlIn is newBenchControl with an environment, nil for that of a
+// daemon that runs.
+func newBenchControlIn(b testing.TB, env Environment, hosts int, documents []configsync.Candidate) *benchControl {
 	s := settings.Default()
 	self := benchHost(0)
 	s.HostID, s.DataCentre, s.Region = self.ID, self.DataCentre, self.Region
@@ -105,7 +111,7 @@
 	s.Admin = netip.MustParseAddrPort("127.0.0.1:0")
 	s.PeerKey = make(settings.Key, settings.MinKeyBytes)
 	conn := &captureConn{}
-	d, err := New(Options{Settings: &s, Network: benchNetwork{conn}})
+	d, err := New(Options{Settings: &s, Network: benchNetwork{conn}, environment: env})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/daemon/reports_test.go
+++ b/internal/daemon/reports_test.go
@@ -8,12 +8,16 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 )
 
+// quietEnvironment makes no calls, so that the daemon has no goroutines.
+type quietEnvironment struct{ processEnvironment }
+
+func (quietEnvironment) Go(func()) {}
+
 // Guards against report datagrams that are not used, not acknowledged, or used
 // although they are malformed, of a replaced process or from before a pause.
 func TestReportDatagrams(t *testing.T) {
 	const sender = 3 // in the region of this host
-	c := newBenchControl(t, 7, benchDocuments(10, 1))
-	c.d.stepped = true
+	c := newBenchControlIn(t, quietEnvironment{}, 7, benchDocuments(10, 1))
 	c.d.lastTick.Store(int64(c.d.now()))
 	w := c.d.newWorker()
 	messages := c.reportsOf(t, sender)
