--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"runtime"
-	"sync"
 	"testing"
 	"time"
 
@@ -87,29 +86,9 @@
 	return configsync.Parse(fmt.Sprintf("services/s%04d", i), raw)
 }
 
-// benchEnvironment starts no call once its calls are ended, so that a test may
-// then change what calls in progress read.
-type benchEnvironment struct {
-	processEnvironment
-	calls sync.WaitGroup
-	ended bool // set by the goroutine that steps the control loop
-}
-
-func (e *benchEnvironment) Go(f func()) {
-	if !e.ended {
-		e.calls.Go(f)
-	}
-}
-
-func (e *benchEnvironment) endCalls() {
-	e.ended = true
-	e.calls.Wait()
-}
-
 // benchControl is the control loop of one host among synthetic members.
 type benchControl struct {
 	*control
-	env    *benchEnvironment
 	b      testing.TB
 	conn   *captureConn
 	hosts  []document.Host
@@ -119,6 +98,12 @@
 }
 
 func newBenchControl(b testing.TB, hosts int, documents []configsync.Candidate) *benchControl {
+	return newBenchControlIn(b, nil, hosts, documents)
+}
+
+// newBenchControlIn is newBenchControl with an environment, nil for that of a
+// daemon that runs.
+func newBenchControlIn(b testing.TB, env Environment, hosts int, documents []configsync.Candidate) *benchControl {
 	s := settings.Default()
 	self := benchHost(0)
 	s.HostID, s.DataCentre, s.Region = self.ID, self.DataCentre, self.Region
@@ -126,16 +111,14 @@
 	s.Admin = netip.MustParseAddrPort("127.0.0.1:0")
 	s.PeerKey = make(settings.Key, settings.MinKeyBytes)
 	conn := &captureConn{}
-	d, err := New(Options{Settings: &s, Network: benchNetwork{conn}})
+	d, err := New(Options{Settings: &s, Network: benchNetwork{conn}, environment: env})
 	if err != nil {
 		b.Fatal(err)
 	}
-	env := &benchEnvironment{processEnvironment: processEnvironment{d}}
-	d.environment = env
 	ended := make(chan struct{})
 	go drainEvents(d.events, ended)
 	b.Cleanup(func() { close(ended); d.closeSockets() })
-	c := &benchControl{control: d.control, env: env, b: b, conn: conn, byAddr: map[netip.AddrPort]int{}, clock: d.started}
+	c := &benchControl{control: d.control, b: b, conn: conn, byAddr: map[netip.AddrPort]int{}, clock: d.started}
 	for i := range hosts {
 		h := benchHost(i)
 		c.hosts, c.boots = append(c.hosts, h), append(c.boots, benchBoot)
