configsync: compare versions only when a difference lasts

Cause: while a change spreads, the digests in most probes of a large fleet differ, and each difference starts a comparison of about 7 KB. docs/CAPACITY.md did not count them. Change: in fleets of 64 hosts or more a digest calls for a comparison when it is still seen 1 s after it was first seen. Smaller fleets compare at once.

--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -29,6 +29,8 @@
 	nextTry  time.Time
 	next     int                  // position in the list of peers
 	last     map[string]time.Time // newest comparison by peer
+
+	differences configsync.Differences
 }
 
 // begin starts a check that must pass before this host serves.
@@ -75,7 +77,10 @@
 
 // compareDigest starts a comparison with a peer whose accepted versions differ.
 func (c *control) compareDigest(now time.Time, p membership.PeerDigest) {
-	if p.Digest != c.config.Summary() && now.Sub(c.sync.last[p.From]) >= compareInterval {
+	if p.Digest == c.config.Summary() || !c.sync.differences.Due(now, p.Digest, c.members.Len()) {
+		return
+	}
+	if now.Sub(c.sync.last[p.From]) >= compareInterval {
 		c.compareWith(now, p.From)
 	}
 }
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -152,6 +152,9 @@
 	}
 }
 
+// Len returns the number of listed hosts.
+func (s *State) Len() int { return len(s.ids) }
+
 // Members returns the listed hosts, sorted by id. This host is included when it
 // is listed.
 func (s *State) Members() []Member {
