--- a/internal/route/build.go
+++ b/internal/route/build.go
@@ -22,6 +22,7 @@
 	Addr       netip.AddrPort // GUE address
 	DataCentre string
 	Instance   uint64 // start generation: rises with each start, 0 when unknown
+	StartedBy  Time   // when the process of Instance had surely started, 0 when unknown
 	Out        bool   // its data centre is out of service
 	Draining   bool
 	Stable     bool // long in the set and not cold
--- a/internal/route/replies.go
+++ b/internal/route/replies.go
@@ -54,6 +54,7 @@
 	e.Since -= refreshInterval // the next packet tells the owners at once
 	if same && old.State != flow.Guess {
 		e.Epoch, e.Since, e.Instance = old.Epoch, old.Since, old.Instance
+		e.Conn, e.Opened = old.Conn, old.Opened
 	}
 	if ok && !same {
 		r.lookup(q) // removes an entry that is not valid any more
@@ -128,7 +129,7 @@
 	case known && e.AddrPort() != h.Choice.Addr:
 		return drop(ReasonOtherBackendReset)
 	}
-	b, reason := q.check(h.Choice.Addr, h.Choice.Instance)
+	b, reason := q.checkChoice(&h.Choice)
 	if b == nil {
 		return drop(reason)
 	}
