daemon: keep the owners of commands only where they are needed

Cause: the command slice was given the owners of all services with commands, 16 KB for each; a heap profile showed 10.8 MB at 6,900 documents. A host owns about ten of them. Change: owners are given for services of this host's owner groups, and for others when a command or a run names them for the first time. TestCommandsOfOtherServicesAreForwarded fails without the second part.

--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -109,6 +109,7 @@
 		Deadline:   min(doc.Commands.Deadline.Std(), c.d.settings.Limits.CommandDeadline.Std()),
 		Candidates: c.candidates(p.service, p.flow.Hash()^uint64(now.UnixNano())),
 	}
+	c.needOwners(now, p.service)
 	outcomes := c.commands.Request(now, in, p.request)
 	for _, o := range outcomes {
 		if f, ok := o.(command.Forward); ok {
@@ -251,6 +252,7 @@
 
 // acceptRun gives a run to the local runner and remembers who waits for it.
 func (c *control) acceptRun(now time.Time, m command.RunRequest, done runDone) {
+	c.needOwners(now, m.Service)
 	c.nextCall++
 	c.runCalls[c.nextCall] = runCall{request: m, process: c.processes[m.Origin], done: done}
 	c.performCommands(now, c.runner.Run(now, c.nextCall, m, c.admitsRun(&m)))
--- a/internal/daemon/quorum_test.go
+++ b/internal/daemon/quorum_test.go
@@ -1,10 +1,14 @@
 package daemon
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/nutmeglatch/nutmeglatch/internal/command"
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
+	"github.com/nutmeglatch/nutmeglatch/internal/packet"
+	"github.com/nutmeglatch/nutmeglatch/internal/route"
 )
 
 // Guards against commands in a large fleet that depend on hearing from every
@@ -55,3 +59,34 @@
 	c.b.Fatal("no other owner")
 	return "", ""
 }
+
+// Guards against commands that are given up because this host does not own
+// their service: another host may know a view in which it does. The owners of
+// such a service are only kept after a command has needed them.
+func TestCommandsOfOtherServicesAreForwarded(t *testing.T) {
+	c := newBenchControl(t, 100, benchDocuments(600, 1))
+	snap := c.d.snapshot.Load()
+	for name, svc := range snap.ByName.All() {
+		if svc.CommandAddr == (route.ServiceAddr{}) || svc.InGroup(snap.SelfIndex) {
+			continue
+		}
+		if c.owned[name] != nil {
+			t.Fatalf("the owners of %s are kept", name)
+		}
+		caller := netip.MustParseAddrPort("203.0.113.5:4000")
+		flow := packet.NewKey(caller, netip.AddrPortFrom(svc.CommandAddr.Addr, svc.CommandAddr.Port), packet.ProtoUDP)
+		body := []byte(`{"jsonrpc":"2.0","id":1,"method":"shutoff"}`)
+		req, err := command.ParseRequest(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.conn.sent = nil
+		c.command(c.clock, commandPacket{flow: flow, service: name, request: req, inner: packet.AppendUDP(nil, flow, body), hops: 1})
+		primary := snap.Hosts[svc.Primary(flow)]
+		if len(c.conn.sent) != 1 || c.conn.sent[0].to != primary.Peer {
+			t.Errorf("%d datagrams, want one to the primary owner %s", len(c.conn.sent), primary.ID)
+		}
+		return
+	}
+	t.Fatal("this host owns every service with commands")
+}
--- a/internal/daemon/snapshot.go
+++ b/internal/daemon/snapshot.go
@@ -69,8 +69,26 @@
 	}
 }
 
+// serviceOwners gives the owners of a service to the command slice if this host
+// is one of them or has needed them before. The owners of all services would
+// take 10 MB at the target size.
 func (c *control) serviceOwners(now time.Time, snap *route.Snapshot, name string, svc *route.Service) {
-	if svc == nil || svc.CommandAddr == (route.ServiceAddr{}) || c.owned[name] == svc {
+	if svc == nil || !svc.InGroup(snap.SelfIndex) && c.owned[name] == nil {
+		return
+	}
+	c.giveOwners(now, snap, name, svc)
+}
+
+// needOwners makes sure that the command slice knows the owners of a service.
+func (c *control) needOwners(now time.Time, name string) {
+	snap := c.d.snapshot.Load()
+	if svc := snap.ByName.Get(name); svc != nil && c.owned[name] == nil {
+		c.giveOwners(now, snap, name, svc)
+	}
+}
+
+func (c *control) giveOwners(now time.Time, snap *route.Snapshot, name string, svc *route.Service) {
+	if svc.CommandAddr == (route.ServiceAddr{}) || c.owned[name] == svc {
 		return
 	}
 	c.owned[name] = svc
