daemon: let a test wait for calls before it steps through the daemon

Change: the test's environment counts the calls in progress, and the test waits for them. What it checks is the same. Conclusion: the race was in the test; a daemon never changes the field.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -86,9 +87,18 @@
 	return configsync.Parse(fmt.Sprintf("services/s%04d", i), raw)
 }
 
+// benchEnvironment knows of the calls in progress.
+type benchEnvironment struct {
+	processEnvironment
+	calls *sync.WaitGroup
+}
+
+func (e benchEnvironment) Go(f func()) { e.calls.Go(f) }
+
 // benchControl is the control loop of one host among synthetic members.
 type benchControl struct {
 	*control
+	calls  sync.WaitGroup
 	b      testing.TB
 	conn   *captureConn
 	hosts  []document.Host
@@ -113,6 +123,7 @@
 	go drainEvents(d.events, ended)
 	b.Cleanup(func() { close(ended); d.closeSockets() })
 	c := &benchControl{control: d.control, b: b, conn: conn, byAddr: map[netip.AddrPort]int{}, clock: d.started}
+	d.environment = benchEnvironment{processEnvironment{d}, &c.calls}
 	for i := range hosts {
 		h := benchHost(i)
 		c.hosts, c.boots = append(c.hosts, h), append(c.boots, benchBoot)
--- a/internal/daemon/reports_test.go
+++ b/internal/daemon/reports_test.go
@@ -13,6 +13,7 @@
 func TestReportDatagrams(t *testing.T) {
 	const sender = 3 // in the region of this host
 	c := newBenchControl(t, 7, benchDocuments(10, 1))
+	c.calls.Wait()
 	c.d.stepped = true
 	c.d.lastTick.Store(int64(c.d.now()))
 	w := c.d.newWorker()
