--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"runtime"
-	"sync"
 	"testing"
 	"time"
 
@@ -87,18 +86,9 @@
 	return configsync.Parse(fmt.Sprintf("services/s%04d", i), raw)
 }
 
-// benchEnvironment knows of the calls in progress.
-type benchEnvironment struct {
-	processEnvironment
-	calls *sync.WaitGroup
-}
-
-func (e benchEnvironment) Go(f func()) { e.calls.Go(f) }
-
 // benchControl is the control loop of one host among synthetic members.
 type benchControl struct {
 	*control
-	calls  sync.WaitGroup
 	b      testing.TB
 	conn   *captureConn
 	hosts  []document.Host
@@ -108,6 +98,12 @@
 }
 
 func newBenchControl(b testing.TB, hosts int, documents []configsync.Candidate) *benchControl {
+	return newBenchControlIn(b, nil, hosts, documents)
+}
+
+// newBenchControlIn is newBenchControl with an environment, nil for that of a
+// daemon that runs.
+func newBenchControlIn(b testing.TB, env Environment, hosts int, documents []configsync.Candidate) *benchControl {
 	s := settings.Default()
 	self := benchHost(0)
 	s.HostID, s.DataCentre, s.Region = self.ID, self.DataCentre, self.Region
@@ -115,7 +111,7 @@
 	s.Admin = netip.MustParseAddrPort("127.0.0.1:0")
 	s.PeerKey = make(settings.Key, settings.MinKeyBytes)
 	conn := &captureConn{}
-	d, err := New(Options{Settings: &s, Network: benchNetwork{conn}})
+	d, err := New(Options{Settings: &s, Network: benchNetwork{conn}, environment: env})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -123,7 +119,6 @@
 	go drainEvents(d.events, ended)
 	b.Cleanup(func() { close(ended); d.closeSockets() })
 	c := &benchControl{control: d.control, b: b, conn: conn, byAddr: map[netip.AddrPort]int{}, clock: d.started}
-	d.environment = benchEnvironment{processEnvironment{d}, &c.calls}
 	for i := range hosts {
 		h := benchHost(i)
 		c.hosts, c.boots = append(c.hosts, h), append(c.boots, benchBoot)
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -61,7 +61,7 @@
 		ranking:  health.NewRanking(),
 		shares:   admission.New(admission.Config{}),
 		slots:    admission.NewSlots(admission.SlotsConfig{}),
-		poller:   health.NewPoller(health.PollerConfig{}),
+		poller:   health.NewPoller(health.PollerConfig{Wrap: loadBytes.wrap}),
 		backends: map[netip.AddrPort]*backendLimit{},
 		verdicts: map[netip.AddrPort]health.Verdict{},
 		owners:   map[string][route.Buckets][2]uint16{},
@@ -293,7 +293,7 @@
 	for addr, v := range b {
 		old, ok := a[addr]
 		if !ok || old.Usable != v.Usable || old.Draining != v.Draining || old.Foreign != v.Foreign ||
-			old.Instance != v.Instance || !old.ColdSince.Equal(v.ColdSince) {
+			old.Instance != v.Instance || !old.StartedBy.Equal(v.StartedBy) || !old.ColdSince.Equal(v.ColdSince) {
 			return true
 		}
 	}
