--- a/internal/command/bench_test.go
+++ b/internal/command/bench_test.go
@@ -22,7 +22,7 @@
 	}
 	p := &pair{New(cfg("a"), testStart), New(cfg("b"), testStart), NewRunner(cfg("c"), &freeSlots{}), 0, false}
 	for _, s := range []*State{p.primary, p.secondary} {
-		s.SetConditions(testStart, Conditions{true, true})
+		s.SetConditions(testStart, Conditions{Majority: true, Serving: true})
 		s.SetOwners(testStart, testService, full(ab))
 		s.begin(testStart.Add(time.Second))
 	}
@@ -124,14 +124,14 @@
 	p := newPair(DefaultRetention, 20000)
 	now := testStart.Add(time.Second)
 	for ; now.Sub(testStart) < DefaultRetention+time.Second; now = now.Add(500 * time.Millisecond) {
-		p.primary.SetConditions(now, Conditions{true, true})
-		p.secondary.SetConditions(now, Conditions{true, true})
+		p.primary.SetConditions(now, Conditions{Majority: true, Serving: true})
+		p.secondary.SetConditions(now, Conditions{Majority: true, Serving: true})
 	}
 	for i := range claims {
 		p.command(now, i, "done")
 	}
 	next := New(Config{Self: "c", MaxClaims: 20000}, now)
-	next.SetConditions(now, Conditions{true, true})
+	next.SetConditions(now, Conditions{Majority: true, Serving: true})
 	next.SetOwners(now, testService, full(ac))
 	p.primary.SetOwners(now, testService, full(ac))
 	joined := now
@@ -151,7 +151,7 @@
 			}
 		}
 		now = now.Add(50 * time.Millisecond)
-		next.SetConditions(now, Conditions{true, true})
+		next.SetConditions(now, Conditions{Majority: true, Serving: true})
 		out = p.primary.Expire(now)
 	}
 	return now.Sub(joined), sent
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// freeSearch is the number of candidates that are asked for a free slot before
+// the retry budget limits the search. The second one shortens waiting most.
+const freeSearch = 2
+
 func (s *State) storeClaim(now time.Time, c *claim, to string) {
 	c.run.claimTo, c.run.claimSent, c.run.claimWaiting = to, now, true
 	c.run.stored, c.run.peerComplete = false, false
@@ -85,7 +89,7 @@
 	switch {
 	case !s.conditions.Serving:
 		return ReasonNotServing, false
-	case !s.conditions.Majority:
+	case !s.majority(c.key.Service):
 		return ReasonNoMajority, false
 	case !owners.has(s.cfg.Self) && !storedAtOwner:
 		return ReasonNotOwner, false
@@ -111,7 +115,7 @@
 func (s *State) start(now time.Time, c *claim) {
 	if !c.idempotent {
 		reason, ok := s.allowed(now, c)
-		if reason == ReasonNoMajority && s.verifying(now) {
+		if reason == ReasonNoMajority && s.verifying(now, c.key.Service) {
 			return
 		}
 		if !ok {
@@ -131,14 +135,15 @@
 		s.notRun(now, c, ReasonDeadline)
 		return
 	}
-	if r.attempt >= len(r.candidates) {
+	more := r.options.left() > 1
+	candidate, wait, ok := r.options.next()
+	if !ok {
 		s.notRun(now, c, last)
 		return
 	}
-	if c.idempotent && r.attempt+1 < len(r.candidates) {
+	if c.idempotent && more {
 		remaining = max(minAttempt, remaining/2)
 	}
-	candidate := r.candidates[r.attempt]
 	r.attempt++
 	r.phase = phaseRunning
 	r.attemptEnds = now.Add(remaining + runMargin)
@@ -146,7 +151,7 @@
 		ClaimKey: c.key, ClaimOwner: c.owner, Digest: c.digest, Target: c.flow.Destination(),
 		Backend: candidate.Backend, Attempt: r.attempt, Idempotent: c.idempotent,
 		Method: r.request.Method, Params: r.request.Params, DeadlineMS: milliseconds(remaining),
-		Expires: s.expires(candidate.Host, now.Add(remaining)),
+		Expires: s.expires(candidate.Host, now.Add(remaining)), Wait: wait,
 	}})
 }
 
@@ -191,6 +196,7 @@
 	case reply.Outcome == RunAnswered:
 		s.answered(now, c, reply.Answer)
 	case reply.Outcome == RunNotRun:
+		c.run.options.refused(time.Duration(reply.WaitMS) * time.Millisecond)
 		s.retry(now, c, reply.Reason)
 	case reply.Outcome == RunMismatch:
 		s.unknown(now, c, ReasonMismatch)
@@ -214,7 +220,7 @@
 func (s *State) retry(now time.Time, c *claim, reason Reason) {
 	if !c.idempotent {
 		why, ok := s.allowed(now, c)
-		if why == ReasonClaimNotStored || why == ReasonNoMajority && s.verifying(now) {
+		if why == ReasonClaimNotStored || why == ReasonNoMajority && s.verifying(now, c.key.Service) {
 			// The other owner has changed and its reply decides, or the members
 			// are verified again.
 			c.run.phase, c.run.claimingSince = phaseClaiming, now
@@ -225,10 +231,16 @@
 			return
 		}
 	}
-	if c.run.attempt < len(c.run.candidates) && !s.retries.take(now, 1) {
+	options := &c.run.options
+	options.stopped = options.stopped && !reason.moved()
+	free := reason.moved() || reason == ReasonNoSlot && c.run.attempt < freeSearch
+	if !free && options.search() && !s.retries.take(now, 1) {
 		countRetry(ReasonRetryBudget)
-		s.notRun(now, c, reason)
-		return
+		options.stopped = true
+		if options.left() == 0 {
+			s.notRun(now, c, reason)
+			return
+		}
 	}
 	countRetry(reason)
 	s.nextRun(now, c, reason)
@@ -313,7 +325,7 @@
 
 // waitsFor returns what a command that has not started is waiting for.
 func (s *State) waitsFor(c *claim, owners Owners) Reason {
-	if s.secured(c, owners) && !s.conditions.Majority {
+	if s.secured(c, owners) && !s.majority(c.key.Service) {
 		return ReasonNoMajority
 	}
 	return ReasonClaimNotStored
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -23,10 +23,6 @@
 // repeats them as long as the command's deadline allows.
 const claimCallTimeout = time.Second
 
-// majorityGrace covers the time in which the members verify each other again
-// after a death: one round of probes of a fleet of today's size.
-const majorityGrace = 2 * time.Second
-
 // runCallMargin is added to a command's deadline for the call to its
 // admitting host, so that the host's answer about the deadline still arrives.
 const runCallMargin = 250 * time.Millisecond
@@ -257,8 +253,13 @@
 func (c *control) acceptRun(now time.Time, m command.RunRequest, done runDone) {
 	c.nextCall++
 	c.runCalls[c.nextCall] = runCall{request: m, process: c.processes[m.Origin], done: done}
-	admits := c.serving && c.admittingHost(m.Backend) == c.d.settings.HostID && c.servesCommands(&m)
-	c.performCommands(now, c.runner.Run(now, c.nextCall, m, admits))
+	c.performCommands(now, c.runner.Run(now, c.nextCall, m, c.admitsRun(&m)))
+}
+
+// admitsRun reports whether this host admits the commands of the backend
+// server of a run.
+func (c *control) admitsRun(m *command.RunRequest) bool {
+	return c.serving && c.admittingHost(m.Backend) == c.d.settings.HostID && c.servesCommands(m)
 }
 
 // servesCommands reports whether the backend server belongs to the service.
--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/command"
+	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
 	"github.com/nutmeglatch/nutmeglatch/internal/route"
 	"github.com/nutmeglatch/nutmeglatch/internal/settings"
@@ -55,6 +56,21 @@
 	}
 }
 
+// Guards against sizes of today that are read in shards, and against a plan
+// that does not follow the documents.
+func TestReadsFollowDocuments(t *testing.T) {
+	documents := benchDocuments(101, 1)
+	c := newBenchControl(t, 3, documents[:100])
+	if c.d.plan.Load() != nil || !c.d.reader.Load() {
+		t.Fatal("100 documents are not read as a whole")
+	}
+	c.offered(c.clock, "services/s0100", c.config.OfferParsed(c.clock, configsync.Platform, documents[100]))
+	c.publish(c.clock)
+	if plan := c.d.plan.Load(); plan == nil || len(plan.Watch) != len(plan.Shards) {
+		t.Errorf("101 documents: plan %+v, want one in which the only host of a data centre watches every shard", plan)
+	}
+}
+
 // Guards against a shutdown that waits without end for owners that do not
 // answer, and against one that cuts off commands for that.
 func TestHandOverIsBounded(t *testing.T) {
--- a/internal/membership/majority.go
+++ b/internal/membership/majority.go
@@ -29,11 +29,17 @@
 	}
 }
 
-// trouble starts a new check of who answers. The probe whose loss caused a
-// suspicion was sent three probe timeouts earlier, and a partition had started
-// when its answer was due, so answers after that time came from this side.
+// trouble starts a new check of who answers.
 func (m *majority) trouble(now time.Time, probeTimeout time.Duration) {
-	m.since = now.Add(-2 * probeTimeout)
+	m.since = troubleStart(now, probeTimeout)
+}
+
+// troubleStart returns the time from which answers count after a suspicion that
+// arises now. The probe whose loss caused it was sent three probe timeouts
+// earlier, and a partition had started when its answer was due, so answers to
+// probes sent after that time came from this side.
+func troubleStart(now time.Time, probeTimeout time.Duration) time.Time {
+	return now.Add(-2 * probeTimeout)
 }
 
 // MajorityIsVerified reports whether Majority counts only hosts that have
@@ -51,6 +57,7 @@
 // the latest suspicion arose, which takes up to 6.4 s at 64 hosts. With more
 // hosts that would take too long; then at most 1 of the latest 8 probes may have
 // failed, which does not exclude two majorities while a partition is found.
+// Commands of such fleets depend on Quorum, and Majority is only reported.
 func (s *State) Majority(excluded []string) bool {
 	total, alive := 0, 0
 	strict := s.MajorityIsVerified()
@@ -81,28 +88,36 @@
 	if !s.MajorityIsVerified() {
 		return out
 	}
-	waiting, probed := 0, make(map[string]bool, len(s.probes))
-	for _, p := range s.probes {
-		if p.relayFor == nil {
-			waiting++
-			probed[p.target] = true
-		}
-	}
 	for _, id := range s.ids {
-		if waiting >= maxVerifyProbes {
-			break
+		m := s.members[id]
+		if m == nil || !m.unverified() {
+			continue
 		}
-		if m := s.members[id]; m != nil && m.unverified() && !probed[id] {
-			waiting++
-			m.asked = true
-			out = append(out, s.startProbe(now, id, probe{}))
+		if s.probesWaiting() >= maxVerifyProbes {
+			break
 		}
+		m.asked = true
+		out = append(out, s.startProbe(now, id, probe{}))
 	}
 	return out
 }
 
+// probesWaiting returns the number of this host's own probes without an answer.
+func (s *State) probesWaiting() int {
+	n := 0
+	for _, p := range s.probes {
+		if p.relayFor == nil {
+			n++
+		}
+	}
+	return n
+}
+
 // unverified reports whether a host has been heard of, but not yet asked.
 func (m *member) unverified() bool {
+	if m.asked || !m.answered.IsZero() {
+		return false
+	}
 	e := m.export()
-	return !m.asked && e.Status == Alive && e.Confirmed() && m.answered.IsZero()
+	return e.Status == Alive && e.Confirmed()
 }
