--- a/cmd/nutmeglatchd/fleet_test.go
+++ b/cmd/nutmeglatchd/fleet_test.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+	"regexp"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -47,12 +47,13 @@
 	}, f.hosts...)
 	time.Sleep(fleetIdle) // reports of the start end
 
-	before, sent, received := f.processorTime(), f.controlBytes("sent"), f.controlBytes("received")
+	before, bytes := f.processorTime(), f.controlBytes()
 	time.Sleep(fleetIdle)
 	perHostSecond := 1 / float64(hosts) / fleetIdle.Seconds()
 	b.ReportMetric(100*(f.processorTime()-before).Seconds()*perHostSecond, "%core/host")
-	b.ReportMetric((f.controlBytes("sent")-sent)*perHostSecond, "sent-B/s/host")
-	b.ReportMetric((f.controlBytes("received")-received)*perHostSecond, "received-B/s/host")
+	for kind, n := range f.controlBytes() {
+		b.ReportMetric((n-bytes[kind])*perHostSecond, kind+"-B/s/host")
+	}
 	b.ReportMetric(f.peakMemory(), "peak-MB/host")
 
 	f.publish(&f.service)
@@ -107,20 +108,20 @@
 	return time.Since(start)
 }
 
-// controlBytes sums the control traffic of all hosts in one direction.
-func (b *bench) controlBytes(direction string) float64 {
-	sum := 0.0
+// controlBytes sums the control traffic of all hosts by direction and kind, and
+// by direction.
+func (b *bench) controlBytes() map[string]float64 {
+	label := regexp.MustCompile(`control_bytes_total\{kind="(\w+)",direction="(\w+)"\} (\d+)`)
+	sums := make(map[string]float64)
 	for _, p := range b.hosts {
 		body, err := p.get("/metrics")
 		b.must(err)
-		for line := range strings.Lines(string(body)) {
-			name, value, _ := strings.Cut(strings.TrimSpace(line), " ")
-			if strings.HasPrefix(name, "nutmeglatch_daemon_control_bytes_total") && strings.Contains(name, strconv.Quote(direction)) {
-				n, err := strconv.ParseFloat(value, 64)
-				b.must(err)
-				sum += n
-			}
+		for _, m := range label.FindAllStringSubmatch(string(body), -1) {
+			n, err := strconv.ParseFloat(m[3], 64)
+			b.must(err)
+			sums[m[2]] += n
+			sums[m[2]+"-"+m[1]] += n
 		}
 	}
-	return sum
+	return sums
 }
--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -197,8 +197,8 @@
 // leaves the majority unverified for some tenths of a second.
 func (s *State) SetMajorityGrace(d time.Duration) { s.majorityGrace = d }
 
-// verifying reports whether the majority is missing only for as long as it may
-// take to verify it again.
+// verifying reports whether the majority of a service is missing only for as
+// long as it may take to verify it again.
 func (s *State) verifying(now time.Time, service string) bool {
 	so := s.services[service]
 	return so != nil && now.Sub(so.majorityAt) < s.majorityGrace
--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -24,7 +24,11 @@
 	s.SetDigest(math.MaxUint64)
 	s.SetListed(start, hosts)
 	for _, h := range hosts[1:] {
-		s.Merge(start, []Update{{ID: h.ID, Boot: 1764824465123}})
+		for _, o := range s.Merge(start, []Update{{ID: h.ID, Boot: 1764824465123}}) {
+			if m, ok := o.(Send); ok {
+				s.Receive(start, Sender{ID: m.To, Boot: 1764824465123}, Message{Kind: Ack, Seq: m.Message.Seq})
+			}
+		}
 	}
 	return s, hosts
 }
--- a/internal/membership/majority.go
+++ b/internal/membership/majority.go
@@ -88,28 +88,36 @@
 	if !s.MajorityIsVerified() {
 		return out
 	}
-	waiting, probed := 0, make(map[string]bool, len(s.probes))
-	for _, p := range s.probes {
-		if p.relayFor == nil {
-			waiting++
-			probed[p.target] = true
-		}
-	}
 	for _, id := range s.ids {
-		if waiting >= maxVerifyProbes {
-			break
+		m := s.members[id]
+		if m == nil || !m.unverified() {
+			continue
 		}
-		if m := s.members[id]; m != nil && m.unverified() && !probed[id] {
-			waiting++
-			m.asked = true
-			out = append(out, s.startProbe(now, id, probe{}))
+		if s.probesWaiting() >= maxVerifyProbes {
+			break
 		}
+		m.asked = true
+		out = append(out, s.startProbe(now, id, probe{}))
 	}
 	return out
 }
 
+// probesWaiting returns the number of this host's own probes without an answer.
+func (s *State) probesWaiting() int {
+	n := 0
+	for _, p := range s.probes {
+		if p.relayFor == nil {
+			n++
+		}
+	}
+	return n
+}
+
 // unverified reports whether a host has been heard of, but not yet asked.
 func (m *member) unverified() bool {
+	if m.asked || !m.answered.IsZero() {
+		return false
+	}
 	e := m.export()
-	return !m.asked && e.Status == Alive && e.Confirmed() && m.answered.IsZero()
+	return e.Status == Alive && e.Confirmed()
 }
