peer: close idle connections early in large fleets

Cause: BenchmarkFleet shows the control bytes of idle processes by kind. Calls took 379, 898 and 1,974 bytes a second and host at 10, 40 and 120 hosts: heartbeats on connections to random hosts, which stay open for 30 s after one push or comparison. docs/CAPACITY.md did not count them (1.1 KB a second at the target). Change: with 64 entry hosts or more a connection is closed at the first heartbeat interval that ends with it idle for 1 s. Smaller fleets keep 30 s.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -14,6 +14,7 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 	"github.com/nutmeglatch/nutmeglatch/internal/route"
 	"github.com/nutmeglatch/nutmeglatch/internal/settings"
 )
@@ -22,6 +23,7 @@
 const (
 	tickInterval  = 50 * time.Millisecond
 	eventQueueLen = 4096
+	largeFleet    = 64 // entry hosts
 )
 
 // errKilled ends the control loop of a daemon that was killed.
@@ -259,9 +261,20 @@
 	c.passOnResults(now)
 	c.d.listed.Store(&addrs)
 	c.d.probes.Retain(func(id string) bool { _, ok := addrs[id]; return ok })
+	c.d.pool.SetIdleTimeout(idleTimeout(len(addrs)))
 	c.chooseReads()
 }
 
+// idleTimeout returns for how long connections between entry hosts stay open
+// without calls. In a large fleet most calls go to random hosts, and 30 s of
+// heartbeats would cost more than the call.
+func idleTimeout(hosts int) time.Duration {
+	if hosts < largeFleet {
+		return peer.DefaultIdleTimeout
+	}
+	return time.Second
+}
+
 // paused stops serving after this process was not run for a while: its view
 // of documents and members may be old.
 func (c *control) paused(now time.Time, gap time.Duration) {
--- a/internal/peer/contract_test.go
+++ b/internal/peer/contract_test.go
@@ -308,7 +308,8 @@
 func TestIdle(t *testing.T) {
 	d := &directory{}
 	startHost(t, d, "b", echo, nil)
-	a, _ := startHost(t, d, "a", echo, func(c *Config) { c.IdleTimeout = time.Millisecond })
+	a, _ := startHost(t, d, "a", echo, func(c *Config) { c.IdleTimeout = time.Hour })
+	a.SetIdleTimeout(time.Millisecond)
 	for range 2 {
 		if err := a.Call(t.Context(), "b", "m", nil, nil); err != nil {
 			t.Fatal(err)
--- a/internal/peer/outgoing.go
+++ b/internal/peer/outgoing.go
@@ -107,7 +107,7 @@
 }
 
 // keepAlive sends heartbeats and closes the connection when one is not answered
-// or when there have been no calls for IdleTimeout.
+// or when there have been no calls for the idle timeout.
 func (o *outgoing) keepAlive() {
 	defer o.pool.tidy(o.host)
 	ticker := time.NewTicker(o.pool.cfg.Heartbeat)
@@ -122,7 +122,7 @@
 			return
 		case <-ticker.C:
 		}
-		if o.retire(o.pool.cfg.IdleTimeout) {
+		if o.retire(time.Duration(o.pool.idle.Load())) {
 			o.close("idle")
 			return
 		}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,8 @@
 	log     log.Logger
 	count   counters
 
+	idle atomic.Int64 // nanoseconds, see SetIdleTimeout
+
 	ctx    context.Context // ends when the pool is closed
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
@@ -54,7 +57,7 @@
 func NewPool(cfg Config, lookup func(id string) (netip.AddrPort, bool), handler Handler) *Pool {
 	cfg.setDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Pool{
+	p := &Pool{
 		cfg:      cfg,
 		lookup:   lookup,
 		handler:  handler,
@@ -65,8 +68,15 @@
 		peers:    make(map[string]*remote),
 		incoming: make(map[string]*incoming),
 	}
+	p.SetIdleTimeout(cfg.IdleTimeout)
+	return p
 }
 
+// SetIdleTimeout replaces Config.IdleTimeout. A connection is closed with the
+// first heartbeat interval that ends when it has been idle for that time, so
+// that a time below the interval saves heartbeats on connections used once.
+func (p *Pool) SetIdleTimeout(d time.Duration) { p.idle.Store(int64(d)) }
+
 // start runs f in a goroutine that Close waits for. It reports false when the
 // pool is closed.
 func (p *Pool) start(f func()) bool {
