--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -92,6 +92,7 @@
 		builder: route.NewBuilder(s.HostID, s.DataCentre, s.Limits.GroupSize),
 	}
 	cfg := command.Config{Self: s.HostID, Boot: uint64(d.started.UnixNano()), Retention: s.Limits.ClaimRetention.Std(), PauseLimit: s.PauseLimit.Std()}
+	cfg.AdmittingHost = c.admittingHost
 	c.commands = command.New(cfg, d.started)
 	c.limits = newLimits()
 	c.runner = command.NewRunner(cfg, &commandSlots{slots: c.limits.slots})
@@ -236,10 +237,7 @@
 		counters.sendErrors.Inc()
 		return
 	}
-	d := c.d
-	if _, err := d.peerUDP.WriteToUDPAddrPort(d.probes.Seal(nil, body), s.Addr); err != nil {
-		counters.sendErrors.Inc()
-	}
+	c.d.sendSealed(probeBytes, body, s.Addr)
 }
 
 func (c *control) receiveProbe(now time.Time, from membership.Sender, m membership.Message) {
--- a/internal/daemon/reports_test.go
+++ b/internal/daemon/reports_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"encoding/json"
 	"testing"
 	"time"
 
@@ -9,12 +8,16 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 )
 
+// quietEnvironment makes no calls, so that the daemon has no goroutines.
+type quietEnvironment struct{ processEnvironment }
+
+func (quietEnvironment) Go(func()) {}
+
 // Guards against report datagrams that are not used, not acknowledged, or used
 // although they are malformed, of a replaced process or from before a pause.
 func TestReportDatagrams(t *testing.T) {
 	const sender = 3 // in the region of this host
-	c := newBenchControl(t, 7, benchDocuments(10, 1))
-	c.d.stepped = true
+	c := newBenchControlIn(t, quietEnvironment{}, 7, benchDocuments(10, 1))
 	c.d.lastTick.Store(int64(c.d.now()))
 	w := c.d.newWorker()
 	messages := c.reportsOf(t, sender)
@@ -32,8 +35,7 @@
 	}
 	report := func(boot uint64) []datagram {
 		service.Seq++
-		raw, _ := json.Marshal(service)
-		return deliver(boot, kindHealth, raw)
+		return deliver(boot, kindHealth, service.AppendContent(nil))
 	}
 	sent := report(2)
 	if len(sent) != 1 || sent[0].to != c.hosts[sender].PeerAddr() {
@@ -43,7 +45,7 @@
 	if err != nil || opened.Body[0] != kindHealthAnswer {
 		t.Fatalf("body %q, error %v", opened.Body, err)
 	}
-	if answer, err := health.ParseMessage(opened.Body[1:]); err != nil || answer.Seq != service.Seq || answer.Service != service.Service {
+	if answer, err := health.ParseContent(opened.Body[1:]); err != nil || answer.Seq != service.Seq || answer.Service != service.Service {
 		t.Errorf("acknowledgement %+v, error %v", answer, err)
 	}
 	if n := len(report(1)); n != 0 {
