command: pass replies on to the previous admitting host

Cause: a host that starts becomes the admitting host of backend servers of its data centre while another one still runs their commands. Change: an admitting host without a matching command passes the reply on once to the host that it took over from, while commands of that one may still run. Conclusion: a host that starts no longer costs the answers of commands in progress.

--- a/internal/admission/slot_handover.go
+++ b/internal/admission/slot_handover.go
@@ -129,3 +129,13 @@
 		}
 	}
 }
+
+// Previous returns the host that admitted the commands of a backend server
+// before this one, while commands that it has started may still run.
+func (s *Slots) Previous(now time.Time, addr netip.AddrPort) string {
+	b := s.backends[addr]
+	if b == nil || !b.owned || !now.Before(b.until) {
+		return ""
+	}
+	return b.previous
+}
--- a/internal/command/message.go
+++ b/internal/command/message.go
@@ -121,12 +121,15 @@
 	ClaimRecord
 }
 
-// ReplyRequest passes a backend server's reply to its admitting host.
+// ReplyRequest passes a backend server's reply to its admitting host, or from
+// there to the host that admitted its commands before.
 type ReplyRequest struct {
 	Backend netip.AddrPort  `json:"backend"`
 	Caller  netip.AddrPort  `json:"caller"`
 	Target  netip.AddrPort  `json:"target"`
 	Body    json.RawMessage `json:"body"`
+	// Final says that the receiver must not pass the reply on.
+	Final bool `json:"final,omitempty"`
 }
 
 // Flow returns the flow of the caller's packets.
--- a/internal/command/runner.go
+++ b/internal/command/runner.go
@@ -293,7 +293,7 @@
 	}
 	switch {
 	case current == nil && passOn:
-		r.out = append(r.out, PassReply{ReplyRequest{backend, flow.Source(), flow.Destination(), body}})
+		r.out = append(r.out, PassReply{ReplyRequest{Backend: backend, Caller: flow.Source(), Target: flow.Destination(), Body: body}})
 		return r.take()
 	case current == nil:
 		countReplyDropped(ReasonUnmatched)
--- a/internal/daemon/commands.go
+++ b/internal/daemon/commands.go
@@ -88,8 +88,8 @@
 	}
 	body := slices.Clone(inner[info.PayloadOffset : info.PayloadOffset+info.PayloadLen])
 	d.tryPost(func(c *control, now time.Time) {
-		passOn := c.admittingHost(from) != c.d.settings.HostID
-		c.performCommands(now, c.runner.Reply(now, from, k, body, passOn))
+		to, _ := c.replyHost(now, from)
+		c.performCommands(now, c.runner.Reply(now, from, k, body, to != ""))
 	})
 	return true
 }
@@ -173,6 +173,17 @@
 	return id
 }
 
+// replyHost returns the host that a reply without a command here is passed to,
+// empty for none: the backend server's admitting host, or, when this host is
+// it, the one before, whose commands may still run. It is asked last.
+func (c *control) replyHost(now time.Time, backend netip.AddrPort) (to string, last bool) {
+	if host := c.admittingHost(backend); host != c.d.settings.HostID {
+		return host, false
+	}
+	to = c.limits.slots.Previous(now, backend)
+	return to, to != ""
+}
+
 // performCommands carries out the outcomes of the command slice.
 func (c *control) performCommands(now time.Time, outcomes []command.Outcome) {
 	for _, o := range outcomes {
@@ -196,9 +207,9 @@
 		case command.AskCoverage:
 			c.askCoverage(o)
 		case command.PassReply:
-			if host := c.admittingHost(o.Message.Backend); host != "" {
-				c.call(host, command.MethodReply, o.Message, nil)
-			}
+			to, final := c.replyHost(now, o.Message.Backend)
+			o.Message.Final = final
+			c.call(to, command.MethodReply, o.Message, nil)
 		}
 	}
 }
@@ -357,7 +368,8 @@
 
 func handleReply(d *Daemon, ctx context.Context, _ string, params json.RawMessage) (any, error) {
 	return answer(d, ctx, params, func(c *control, now time.Time, m command.ReplyRequest) bool {
-		c.performCommands(now, c.runner.Reply(now, m.Backend, m.Flow(), m.Body, false))
+		_, mine := c.replyHost(now, m.Backend)
+		c.performCommands(now, c.runner.Reply(now, m.Backend, m.Flow(), m.Body, mine && !m.Final))
 		return true
 	})
 }
