settings: let planned stops hand over any number of claims by default

Cause: shutdown.limit was 30 s. A host that stops within the claim retention of another one then waits 14 s at most, enough for about 95 claims to an owner that has just joined (BenchmarkHandOver); with more, commands were answered "outcome unknown" after a planned stop. Change: the default is 46 s: the claim retention, the longest command deadline and 1 s, after which the receiver is complete by itself. Stops that have nothing to wait for take no longer.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -117,8 +117,10 @@
 		},
 		PauseLimit: seconds(1),
 		StartCheck: seconds(2),
-		Shutdown:   Shutdown{QuietFor: seconds(2), Limit: seconds(30)},
-		LogLevel:   "info",
+		// The claim retention, the command deadline and ShutdownMargin: the owners
+		// that stay are complete by then, however many claims there are.
+		Shutdown: Shutdown{QuietFor: seconds(2), Limit: seconds(46)},
+		LogLevel: "info",
 	}
 }
 
