cli, daemon, health, membership: write repeated steps once

Cause: the read-through found a result printed as JSON or text, the services touched by a change, and sorted map keys written twice each. Change: tool.print, changes.each and slices.Sorted take their place. Conclusion: no change of behaviour.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -81,12 +81,8 @@
 	if err != nil {
 		return &exitError{status: ExitFailed, message: err.Error()}
 	}
-	if asJSON {
-		if err := t.printJSON(report); err != nil {
-			return err
-		}
-	} else {
-		printLoad(t.stdout, report)
+	if err := t.print(report, asJSON, func(w io.Writer) { printLoad(w, report) }); err != nil {
+		return err
 	}
 	if report.Broken > 0 || report.NotOpened > 0 {
 		return &exitError{status: ExitFailed}
--- a/internal/cli/local.go
+++ b/internal/cli/local.go
@@ -159,12 +159,8 @@
 	if err != nil {
 		return &exitError{status: ExitFailed, message: err.Error()}
 	}
-	if asJSON {
-		if err := t.printJSON(report); err != nil {
-			return err
-		}
-	} else {
-		printReport(t.stdout, report)
+	if err := t.print(report, asJSON, func(w io.Writer) { printReport(w, report) }); err != nil {
+		return err
 	}
 	if len(report.Violations) > 0 {
 		return &exitError{status: ExitFailed}
--- a/internal/cli/remote.go
+++ b/internal/cli/remote.go
@@ -128,6 +128,15 @@
 	return nil
 }
 
+// print prints a result as JSON or as text.
+func (t *tool) print(v any, asJSON bool, text func(w io.Writer)) error {
+	if asJSON {
+		return t.printJSON(v)
+	}
+	text(t.stdout)
+	return nil
+}
+
 func (t *tool) printJSON(v any) error {
 	enc := json.NewEncoder(t.stdout)
 	enc.SetIndent("", "  ")
--- a/internal/daemon/quorum.go
+++ b/internal/daemon/quorum.go
@@ -46,15 +46,7 @@
 	if ch.all {
 		clear(c.voters)
 	}
-	if !ch.hosts && !ch.all {
-		for name := range ch.services {
-			c.setQuorum(now, snap, name, snap.ByName.Get(name))
-		}
-		return
-	}
-	for name, svc := range snap.ByName.All() {
-		c.setQuorum(now, snap, name, svc)
-	}
+	ch.each(snap, func(name string, svc *route.Service) { c.setQuorum(now, snap, name, svc) })
 }
 
 func (c *control) setQuorum(now time.Time, snap *route.Snapshot, name string, svc *route.Service) {
--- a/internal/daemon/snapshot.go
+++ b/internal/daemon/snapshot.go
@@ -21,6 +21,20 @@
 	services map[string]bool // documents
 }
 
+// each visits the services whose owners may have changed. A service that is
+// gone is nil.
+func (ch *changes) each(snap *route.Snapshot, visit func(name string, svc *route.Service)) {
+	if ch.hosts || ch.all {
+		for name, svc := range snap.ByName.All() {
+			visit(name, svc)
+		}
+		return
+	}
+	for name := range ch.services {
+		visit(name, snap.ByName.Get(name))
+	}
+}
+
 func newChanges() changes { return changes{services: map[string]bool{}} }
 
 // publish gives the traffic goroutines a new snapshot when control state has
@@ -58,15 +72,7 @@
 func (c *control) ownersChanged(now time.Time, snap *route.Snapshot, ch changes) {
 	c.setQuorums(now, snap, ch)
 	c.setConditions(now)
-	if !ch.hosts && !ch.all {
-		for name := range ch.services {
-			c.serviceOwners(now, snap, name, snap.ByName.Get(name))
-		}
-		return
-	}
-	for name, svc := range snap.ByName.All() {
-		c.serviceOwners(now, snap, name, svc)
-	}
+	ch.each(snap, func(name string, svc *route.Service) { c.serviceOwners(now, snap, name, svc) })
 }
 
 // serviceOwners gives the owners of a service to the command slice if this host
--- a/internal/health/message.go
+++ b/internal/health/message.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -170,7 +171,7 @@
 	s.refillBytes(now)
 	var out []Message
 	reports := make([]*outgoing, 0, len(s.services))
-	for _, name := range s.sortedServices() {
+	for _, name := range slices.Sorted(maps.Keys(s.services)) {
 		o := s.newOutgoing(now, s.services[name])
 		reports = append(reports, o)
 		out = s.appendChanged(now, out, o)
@@ -441,15 +442,6 @@
 	return id != s.self && s.hosts[id]
 }
 
-func (s *State) sortedServices() []string {
-	names := make([]string, 0, len(s.services))
-	for name := range s.services {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // Result says what became of a report.
 type Result struct {
 	Accepted bool
--- a/internal/membership/quorum.go
+++ b/internal/membership/quorum.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -137,7 +138,7 @@
 // verifyVoters probes voters whose answer a quorum waits for.
 func (s *State) verifyVoters(now time.Time, out []Outcome) []Outcome {
 	started := 0
-	for _, service := range s.sortedQuorums() {
+	for _, service := range slices.Sorted(maps.Keys(s.quorums)) {
 		q := s.quorums[service]
 		for _, id := range q.voters {
 			m := s.members[id]
@@ -163,12 +164,3 @@
 	}
 	return false
 }
-
-func (s *State) sortedQuorums() []string {
-	names := make([]string, 0, len(s.quorums))
-	for name := range s.quorums {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
