--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -44,6 +44,9 @@
 			if *udp {
 				cfg.Proto = packet.ProtoUDP
 			}
+			if min(int64(cfg.FlowsPerSecond), int64(cfg.Payload), int64(cfg.Hold), int64(cfg.Interval), int64(cfg.For), int64(cfg.GiveUp)) <= 0 {
+				return usageError("--flows, --payload, --hold, --interval, --for and --give-up: want figures above 0")
+			}
 			if err := parseLoadAddrs(&cfg, *hosts, *listen, *service); err != nil {
 				return err
 			}
