daemon: test what large fleets do with differences and idle connections

Change: TestLargeFleetsSaveCalls covers both at 63 and 64 hosts. The setup of two loan tests of admission is written once. Before: with either mechanism switched off in the daemon the new test fails. Conclusion: both mechanisms are noticed by a test now.

--- a/internal/admission/state_test.go
+++ b/internal/admission/state_test.go
@@ -75,9 +75,9 @@
 	}
 }
 
-// Guards against unused allowance that is stranded, and against loans that
-// the lender never gets back.
-func TestLoans(t *testing.T) {
+// newBorrower returns two hosts of which the first has used up its part and
+// borrows from the second.
+func newBorrower() *world {
 	w := newWorld(2, 200, 200)
 	w.settle(10)
 	w.fill(0)
@@ -85,6 +85,13 @@
 		w.settle(12)
 		w.admit(0, 0, 1<<20)
 	}
+	return w
+}
+
+// Guards against unused allowance that is stranded, and against loans that
+// the lender never gets back.
+func TestLoans(t *testing.T) {
+	w := newBorrower()
 	open := len(w.flows)
 	if open <= 100 {
 		t.Errorf("%d flows open at the busy host, want more than its part of 100", open)
@@ -104,13 +111,7 @@
 
 // Guards a loan that flows still use: it must not return when it expires.
 func TestUsedLoanStaysLent(t *testing.T) {
-	w := newWorld(2, 200, 200)
-	w.settle(10)
-	w.fill(0)
-	for range 3 {
-		w.settle(12)
-		w.admit(0, 0, 1<<20)
-	}
+	w := newBorrower()
 	w.queue = nil
 	w.now = w.now.Add(30 * time.Second)
 	for h := range w.hosts {
--- a/internal/daemon/quorum_test.go
+++ b/internal/daemon/quorum_test.go
@@ -8,6 +8,7 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/command"
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
 	"github.com/nutmeglatch/nutmeglatch/internal/packet"
+	"github.com/nutmeglatch/nutmeglatch/internal/peer"
 	"github.com/nutmeglatch/nutmeglatch/internal/route"
 )
 
@@ -60,6 +61,27 @@
 	return "", ""
 }
 
+// Guards against control traffic of large fleets for differences that a push is
+// about to end, and for connections that are used once.
+func TestLargeFleetsSaveCalls(t *testing.T) {
+	for _, hosts := range []int{largeFleet - 1, largeFleet} {
+		c := newBenchControl(t, hosts, benchDocuments(1, 1))
+		large := hosts >= largeFleet
+		differs := membership.PeerDigest{From: c.hosts[1].ID, Digest: c.config.Summary() + 1}
+		c.compareDigest(c.clock, differs)
+		if compared := !c.sync.last[differs.From].IsZero(); compared == large {
+			t.Errorf("%d hosts: compared at once: %v", hosts, compared)
+		}
+		c.compareDigest(c.clock.Add(2*time.Second), differs)
+		if c.sync.last[differs.From].IsZero() {
+			t.Errorf("%d hosts: a difference that lasts is not compared", hosts)
+		}
+		if idle := idleTimeout(hosts); (idle < peer.DefaultHeartbeat) != large {
+			t.Errorf("%d hosts: connections stay open for %s without calls", hosts, idle)
+		}
+	}
+}
+
 // Guards against commands that are given up because this host does not own
 // their service: another host may know a view in which it does. The owners of
 // such a service are only kept after a command has needed them.
