--- a/cmd/nutmeglatchd/main.go
+++ b/cmd/nutmeglatchd/main.go
@@ -34,6 +34,9 @@
 }
 
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == entryCommand {
+		return runEntry(ctx, args[1:], stdout, stderr)
+	}
 	fs := flag.NewFlagSet("nutmeglatchd", flag.ContinueOnError)
 	fs.SetOutput(stderr)
 	path := fs.String("settings", "", "`file` with the settings of this entry host")
--- /dev/null
+++ b/internal/affinity/choose.go
@@ -0,0 +1,122 @@
+package affinity
+
+import (
+	"hash/maphash"
+	"time"
+)
+
+// preference orders backend servers for a new flow; a lower one is taken first.
+type preference uint8
+
+const (
+	preferOwn     preference = iota // own data centre
+	preferOther                     // another data centre
+	preferLapsed                    // its entry is away and may come back
+	preferSuspect                   // has left packets unanswered, or its data centre is out of reach
+	preferCold                      // bears little as yet
+	preferNone
+)
+
+// choose returns the backend server for a new flow, or nil. It passes over the excluded ones.
+func (r *Router) choose(rt *route, key FlowKey, now time.Duration, excluded ...*server) *server {
+	first := r.pickTarget(rt, key)
+	for i := range rt.targets {
+		target := &rt.targets[(first+i)%len(rt.targets)]
+		if s := r.chooseOf(target, now, excluded); s != nil {
+			return s
+		}
+	}
+	return nil
+}
+
+// pickTarget returns the index of the target that a flow's hash selects by weight, so that copies agree.
+func (r *Router) pickTarget(rt *route, key FlowKey) int {
+	if len(rt.targets) == 1 {
+		return 0
+	}
+	point := maphash.Comparable(r.seed, key) % rt.totalWeight
+	for i := range rt.targets {
+		weight := uint64(rt.targets[i].weight)
+		if point < weight {
+			return i
+		}
+		point -= weight
+	}
+	return 0
+}
+
+func (r *Router) chooseOf(t *target, now time.Duration, excluded []*server) *server {
+	var best *server
+	bestPreference, bestLoad := preferNone, 0.0
+	r.turn++
+	for i := range t.service.servers {
+		s := t.service.servers[(i+int(r.turn))%len(t.service.servers)]
+		if isExcluded(s, excluded) {
+			continue
+		}
+		p := r.preferenceOf(s, now)
+		load := float64(s.flows+1) / float64(s.Slots)
+		if p < bestPreference || p == bestPreference && load < bestLoad {
+			best, bestPreference, bestLoad = s, p, load
+		}
+	}
+	if bestPreference == preferNone {
+		return nil
+	}
+	if bestPreference == preferCold && !r.admitCold(best, t.service, now) {
+		return nil
+	}
+	return best
+}
+
+func isExcluded(s *server, excluded []*server) bool {
+	for _, e := range excluded {
+		if s == e {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Router) preferenceOf(s *server, now time.Duration) preference {
+	switch {
+	case !s.present || s.Draining || r.view.Out[s.DataCentre]:
+		return preferNone
+	case s.Missing:
+		return preferLapsed
+	case s.ColdUntil > now || r.view.EndedCold[s.DataCentre] > now:
+		return preferCold
+	case s.suspected(now) || s.silentUntil > now || r.fleet.Unreachable[s.DataCentre]:
+		return preferSuspect
+	case s.DataCentre == r.fleet.Self.DataCentre:
+		return preferOwn
+	}
+	return preferOther
+}
+
+const (
+	// coldWindow is the span for which cold admission is counted.
+	coldWindow = time.Second
+	// coldHostsFloor is the least number of hosts that a stated rate is divided by, for hosts that do not see each other.
+	coldHostsFloor = 8
+	// coldSenders is how many hosts of its data centre send to a cold backend server whose rate is too small to divide.
+	coldSenders = 2
+)
+
+// admitCold takes one of the few flows that this host may send to a cold backend server. Hosts do not coordinate: each
+// takes its part of the stated rate, and where that is less than one flow a second only the hosts ranked first send.
+func (r *Router) admitCold(s *server, sv *service, now time.Duration) bool {
+	if now-s.coldWindow >= coldWindow {
+		s.coldWindow, s.coldTaken = now, 0
+	}
+	hosts := max(len(r.fleet.Hosts)+1, coldHostsFloor)
+	allowed := int(sv.coldRate / float64(hosts))
+	if allowed == 0 && r.fleet.ranked(s.ID, s.DataCentre, coldSenders) {
+		allowed = 1
+	}
+	if s.coldTaken >= allowed {
+		return false
+	}
+	s.coldTaken++
+	return true
+}
--- /dev/null
+++ b/internal/affinity/flows.go
@@ -0,0 +1,72 @@
+package affinity
+
+import "time"
+
+const (
+	// openingMemory is how long a copy of an opening packet is recognised; callers give up after 1.4 s.
+	openingMemory = 2 * time.Second
+	// closedMemory is how long a flow that its caller closed is remembered, for packets that are still under way.
+	closedMemory = time.Second
+)
+
+// flow is what the host remembers of a flow that passed it.
+type flow struct {
+	server   *server
+	earlier  *server // receiver of an earlier opening packet that was not answered
+	opening  uint32  // sequence number of the opening packet
+	next     uint32  // sequence number after the caller's last data
+	ack      uint32  // the caller's last acknowledgement
+	open     bool    // the caller has answered the backend server
+	closed   bool
+	struckIn uint32 // the server's evidence that this flow has counted in, plus 1
+	lastAt   time.Duration
+	openedAt time.Duration
+}
+
+// flowTable remembers flows up to a bound; beyond it new ones are forwarded without being remembered.
+type flowTable struct {
+	flows map[FlowKey]*flow
+	limit int
+	idle  time.Duration // after which a flow is forgotten
+}
+
+func (t *flowTable) add(key FlowKey, f *flow) {
+	if len(t.flows) >= t.limit {
+		return
+	}
+	f.server.flows++
+	t.flows[key] = f
+}
+
+func (t *flowTable) remove(key FlowKey, f *flow) {
+	f.server.flows--
+	delete(t.flows, key)
+}
+
+// move assigns a remembered flow to another backend server.
+func (f *flow) move(to *server) {
+	f.server.flows--
+	to.flows++
+	f.server = to
+}
+
+func (t *flowTable) sweep(now time.Duration) {
+	for key, f := range t.flows {
+		if now-f.lastAt > t.lifetime(f) {
+			t.remove(key, f)
+		}
+	}
+}
+
+func (t *flowTable) lifetime(f *flow) time.Duration {
+	switch {
+	case f.closed:
+		return closedMemory
+	case !f.open:
+		return openingMemory
+	}
+	return t.idle
+}
+
+// newer reports whether sequence number a comes after b.
+func newer(a, b uint32) bool { return int32(a-b) > 0 }
--- /dev/null
+++ b/internal/affinity/router.go
@@ -0,0 +1,433 @@
+package affinity
+
+import (
+	"hash/maphash"
+	"net/netip"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/registry"
+)
+
+const (
+	// routeRetention is how long a removed route or target is remembered, for flows that were opened before.
+	routeRetention = time.Minute
+	// unknownTokenPatience is how long a token that no view names may be that of a backend server just registered.
+	unknownTokenPatience = 2500 * time.Millisecond
+	// maxUnknownTokens bounds what forged tokens can make a host remember.
+	maxUnknownTokens = 1024
+	// pauseLimit is a gap between two steps after which the host's own pause, and not a backend server, explains
+	// missing answers.
+	pauseLimit = 300 * time.Millisecond
+)
+
+// Config holds the limits of a Router.
+type Config struct {
+	MaxFlows    int           // flows remembered
+	IdleTimeout time.Duration // after which a flow is forgotten when the configuration states none
+}
+
+// target is a service that a route sends to.
+type target struct {
+	service *service
+	weight  uint32
+}
+
+// service lists the backend servers of a service.
+type service struct {
+	name     string
+	coldRate float64
+	servers  []*server
+}
+
+// route is a route with its services resolved.
+type route struct {
+	targets     []target
+	totalWeight uint64
+	allowed     map[string]time.Duration // services that the route led to, and when it last did
+	present     bool
+	seen        time.Duration
+}
+
+// Router decides about callers' packets. It does no I/O and is used by one goroutine.
+type Router struct {
+	config   Config
+	fleet    Fleet
+	view     *registry.View
+	viewAt   time.Duration
+	routes   map[netip.AddrPort]*route
+	services map[string]*service
+	servers  map[string]*server
+	byToken  map[uint32]*server
+	unknown  map[uint32]time.Duration // tokens that no view named, and when they were first seen
+	table    flowTable
+	seed     maphash.Seed
+	turn     uint32
+	stepAt   time.Duration
+	orders   []ResetOrder
+}
+
+// NewRouter returns a Router that rejects all flows until it gets a view.
+func NewRouter(c Config, self Host) *Router {
+	return &Router{
+		config:  c,
+		fleet:   Fleet{Self: self},
+		view:    &registry.View{},
+		routes:  map[netip.AddrPort]*route{},
+		servers: map[string]*server{},
+		byToken: map[uint32]*server{},
+		unknown: map[uint32]time.Duration{},
+		table:   flowTable{flows: map[FlowKey]*flow{}, limit: c.MaxFlows, idle: c.IdleTimeout},
+		seed:    maphash.MakeSeed(),
+	}
+}
+
+// SetFleet tells what is known of the other hosts.
+func (r *Router) SetFleet(f Fleet) { r.fleet = f }
+
+// SetView puts a new picture of the registry in force.
+func (r *Router) SetView(v *registry.View, now time.Duration) {
+	r.view, r.viewAt = v, now
+	r.setServers(v, now)
+	if v.Config != nil {
+		r.setConfig(v.Config, now)
+	}
+	for token := range r.unknown {
+		if r.byToken[token] != nil {
+			delete(r.unknown, token)
+		}
+	}
+}
+
+func (r *Router) setServers(v *registry.View, now time.Duration) {
+	for _, s := range r.servers {
+		if s.present {
+			s.present, s.goneAt, s.drained = false, now, s.Draining
+		}
+	}
+	byAddr := make(map[netip.AddrPort]*server, len(v.Servers))
+	clear(r.byToken)
+	known := serviceNames(v.Config)
+	for i := range v.Servers {
+		if !known[v.Servers[i].Service] {
+			continue
+		}
+		s := r.update(&v.Servers[i])
+		if holder := byAddr[s.Addr]; holder != nil {
+			s = supersede(holder, s, now)
+		}
+		byAddr[s.Addr] = s
+	}
+	for id, s := range r.servers {
+		if !s.present && now-s.goneAt > goneRetention {
+			delete(r.servers, id)
+			continue
+		}
+		r.index(s)
+	}
+}
+
+// serviceNames returns the services of a configuration. An entry for any other service names nothing to send to.
+func serviceNames(c *registry.Config) map[string]bool {
+	names := map[string]bool{}
+	if c == nil {
+		return names
+	}
+	for _, s := range c.Services {
+		names[s.Name] = true
+	}
+	return names
+}
+
+// update takes the entry of a backend server into the server that this host remembers.
+func (r *Router) update(entry *registry.Server) *server {
+	s := r.servers[entry.ID]
+	if s == nil {
+		s = &server{token: entry.Token()}
+		r.servers[entry.ID] = s
+	}
+	restarted := s.StartedMs != 0 && entry.StartedMs > s.StartedMs
+	s.Server = *entry
+	s.present, s.goneAt, s.drained = true, 0, false
+	if restarted {
+		s.answered(0)
+	}
+	return s
+}
+
+// supersede settles which of two backend servers has an address: the one that started later. The other one has ended.
+// It returns the one that stays.
+func supersede(a, b *server, now time.Duration) *server {
+	loser, winner := a, b
+	if a.StartedMs > b.StartedMs || a.StartedMs == b.StartedMs && a.Created > b.Created {
+		loser, winner = b, a
+	}
+	loser.present, loser.goneAt, loser.drained = false, now, true
+	return winner
+}
+
+// index makes a server reachable by its token. Of two with the same token, the one registered first keeps it, since
+// flows may hold it already; the other one gets no new flows while both are there.
+func (r *Router) index(s *server) {
+	other := r.byToken[s.token]
+	if other == nil || rank(s) < rank(other) {
+		r.byToken[s.token] = s
+	}
+}
+
+// rank orders servers that share a token: present ones first, then the one registered first.
+func rank(s *server) uint64 {
+	if s.present {
+		return s.Created
+	}
+	return s.Created | 1<<63
+}
+
+func (r *Router) setConfig(c *registry.Config, now time.Duration) {
+	if c.IdleTimeout > 0 {
+		r.table.idle = c.IdleTimeout
+	}
+	r.services = make(map[string]*service, len(c.Services))
+	for _, s := range c.Services {
+		r.services[s.Name] = &service{name: s.Name, coldRate: s.ColdRate}
+	}
+	for _, s := range r.servers {
+		if sv := r.services[s.Service]; sv != nil && r.byToken[s.token] == s {
+			sv.servers = append(sv.servers, s)
+		}
+	}
+	for _, rt := range r.routes {
+		rt.present = false
+	}
+	for i := range c.Routes {
+		r.setRoute(&c.Routes[i], now)
+	}
+	for addr, rt := range r.routes {
+		if !rt.present && now-rt.seen > routeRetention {
+			delete(r.routes, addr)
+		}
+	}
+}
+
+func (r *Router) setRoute(published *registry.Route, now time.Duration) {
+	rt := r.routes[published.Addr]
+	if rt == nil {
+		rt = &route{allowed: map[string]time.Duration{}}
+		r.routes[published.Addr] = rt
+	}
+	rt.present, rt.seen = true, now
+	rt.targets, rt.totalWeight = rt.targets[:0], 0
+	for _, t := range published.Targets {
+		sv := r.services[t.Service]
+		if sv == nil || t.Weight == 0 {
+			continue
+		}
+		rt.targets = append(rt.targets, target{service: sv, weight: t.Weight})
+		rt.totalWeight += uint64(t.Weight)
+		rt.allowed[t.Service] = now
+	}
+}
+
+// Decide returns what to do with a packet of a caller.
+func (r *Router) Decide(p *Packet, now time.Duration) Verdict {
+	r.step(now)
+	rt := r.routes[p.Service]
+	if rt == nil || !rt.present {
+		return decideWithoutRoute(p, rt)
+	}
+	if p.Opening {
+		return r.open(p, rt, now)
+	}
+	return r.carry(p, rt, now)
+}
+
+// decideWithoutRoute rejects new flows, and the flows of a route that was removed. A later packet for an address that
+// this host has never known may belong to a route newer than its configuration, whose flow must not be reset.
+func decideWithoutRoute(p *Packet, removed *route) Verdict {
+	switch {
+	case p.Reset:
+		return Verdict{Action: Drop, Reason: CallerReset}
+	case removed != nil:
+		return Verdict{Action: Reject, Reason: RemovedRoute}
+	case p.Opening:
+		return Verdict{Action: Reject, Reason: UnknownRoute}
+	}
+	return Verdict{Action: Drop, Reason: UnknownRoute}
+}
+
+// step clears evidence that a pause of this host makes worthless.
+func (r *Router) step(now time.Duration) {
+	if r.stepAt != 0 && now-r.stepAt > pauseLimit {
+		for _, s := range r.servers {
+			s.clearEvidence()
+		}
+	}
+	r.stepAt = now
+}
+
+// open chooses a backend server for an opening packet. A copy means that the earlier choice has not answered.
+func (r *Router) open(p *Packet, rt *route, now time.Duration) Verdict {
+	key := p.Key()
+	f := r.table.flows[key]
+	if f != nil && f.opening == p.Seq && !f.open && now-f.openedAt < openingMemory {
+		return r.reopen(p, f, rt, now)
+	}
+	if f != nil {
+		r.table.remove(key, f)
+	}
+	s := r.choose(rt, key, now)
+	if s == nil {
+		return Verdict{Action: Reject, Reason: NoBackendServer}
+	}
+	s.opened(now)
+	r.table.add(key, &flow{server: s, opening: p.Seq, next: p.Seq + 1, openedAt: now, lastAt: now})
+	reason := NewFlow
+	if p.Copy > 0 {
+		reason = OpeningCopy
+	}
+	return forward(s, reason)
+}
+
+func (r *Router) reopen(p *Packet, f *flow, rt *route, now time.Duration) Verdict {
+	f.lastAt = now
+	if f.server.lastSign < f.openedAt {
+		f.server.suspect(now)
+		if f.server.strike(f, now) {
+			r.orderResets(f.server, BackendServerSilent)
+		}
+	}
+	s := r.choose(rt, p.Key(), now, f.server, f.earlier)
+	if s == nil {
+		return forward(f.server, OpeningCopy)
+	}
+	s.opened(now)
+	f.earlier = f.server
+	f.move(s)
+	return forward(s, OpeningCopy)
+}
+
+// carry sends a later packet where its token says.
+func (r *Router) carry(p *Packet, rt *route, now time.Duration) Verdict {
+	key := p.Key()
+	f := r.table.flows[key]
+	s, verdict := r.locate(p, f, now)
+	if s == nil {
+		return verdict
+	}
+	if _, ok := rt.allowed[s.Service]; !ok {
+		return Verdict{Action: Drop, Reason: ServiceNotAllowed}
+	}
+	if s.ended(now) {
+		return r.giveUp(key, f, s, BackendServerGone)
+	}
+	f = r.remember(key, f, s, p, now)
+	lost := r.observe(f, p, now)
+	if lost {
+		r.orderResets(s, BackendServerSilent)
+	}
+	if s.silentUntil > now {
+		return r.giveUp(key, f, s, BackendServerSilent)
+	}
+	if p.Closing || p.Reset {
+		f.closed = true
+	}
+	return forward(s, KnownFlow)
+}
+
+// giveUp ends a flow whose backend server is lost.
+func (r *Router) giveUp(key FlowKey, f *flow, s *server, reason Reason) Verdict {
+	if f != nil && r.table.flows[key] == f {
+		r.table.remove(key, f)
+	}
+	return Verdict{Action: Reject, Reason: reason, ServerID: s.ID}
+}
+
+// locate returns the backend server of a later packet, or the verdict when there is none.
+func (r *Router) locate(p *Packet, f *flow, now time.Duration) (*server, Verdict) {
+	if p.Token == 0 {
+		if f != nil {
+			return f.server, Verdict{}
+		}
+		return nil, Verdict{Action: Drop, Reason: NoToken}
+	}
+	if s := r.byToken[p.Token]; s != nil {
+		return s, Verdict{}
+	}
+	first, seen := r.unknown[p.Token]
+	switch {
+	case !seen && len(r.unknown) < maxUnknownTokens:
+		r.unknown[p.Token] = now
+	case seen && now-first >= unknownTokenPatience:
+		return nil, Verdict{Action: Reject, Reason: TokenNeverListed}
+	}
+	return nil, Verdict{Action: Drop, Reason: UnknownToken}
+}
+
+// remember returns the entry of a flow, which it makes or corrects by the token.
+func (r *Router) remember(key FlowKey, f *flow, s *server, p *Packet, now time.Duration) *flow {
+	if f == nil {
+		f = &flow{server: s, next: p.Seq, ack: p.Ack, open: true, openedAt: now}
+		r.table.add(key, f)
+	}
+	if f.server != s {
+		f.move(s)
+	}
+	f.lastAt = now
+	return f
+}
+
+// observe takes what a packet proves about the flow's backend server: an acknowledgement that moved proves an answer, and
+// data sent twice a missing one. It reports whether the backend server has just been found silent.
+func (r *Router) observe(f *flow, p *Packet, now time.Duration) bool {
+	s := f.server
+	if !f.open || newer(p.Ack, f.ack) {
+		f.open, f.ack = true, p.Ack
+		s.answered(now)
+	}
+	if p.Length == 0 {
+		return false
+	}
+	end := p.Seq + uint32(p.Length)
+	if newer(end, f.next) {
+		f.next = end
+		s.asked(now)
+		return false
+	}
+	return s.strike(f, now)
+}
+
+// orderResets asks for the reset of all remembered flows of a lost backend server.
+func (r *Router) orderResets(s *server, reason Reason) {
+	for key, f := range r.table.flows {
+		if f.server != s || f.closed || !f.open {
+			continue
+		}
+		r.orders = append(r.orders, ResetOrder{Key: key, Seq: f.ack, Reason: reason})
+		r.table.remove(key, f)
+	}
+}
+
+// TakeOrders returns the resets that are due, and forgets them. The slice is valid until the next call of the Router.
+func (r *Router) TakeOrders() []ResetOrder {
+	orders := r.orders
+	r.orders = r.orders[:0]
+	return orders
+}
+
+// Sweep forgets what has expired and ends the flows of backend servers that went.
+func (r *Router) Sweep(now time.Duration) {
+	r.table.sweep(now)
+	for _, s := range r.servers {
+		if s.flows > 0 && s.ended(now) {
+			r.orderResets(s, BackendServerGone)
+		}
+	}
+	for token, first := range r.unknown {
+		if now-first > goneRetention {
+			delete(r.unknown, token)
+		}
+	}
+}
+
+func forward(s *server, reason Reason) Verdict {
+	return Verdict{Action: Forward, Reason: reason, Token: s.token, Identity: s.Identity, Addr: s.Addr, ServerID: s.ID}
+}
--- /dev/null
+++ b/internal/affinity/server.go
@@ -0,0 +1,125 @@
+package affinity
+
+import (
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/registry"
+)
+
+const (
+	// suspicionPeriod is how long a backend server that left an opening packet unanswered gets no new flows.
+	suspicionPeriod = 1500 * time.Millisecond
+	// trialWait is how long a suspect may take to answer the one new flow that it is tried with.
+	trialWait = 300 * time.Millisecond
+	// maxSuspicion bounds the suspicion after repeated failures.
+	maxSuspicion = 4 * time.Second
+	// silenceManyFlows is the silence after which several unanswered flows prove that a backend server is lost.
+	silenceManyFlows = 400 * time.Millisecond
+	// silenceOneFlow is the same when a single flow repeats itself.
+	silenceOneFlow = 700 * time.Millisecond
+	// silentPeriod is how long the verdict holds without new evidence.
+	silentPeriod = 3 * time.Second
+	// goneSettled is how long the entry of a backend server that was not draining must be away before its flows are
+	// reset, since an entry may lapse and return.
+	goneSettled = 2500 * time.Millisecond
+	// goneRetention is how long a backend server that went is remembered, so that its flows can be told.
+	goneRetention = time.Minute
+)
+
+// server is what the host knows and has observed of a backend server. It outlives views.
+type server struct {
+	registry.Server
+	token   uint32
+	present bool
+	goneAt  time.Duration // when it left the view
+	drained bool          // it was draining when it left
+	flows   int           // open flows that this host remembers
+
+	lastSign       time.Duration // last packet of a caller that proves an answer
+	unansweredFrom time.Duration // first packet since lastSign that awaits an answer; 0 when none does
+	strikes        int           // repeated packets since lastSign
+	struckFlows    int           // flows among them
+	suspectUntil   time.Duration
+	suspicion      time.Duration // length of the present suspicion
+	onTrial        bool          // the next unanswered opening packet renews the suspicion
+	silentUntil    time.Duration // while set, its flows are reset
+	evidence       uint32        // rises whenever the evidence is cleared, so that flows count once
+
+	coldWindow time.Duration // start of the present window of cold admission
+	coldTaken  int
+}
+
+// answered clears all evidence against the server.
+func (s *server) answered(now time.Duration) {
+	s.lastSign = now
+	s.clearEvidence()
+	s.suspectUntil, s.suspicion, s.onTrial, s.silentUntil = 0, 0, false, 0
+}
+
+func (s *server) clearEvidence() {
+	s.unansweredFrom, s.strikes, s.struckFlows = 0, 0, 0
+	s.evidence++
+}
+
+// asked notes a packet that the server must answer.
+func (s *server) asked(now time.Duration) {
+	if s.unansweredFrom == 0 {
+		s.unansweredFrom = now
+	}
+}
+
+// strike notes that a caller repeated a packet. It reports whether the server has just been found silent.
+func (s *server) strike(f *flow, now time.Duration) bool {
+	s.strikes++
+	if f.struckIn != s.evidence+1 {
+		f.struckIn = s.evidence + 1
+		s.struckFlows++
+	}
+	if s.silentUntil > now {
+		s.silentUntil = now + silentPeriod
+		return false
+	}
+	if !s.lost(now) {
+		return false
+	}
+	s.silentUntil = now + silentPeriod
+	return true
+}
+
+func (s *server) lost(now time.Duration) bool {
+	if s.unansweredFrom == 0 {
+		return false
+	}
+	silence := now - s.unansweredFrom
+	if s.struckFlows >= 2 && silence >= silenceManyFlows {
+		return true
+	}
+	return s.strikes >= 2 && silence >= silenceOneFlow
+}
+
+// suspect keeps new flows away for a while, longer each time that a trial fails.
+func (s *server) suspect(now time.Duration) {
+	if s.suspectUntil > now && !s.onTrial {
+		return
+	}
+	s.suspicion = min(max(2*s.suspicion, suspicionPeriod), maxSuspicion)
+	s.suspectUntil = now + s.suspicion
+	s.onTrial = false
+}
+
+// suspected reports whether new flows go elsewhere.
+func (s *server) suspected(now time.Duration) bool { return s.suspectUntil > now }
+
+// opened notes a new flow. A server whose suspicion has ended is tried with one flow first.
+func (s *server) opened(now time.Duration) {
+	s.asked(now)
+	if s.suspectUntil != 0 {
+		s.onTrial = true
+		s.suspectUntil = now + trialWait
+	}
+}
+
+// ended reports whether the flows of a server that left the view can be reset.
+func (s *server) ended(now time.Duration) bool {
+	return !s.present && (s.drained || now-s.goneAt >= goneSettled)
+}
--- /dev/null
+++ b/internal/entry/control.go
@@ -0,0 +1,273 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/affinity"
+	"github.com/nutmeglatch/nutmeglatch/internal/follower"
+	"github.com/nutmeglatch/nutmeglatch/internal/gossip"
+	"github.com/nutmeglatch/nutmeglatch/internal/registry"
+)
+
+const (
+	// tick is the pause between looks at what is due by time.
+	tick = 50 * time.Millisecond
+	// eventQueue bounds the events that wait for the control goroutine.
+	eventQueue = 256
+	// fetchPause is the least time between two fetches from other hosts.
+	fetchPause = 200 * time.Millisecond
+	// fleetInterval is the pause between reports of the other hosts to the traffic goroutine.
+	fleetInterval = 300 * time.Millisecond
+)
+
+// Events of the control goroutine.
+type (
+	heard   struct{ message *gossip.Message }
+	callEnd struct {
+		call    follower.Call
+		reading follower.Reading
+		outcome follower.Outcome
+		err     error
+	}
+	fetchEnd struct {
+		from netip.AddrPort
+		copy *gossip.Copy
+		err  error
+	}
+	queryEvent struct {
+		query gossip.Query
+		reply chan *gossip.Copy
+	}
+	statusEvent struct{ reply chan Status }
+)
+
+// control owns the registry, the schedule of store calls and the members.
+type control struct {
+	host     *Host
+	conn     *net.UDPConn
+	logger   log.Logger
+	events   chan any
+	state    *registry.State
+	follower *follower.Follower
+	members  *gossip.Members
+
+	leaving    atomic.Bool
+	fetching   bool
+	fetchAfter time.Duration
+	gossipAt   time.Duration
+	fleetAt    time.Duration
+	sweepAt    time.Duration
+	storeDown  bool
+	wasReader  bool
+	version    uint64 // of the configuration in force
+}
+
+func newControl(h *Host, conn *net.UDPConn) *control {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	self := gossip.Host{Addr: h.config.Peer, DataCentre: h.config.DataCentre}
+	return &control{
+		host:     h,
+		conn:     conn,
+		logger:   log.With(h.logger, "part", "control"),
+		events:   make(chan any, eventQueue),
+		state:    registry.NewState(),
+		follower: follower.New(h.config.Limits.Follower, random),
+		members:  gossip.NewMembers(self, h.config.Seeds, random),
+	}
+}
+
+// run takes one event at a time until ctx ends.
+func (c *control) run(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	c.due(ctx)
+	for {
+		select {
+		case e := <-c.events:
+			c.handle(ctx, e)
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+		c.due(ctx)
+	}
+}
+
+func (c *control) handle(ctx context.Context, e any) {
+	switch e := e.(type) {
+	case heard:
+		c.onMessage(ctx, e.message)
+	case callEnd:
+		c.onCallEnd(e)
+	case fetchEnd:
+		c.onFetchEnd(e)
+	case queryEvent:
+		e.reply <- c.copySince(e.query.After)
+	case statusEvent:
+		e.reply <- c.status()
+	}
+}
+
+// due starts what time makes due.
+func (c *control) due(ctx context.Context) {
+	now := c.host.now()
+	c.startCall(ctx, now)
+	if now >= c.gossipAt {
+		c.gossipAt = now + c.host.config.Limits.GossipInterval
+		c.tell(c.members.Receivers(now), 0, nil)
+	}
+	if now >= c.fleetAt {
+		c.fleetAt = now + fleetInterval
+		c.members.Sweep(now)
+		c.publish(plan{fleet: c.fleet(now)})
+		if c.state.Sweep(now) {
+			c.publishView()
+		}
+	}
+}
+
+// startCall calls the store when a call is due.
+func (c *control) startCall(ctx context.Context, now time.Duration) {
+	reader := c.members.Reader(c.host.config.Limits.ReadersPerCentre, now) && !c.leaving.Load()
+	if reader != c.wasReader {
+		c.wasReader = reader
+		level.Info(c.logger).Log("msg", "reader of the store for its data centre", "reader", reader)
+	}
+	call := c.follower.Next(c.state.Revision(), reader, now)
+	if call.Kind == follower.None {
+		return
+	}
+	countCall(call.Kind)
+	go func() {
+		reading, outcome, err := follower.Do(ctx, c.host.source, call)
+		c.post(ctx, callEnd{call: call, reading: reading, outcome: outcome, err: err})
+	}()
+}
+
+// post hands an event to the control goroutine.
+func (c *control) post(ctx context.Context, e any) {
+	select {
+	case c.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+func (c *control) onCallEnd(e callEnd) {
+	now := c.host.now()
+	c.follower.Ended(e.call.Kind, e.outcome, now)
+	countOutcome(e.outcome)
+	if e.outcome != follower.Done {
+		c.onCallFailed(e, now)
+		return
+	}
+	if c.storeDown {
+		c.storeDown = false
+		level.Info(c.logger).Log("msg", "the store answers again", "revision", e.reading.Revision)
+	}
+	before := c.state.Revision()
+	var changed []registry.Update
+	if e.call.Kind == follower.ReadAll {
+		changed = c.state.Replace(e.reading.Updates, e.reading.Revision, now)
+	} else {
+		changed, _ = c.state.Apply(e.reading.Updates, e.call.After, e.reading.Revision, now)
+	}
+	c.adopt(changed, before, "store")
+}
+
+func (c *control) onCallFailed(e callEnd, now time.Duration) {
+	if e.outcome != follower.HistoryLost {
+		c.state.Disturb(now)
+	}
+	if !c.storeDown || e.outcome == follower.HistoryLost {
+		c.storeDown = e.outcome != follower.HistoryLost
+		level.Warn(c.logger).Log("msg", "call to the store failed", "outcome", e.outcome, "err", e.err,
+			"revision", c.state.Revision())
+	}
+}
+
+// adopt puts changes in force and passes them on.
+func (c *control) adopt(changed []registry.Update, before uint64, from string) {
+	for i := range changed {
+		c.logChange(&changed[i], from)
+	}
+	if len(changed) > 0 || !c.host.ready.Load() && c.state.Loaded() {
+		c.publishView()
+	}
+	if len(changed) > 0 && before != 0 {
+		c.tell(c.members.Receivers(c.host.now()), before, changed)
+	}
+	if c.state.Loaded() && !c.leaving.Load() && !c.host.ready.Swap(true) {
+		level.Info(c.logger).Log("msg", "ready", "revision", c.state.Revision(), "from", from,
+			"ms_since_start", c.host.now().Milliseconds())
+	}
+}
+
+func (c *control) logChange(u *registry.Update, from string) {
+	switch {
+	case u.Server != nil:
+		s := u.Server
+		level.Info(c.logger).Log("msg", "backend server", "server", s.ID, "service", s.Service, "addr", s.Addr,
+			"data_centre", s.DataCentre, "draining", s.Draining, "cold_for", s.ColdFor, "revision", u.Revision, "from", from)
+	case u.Config != nil:
+		level.Info(c.logger).Log("msg", "configuration", "version", u.Config.Version, "routes", len(u.Config.Routes),
+			"revision", u.Revision, "from", from)
+	case u.OutDataCentre != "":
+		level.Info(c.logger).Log("msg", "data centre taken out", "data_centre", u.OutDataCentre, "revision", u.Revision, "from", from)
+	default:
+		level.Info(c.logger).Log("msg", "item removed", "key", u.Key, "revision", u.Revision, "from", from,
+			"store_disturbed", c.state.Disturbed(c.host.now()))
+	}
+}
+
+func (c *control) publishView() {
+	v := c.state.View()
+	if v.Config == nil {
+		return
+	}
+	if v.Config.Version != c.version {
+		c.version = v.Config.Version
+		configVersion.Set(float64(c.version))
+	}
+	c.publish(plan{view: v})
+}
+
+// publish replaces the plan that waits for the traffic goroutine.
+func (c *control) publish(p plan) {
+	select {
+	case old := <-c.host.plans:
+		if p.view == nil {
+			p.view = old.view
+		}
+		if p.fleet == nil {
+			p.fleet = old.fleet
+		}
+	default:
+	}
+	if p.view == nil && !c.host.ready.Load() {
+		return
+	}
+	c.host.plans <- p
+	c.host.plan.Store(true)
+}
+
+func (c *control) fleet(now time.Duration) *affinity.Fleet {
+	f := &affinity.Fleet{
+		Self:        affinity.Host{Addr: c.host.config.Peer, DataCentre: c.host.config.DataCentre},
+		Unreachable: c.members.Unreachable(now),
+	}
+	for _, h := range c.members.All() {
+		f.Hosts = append(f.Hosts, affinity.Host(h))
+	}
+	return f
+}
+
+// leave tells the other hosts that this one stops.
+func (c *control) leave() { c.leaving.Store(true) }
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/affinity"
+	"github.com/nutmeglatch/nutmeglatch/internal/follower"
+)
+
+var (
+	packetsMalformed = metrics.NewCounter(`nutmeglatch_entry_dropped_total{port="packets",reason="malformed"}`)
+	peerMalformed    = metrics.NewCounter(`nutmeglatch_entry_dropped_total{port="peer",reason="malformed"}`)
+	packetErrors     = metrics.NewCounter(`nutmeglatch_entry_socket_errors_total{port="packets"}`)
+	peerErrors       = metrics.NewCounter(`nutmeglatch_entry_socket_errors_total{port="peer"}`)
+	eventsDropped    = metrics.NewCounter(`nutmeglatch_entry_events_dropped_total`)
+	linesSuppressed  = metrics.NewCounter(`nutmeglatch_entry_log_lines_total{outcome="over_budget"}`)
+	linesLost        = metrics.NewCounter(`nutmeglatch_entry_log_lines_total{outcome="queue_full"}`)
+	fetchFailures    = metrics.NewCounter(`nutmeglatch_entry_fetch_failures_total`)
+	configVersion    = metrics.NewGauge(`nutmeglatch_entry_config_version`, nil)
+
+	verdicts [3][affinity.ReasonCount]*metrics.Counter
+	orders   [affinity.ReasonCount]*metrics.Counter
+)
+
+func init() {
+	for a, action := range []string{"drop", "forward", "reject"} {
+		for reason := range affinity.ReasonCount {
+			name := fmt.Sprintf(`nutmeglatch_affinity_packets_total{action=%q,reason=%q}`, action, reason)
+			verdicts[a][reason] = metrics.NewCounter(name)
+		}
+	}
+	for reason := range affinity.ReasonCount {
+		orders[reason] = metrics.NewCounter(fmt.Sprintf(`nutmeglatch_affinity_resets_ordered_total{reason=%q}`, reason))
+	}
+}
+
+func countVerdict(v affinity.Verdict) { verdicts[v.Action][v.Reason].Inc() }
+
+func countOrder(o affinity.ResetOrder) { orders[o.Reason].Inc() }
+
+func countCall(kind follower.Kind) {
+	name := "watch"
+	if kind == follower.ReadAll {
+		name = "read_all"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`nutmeglatch_follower_calls_total{kind=%q}`, name)).Inc()
+}
+
+func countOutcome(o follower.Outcome) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`nutmeglatch_follower_outcomes_total{outcome=%q}`, o)).Inc()
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/gossip"
+	"github.com/nutmeglatch/nutmeglatch/internal/registry"
+)
+
+// neverConfirmed is the age of a copy that the store has never confirmed.
+const neverConfirmed = -1
+
+// tell sends the state of this host, with changes after a revision if there are any.
+func (c *control) tell(receivers []netip.AddrPort, after uint64, changes []registry.Update) {
+	if len(receivers) == 0 {
+		return
+	}
+	m := &gossip.Message{
+		From:     gossip.Host{Addr: c.host.config.Peer, DataCentre: c.host.config.DataCentre},
+		Revision: c.state.Revision(),
+		AgeMs:    c.ageMs(),
+		Leaving:  c.leaving.Load(),
+		Hosts:    c.members.Sample(),
+		After:    after,
+		Changes:  changes,
+	}
+	b, err := gossip.Encode(m)
+	if err != nil {
+		level.Error(c.logger).Log("msg", "message not encoded", "err", err)
+		return
+	}
+	for _, to := range receivers {
+		if _, err := c.conn.WriteToUDPAddrPort(b, to); err != nil {
+			peerErrors.Inc()
+			level.Debug(c.logger).Log("msg", "message not sent", "to", to, "err", err)
+		}
+	}
+}
+
+func (c *control) ageMs() int64 {
+	age, ok := c.follower.Age(c.host.now())
+	if !ok {
+		return neverConfirmed
+	}
+	return age.Milliseconds()
+}
+
+// receive reads the datagrams of other hosts.
+func (c *control) receive(ctx context.Context) error {
+	buffer := make([]byte, gossip.MaxDatagram+1)
+	for {
+		n, from, err := c.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			peerErrors.Inc()
+			level.Debug(c.logger).Log("msg", "peer socket", "err", err)
+			continue
+		}
+		m, err := gossip.Decode(buffer[:n])
+		if err != nil || m.From.Addr != netip.AddrPortFrom(from.Addr().Unmap(), from.Port()) {
+			peerMalformed.Inc()
+			level.Debug(c.logger).Log("msg", "message dropped", "from", from, "err", err)
+			continue
+		}
+		select {
+		case c.events <- heard{message: m}:
+		default:
+			eventsDropped.Inc()
+		}
+	}
+}
+
+// onMessage takes what another host tells.
+func (c *control) onMessage(ctx context.Context, m *gossip.Message) {
+	now := c.host.now()
+	if c.members.Hear(m, now) {
+		level.Info(c.logger).Log("msg", "host heard", "host", m.From.Addr, "data_centre", m.From.DataCentre)
+		c.tell([]netip.AddrPort{m.From.Addr}, 0, nil)
+	}
+	if len(m.Changes) > 0 && m.Revision > c.state.Revision() {
+		before := c.state.Revision()
+		if changed, ok := c.state.Apply(m.Changes, m.After, m.Revision, now); ok {
+			c.adopt(changed, before, m.From.Addr.String())
+		}
+	}
+	if m.Revision > c.state.Revision() {
+		c.fetch(ctx, m.From.Addr, now)
+		return
+	}
+	if m.Confirmed() && m.Revision == c.state.Revision() {
+		c.follower.Confirm(now - time.Duration(m.AgeMs)*time.Millisecond)
+	}
+}
+
+// fetch asks a host that knows more for what is missing here.
+func (c *control) fetch(ctx context.Context, from netip.AddrPort, now time.Duration) {
+	if c.fetching || now < c.fetchAfter {
+		return
+	}
+	c.fetching = true
+	after := c.state.Revision()
+	go func() {
+		answer, err := gossip.Fetch(ctx, from, after)
+		c.post(ctx, fetchEnd{from: from, copy: answer, err: err})
+	}()
+}
+
+func (c *control) onFetchEnd(e fetchEnd) {
+	now := c.host.now()
+	c.fetching, c.fetchAfter = false, now+fetchPause
+	if e.err != nil {
+		fetchFailures.Inc()
+		level.Info(c.logger).Log("msg", "fetch from a host failed", "host", e.from, "err", e.err)
+		return
+	}
+	before := c.state.Revision()
+	if !e.copy.Loaded || e.copy.Revision <= before {
+		return
+	}
+	var changed []registry.Update
+	if e.copy.Full {
+		changed = c.state.Replace(e.copy.Updates, e.copy.Revision, now)
+	} else {
+		var ok bool
+		if changed, ok = c.state.Apply(e.copy.Updates, e.copy.After, e.copy.Revision, now); !ok {
+			return
+		}
+	}
+	c.follower.Copied()
+	if e.copy.AgeMs >= 0 {
+		c.follower.Confirm(now - time.Duration(e.copy.AgeMs)*time.Millisecond)
+	}
+	c.adopt(changed, before, e.from.String())
+}
+
+// answer gives another host what it misses.
+func (c *control) answer(ctx context.Context, q gossip.Query) (*gossip.Copy, error) {
+	reply := make(chan *gossip.Copy, 1)
+	c.post(ctx, queryEvent{query: q, reply: reply})
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (c *control) copySince(after uint64) *gossip.Copy {
+	answer := &gossip.Copy{Loaded: c.state.Complete(), Revision: c.state.Revision(), AgeMs: c.ageMs(), After: after}
+	if answer.Loaded {
+		answer.Updates, answer.Full = c.state.Since(after)
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/entry/traffic.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/affinity"
+	"github.com/nutmeglatch/nutmeglatch/internal/registry"
+)
+
+const (
+	// sweepInterval is the pause between sweeps of the flow table; the traffic goroutine also wakes this often.
+	sweepInterval = 200 * time.Millisecond
+	// packetBuffer is the size asked for the socket's receive buffer, in bytes.
+	packetBuffer = 1 << 20
+)
+
+// plan is what the control goroutine tells the traffic goroutine.
+type plan struct {
+	view  *registry.View // nil: as before
+	fleet *affinity.Fleet
+}
+
+// traffic reads callers' packets and forwards them.
+type traffic struct {
+	host       *Host
+	conn       *net.UDPConn
+	router     *affinity.Router
+	logger     log.Logger
+	lines      lineBudget
+	lastPacket atomic.Int64
+	view       *registry.View
+	sweptAt    time.Duration
+	packet     affinity.Packet
+	out        []byte
+}
+
+func newTraffic(h *Host, conn *net.UDPConn) *traffic {
+	self := affinity.Host{Addr: h.config.Peer, DataCentre: h.config.DataCentre}
+	c := affinity.Config{MaxFlows: h.config.Limits.MaxFlows, IdleTimeout: h.config.Limits.FlowIdle}
+	return &traffic{
+		host:   h,
+		conn:   conn,
+		router: affinity.NewRouter(c, self),
+		logger: log.With(h.logger, "part", "flow"),
+		lines:  lineBudget{perSecond: h.config.Limits.FlowLinesPerS},
+	}
+}
+
+// run waits for the first view, so that packets of a start wait in the socket, then takes one packet at a time.
+func (t *traffic) run(ctx context.Context) error {
+	if err := t.conn.SetReadBuffer(packetBuffer); err != nil {
+		level.Warn(t.logger).Log("msg", "receive buffer keeps its size", "err", err)
+	}
+	select {
+	case p := <-t.host.plans:
+		t.adopt(p)
+	case <-ctx.Done():
+		return nil
+	}
+	headroom := t.host.codec.Headroom()
+	buffer := make([]byte, headroom+t.host.codec.MaxPacket()+1)
+	var deadline time.Duration
+	for {
+		now := t.host.now()
+		t.upkeep(now)
+		if now >= deadline-sweepInterval/2 {
+			deadline = now + sweepInterval
+			if err := t.conn.SetReadDeadline(t.host.started.Add(deadline)); err != nil {
+				return stopError(ctx, errors.Wrap(err, "packet socket"))
+			}
+		}
+		n, from, err := t.conn.ReadFromUDPAddrPort(buffer[headroom:])
+		switch {
+		case err == nil:
+			t.take(buffer[:headroom+n], from)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			deadline = 0
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		default:
+			packetErrors.Inc()
+			t.line(func() { level.Warn(t.logger).Log("msg", "packet socket", "err", err) })
+		}
+	}
+}
+
+// stopError returns the error of a goroutine that ended, or nil when the host is stopping.
+func stopError(ctx context.Context, err error) error {
+	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// upkeep takes the newest plan and does what is due by time.
+func (t *traffic) upkeep(now time.Duration) {
+	if t.host.plan.Swap(false) {
+		select {
+		case p := <-t.host.plans:
+			t.adopt(p)
+		default:
+		}
+	}
+	if now-t.sweptAt >= sweepInterval {
+		t.sweptAt = now
+		t.router.Sweep(now)
+		t.sendOrders(now)
+	}
+}
+
+func (t *traffic) adopt(p plan) {
+	if p.fleet != nil {
+		t.router.SetFleet(*p.fleet)
+	}
+	if p.view != nil {
+		t.view = p.view
+		t.router.SetView(p.view, t.host.now())
+	}
+}
+
+// take decides about one packet, which stands after the headroom of b.
+func (t *traffic) take(b []byte, from netip.AddrPort) {
+	now := t.host.now()
+	t.lastPacket.Store(int64(now))
+	headroom := t.host.codec.Headroom()
+	if err := t.host.codec.Decode(b[headroom:], &t.packet); err != nil {
+		packetsMalformed.Inc()
+		t.line(func() { level.Warn(t.logger).Log("msg", "datagram dropped", "from", from, "err", err) })
+		return
+	}
+	v := t.router.Decide(&t.packet, now)
+	countVerdict(v)
+	switch v.Action {
+	case affinity.Forward:
+		t.host.codec.Address(b, v.Identity, v.Token)
+		t.send(b, v.Addr)
+	case affinity.Reject:
+		t.reset(t.packet.Key(), t.packet.Ack)
+	}
+	if v.Reason != affinity.KnownFlow {
+		t.logVerdict(&v, now)
+	}
+	t.sendOrders(now)
+}
+
+// sendOrders resets the flows of backend servers that were found lost.
+func (t *traffic) sendOrders(now time.Duration) {
+	for _, o := range t.router.TakeOrders() {
+		t.reset(o.Key, o.Seq)
+		countOrder(o)
+		t.line(func() {
+			level.Info(t.logger).Log("msg", "flow reset", "caller", o.Key.Caller, "service_address", o.Key.Service,
+				"reason", o.Reason, "revision", t.view.Revision)
+		})
+	}
+}
+
+// reset sends a reset to a caller, at the port that callers take packets on.
+func (t *traffic) reset(flow affinity.FlowKey, seq uint32) {
+	t.out = t.host.codec.AppendReset(t.out[:0], flow, seq)
+	t.send(t.out, netip.AddrPortFrom(flow.Caller.Addr(), t.host.config.Packets.Port()))
+}
+
+func (t *traffic) send(b []byte, to netip.AddrPort) {
+	if _, err := t.conn.WriteToUDPAddrPort(b, to); err != nil {
+		packetErrors.Inc()
+		t.line(func() { level.Warn(t.logger).Log("msg", "packet not sent", "to", to, "err", err) })
+	}
+}
+
+func (t *traffic) logVerdict(v *affinity.Verdict, now time.Duration) {
+	p := &t.packet
+	t.line(func() {
+		level.Info(t.logger).Log("msg", actionText[v.Action], "caller", p.Caller, "service_address", p.Service,
+			"seq", p.Seq, "copy", p.Copy, "token", p.Token, "reason", v.Reason, "server", v.ServerID,
+			"revision", t.view.Revision)
+	})
+}
+
+var actionText = [...]string{affinity.Drop: "packet dropped", affinity.Forward: "flow forwarded", affinity.Reject: "flow rejected"}
+
+// line writes a log line if the budget of the present second has one left.
+func (t *traffic) line(write func()) {
+	if t.lines.take(t.host.now()) {
+		write()
+		return
+	}
+	linesSuppressed.Inc()
+}
+
+// lineBudget bounds log lines a second.
+type lineBudget struct {
+	perSecond int
+	since     time.Duration
+	taken     int
+}
+
+func (b *lineBudget) take(now time.Duration) bool {
+	if now-b.since >= time.Second {
+		b.since, b.taken = now, 0
+	}
+	b.taken++
+	return b.taken <= b.perSecond
+}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,131 @@
+// Package follower decides when a host reads the published store.
+//
+// A few hosts of each data centre, the readers, keep a watch open and pass on what they learn. The other hosts read the
+// store themselves only when nobody has confirmed their copy for a while. The package does no I/O.
+package follower
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Kind is a kind of call to the store.
+type Kind uint8
+
+// Kinds of call.
+const (
+	None    Kind = iota
+	ReadAll      // the whole contents
+	Watch        // the changes after a revision, waiting for the first one
+)
+
+// Call is a call that is due.
+type Call struct {
+	Kind    Kind
+	After   uint64
+	Wait    time.Duration // that the store may wait for a change
+	Timeout time.Duration // after which the call has failed
+}
+
+// Outcome says how a call ended.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Done        Outcome = iota
+	HistoryLost         // the changes after the revision are no longer kept
+	Refused             // the store was too busy or turned the host away
+	Failed              // no answer, or not a valid one
+)
+
+var outcomeNames = [...]string{"done", "history_lost", "refused", "failed"}
+
+// String returns the name of the outcome in logs and metrics.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Config holds the times of a Follower.
+type Config struct {
+	WatchWait   time.Duration // longest wait of a watch
+	CallTimeout time.Duration // for an answer, beyond the wait
+	StaleAfter  time.Duration // age of the last confirmation at which a host that is no reader reads by itself
+	RetryMin    time.Duration // first pause after a failed call
+	RetryMax    time.Duration // longest pause
+}
+
+// Follower holds what the schedule depends on. It belongs to the control goroutine.
+type Follower struct {
+	config    Config
+	inFlight  bool
+	startedAt time.Duration
+	confirmed time.Duration // when the copy was last known to be the store's contents; negative when never
+	notBefore time.Duration
+	failures  int
+	rereadAll bool
+	random    *rand.Rand
+}
+
+// New returns a Follower that has read nothing.
+func New(c Config, random *rand.Rand) *Follower {
+	return &Follower{config: c, confirmed: -1, rereadAll: true, random: random}
+}
+
+// Next returns the call that is due now, if any, and notes it as started.
+func (f *Follower) Next(revision uint64, reader bool, now time.Duration) Call {
+	if f.inFlight || now < f.notBefore {
+		return Call{}
+	}
+	if !f.rereadAll && !reader && f.Fresh(now) {
+		return Call{}
+	}
+	f.inFlight, f.startedAt = true, now
+	if f.rereadAll {
+		return Call{Kind: ReadAll, Timeout: f.config.CallTimeout}
+	}
+	wait := f.config.WatchWait
+	if !reader || !f.Fresh(now) {
+		wait = 0
+	}
+	return Call{Kind: Watch, After: revision, Wait: wait, Timeout: wait + f.config.CallTimeout}
+}
+
+// Ended takes the outcome of the call in flight. A call that was done confirms the copy as of its start.
+func (f *Follower) Ended(kind Kind, outcome Outcome, now time.Duration) {
+	f.inFlight = false
+	switch outcome {
+	case Done:
+		f.failures = 0
+		f.Confirm(f.startedAt)
+		if kind == ReadAll {
+			f.rereadAll = false
+		}
+		return
+	case HistoryLost:
+		f.rereadAll = true
+		return
+	}
+	f.failures++
+	f.notBefore = now + f.pause()
+}
+
+// pause doubles with each failure, and varies so that hosts do not return together.
+func (f *Follower) pause() time.Duration {
+	pause := f.config.RetryMin << min(f.failures-1, 10)
+	pause = min(pause, f.config.RetryMax)
+	return pause/2 + time.Duration(f.random.Int64N(int64(pause/2)+1))
+}
+
+// Confirm notes that the copy was the store's contents at a time.
+func (f *Follower) Confirm(at time.Duration) { f.confirmed = max(f.confirmed, at) }
+
+// Copied notes that another host has given this one a complete copy, so that changes after it suffice.
+func (f *Follower) Copied() { f.rereadAll = false }
+
+// Age returns how long ago the copy was last confirmed, and false when it never was.
+func (f *Follower) Age(now time.Duration) (time.Duration, bool) {
+	return now - f.confirmed, f.confirmed >= 0
+}
+
+// Fresh reports whether the copy was confirmed within the time that a host may rely on others.
+func (f *Follower) Fresh(now time.Duration) bool {
+	return f.confirmed >= 0 && now-f.confirmed < f.config.StaleAfter
+}
--- /dev/null
+++ b/internal/gossip/members.go
@@ -0,0 +1,180 @@
+package gossip
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// aliveFor is how long after its last message a host counts as alive.
+	aliveFor = 1200 * time.Millisecond
+	// memberRetention is how long a host that is silent is kept and written to.
+	memberRetention = 2 * time.Minute
+	// unreachableAfter is the silence of all hosts of a data centre after which it counts as out of reach.
+	unreachableAfter = 900 * time.Millisecond
+	// smallFleet is the number of hosts up to which each message goes to all of them.
+	smallFleet = 12
+	// fanOut is the number of receivers of a message in a larger fleet; half of them are in the own data centre.
+	fanOut = 6
+	// maxMembers bounds the hosts that are remembered.
+	maxMembers = 1024
+)
+
+// member is another host.
+type member struct {
+	Host
+	heardAt time.Duration // negative: named by others, not heard yet
+	addedAt time.Duration
+	leaving bool
+	reads   bool // its copy is confirmed by the store or by others
+}
+
+// Members is what a host knows of the others. It belongs to the control goroutine.
+type Members struct {
+	self    Host
+	seeds   []netip.AddrPort
+	members map[netip.AddrPort]*member
+	heard   map[string]time.Duration // last message from each data centre
+	random  *rand.Rand
+}
+
+// NewMembers returns the members known at a start: none, beside the addresses of the seeds.
+func NewMembers(self Host, seeds []netip.AddrPort, random *rand.Rand) *Members {
+	return &Members{self: self, seeds: seeds, members: map[netip.AddrPort]*member{}, heard: map[string]time.Duration{}, random: random}
+}
+
+// Hear takes the sender of a message and the hosts that it names. It reports whether the sender is new.
+func (m *Members) Hear(msg *Message, now time.Duration) bool {
+	for _, h := range msg.Hosts {
+		m.add(h, now)
+	}
+	known := m.members[msg.From.Addr]
+	isNew := known == nil || known.heardAt < 0
+	m.add(msg.From, now)
+	if known = m.members[msg.From.Addr]; known == nil {
+		return false
+	}
+	known.heardAt, known.leaving, known.DataCentre = now, msg.Leaving, msg.From.DataCentre
+	m.heard[msg.From.DataCentre] = now
+	return isNew
+}
+
+func (m *Members) add(h Host, now time.Duration) {
+	if h.Addr == m.self.Addr || !h.Addr.IsValid() || m.members[h.Addr] != nil || len(m.members) >= maxMembers {
+		return
+	}
+	m.members[h.Addr] = &member{Host: h, heardAt: -1, addedAt: now}
+}
+
+// Sweep forgets hosts that have been silent for long.
+func (m *Members) Sweep(now time.Duration) {
+	for addr, h := range m.members {
+		if now-max(h.heardAt, h.addedAt) > memberRetention {
+			delete(m.members, addr)
+		}
+	}
+}
+
+// Reader reports whether this host is among the first n live hosts of its data centre, which read the store for it.
+func (m *Members) Reader(n int, now time.Duration) bool {
+	own := readerRank(m.self.Addr)
+	before := 0
+	for _, h := range m.members {
+		if h.DataCentre == m.self.DataCentre && h.alive(now) && readerRank(h.Addr) < own {
+			before++
+		}
+	}
+	return before < n
+}
+
+func readerRank(addr netip.AddrPort) uint64 { return xxhash.Sum64String(addr.String()) }
+
+func (h *member) alive(now time.Duration) bool {
+	return h.heardAt >= 0 && !h.leaving && now-h.heardAt < aliveFor
+}
+
+// Receivers returns where the next message goes: everywhere in a small fleet, to a random part of a large one, and to
+// the seeds while nobody has been heard.
+func (m *Members) Receivers(now time.Duration) []netip.AddrPort {
+	var near, far []netip.AddrPort
+	for addr, h := range m.members {
+		if h.DataCentre == m.self.DataCentre {
+			near = append(near, addr)
+		} else {
+			far = append(far, addr)
+		}
+	}
+	if len(near)+len(far) > smallFleet {
+		near, far = m.sample(near, fanOut/2), m.sample(far, fanOut/2)
+	}
+	receivers := append(near, far...)
+	if m.aliveCount(now) == 0 {
+		receivers = append(receivers, m.unheardSeeds()...)
+	}
+	return receivers
+}
+
+func (m *Members) unheardSeeds() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, s := range m.seeds {
+		if s != m.self.Addr && m.members[s] == nil {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (m *Members) aliveCount(now time.Duration) int {
+	n := 0
+	for _, h := range m.members {
+		if h.alive(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// sample returns n of the addresses at random. It reorders its argument.
+func (m *Members) sample(addrs []netip.AddrPort, n int) []netip.AddrPort {
+	m.random.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	return addrs[:min(n, len(addrs))]
+}
+
+// Sample returns a few hosts to name in a message, those heard last first in a small fleet.
+func (m *Members) Sample() []Host {
+	hosts := m.All()
+	m.random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	slices.SortStableFunc(hosts, func(a, b Host) int { return m.heardOrder(a) - m.heardOrder(b) })
+	return hosts[:min(maxHosts, len(hosts))]
+}
+
+func (m *Members) heardOrder(h Host) int {
+	if m.members[h.Addr].heardAt >= 0 {
+		return 0
+	}
+	return 1
+}
+
+// All returns the known hosts.
+func (m *Members) All() []Host {
+	hosts := make([]Host, 0, len(m.members))
+	for _, h := range m.members {
+		hosts = append(hosts, h.Host)
+	}
+	return hosts
+}
+
+// Unreachable returns the other data centres whose hosts were heard before and are silent now.
+func (m *Members) Unreachable(now time.Duration) map[string]bool {
+	out := map[string]bool{}
+	for dataCentre, at := range m.heard {
+		if dataCentre != m.self.DataCentre && now-at > unreachableAfter {
+			out[dataCentre] = true
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gossip/transfer.go
@@ -0,0 +1,130 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/registry"
+)
+
+const (
+	// methodSince asks for what a host knows beyond a revision.
+	methodSince = "registry.since"
+	// transferTimeout bounds a whole transfer, connection included.
+	transferTimeout = 2 * time.Second
+	// maxTransfer bounds what is read from a connection, in bytes.
+	maxTransfer = 32 << 20
+	// maxTransfers bounds the transfers that a host serves at once.
+	maxTransfers = 8
+)
+
+// Query asks for the updates after a revision.
+type Query struct {
+	After uint64 `json:"after"`
+}
+
+// Copy is what a host knows beyond a revision.
+type Copy struct {
+	After    uint64            `json:"after"`
+	Revision uint64            `json:"rev"`
+	AgeMs    int64             `json:"age"`  // since the sender's copy was confirmed
+	Full     bool              `json:"full"` // everything, in place of the updates after a revision
+	Updates  []registry.Update `json:"updates"`
+	Loaded   bool              `json:"loaded"` // false: the sender has nothing to give
+}
+
+// Fetch asks a host for what it knows beyond a revision.
+func Fetch(ctx context.Context, host netip.AddrPort, after uint64) (*Copy, error) {
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", host.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to host %s", host)
+	}
+	rpc := open(ctx, conn, jsonrpc2.HandlerWithError(refuse))
+	defer rpc.Close()
+	var c Copy
+	if err := rpc.Call(ctx, methodSince, Query{After: after}, &c); err != nil {
+		return nil, errors.Wrapf(err, "fetch from host %s", host)
+	}
+	for i := range c.Updates {
+		if err := check(&c.Updates[i]); err != nil {
+			return nil, errors.Wrapf(err, "copy of host %s", host)
+		}
+	}
+	return &c, nil
+}
+
+func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end answers no calls"}
+}
+
+// Serve answers fetches of other hosts until the listener closes. answer is called from several goroutines.
+func Serve(ctx context.Context, l net.Listener, answer func(context.Context, Query) (*Copy, error)) error {
+	places := make(chan struct{}, maxTransfers)
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept a host's connection")
+		}
+		select {
+		case places <- struct{}{}:
+			go func() {
+				defer func() { <-places }()
+				serveOne(ctx, conn, answer)
+			}()
+		default:
+			conn.Close()
+		}
+	}
+}
+
+func serveOne(ctx context.Context, conn net.Conn, answer func(context.Context, Query) (*Copy, error)) {
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+		return handle(ctx, r, answer)
+	})
+	rpc := open(ctx, conn, handler)
+	defer rpc.Close()
+	select {
+	case <-rpc.DisconnectNotify():
+	case <-ctx.Done():
+	}
+}
+
+func handle(ctx context.Context, r *jsonrpc2.Request, answer func(context.Context, Query) (*Copy, error)) (any, error) {
+	if r.Method != methodSince || r.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "allowed method: " + methodSince}
+	}
+	var q Query
+	if err := json.Unmarshal(*r.Params, &q); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return answer(ctx, q)
+}
+
+// limitedConn bounds what is read from a connection.
+type limitedConn struct {
+	net.Conn
+	reader io.Reader
+}
+
+func (c *limitedConn) Read(b []byte) (int, error) { return c.reader.Read(b) }
+
+func open(ctx context.Context, conn net.Conn, handler jsonrpc2.Handler) *jsonrpc2.Conn {
+	limited := &limitedConn{Conn: conn, reader: io.LimitReader(conn, maxTransfer)}
+	stream := jsonrpc2.NewBufferedStream(limited, jsonrpc2.VSCodeObjectCodec{})
+	return jsonrpc2.NewConn(ctx, stream, handler)
+}
--- /dev/null
+++ b/internal/registry/state.go
@@ -0,0 +1,213 @@
+package registry
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// tombstoneRetention is how long a removal is remembered; longer than any peer's update may travel.
+	tombstoneRetention = 2 * time.Minute
+	// returnGrace is how long an item that went while the store was disturbed may take to come back.
+	returnGrace = 2500 * time.Millisecond
+	// disturbanceMemory is how long after a failed call the store counts as disturbed.
+	disturbanceMemory = 4 * time.Second
+	// returnColdMargin is added to the cold period of a data centre that was brought back, for the reports that are
+	// still under way.
+	returnColdMargin = 500 * time.Millisecond
+)
+
+// item is the newest known update of a key.
+type item struct {
+	update    Update
+	seen      time.Duration // when this host learned of the update
+	previous  *Server       // for a removed backend server: what it was
+	missingTo time.Duration // until when the removed server may come back; 0 when it is gone
+}
+
+// State is the mutable registry of a host. It belongs to the control goroutine.
+type State struct {
+	items     map[string]*item
+	config    *Config
+	revision  uint64
+	loaded    bool
+	disturbed time.Duration // when the last call to the store failed; negative when none did
+	endedCold map[string]time.Duration
+	sweptAt   time.Duration
+	horizon   uint64 // removals at or below this revision may have been forgotten
+}
+
+// NewState returns an empty registry.
+func NewState() *State {
+	return &State{items: map[string]*item{}, disturbed: -time.Hour, endedCold: map[string]time.Duration{}}
+}
+
+// Loaded reports whether the registry holds a complete reading with a configuration.
+func (s *State) Loaded() bool { return s.loaded && s.config != nil }
+
+// Complete reports whether the registry has taken a full reading, with or without a configuration.
+func (s *State) Complete() bool { return s.loaded }
+
+// Revision returns the revision up to which the registry is complete.
+func (s *State) Revision() uint64 { return s.revision }
+
+// Disturb notes a failed call to the store.
+func (s *State) Disturb(now time.Duration) { s.disturbed = now }
+
+// Disturbed reports whether a call to the store failed a short while ago.
+func (s *State) Disturbed(now time.Duration) bool { return now-s.disturbed < disturbanceMemory }
+
+// Replace takes a full reading at a revision. Items that it does not name have been removed.
+// It returns the updates that changed something.
+func (s *State) Replace(all []Update, revision uint64, now time.Duration) []Update {
+	named := make(map[string]bool, len(all))
+	var changed []Update
+	for _, u := range all {
+		named[u.Key] = true
+		if s.apply(u, now) {
+			changed = append(changed, u)
+		}
+	}
+	for key, it := range s.items {
+		if named[key] || it.update.Removed || it.update.Revision > revision {
+			continue
+		}
+		u := Update{Key: key, Revision: revision, Removed: true}
+		s.apply(u, now)
+		changed = append(changed, u)
+	}
+	if !s.loaded || s.revision < revision {
+		s.revision = revision
+	}
+	if s.horizon == 0 {
+		s.horizon = revision
+	}
+	s.loaded = true
+	return changed
+}
+
+// Apply takes the updates after a revision up to another one. It returns those that changed something, and false when
+// updates between are missing.
+func (s *State) Apply(updates []Update, after, revision uint64, now time.Duration) ([]Update, bool) {
+	if !s.loaded || after > s.revision {
+		return nil, false
+	}
+	var changed []Update
+	for _, u := range updates {
+		if s.apply(u, now) {
+			changed = append(changed, u)
+		}
+	}
+	s.revision = max(s.revision, revision)
+	return changed, true
+}
+
+func (s *State) apply(u Update, now time.Duration) bool {
+	old := s.items[u.Key]
+	if old != nil && old.update.Revision >= u.Revision {
+		return false
+	}
+	next := &item{update: u, seen: now}
+	switch {
+	case u.Config != nil:
+		s.acceptConfig(u.Config)
+	case u.Removed && old != nil && old.update.Server != nil:
+		next.previous = &Server{BackendServer: *old.update.Server, Created: old.update.Created}
+		if !old.update.Server.Draining && s.Disturbed(now) {
+			next.missingTo = now + returnGrace
+		}
+	case u.Removed && old != nil && old.update.OutDataCentre != "":
+		s.endedCold[old.update.OutDataCentre] = now + s.longestColdPeriod() + returnColdMargin
+	}
+	s.items[u.Key] = next
+	return true
+}
+
+// acceptConfig keeps the newest version: a configuration never reverts within the life of a process.
+func (s *State) acceptConfig(c *Config) {
+	if s.config == nil || c.Version > s.config.Version {
+		s.config = c
+	}
+}
+
+func (s *State) longestColdPeriod() time.Duration {
+	var longest time.Duration
+	if s.config == nil {
+		return longest
+	}
+	for _, service := range s.config.Services {
+		longest = max(longest, service.ColdPeriod)
+	}
+	return longest
+}
+
+// Since returns the updates after a revision. When removals after it may have been forgotten, it returns everything and
+// full is true.
+func (s *State) Since(after uint64) (updates []Update, full bool) {
+	full = after < s.horizon
+	for _, it := range s.items {
+		if full && it.update.Removed {
+			continue
+		}
+		if full || it.update.Revision > after {
+			updates = append(updates, it.update)
+		}
+	}
+	slices.SortFunc(updates, func(a, b Update) int { return compareRevision(a.Revision, b.Revision) })
+	return updates, full
+}
+
+func compareRevision(a, b uint64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Sweep forgets old removals. It reports whether a view taken now differs from an earlier one because a missing item's
+// grace has ended.
+func (s *State) Sweep(now time.Duration) bool {
+	changed := false
+	for key, it := range s.items {
+		if it.missingTo != 0 && now >= it.missingTo {
+			it.missingTo = 0
+			changed = true
+		}
+		if it.update.Removed && now-it.seen > tombstoneRetention {
+			s.horizon = max(s.horizon, it.update.Revision)
+			delete(s.items, key)
+		}
+	}
+	maps.DeleteFunc(s.endedCold, func(_ string, until time.Duration) bool { return now >= until })
+	return changed
+}
+
+// View returns an immutable picture of the registry.
+func (s *State) View() *View {
+	v := &View{Revision: s.revision, Config: s.config, Out: map[string]bool{}, EndedCold: maps.Clone(s.endedCold)}
+	for _, it := range s.items {
+		switch u := &it.update; {
+		case u.Server != nil:
+			v.Servers = append(v.Servers, Server{BackendServer: *u.Server, Created: u.Created, ColdUntil: coldUntil(it)})
+		case it.missingTo != 0:
+			missing := *it.previous
+			missing.Missing = true
+			v.Servers = append(v.Servers, missing)
+		case u.OutDataCentre != "":
+			v.Out[u.OutDataCentre] = true
+		}
+	}
+	slices.SortFunc(v.Servers, func(a, b Server) int { return compareRevision(a.Created, b.Created) })
+	return v
+}
+
+func coldUntil(it *item) time.Duration {
+	if it.update.Server.ColdFor <= 0 {
+		return 0
+	}
+	return it.seen + it.update.Server.ColdFor
+}
