affinity: take a backend server for silent only by packets that this host forwarded itself

Change: silence counts from the first transmission, by this host and after its last pause, of a packet that was repeated.

--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -9,14 +9,18 @@
 	closedMemory = time.Second
 )
 
+// neverSent stands in a flow whose last data another host forwarded.
+const neverSent = -time.Hour
+
 // flow is what the host remembers of a flow that passed it.
 type flow struct {
 	server   *server
-	earlier  *server // receiver of an earlier opening packet that was not answered
-	opening  uint32  // sequence number of the opening packet
-	next     uint32  // sequence number after the caller's last data
-	ack      uint32  // the caller's last acknowledgement
-	open     bool    // the caller has answered the backend server
+	earlier  *server       // receiver of an earlier opening packet that was not answered
+	opening  uint32        // sequence number of the opening packet
+	next     uint32        // sequence number after the caller's last data
+	sentAt   time.Duration // when this host first forwarded that data
+	ack      uint32        // the caller's last acknowledgement
+	open     bool          // the caller has answered the backend server
 	closed   bool
 	struckIn uint32 // the server's evidence that this flow has counted in, plus 1
 	lastAt   time.Duration
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -50,20 +50,21 @@
 
 // Router decides about callers' packets. It does no I/O and is used by one goroutine.
 type Router struct {
-	config   Config
-	fleet    Fleet
-	view     *registry.View
-	viewAt   time.Duration
-	routes   map[netip.AddrPort]*route
-	services map[string]*service
-	servers  map[string]*server
-	byToken  map[uint32]*server
-	unknown  map[uint32]time.Duration // tokens that no view named, and when they were first seen
-	table    flowTable
-	seed     maphash.Seed
-	turn     uint32
-	stepAt   time.Duration
-	orders   []ResetOrder
+	config    Config
+	fleet     Fleet
+	view      *registry.View
+	viewAt    time.Duration
+	routes    map[netip.AddrPort]*route
+	services  map[string]*service
+	servers   map[string]*server
+	byToken   map[uint32]*server
+	unknown   map[uint32]time.Duration // tokens that no view named, and when they were first seen
+	table     flowTable
+	seed      maphash.Seed
+	turn      uint32
+	stepAt    time.Duration
+	resumedAt time.Duration // end of the last pause of this host; earlier packets prove nothing
+	orders    []ResetOrder
 }
 
 // NewRouter returns a Router that rejects all flows until it gets a view.
@@ -260,6 +261,7 @@
 		for _, s := range r.servers {
 			s.clearEvidence()
 		}
+		r.resumedAt = now
 	}
 	r.stepAt = now
 }
@@ -279,7 +281,7 @@
 		return Verdict{Action: Reject, Reason: NoBackendServer}
 	}
 	s.opened(now)
-	r.table.add(key, &flow{server: s, opening: p.Seq, next: p.Seq + 1, openedAt: now, lastAt: now})
+	r.table.add(key, &flow{server: s, opening: p.Seq, next: p.Seq + 1, sentAt: now, openedAt: now, lastAt: now})
 	reason := NewFlow
 	if p.Copy > 0 {
 		reason = OpeningCopy
@@ -289,7 +291,7 @@
 
 func (r *Router) reopen(p *Packet, f *flow, rt *route, now time.Duration) Verdict {
 	f.lastAt = now
-	if f.server.lastSign < f.openedAt {
+	if f.sentAt >= max(f.server.lastSign, r.resumedAt) {
 		f.server.suspect(now)
 		if f.server.strike(f, now) {
 			r.orderResets(f.server, BackendServerSilent)
@@ -302,6 +304,7 @@
 	s.opened(now)
 	f.earlier = f.server
 	f.move(s)
+	f.sentAt = now
 	return forward(s, OpeningCopy)
 }
 
@@ -365,7 +368,7 @@
 // remember returns the entry of a flow, which it makes or corrects by the token.
 func (r *Router) remember(key FlowKey, f *flow, s *server, p *Packet, now time.Duration) *flow {
 	if f == nil {
-		f = &flow{server: s, next: p.Seq, ack: p.Ack, open: true, openedAt: now}
+		f = &flow{server: s, next: p.Seq, ack: p.Ack, open: true, openedAt: now, sentAt: neverSent}
 		r.table.add(key, f)
 	}
 	if f.server != s {
@@ -389,7 +392,10 @@
 	end := p.Seq + uint32(p.Length)
 	if newer(end, f.next) {
 		f.next = end
-		s.asked(now)
+		f.sentAt = now
+		return false
+	}
+	if end != f.next || f.sentAt < max(s.lastSign, r.resumedAt) {
 		return false
 	}
 	return s.strike(f, now)
--- a/internal/affinity/server.go
+++ b/internal/affinity/server.go
@@ -36,7 +36,7 @@
 	flows   int           // open flows that this host remembers
 
 	lastSign       time.Duration // last packet of a caller that proves an answer
-	unansweredFrom time.Duration // first packet since lastSign that awaits an answer; 0 when none does
+	unansweredFrom time.Duration // when the first of the packets that were repeated since lastSign was sent
 	strikes        int           // repeated packets since lastSign
 	struckFlows    int           // flows among them
 	suspectUntil   time.Duration
@@ -61,15 +61,12 @@
 	s.evidence++
 }
 
-// asked notes a packet that the server must answer.
-func (s *server) asked(now time.Duration) {
-	if s.unansweredFrom == 0 {
-		s.unansweredFrom = now
-	}
-}
-
-// strike notes that a caller repeated a packet. It reports whether the server has just been found silent.
+// strike notes that a caller repeated a packet that this host has forwarded before. It reports whether the server has
+// just been found silent.
 func (s *server) strike(f *flow, now time.Duration) bool {
+	if s.strikes == 0 || f.sentAt < s.unansweredFrom {
+		s.unansweredFrom = f.sentAt
+	}
 	s.strikes++
 	if f.struckIn != s.evidence+1 {
 		f.struckIn = s.evidence + 1
@@ -87,9 +84,6 @@
 }
 
 func (s *server) lost(now time.Duration) bool {
-	if s.unansweredFrom == 0 {
-		return false
-	}
 	silence := now - s.unansweredFrom
 	if s.struckFlows >= 2 && silence >= silenceManyFlows {
 		return true
@@ -112,7 +106,6 @@
 
 // opened notes a new flow. A server whose suspicion has ended is tried with one flow first.
 func (s *server) opened(now time.Duration) {
-	s.asked(now)
 	if s.suspectUntil != 0 {
 		s.onTrial = true
 		s.suspectUntil = now + trialWait
