affinity: later packets go where their token says, also after their route changed

Change: a token is followed whatever the route says now. A made-up token reaches a backend server that holds no such flow and refuses it, so that no service runs what no configuration allowed.

--- a/internal/affinity/packet.go
+++ b/internal/affinity/packet.go
@@ -54,7 +54,6 @@
 	NoToken
 	UnknownToken
 	TokenNeverListed
-	ServiceNotAllowed
 	BackendServerGone
 	BackendServerSilent
 	CallerReset
@@ -63,7 +62,7 @@
 
 var reasonNames = [ReasonCount]string{
 	"new_flow", "opening_copy", "known_flow", "unknown_route", "removed_route", "no_backend_server", "no_token",
-	"unknown_token", "token_never_listed", "service_not_allowed", "backend_server_gone", "backend_server_silent",
+	"unknown_token", "token_never_listed", "backend_server_gone", "backend_server_silent",
 	"caller_reset",
 }
 
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// routeRetention is how long a removed route or target is remembered, for flows that were opened before.
+	// routeRetention is how long a removed route is remembered, so that its flows can be ended.
 	routeRetention = time.Minute
 	// unknownTokenPatience is how long a token that no view names may be that of a backend server just registered.
 	unknownTokenPatience = 2500 * time.Millisecond
@@ -43,7 +43,6 @@
 type route struct {
 	targets     []target
 	totalWeight uint64
-	allowed     map[string]time.Duration // services that the route led to, and when it last did
 	present     bool
 	seen        time.Duration
 }
@@ -212,7 +211,7 @@
 func (r *Router) setRoute(published *registry.Route, now time.Duration) {
 	rt := r.routes[published.Addr]
 	if rt == nil {
-		rt = &route{allowed: map[string]time.Duration{}}
+		rt = &route{}
 		r.routes[published.Addr] = rt
 	}
 	rt.present, rt.seen = true, now
@@ -224,7 +223,6 @@
 		}
 		rt.targets = append(rt.targets, target{service: sv, weight: t.Weight})
 		rt.totalWeight += uint64(t.Weight)
-		rt.allowed[t.Service] = now
 	}
 }
 
@@ -232,27 +230,23 @@
 func (r *Router) Decide(p *Packet, now time.Duration) Verdict {
 	r.step(now)
 	rt := r.routes[p.Service]
-	if rt == nil || !rt.present {
-		return decideWithoutRoute(p, rt)
-	}
-	if p.Opening {
-		return r.open(p, rt, now)
+	switch {
+	case rt != nil && !rt.present:
+		return rejectRemoved(p)
+	case !p.Opening:
+		return r.carry(p, now)
+	case rt == nil:
+		return Verdict{Action: Reject, Reason: UnknownRoute}
 	}
-	return r.carry(p, rt, now)
+	return r.open(p, rt, now)
 }
 
-// decideWithoutRoute rejects new flows, and the flows of a route that was removed. A later packet for an address that
-// this host has never known may belong to a route newer than its configuration, whose flow must not be reset.
-func decideWithoutRoute(p *Packet, removed *route) Verdict {
-	switch {
-	case p.Reset:
+// rejectRemoved ends the flows of a route that was removed in the life of this process.
+func rejectRemoved(p *Packet) Verdict {
+	if p.Reset {
 		return Verdict{Action: Drop, Reason: CallerReset}
-	case removed != nil:
-		return Verdict{Action: Reject, Reason: RemovedRoute}
-	case p.Opening:
-		return Verdict{Action: Reject, Reason: UnknownRoute}
 	}
-	return Verdict{Action: Drop, Reason: UnknownRoute}
+	return Verdict{Action: Reject, Reason: RemovedRoute}
 }
 
 // step clears evidence that a pause of this host makes worthless.
@@ -308,17 +302,16 @@
 	return forward(s, OpeningCopy)
 }
 
-// carry sends a later packet where its token says.
-func (r *Router) carry(p *Packet, rt *route, now time.Duration) Verdict {
+// carry sends a later packet where its token says, whatever its route says now: the flow was opened under an
+// earlier configuration, or under one that this host has not seen yet, and stays where it is. A token that its caller
+// made up reaches a backend server that holds no such flow and refuses it.
+func (r *Router) carry(p *Packet, now time.Duration) Verdict {
 	key := p.Key()
 	f := r.table.flows[key]
 	s, verdict := r.locate(p, f, now)
 	if s == nil {
 		return verdict
 	}
-	if _, ok := rt.allowed[s.Service]; !ok {
-		return Verdict{Action: Drop, Reason: ServiceNotAllowed}
-	}
 	if s.ended(now) {
 		return r.giveUp(key, f, s, BackendServerGone)
 	}
