follower, gossip, entry: one reader for all hosts that hear each other; smaller heap

Change: the first live host reads for all; a watch that waited in vain proves the copy as of the end of its wait; hosts differ in the age at which they read by themselves. GC target 30%. A first reading is one log line, after the view is in force.

--- a/cmd/nutmeglatchd/entry.go
+++ b/cmd/nutmeglatchd/entry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
@@ -20,6 +21,9 @@
 // entryCommand runs an entry host on the users' platform.
 const entryCommand = "entry"
 
+// entryGCPercent keeps the heap of an entry host near its live size, which is a few hundred kilobytes.
+const entryGCPercent = 30
+
 // runEntry serves with the settings file that the platform names in the environment.
 func runEntry(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	fs := flag.NewFlagSet("nutmeglatchd "+entryCommand, flag.ContinueOnError)
@@ -38,6 +42,7 @@
 		fmt.Fprintf(stderr, "nutmeglatchd %s: %v\n", entryCommand, err)
 		return exitUsage
 	}
+	debug.SetGCPercent(entryGCPercent)
 	queue := entry.NewLogQueue(stdout)
 	defer queue.Close()
 	logger := log.NewLogfmtLogger(queue)
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -136,10 +136,10 @@
 
 // startCall calls the store when a call is due.
 func (c *control) startCall(ctx context.Context, now time.Duration) {
-	reader := c.members.Reader(c.host.config.Limits.ReadersPerCentre, now) && !c.leaving.Load()
+	reader := c.members.Reader(now) && !c.leaving.Load()
 	if reader != c.wasReader {
 		c.wasReader = reader
-		level.Info(c.logger).Log("msg", "reader of the store for its data centre", "reader", reader)
+		level.Info(c.logger).Log("msg", "reader of the store for the other hosts", "reader", reader)
 	}
 	call := c.follower.Next(c.state.Revision(), reader, now)
 	if call.Kind == follower.None {
@@ -162,7 +162,11 @@
 
 func (c *control) onCallEnd(e callEnd) {
 	now := c.host.now()
-	c.follower.Ended(e.call.Kind, e.outcome, now)
+	stale := !c.follower.Fresh(now)
+	c.follower.Ended(e.outcome, now)
+	if stale && e.outcome == follower.Done {
+		c.gossipAt = now
+	}
 	countOutcome(e.outcome)
 	if e.outcome != follower.Done {
 		c.onCallFailed(e, now)
@@ -195,9 +199,6 @@
 
 // adopt puts changes in force and passes them on.
 func (c *control) adopt(changed []registry.Update, before uint64, from string) {
-	for i := range changed {
-		c.logChange(&changed[i], from)
-	}
 	if len(changed) > 0 || !c.host.ready.Load() && c.state.Loaded() {
 		c.publishView()
 	}
@@ -208,6 +209,19 @@
 		level.Info(c.logger).Log("msg", "ready", "revision", c.state.Revision(), "from", from,
 			"ms_since_start", c.host.now().Milliseconds())
 	}
+	c.logChanges(changed, before == 0, from)
+}
+
+// logChanges writes a line for each change, and one for a first reading.
+func (c *control) logChanges(changed []registry.Update, first bool, from string) {
+	if first {
+		level.Info(c.logger).Log("msg", "first reading", "items", len(changed), "config_version", c.version,
+			"revision", c.state.Revision(), "from", from)
+		return
+	}
+	for i := range changed {
+		c.logChange(&changed[i], from)
+	}
 }
 
 func (c *control) logChange(u *registry.Update, from string) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -1,7 +1,7 @@
 // Package follower decides when a host reads the published store.
 //
-// A few hosts of each data centre, the readers, keep a watch open and pass on what they learn. The other hosts read the
-// store themselves only when nobody has confirmed their copy for a while. The package does no I/O.
+// A reader keeps a watch open and passes on what it learns. The other hosts read the store themselves only when nobody
+// has confirmed their copy for a while. The package does no I/O.
 package follower
 
 import (
@@ -43,6 +43,9 @@
 // String returns the name of the outcome in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
 
+// staleSpread is the part of StaleAfter, as a divisor, by which hosts differ.
+const staleSpread = 5
+
 // Config holds the times of a Follower.
 type Config struct {
 	WatchWait   time.Duration // longest wait of a watch
@@ -55,7 +58,7 @@
 // Follower holds what the schedule depends on. It belongs to the control goroutine.
 type Follower struct {
 	config    Config
-	inFlight  bool
+	inFlight  Call
 	startedAt time.Duration
 	confirmed time.Duration // when the copy was last known to be the store's contents; negative when never
 	notBefore time.Duration
@@ -64,20 +67,27 @@
 	random    *rand.Rand
 }
 
-// New returns a Follower that has read nothing.
+// New returns a Follower that has read nothing. Hosts differ in the age at which they read, so that one that finds its
+// copy old spares the others the call.
 func New(c Config, random *rand.Rand) *Follower {
+	c.StaleAfter -= time.Duration(random.Int64N(int64(c.StaleAfter / staleSpread)))
 	return &Follower{config: c, confirmed: -1, rereadAll: true, random: random}
 }
 
 // Next returns the call that is due now, if any, and notes it as started.
 func (f *Follower) Next(revision uint64, reader bool, now time.Duration) Call {
-	if f.inFlight || now < f.notBefore {
+	if f.inFlight.Kind != None || now < f.notBefore {
 		return Call{}
 	}
 	if !f.rereadAll && !reader && f.Fresh(now) {
 		return Call{}
 	}
-	f.inFlight, f.startedAt = true, now
+	f.startedAt = now
+	f.inFlight = f.due(revision, reader, now)
+	return f.inFlight
+}
+
+func (f *Follower) due(revision uint64, reader bool, now time.Duration) Call {
 	if f.rereadAll {
 		return Call{Kind: ReadAll, Timeout: f.config.CallTimeout}
 	}
@@ -88,14 +98,15 @@
 	return Call{Kind: Watch, After: revision, Wait: wait, Timeout: wait + f.config.CallTimeout}
 }
 
-// Ended takes the outcome of the call in flight. A call that was done confirms the copy as of its start.
-func (f *Follower) Ended(kind Kind, outcome Outcome, now time.Duration) {
-	f.inFlight = false
+// Ended takes the outcome of the call in flight.
+func (f *Follower) Ended(outcome Outcome, now time.Duration) {
+	call := f.inFlight
+	f.inFlight = Call{}
 	switch outcome {
 	case Done:
 		f.failures = 0
-		f.Confirm(f.startedAt)
-		if kind == ReadAll {
+		f.Confirm(f.provenAt(call, now))
+		if call.Kind == ReadAll {
 			f.rereadAll = false
 		}
 		return
@@ -107,6 +118,15 @@
 	f.notBefore = now + f.pause()
 }
 
+// provenAt returns the latest time at which a call that was done can have looked at the store: after the whole wait of a
+// watch that saw no change, else at its start.
+func (f *Follower) provenAt(call Call, now time.Duration) time.Duration {
+	if now-f.startedAt >= call.Wait {
+		return f.startedAt + call.Wait
+	}
+	return f.startedAt
+}
+
 // pause doubles with each failure, and varies so that hosts do not return together.
 func (f *Follower) pause() time.Duration {
 	pause := f.config.RetryMin << min(f.failures-1, 10)
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -79,16 +79,16 @@
 	}
 }
 
-// Reader reports whether this host is among the first n live hosts of its data centre, which read the store for it.
-func (m *Members) Reader(n int, now time.Duration) bool {
+// Reader reports whether this host reads the store for the others: the first of the hosts that it hears. In a large
+// fleet each host hears only some, so that there are several readers.
+func (m *Members) Reader(now time.Duration) bool {
 	own := readerRank(m.self.Addr)
-	before := 0
 	for _, h := range m.members {
-		if h.DataCentre == m.self.DataCentre && h.alive(now) && readerRank(h.Addr) < own {
-			before++
+		if h.alive(now) && readerRank(h.Addr) < own {
+			return false
 		}
 	}
-	return before < n
+	return true
 }
 
 func readerRank(addr netip.AddrPort) uint64 { return xxhash.Sum64String(addr.String()) }
