--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -59,6 +59,7 @@
 	byToken   map[uint32]*server
 	unknown   map[uint32]time.Duration // tokens that no view named, and when they were first seen
 	table     flowTable
+	openings  openings
 	seed      maphash.Seed
 	turn      uint32
 	stepAt    time.Duration
@@ -69,15 +70,16 @@
 // NewRouter returns a Router that rejects all flows until it gets a view.
 func NewRouter(c Config, self Host) *Router {
 	return &Router{
-		config:  c,
-		fleet:   Fleet{Self: self},
-		view:    &registry.View{},
-		routes:  map[netip.AddrPort]*route{},
-		servers: map[string]*server{},
-		byToken: map[uint32]*server{},
-		unknown: map[uint32]time.Duration{},
-		table:   flowTable{flows: map[FlowKey]*flow{}, limit: c.MaxFlows, idle: c.IdleTimeout},
-		seed:    maphash.MakeSeed(),
+		config:   c,
+		fleet:    Fleet{Self: self},
+		view:     &registry.View{},
+		routes:   map[netip.AddrPort]*route{},
+		servers:  map[string]*server{},
+		byToken:  map[uint32]*server{},
+		unknown:  map[uint32]time.Duration{},
+		table:    flowTable{flows: map[FlowKey]*flow{}, limit: c.MaxFlows, idle: c.IdleTimeout},
+		openings: openings{byCaller: map[netip.Addr]opening{}},
+		seed:     maphash.MakeSeed(),
 	}
 }
 
@@ -256,8 +258,10 @@
 			s.clearEvidence()
 		}
 		r.resumedAt = now
+		r.openings.forget()
 	}
 	r.stepAt = now
+	r.openings.expire(now)
 }
 
 // open chooses a backend server for an opening packet. A copy means that the earlier choice has not answered.
@@ -270,12 +274,18 @@
 	if f != nil {
 		r.table.remove(key, f)
 	}
-	s := r.choose(rt, key, now)
+	refused := r.openings.restarted(key, now)
+	s := r.choose(rt, key, now, refused)
+	if s == nil && refused != nil {
+		s = r.choose(rt, key, now)
+	}
 	if s == nil {
 		return Verdict{Action: Reject, Reason: NoBackendServer}
 	}
 	s.opened(now)
-	r.table.add(key, &flow{server: s, opening: p.Seq, next: p.Seq + 1, sentAt: now, openedAt: now, lastAt: now})
+	f = &flow{server: s, opening: p.Seq, next: p.Seq + 1, sentAt: now, openedAt: now, lastAt: now}
+	r.table.add(key, f)
+	r.openings.add(opening{key: key, flow: f, server: s, at: now})
 	reason := NewFlow
 	if p.Copy > 0 {
 		reason = OpeningCopy
@@ -375,6 +385,9 @@
 // data sent twice a missing one. It reports whether the backend server has just been found silent.
 func (r *Router) observe(f *flow, p *Packet, now time.Duration) bool {
 	s := f.server
+	if !f.open {
+		r.openings.answered(now - f.sentAt)
+	}
 	if !f.open || newer(p.Ack, f.ack) {
 		f.open, f.ack = true, p.Ack
 		s.answered(now)
@@ -414,6 +427,7 @@
 
 // Sweep forgets what has expired and ends the flows of backend servers that went.
 func (r *Router) Sweep(now time.Duration) {
+	r.step(now)
 	r.table.sweep(now)
 	for _, s := range r.servers {
 		if s.flows > 0 && s.ended(now) {
