--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -9,20 +9,32 @@
 type preference uint8
 
 const (
-	preferOwn     preference = iota // own data centre
-	preferOther                     // another data centre
-	preferLapsed                    // its entry is away and may come back
-	preferSuspect                   // has left packets unanswered, or its data centre is out of reach
-	preferCold                      // bears little as yet
+	preferOwn      preference = iota // own data centre
+	preferOther                      // another data centre
+	preferUnproven                   // has given no sign of life lately, which counts only after a failure
+	preferLapsed                     // its entry is away and may come back
+	preferSuspect                    // has left packets unanswered, or its data centre is out of reach
+	preferCold                       // bears little as yet
 	preferNone
 )
 
-// choose returns the backend server for a new flow, or nil. It passes over the excluded ones.
-func (r *Router) choose(rt *route, key FlowKey, now time.Duration, excluded ...*server) *server {
+// provenWithin is the age of a backend server's last sign of life up to which a caller's further try goes there.
+const provenWithin = 300 * time.Millisecond
+
+// failed lists the backend servers that have already failed a caller's flow.
+type failed [2]*server
+
+func (f failed) any() bool { return f != failed{} }
+
+func (f failed) has(s *server) bool { return f[0] == s || f[1] == s }
+
+// choose returns the backend server for a new flow, or nil. After a failure it passes over the servers that failed, and
+// prefers those that have just proved that they live.
+func (r *Router) choose(rt *route, key FlowKey, now time.Duration, f failed) *server {
 	first := r.pickTarget(rt, key)
 	for i := range rt.targets {
 		target := &rt.targets[(first+i)%len(rt.targets)]
-		if s := r.chooseOf(target, now, excluded); s != nil {
+		if s := r.chooseOf(target, now, f); s != nil {
 			return s
 		}
 	}
@@ -45,16 +57,19 @@
 	return 0
 }
 
-func (r *Router) chooseOf(t *target, now time.Duration, excluded []*server) *server {
+func (r *Router) chooseOf(t *target, now time.Duration, f failed) *server {
 	var best *server
 	bestPreference, bestLoad := preferNone, 0.0
 	r.turn++
 	for i := range t.service.servers {
 		s := t.service.servers[(i+int(r.turn))%len(t.service.servers)]
-		if isExcluded(s, excluded) {
+		if f.has(s) {
 			continue
 		}
 		p := r.preferenceOf(s, now)
+		if f.any() && p < preferUnproven && now-s.lastSign > provenWithin {
+			p = preferUnproven
+		}
 		load := float64(s.flows+1) / float64(s.Slots)
 		if p < bestPreference || p == bestPreference && load < bestLoad {
 			best, bestPreference, bestLoad = s, p, load
@@ -69,15 +84,6 @@
 	return best
 }
 
-func isExcluded(s *server, excluded []*server) bool {
-	for _, e := range excluded {
-		if s == e {
-			return true
-		}
-	}
-	return false
-}
-
 func (r *Router) preferenceOf(s *server, now time.Duration) preference {
 	switch {
 	case !s.present || s.Draining || r.view.Out[s.DataCentre]:
--- /dev/null
+++ b/internal/affinity/evidence_test.go
@@ -0,0 +1,320 @@
+package affinity
+
+import (
+	"testing"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/registry"
+)
+
+// Guards against copies of an opening packet that go to the backend server that has not answered.
+func TestCopyGoesElsewhere(t *testing.T) {
+	w := newWorld(t)
+	for range 3 {
+		w.server("meter", "a")
+	}
+	w.show()
+	c := w.caller(meterAddr)
+	first := c.open(0).ServerID
+	w.wait(200 * time.Millisecond)
+	v := c.open(1)
+	expect(t, v, Forward, OpeningCopy)
+	if v.ServerID == first {
+		t.Fatalf("copy went to %q again", first)
+	}
+	w.wait(400 * time.Millisecond)
+	if third := c.open(2).ServerID; third == first || third == v.ServerID {
+		t.Fatalf("second copy went to %q, which has not answered", third)
+	}
+}
+
+// Guards against the only backend server being given up because of one lost packet.
+func TestCopyWithoutAlternative(t *testing.T) {
+	w := newWorld(t)
+	id := w.server("meter", "a")
+	w.show()
+	c := w.caller(meterAddr)
+	c.open(0)
+	w.wait(200 * time.Millisecond)
+	if v := c.open(1); v.ServerID != id {
+		t.Fatalf("copy: %+v, want forwarded to %s", v, id)
+	}
+}
+
+// Answers the crash of backend servers whose entries still stand: they refuse each new flow at once, unseen by the
+// host, and callers come again. Guards against callers that are sent to one crashed server after the other.
+func TestCrashedServersRefuseNewFlows(t *testing.T) {
+	w := newWorld(t)
+	crashed := map[string]bool{}
+	for i := range 14 {
+		id := w.server("meter", "a")
+		crashed[id] = i < 6
+	}
+	w.show()
+	const retries = 2
+	lost, tries := 0, 0
+	for range 200 {
+		w.now += 15 * time.Millisecond
+		c := w.caller(meterAddr)
+		served := false
+		for range 1 + retries {
+			tries++
+			v := c.open(0)
+			if !crashed[v.ServerID] {
+				c.seq, c.ack = c.seq+1, c.ack+1
+				p := c.packet()
+				w.now += 3 * time.Millisecond
+				w.router.Decide(&p, w.now)
+				served = true
+				break
+			}
+			w.now += 3 * time.Millisecond
+			c = c.again()
+		}
+		if !served {
+			lost++
+		}
+	}
+	if lost != 0 {
+		t.Errorf("%d of 200 requests were lost on crashed backend servers", lost)
+	}
+	// Each of 6 servers may be tried once at first and about every 1.5 s, then 3 s, after it in 3.6 s.
+	if failed := tries - 200; failed > 24 {
+		t.Errorf("%d tries failed on 6 crashed backend servers", failed)
+	}
+}
+
+// Answers backend servers that fall silent while their entries still stand. Guards against flows that wait until their
+// callers give up, and against more than one wait for each.
+func TestSilentServerIsFoundByItsFlows(t *testing.T) {
+	w := newWorld(t)
+	for range 4 {
+		w.server("meter", "a")
+	}
+	w.show()
+	var onSilent []*caller
+	var silent string
+	for range 40 {
+		c := w.caller(meterAddr)
+		if id := c.connect().ServerID; silent == "" || id == silent {
+			silent = id
+			onSilent = append(onSilent, c)
+		}
+	}
+	w.router.TakeOrders()
+	for _, c := range onSilent[:3] {
+		expect(t, c.request(), Forward, KnownFlow)
+		w.wait(50 * time.Millisecond)
+	}
+	w.wait(100 * time.Millisecond)
+	for _, c := range onSilent[:3] {
+		expect(t, c.request(), Forward, KnownFlow)
+		w.now += time.Millisecond
+	}
+	w.wait(400 * time.Millisecond)
+	v := onSilent[0].request()
+	expect(t, v, Reject, BackendServerSilent)
+	orders := w.router.TakeOrders()
+	if len(orders) < len(onSilent)-1 {
+		t.Fatalf("%d of %d flows are reset when their backend server is found silent", len(orders), len(onSilent))
+	}
+	for _, o := range orders {
+		if o.Seq != 5001 {
+			t.Fatalf("reset carries sequence number %d, the caller has acknowledged 5001", o.Seq)
+		}
+	}
+	for range 20 {
+		if v := w.caller(meterAddr).open(0); v.ServerID == silent {
+			t.Fatal("a new flow went to the silent backend server")
+		}
+	}
+}
+
+// Guards against the silent verdict on a backend server that answers other flows.
+func TestAnswersOnOtherFlowsProveLife(t *testing.T) {
+	w := newWorld(t)
+	w.server("meter", "a")
+	w.show()
+	stuck := []*caller{w.caller(meterAddr), w.caller(meterAddr)}
+	busy := w.caller(meterAddr)
+	for _, c := range append(stuck, busy) {
+		c.connect()
+	}
+	for range 20 {
+		for _, c := range stuck {
+			if v := c.request(); v.Action != Forward {
+				t.Fatalf("packet was %v while the backend server answers others", v.Reason)
+			}
+		}
+		w.wait(100 * time.Millisecond)
+		busy.request()
+		busy.answered()
+	}
+}
+
+// Guards against a verdict from a flow that had left this host and returned, whose answers went through another host
+// (phmu-edge scale-1, seed 826445643608, and quiet-1, seed 970218075411).
+func TestFlowThatWasElsewhereProvesNothing(t *testing.T) {
+	w := newWorld(t)
+	w.server("meter", "a")
+	w.show()
+	var flows []*caller
+	for range 5 {
+		c := w.caller(meterAddr)
+		c.connect()
+		c.request()
+		flows = append(flows, c)
+	}
+	w.wait(5 * time.Second)
+	for _, c := range flows {
+		c.seq += 700 // answered, and more sent, through another host
+		c.ack += 700
+	}
+	for _, c := range flows {
+		p := c.packet()
+		p.Ack -= 700 // the copy of a packet from before
+		p.Seq -= 700
+		p.Length = 100
+		if v := w.router.Decide(&p, w.now); v.Action != Forward {
+			t.Fatalf("late copy: %v", v.Reason)
+		}
+	}
+	if n := len(w.router.TakeOrders()); n != 0 {
+		t.Fatalf("%d flows of a backend server that lives were reset", n)
+	}
+}
+
+// Guards against verdicts after a pause of the host itself: answers and repeats then wait in the socket together.
+func TestPauseOfTheHostProvesNothing(t *testing.T) {
+	w := newWorld(t)
+	w.server("meter", "a")
+	w.show()
+	var flows []*caller
+	for range 5 {
+		c := w.caller(meterAddr)
+		c.connect()
+		c.request()
+		flows = append(flows, c)
+	}
+	w.now += 4 * time.Second
+	for range 2 {
+		for _, c := range flows {
+			if v := c.request(); v.Action != Forward {
+				t.Fatalf("after a pause: %v", v.Reason)
+			}
+		}
+	}
+}
+
+// Guards against a suspect that never gets new flows again, and against many being lost to one that stays dead.
+func TestSuspectIsTriedWithOneFlow(t *testing.T) {
+	w := newWorld(t)
+	suspect := w.server("meter", "a")
+	w.server("meter", "a")
+	w.show()
+	s := w.router.servers[suspect]
+	s.suspect(w.now)
+	opened := func() int {
+		n := 0
+		for range 10 {
+			c := w.caller(meterAddr)
+			if c.open(0).ServerID == suspect {
+				n++
+				continue
+			}
+			c.seq, c.ack = c.seq+1, c.ack+1
+			c.request()
+		}
+		return n
+	}
+	if n := opened(); n != 0 {
+		t.Fatalf("%d new flows went to a suspect", n)
+	}
+	w.wait(suspicionPeriod)
+	if n := opened(); n != 1 {
+		t.Fatalf("%d new flows went to a suspect that is tried again, want 1", n)
+	}
+	w.wait(100 * time.Millisecond)
+	if s.suspicion <= suspicionPeriod {
+		t.Fatalf("suspicion lasts %v after a failed trial, want longer than %v", s.suspicion, suspicionPeriod)
+	}
+	s.answered(w.now)
+	if n := opened(); n == 0 {
+		t.Fatal("no new flow went to the backend server after it answered")
+	}
+}
+
+// Guards against new flows for a data centre that is out of reach.
+func TestUnreachableDataCentreComesLast(t *testing.T) {
+	w := newWorld(t)
+	far := w.server("meter", "b")
+	reachable := w.server("meter", "c")
+	w.show()
+	w.router.SetFleet(Fleet{Self: selfHost, Unreachable: map[string]bool{"b": true}})
+	for range 10 {
+		if v := w.caller(meterAddr).connect(); v.ServerID != reachable {
+			t.Fatalf("new flow went to %q", v.ServerID)
+		}
+	}
+	w.remove(reachable)
+	if v := w.caller(meterAddr).open(0); v.ServerID != far {
+		t.Fatalf("new flow: %+v, want the only backend server that is left", v)
+	}
+}
+
+// Guards against a cold backend server that gets more than it bears, summed over hosts that do not coordinate.
+func TestColdServerGetsFewFlows(t *testing.T) {
+	const hosts, bound = 9, 5 // a second, with a stated rate of 0
+	var routers []*world
+	var fleet []Host
+	for i := range hosts {
+		h := selfHost
+		h.Addr = addrOfHost(i)
+		h.DataCentre = []string{"a", "b", "c"}[i%3]
+		fleet = append(fleet, h)
+	}
+	for i := range hosts {
+		w := newWorld(t)
+		w.server("meter", "a", func(s *registry.Server) { s.ColdUntil = time.Hour })
+		w.show()
+		others := append(append([]Host(nil), fleet[:i]...), fleet[i+1:]...)
+		w.router.SetFleet(Fleet{Self: fleet[i], Hosts: others})
+		routers = append(routers, w)
+	}
+	var sent []time.Duration
+	for range 100 {
+		for _, w := range routers {
+			w.now += 50 * time.Millisecond
+			if v := w.caller(meterAddr).open(0); v.Action == Forward {
+				sent = append(sent, w.now)
+			}
+		}
+	}
+	if len(sent) == 0 {
+		t.Fatal("no host sent anything to the only backend server")
+	}
+	for i := range sent {
+		n := 0
+		for _, at := range sent[i:] {
+			if at-sent[i] < time.Second {
+				n++
+			}
+		}
+		if n > bound {
+			t.Fatalf("%d new flows within a second from %d hosts, allowed %d", n, hosts, bound)
+		}
+	}
+}
+
+// Guards against cold backend servers being preferred, as those with the fewest flows are.
+func TestWarmServersComeFirst(t *testing.T) {
+	w := newWorld(t)
+	w.server("meter", "a", func(s *registry.Server) { s.ColdUntil = time.Hour })
+	warm := w.server("meter", "b")
+	w.show()
+	for range 10 {
+		if v := w.caller(meterAddr).connect(); v.ServerID != warm {
+			t.Fatalf("new flow went to the cold backend server %q", v.ServerID)
+		}
+	}
+}
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -15,6 +15,8 @@
 	unknownTokenPatience = 2500 * time.Millisecond
 	// maxUnknownTokens bounds what forged tokens can make a host remember.
 	maxUnknownTokens = 1024
+	// repeatsWithin is how long after a packet its repeats prove that it was not answered; callers give up after it.
+	repeatsWithin = 2 * time.Second
 	// pauseLimit is a gap between two steps after which the host's own pause, and not a backend server, explains
 	// missing answers.
 	pauseLimit = 300 * time.Millisecond
@@ -275,9 +277,9 @@
 		r.table.remove(key, f)
 	}
 	refused := r.openings.restarted(key, now)
-	s := r.choose(rt, key, now, refused)
+	s := r.choose(rt, key, now, failed{refused})
 	if s == nil && refused != nil {
-		s = r.choose(rt, key, now)
+		s = r.choose(rt, key, now, failed{})
 	}
 	if s == nil {
 		return Verdict{Action: Reject, Reason: NoBackendServer}
@@ -301,7 +303,7 @@
 			r.orderResets(f.server, BackendServerSilent)
 		}
 	}
-	s := r.choose(rt, p.Key(), now, f.server, f.earlier)
+	s := r.choose(rt, p.Key(), now, failed{f.server, f.earlier})
 	if s == nil {
 		return forward(f.server, OpeningCopy)
 	}
@@ -401,7 +403,7 @@
 		f.sentAt = now
 		return false
 	}
-	if end != f.next || f.sentAt < max(s.lastSign, r.resumedAt) {
+	if end != f.next || f.sentAt < max(s.lastSign, r.resumedAt, now-repeatsWithin) {
 		return false
 	}
 	return s.strike(f, now)
--- /dev/null
+++ b/internal/gossip/transfer_test.go
@@ -0,0 +1,77 @@
+package gossip
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/registry"
+)
+
+func listen(t *testing.T) (net.Listener, netip.AddrPort) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l, l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Guards against hosts that cannot give each other what they miss.
+func TestFetch(t *testing.T) {
+	l, addr := listen(t)
+	answer := func(_ context.Context, q Query) (*Copy, error) {
+		return &Copy{Loaded: true, After: q.After, Revision: 9, Updates: []registry.Update{change("s1")}}, nil
+	}
+	go Serve(t.Context(), l, answer)
+	c, err := Fetch(t.Context(), addr, 5)
+	if err != nil || c.After != 5 || c.Revision != 9 || len(c.Updates) != 1 || c.Updates[0].Server.ID != "s1" {
+		t.Fatalf("copy %+v, %v", c, err)
+	}
+}
+
+// Guards against copies with impossible values.
+func TestFetchChecksTheCopy(t *testing.T) {
+	l, addr := listen(t)
+	answer := func(context.Context, Query) (*Copy, error) {
+		return &Copy{Loaded: true, Revision: 9, Updates: []registry.Update{{Revision: 3}}}, nil
+	}
+	go Serve(t.Context(), l, answer)
+	if c, err := Fetch(t.Context(), addr, 5); err == nil {
+		t.Fatalf("accepted %+v", c)
+	}
+}
+
+// Guards against a fetch without an end when the other host is silent.
+func TestFetchFromSilentHost(t *testing.T) {
+	_, addr := listen(t) // accepts connections in the kernel and says nothing
+	start := time.Now()
+	if _, err := Fetch(t.Context(), addr, 5); err == nil {
+		t.Fatal("no error")
+	}
+	if took := time.Since(start); took > transferTimeout+time.Second {
+		t.Fatalf("took %v, allowed %v", took, transferTimeout)
+	}
+}
+
+// Guards against garbage that stops the server.
+func TestServeSurvivesGarbage(t *testing.T) {
+	l, addr := listen(t)
+	go Serve(t.Context(), l, func(context.Context, Query) (*Copy, error) { return &Copy{Revision: 1}, nil })
+	for _, text := range []string{"x", "Content-Length: 9999999999\r\n\r\n", "Content-Length: 2\r\n\r\n{}", "\x00\x01\x02"} {
+		conn, err := net.Dial("tcp4", addr.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+		conn.Close()
+	}
+	if _, err := Fetch(t.Context(), addr, 0); err != nil {
+		t.Fatal(err)
+	}
+}
