--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -64,7 +64,6 @@
 	fetchAfter time.Duration
 	gossipAt   time.Duration
 	fleetAt    time.Duration
-	sweepAt    time.Duration
 	storeDown  bool
 	wasReader  bool
 	version    uint64 // of the configuration in force
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -13,9 +13,6 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/registry"
 )
 
-// neverConfirmed is the age of a copy that the store has never confirmed.
-const neverConfirmed = -1
-
 // tell sends the state of this host, with changes after a revision if there are any.
 func (c *control) tell(receivers []netip.AddrPort, after uint64, changes []registry.Update) {
 	if len(receivers) == 0 {
@@ -46,7 +43,7 @@
 func (c *control) ageMs() int64 {
 	age, ok := c.follower.Age(c.host.now())
 	if !ok {
-		return neverConfirmed
+		return gossip.NeverConfirmed
 	}
 	return age.Milliseconds()
 }
@@ -135,7 +132,7 @@
 		}
 	}
 	c.follower.Copied()
-	if e.copy.AgeMs >= 0 {
+	if e.copy.AgeMs > gossip.NeverConfirmed {
 		c.follower.Confirm(now - time.Duration(e.copy.AgeMs)*time.Millisecond)
 	}
 	c.adopt(changed, before, e.from.String())
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -30,7 +30,6 @@
 	heardAt time.Duration // negative: named by others, not heard yet
 	addedAt time.Duration
 	leaving bool
-	reads   bool // its copy is confirmed by the store or by others
 }
 
 // Members is what a host knows of the others. It belongs to the control goroutine.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -18,8 +18,8 @@
 	MaxDatagram = 8192
 	// maxHosts is the number of host addresses in a message.
 	maxHosts = 8
-	// neverConfirmed is the age in a message whose sender's copy the store has never confirmed.
-	neverConfirmed = -1
+	// NeverConfirmed is the age of a copy that the store has never confirmed.
+	NeverConfirmed = -1
 )
 
 // Host is an entry host as a message names it.
@@ -40,7 +40,7 @@
 }
 
 // Confirmed reports whether the sender's copy was ever confirmed.
-func (m *Message) Confirmed() bool { return m.AgeMs >= 0 }
+func (m *Message) Confirmed() bool { return m.AgeMs != NeverConfirmed }
 
 // ErrMalformed is the error of a datagram that is not a message.
 var ErrMalformed = errors.New("malformed message")
@@ -65,7 +65,7 @@
 	if err := json.Unmarshal(b, &m); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "decode message"), ErrMalformed)
 	}
-	if !m.From.Addr.IsValid() || m.From.DataCentre == "" || len(m.Hosts) > maxHosts {
+	if m.AgeMs < NeverConfirmed || !m.From.Addr.IsValid() || m.From.DataCentre == "" || len(m.Hosts) > maxHosts {
 		return nil, errors.Wrap(ErrMalformed, "sender or hosts")
 	}
 	for i := range m.Changes {
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -34,7 +34,6 @@
 	loaded    bool
 	disturbed time.Duration // when the last call to the store failed; negative when none did
 	endedCold map[string]time.Duration
-	sweptAt   time.Duration
 	horizon   uint64 // removals at or below this revision may have been forgotten
 }
 
