affinity: reject new flows at once when every backend server is out of reach

Change: a backend server whose data centre is out of reach and which has just left a packet unanswered takes no new flow. Each is tried again when its suspicion ends, and all of them once the data centre's hosts are heard. The order of a service's backend servers is that of the view, not that of a map.

--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -92,7 +92,9 @@
 		return preferLapsed
 	case s.ColdUntil > now || r.view.EndedCold[s.DataCentre] > now:
 		return preferCold
-	case s.suspected(now) || s.silentUntil > now || r.fleet.Unreachable[s.DataCentre]:
+	case s.doubtful(now) && r.fleet.Unreachable[s.DataCentre]:
+		return preferNone
+	case s.doubtful(now) || r.fleet.Unreachable[s.DataCentre]:
 		return preferSuspect
 	case s.DataCentre == r.fleet.Self.DataCentre:
 		return preferOwn
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -194,8 +194,12 @@
 	for _, s := range c.Services {
 		r.services[s.Name] = &service{name: s.Name, coldRate: s.ColdRate}
 	}
-	for _, s := range r.servers {
-		if sv := r.services[s.Service]; sv != nil && r.byToken[s.token] == s {
+	for i := range r.view.Servers {
+		s := r.servers[r.view.Servers[i].ID]
+		if s == nil || r.byToken[s.token] != s {
+			continue
+		}
+		if sv := r.services[s.Service]; sv != nil {
 			sv.servers = append(sv.servers, s)
 		}
 	}
--- a/internal/affinity/server.go
+++ b/internal/affinity/server.go
@@ -101,8 +101,8 @@
 	s.onTrial = false
 }
 
-// suspected reports whether new flows go elsewhere.
-func (s *server) suspected(now time.Duration) bool { return s.suspectUntil > now }
+// doubtful reports whether packets of this host's callers have lately gone unanswered.
+func (s *server) doubtful(now time.Duration) bool { return s.suspectUntil > now || s.silentUntil > now }
 
 // opened notes a new flow. A server whose suspicion has ended is tried with one flow first.
 func (s *server) opened(now time.Duration) {
