entry: read the settings again; metrics on a fixed port; limits in YAML; why in the log lines

Lines about flows name the reason of the choice, the configuration's version and the age of what is known; histograms of store calls and answers.

--- a/cmd/nutmeglatchd/entry.go
+++ b/cmd/nutmeglatchd/entry.go
@@ -5,8 +5,13 @@
 	"flag"
 	"fmt"
 	"io"
+	"math"
+	"net/netip"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
@@ -15,6 +20,7 @@
 
 	"github.com/nutmeglatch/nutmeglatch/internal/cli"
 	"github.com/nutmeglatch/nutmeglatch/internal/entry"
+	"github.com/nutmeglatch/nutmeglatch/internal/settings"
 	"github.com/nutmeglatch/nutmeglatch/platform"
 )
 
@@ -28,6 +34,8 @@
 func runEntry(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	fs := flag.NewFlagSet("nutmeglatchd "+entryCommand, flag.ContinueOnError)
 	fs.SetOutput(stderr)
+	limits := fs.String("limits", "", "`file` with limits in place of the defaults")
+	metricsPort := fs.Uint("metrics-port", 0, "`port` for metrics and status beside the control address; 0 opens none")
 	logLevel := fs.String("log-level", "info", "debug, info, warn or error")
 	err := ff.Parse(fs, args, ff.WithEnvVarPrefix("NUTMEGLATCHD"))
 	switch {
@@ -37,7 +45,14 @@
 		fmt.Fprintf(stderr, "nutmeglatchd %s: %v\n", entryCommand, err)
 		return exitUsage
 	}
-	settings, err := platform.LoadSettings(os.Getenv)
+	if *metricsPort > math.MaxUint16 {
+		fmt.Fprintf(stderr, "nutmeglatchd %s: --metrics-port %d: must be 0 to %d\n", entryCommand, *metricsPort, math.MaxUint16)
+		return exitUsage
+	}
+	load := func() (*platform.Settings, entry.Config, error) {
+		return loadEntry(*limits, uint16(*metricsPort))
+	}
+	given, config, err := load()
 	if err != nil {
 		fmt.Fprintf(stderr, "nutmeglatchd %s: %v\n", entryCommand, err)
 		return exitUsage
@@ -48,10 +63,56 @@
 	logger := log.NewLogfmtLogger(queue)
 	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(*logLevel, level.InfoValue())))
 	logger = log.With(logger, "ts", log.DefaultTimestampUTC)
-	store := platform.NewStore(settings, logger)
-	host := entry.New(settings.HostConfig(cli.Version()), platform.Codec{}, store, logger)
+	host := entry.New(config, platform.Codec{}, platform.NewStore(given, logger), logger)
+	go reloadSettings(ctx, host, logger, func() (entry.Config, error) {
+		_, config, err := load()
+		return config, err
+	})
 	if err := host.Run(ctx); err != nil {
 		return exitFailed
 	}
 	return exitOK
 }
+
+// loadEntry reads the platform's settings, and the file of limits if one is named.
+func loadEntry(limits string, metricsPort uint16) (*platform.Settings, entry.Config, error) {
+	given, err := platform.LoadSettings(os.Getenv)
+	if err != nil {
+		return nil, entry.Config{}, err
+	}
+	config := given.HostConfig(cli.Version())
+	if metricsPort != 0 {
+		config.Metrics = netip.AddrPortFrom(config.Admin.Addr(), metricsPort)
+	}
+	if limits == "" {
+		return given, config, nil
+	}
+	config.Limits, err = settings.LoadEntry(limits, config.Limits)
+	return given, config, errors.Wrap(err, limits)
+}
+
+// reloadInterval is the pause between looks at the settings file, which may change without a signal.
+const reloadInterval = 5 * time.Second
+
+// reloadSettings reads the settings again on SIGHUP and from time to time. Faulty ones leave the host as it is.
+func reloadSettings(ctx context.Context, host *entry.Host, logger log.Logger, load func() (entry.Config, error)) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-ticker.C:
+		}
+		config, err := load()
+		if err != nil {
+			level.Warn(logger).Log("part", "entry", "msg", "settings not reloaded", "err", err)
+			continue
+		}
+		host.Reload(ctx, config)
+	}
+}
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// preference orders backend servers for a new flow; a lower one is taken first.
-type preference uint8
+// Preference orders backend servers for a new flow; a lower one is taken first.
+type Preference uint8
 
 const (
-	preferOwn      preference = iota // own data centre
+	preferOwn      Preference = iota // own data centre
 	preferOther                      // another data centre
 	preferUnproven                   // has given no sign of life lately, which counts only after a failure
 	preferLapsed                     // its entry is away and may come back
@@ -18,6 +18,13 @@
 	preferNone
 )
 
+var preferenceNames = [...]string{
+	"own_data_centre", "other_data_centre", "unproven", "lapsed", "suspect", "cold", "none",
+}
+
+// String returns the name of the preference in logs.
+func (p Preference) String() string { return preferenceNames[p] }
+
 // provenWithin is the age of a backend server's last sign of life up to which a caller's further try goes there.
 const provenWithin = 300 * time.Millisecond
 
@@ -81,10 +88,11 @@
 	if bestPreference == preferCold && !r.admitCold(best, t.service, now) {
 		return nil
 	}
+	r.lastChoice = bestPreference
 	return best
 }
 
-func (r *Router) preferenceOf(s *server, now time.Duration) preference {
+func (r *Router) preferenceOf(s *server, now time.Duration) Preference {
 	switch {
 	case !s.present || s.Draining || r.view.Out[s.DataCentre]:
 		return preferNone
--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -27,6 +27,15 @@
 	openedAt time.Duration
 }
 
+// openingTime returns how long the answer to the opening packet took, when the caller's present packet is the first
+// after it, else 0.
+func (f *flow) openingTime(now time.Duration) time.Duration {
+	if f.open {
+		return 0
+	}
+	return now - f.sentAt
+}
+
 // flowTable remembers flows up to a bound; beyond it new ones are forwarded without being remembered.
 type flowTable struct {
 	flows map[FlowKey]*flow
--- a/internal/affinity/packet.go
+++ b/internal/affinity/packet.go
@@ -5,7 +5,10 @@
 // only improves its choices; nothing is lost when a host forgets it.
 package affinity
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // Packet is what the decision needs to know of a packet from a caller.
 type Packet struct {
@@ -77,11 +80,17 @@
 	Identity uint64         // names the receiver of a forwarded packet
 	Addr     netip.AddrPort // where a forwarded packet goes
 	ServerID string
+	// Preference and Flows say why the backend server of a new flow was chosen: its rank, and its flows known here.
+	Preference Preference
+	Flows      int
+	// OpeningTook is the time until the backend server's answer to an opening packet, on the packet that proves it.
+	OpeningTook time.Duration
 }
 
 // ResetOrder asks for the reset of a known flow whose backend server is lost.
 type ResetOrder struct {
-	Key    FlowKey
-	Seq    uint32 // the caller's last acknowledgement
-	Reason Reason
+	Key      FlowKey
+	Seq      uint32 // the caller's last acknowledgement
+	Reason   Reason
+	ServerID string
 }
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -67,6 +67,8 @@
 	stepAt    time.Duration
 	resumedAt time.Duration // end of the last pause of this host; earlier packets prove nothing
 	orders    []ResetOrder
+	// lastChoice is why the backend server that was chosen last was taken.
+	lastChoice Preference
 }
 
 // NewRouter returns a Router that rejects all flows until it gets a view.
@@ -296,7 +298,14 @@
 	if p.Copy > 0 {
 		reason = OpeningCopy
 	}
-	return forward(s, reason)
+	return r.forwardNew(s, reason)
+}
+
+// forwardNew sends an opening packet to the backend server that was just chosen.
+func (r *Router) forwardNew(s *server, reason Reason) Verdict {
+	v := forward(s, reason)
+	v.Preference, v.Flows = r.lastChoice, s.flows
+	return v
 }
 
 func (r *Router) reopen(p *Packet, f *flow, rt *route, now time.Duration) Verdict {
@@ -315,7 +324,7 @@
 	f.earlier = f.server
 	f.move(s)
 	f.sentAt = now
-	return forward(s, OpeningCopy)
+	return r.forwardNew(s, OpeningCopy)
 }
 
 // carry sends a later packet where its token says, whatever its route says now: the flow was opened under an
@@ -332,6 +341,7 @@
 		return r.giveUp(key, f, s, BackendServerGone)
 	}
 	f = r.remember(key, f, s, p, now)
+	took := f.openingTime(now)
 	lost := r.observe(f, p, now)
 	if lost {
 		r.orderResets(s, BackendServerSilent)
@@ -342,7 +352,9 @@
 	if p.Closing || p.Reset {
 		f.closed = true
 	}
-	return forward(s, KnownFlow)
+	v := forward(s, KnownFlow)
+	v.OpeningTook = took
+	return v
 }
 
 // giveUp ends a flow whose backend server is lost.
@@ -391,8 +403,8 @@
 // data sent twice a missing one. It reports whether the backend server has just been found silent.
 func (r *Router) observe(f *flow, p *Packet, now time.Duration) bool {
 	s := f.server
-	if !f.open {
-		r.openings.answered(now - f.sentAt)
+	if took := f.openingTime(now); took > 0 {
+		r.openings.answered(took)
 	}
 	if !f.open || newer(p.Ack, f.ack) {
 		f.open, f.ack = true, p.Ack
@@ -419,7 +431,7 @@
 		if f.server != s || f.closed || !f.open {
 			continue
 		}
-		r.orders = append(r.orders, ResetOrder{Key: key, Seq: f.ack, Reason: reason})
+		r.orders = append(r.orders, ResetOrder{Key: key, Seq: f.ack, Reason: reason, ServerID: s.ID})
 		r.table.remove(key, f)
 	}
 }
--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -16,6 +16,7 @@
 
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/entry"
 	"github.com/nutmeglatch/nutmeglatch/internal/platform"
 	"github.com/nutmeglatch/nutmeglatch/internal/settings"
 	"github.com/nutmeglatch/nutmeglatch/internal/strictyaml"
@@ -27,6 +28,7 @@
 // Kinds of files.
 const (
 	KindSettings    Kind = "settings"
+	KindEntry       Kind = "entry"
 	KindService     Kind = "service"
 	KindDataCentres Kind = "datacentres"
 	KindHosts       Kind = "hosts"
@@ -49,6 +51,7 @@
 	fields []string
 }{
 	{KindSettings, []string{"host_id", "peer_key", "fabric_return", "platform", "gue"}},
+	{KindEntry, []string{"entry"}},
 	{KindService, []string{"service", "data_centres", "flow_idle"}},
 	{KindHosts, []string{"hosts", "leaving_backend_servers"}},
 	{KindDataCentres, []string{"out"}},
@@ -142,11 +145,17 @@
 	}
 }
 
+// defaultApplyWithin stands for the time in which a deployment's configurations must be in force, which the check of
+// limits does not know.
+const defaultApplyWithin = 3 * time.Second
+
 func checkAs(kind Kind, raw []byte) error {
 	var err error
 	switch kind {
 	case KindSettings:
 		_, err = settings.Parse(raw, os.Getenv)
+	case KindEntry:
+		_, err = settings.ParseEntry(raw, entry.DefaultLimits(defaultApplyWithin))
 	case KindService:
 		_, err = document.ParseService(raw)
 	case KindDataCentres:
@@ -165,7 +174,7 @@
 	if len(faults) > 0 && faults.Kind() != strictyaml.UnknownField {
 		return faults
 	}
-	return strictyaml.Faults{{Kind: strictyaml.UnknownField, Allowed: "settings, a service document, data centre state or a host list"}}
+	return strictyaml.Faults{{Kind: strictyaml.UnknownField, Allowed: "settings, limits of an entry host, a service document, data centre state or a host list"}}
 }
 
 // label adds the file to the faults of err.
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -47,17 +48,23 @@
 		reply chan *gossip.Copy
 	}
 	statusEvent struct{ reply chan Status }
+	reload      struct {
+		seeds  []netip.AddrPort
+		limits Limits
+	}
 )
 
 // control owns the registry, the schedule of store calls and the members.
 type control struct {
 	host     *Host
-	conn     *net.UDPConn
+	conn     *net.UDPConn // of other hosts' datagrams
 	logger   log.Logger
 	events   chan any
 	state    *registry.State
 	follower *follower.Follower
 	members  *gossip.Members
+	seeds    []netip.AddrPort
+	limits   Limits
 
 	leaving    atomic.Bool
 	fetching   bool
@@ -69,13 +76,14 @@
 	version    uint64 // of the configuration in force
 }
 
-func newControl(h *Host, conn *net.UDPConn) *control {
+func newControl(h *Host) *control {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	self := gossip.Host{Addr: h.config.Peer, DataCentre: h.config.DataCentre}
 	return &control{
 		host:     h,
-		conn:     conn,
 		logger:   log.With(h.logger, "part", "control"),
+		seeds:    h.config.Seeds,
+		limits:   h.config.Limits,
 		events:   make(chan any, eventQueue),
 		state:    registry.NewState(),
 		follower: follower.New(h.config.Limits.Follower, random),
@@ -112,7 +120,20 @@
 		e.reply <- c.copySince(e.query.After)
 	case statusEvent:
 		e.reply <- c.status()
+	case reload:
+		c.onReload(e)
+	}
+}
+
+// onReload puts changed seeds and limits in force.
+func (c *control) onReload(e reload) {
+	if slices.Equal(e.seeds, c.seeds) && e.limits == c.limits {
+		return
 	}
+	c.seeds, c.limits = e.seeds, e.limits
+	c.members.SetSeeds(e.seeds)
+	c.follower.SetConfig(e.limits.Follower)
+	level.Info(c.logger).Log("msg", "settings reloaded", "seeds", len(e.seeds))
 }
 
 // due starts what time makes due.
@@ -120,7 +141,7 @@
 	now := c.host.now()
 	c.startCall(ctx, now)
 	if now >= c.gossipAt {
-		c.gossipAt = now + c.host.config.Limits.GossipInterval
+		c.gossipAt = now + c.limits.GossipInterval
 		c.tell(c.members.Receivers(now), 0, nil)
 	}
 	if now >= c.fleetAt {
@@ -146,6 +167,7 @@
 	}
 	countCall(call.Kind)
 	go func() {
+		defer storeCallTime.UpdateDuration(time.Now())
 		reading, outcome, err := follower.Do(ctx, c.host.source, call)
 		c.post(ctx, callEnd{call: call, reading: reading, outcome: outcome, err: err})
 	}()
@@ -163,6 +185,7 @@
 	now := c.host.now()
 	stale := !c.follower.Fresh(now)
 	c.follower.Ended(e.outcome, now)
+	c.noteConfirmed()
 	if stale && e.outcome == follower.Done {
 		c.gossipAt = now
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,7 @@
 	Packets    netip.AddrPort // callers' packets; their port is also where callers take packets
 	Peer       netip.AddrPort // datagrams and connections of other hosts
 	Admin      netip.AddrPort // HTTP: metrics and status
+	Metrics    netip.AddrPort // HTTP: the same on a port that does not change; not valid: none
 	Ready      netip.AddrPort // HTTP: readiness
 	ReadyPath  string
 	Seeds      []netip.AddrPort
@@ -60,19 +61,39 @@
 	logger  log.Logger
 	started time.Time
 
-	ready atomic.Bool
-	plans chan plan // newest plan for the traffic goroutine; holds at most one
-	plan  atomic.Bool
+	ready   atomic.Bool
+	plans   chan plan // newest plan for the traffic goroutine; holds at most one
+	plan    atomic.Bool
+	control *control
+	// confirmed is when the registry was last known to be the store's contents, or gossip.NeverConfirmed.
+	confirmed atomic.Int64
 }
 
 // New returns a host that is not running yet.
 func New(c Config, codec Codec, source follower.Source, logger log.Logger) *Host {
-	return &Host{config: c, codec: codec, source: source, logger: logger, started: time.Now(), plans: make(chan plan, 1)}
+	h := &Host{config: c, codec: codec, source: source, logger: logger, started: time.Now(), plans: make(chan plan, 1)}
+	h.confirmed.Store(gossip.NeverConfirmed)
+	h.control = newControl(h)
+	return h
 }
 
 // now returns the time on the host's steady clock.
 func (h *Host) now() time.Duration { return time.Since(h.started) }
 
+// ageMs returns the time since the registry was last confirmed.
+func (h *Host) ageMs(now time.Duration) int64 {
+	confirmed := h.confirmed.Load()
+	if confirmed == gossip.NeverConfirmed {
+		return gossip.NeverConfirmed
+	}
+	return (now - time.Duration(confirmed)).Milliseconds()
+}
+
+// Reload puts new seeds and limits in force. Addresses stay as they were at the start.
+func (h *Host) Reload(ctx context.Context, c Config) {
+	h.control.post(ctx, reload{seeds: c.Seeds, limits: c.Limits})
+}
+
 // Run serves until ctx ends and the host has been taken out of rotation.
 func (h *Host) Run(ctx context.Context) error {
 	sockets, err := h.listen()
@@ -85,13 +106,17 @@
 	defer stop()
 	group, running := errgroup.WithContext(running)
 	traffic := newTraffic(h, sockets.packets)
-	control := newControl(h, sockets.peer)
+	control := h.control
+	control.conn = sockets.peer
 	group.Go(func() error { return traffic.run(running) })
 	group.Go(func() error { return control.run(running) })
 	group.Go(func() error { return control.receive(running) })
 	group.Go(func() error { return gossip.Serve(running, sockets.transfer, control.answer) })
 	group.Go(func() error { return serveHTTP(sockets.ready, http.HandlerFunc(h.serveReady)) })
 	group.Go(func() error { return serveHTTP(sockets.admin, h.adminHandler(control)) })
+	if sockets.metrics != nil {
+		group.Go(func() error { return serveHTTP(sockets.metrics, h.adminHandler(control)) })
+	}
 	group.Go(func() error {
 		<-running.Done()
 		sockets.close()
@@ -146,6 +171,7 @@
 	transfer net.Listener
 	ready    net.Listener
 	admin    net.Listener
+	metrics  net.Listener // nil: none
 }
 
 func (h *Host) listen() (*sockets, error) {
@@ -166,6 +192,12 @@
 	if s.admin, err = net.Listen("tcp4", h.config.Admin.String()); err != nil {
 		return nil, errors.Wrap(err, "listen for operators")
 	}
+	if !h.config.Metrics.IsValid() {
+		return s, nil
+	}
+	if s.metrics, err = net.Listen("tcp4", h.config.Metrics.String()); err != nil {
+		return nil, errors.Wrap(err, "listen for metrics")
+	}
 	return s, nil
 }
 
@@ -175,6 +207,9 @@
 	s.transfer.Close()
 	s.ready.Close()
 	s.admin.Close()
+	if s.metrics != nil {
+		s.metrics.Close()
+	}
 }
 
 func errText(err error) string {
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -88,7 +88,7 @@
 		Ready:         c.host.ready.Load(),
 		Revision:      c.state.Revision(),
 		ConfigVersion: c.version,
-		AgeMs:         c.ageMs(),
+		AgeMs:         c.host.ageMs(now),
 		Reader:        c.wasReader,
 	}
 	for _, h := range c.members.All() {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -20,6 +20,9 @@
 	fetchFailures    = metrics.NewCounter(`nutmeglatch_entry_fetch_failures_total`)
 	configVersion    = metrics.NewGauge(`nutmeglatch_entry_config_version`, nil)
 
+	openingTime   = metrics.NewHistogram(`nutmeglatch_affinity_opening_answer_seconds`)
+	storeCallTime = metrics.NewHistogram(`nutmeglatch_follower_call_seconds`)
+
 	verdicts [3][affinity.ReasonCount]*metrics.Counter
 	orders   [affinity.ReasonCount]*metrics.Counter
 )
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -21,7 +21,7 @@
 	m := &gossip.Message{
 		From:     gossip.Host{Addr: c.host.config.Peer, DataCentre: c.host.config.DataCentre},
 		Revision: c.state.Revision(),
-		AgeMs:    c.ageMs(),
+		AgeMs:    c.host.ageMs(c.host.now()),
 		Leaving:  c.leaving.Load(),
 		Hosts:    c.members.Sample(),
 		After:    after,
@@ -40,14 +40,6 @@
 	}
 }
 
-func (c *control) ageMs() int64 {
-	age, ok := c.follower.Age(c.host.now())
-	if !ok {
-		return gossip.NeverConfirmed
-	}
-	return age.Milliseconds()
-}
-
 // receive reads the datagrams of other hosts.
 func (c *control) receive(ctx context.Context) error {
 	buffer := make([]byte, gossip.MaxDatagram+1)
@@ -93,7 +85,20 @@
 		return
 	}
 	if m.Confirmed() && m.Revision == c.state.Revision() {
-		c.follower.Confirm(now - time.Duration(m.AgeMs)*time.Millisecond)
+		c.confirm(now - time.Duration(m.AgeMs)*time.Millisecond)
+	}
+}
+
+// confirm notes that another host has confirmed the registry as of a time.
+func (c *control) confirm(at time.Duration) {
+	c.follower.Confirm(at)
+	c.noteConfirmed()
+}
+
+// noteConfirmed lets the traffic goroutine know the age of the registry.
+func (c *control) noteConfirmed() {
+	if at, ok := c.follower.Confirmed(); ok {
+		c.host.confirmed.Store(int64(at))
 	}
 }
 
@@ -133,7 +138,7 @@
 	}
 	c.follower.Copied()
 	if e.copy.AgeMs > gossip.NeverConfirmed {
-		c.follower.Confirm(now - time.Duration(e.copy.AgeMs)*time.Millisecond)
+		c.confirm(now - time.Duration(e.copy.AgeMs)*time.Millisecond)
 	}
 	c.adopt(changed, before, e.from.String())
 }
@@ -151,7 +156,7 @@
 }
 
 func (c *control) copySince(after uint64) *gossip.Copy {
-	answer := &gossip.Copy{Loaded: c.state.Complete(), Revision: c.state.Revision(), AgeMs: c.ageMs(), After: after}
+	answer := &gossip.Copy{Loaded: c.state.Complete(), Revision: c.state.Revision(), AgeMs: c.host.ageMs(c.host.now()), After: after}
 	if answer.Loaded {
 		answer.Updates, answer.Full = c.state.Since(after)
 	}
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -139,6 +139,9 @@
 	}
 	v := t.router.Decide(&t.packet, now)
 	countVerdict(v)
+	if v.OpeningTook > 0 {
+		openingTime.Update(v.OpeningTook.Seconds())
+	}
 	switch v.Action {
 	case affinity.Forward:
 		t.host.codec.Address(b, v.Identity, v.Token)
@@ -159,7 +162,7 @@
 		countOrder(o)
 		t.line(func() {
 			level.Info(t.logger).Log("msg", "flow reset", "caller", o.Key.Caller, "service_address", o.Key.Service,
-				"reason", o.Reason, "revision", t.view.Revision)
+				"reason", o.Reason, "server", o.ServerID, "revision", t.view.Revision, "age_ms", t.host.ageMs(now))
 		})
 	}
 }
@@ -182,7 +185,8 @@
 	t.line(func() {
 		level.Info(t.logger).Log("msg", actionText[v.Action], "caller", p.Caller, "service_address", p.Service,
 			"seq", p.Seq, "copy", p.Copy, "token", p.Token, "reason", v.Reason, "server", v.ServerID,
-			"revision", t.view.Revision)
+			"preference", v.Preference, "flows", v.Flows, "config_version", t.view.Config.Version,
+			"revision", t.view.Revision, "age_ms", t.host.ageMs(now))
 	})
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -67,11 +67,18 @@
 	random    *rand.Rand
 }
 
-// New returns a Follower that has read nothing. Hosts differ in the age at which they read, so that one that finds its
-// copy old spares the others the call.
+// New returns a Follower that has read nothing.
 func New(c Config, random *rand.Rand) *Follower {
-	c.StaleAfter -= time.Duration(random.Int64N(int64(c.StaleAfter / staleSpread)))
-	return &Follower{config: c, confirmed: -1, rereadAll: true, random: random}
+	f := &Follower{confirmed: -1, rereadAll: true, random: random}
+	f.SetConfig(c)
+	return f
+}
+
+// SetConfig replaces the times. Hosts differ in the age at which they read, so that one that finds its copy old spares
+// the others the call.
+func (f *Follower) SetConfig(c Config) {
+	c.StaleAfter -= time.Duration(f.random.Int64N(int64(c.StaleAfter / staleSpread)))
+	f.config = c
 }
 
 // Next returns the call that is due now, if any, and notes it as started.
@@ -140,10 +147,8 @@
 // Copied notes that another host has given this one a complete copy, so that changes after it suffice.
 func (f *Follower) Copied() { f.rereadAll = false }
 
-// Age returns how long ago the copy was last confirmed, and false when it never was.
-func (f *Follower) Age(now time.Duration) (time.Duration, bool) {
-	return now - f.confirmed, f.confirmed >= 0
-}
+// Confirmed returns when the copy was last confirmed, and false when it never was.
+func (f *Follower) Confirmed() (time.Duration, bool) { return f.confirmed, f.confirmed >= 0 }
 
 // Fresh reports whether the copy was confirmed within the time that a host may rely on others.
 func (f *Follower) Fresh(now time.Duration) bool {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -85,8 +85,8 @@
 			f.Next(7, true, start)
 			now := start + test.ended
 			f.Ended(Done, now)
-			if age, ok := f.Age(now); !ok || now-age != start+test.want {
-				t.Fatalf("confirmed at %v after the start, want %v", now-age-start, test.want)
+			if at, ok := f.Confirmed(); !ok || at != start+test.want {
+				t.Fatalf("confirmed at %v after the start, want %v", at-start, test.want)
 			}
 		})
 	}
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -46,6 +46,9 @@
 	return &Members{self: self, seeds: seeds, members: map[netip.AddrPort]*member{}, heard: map[string]time.Duration{}, random: random}
 }
 
+// SetSeeds replaces the seeds.
+func (m *Members) SetSeeds(seeds []netip.AddrPort) { m.seeds = seeds }
+
 // Hear takes the sender of a message and the hosts that it names. It reports whether the sender is new.
 func (m *Members) Hear(msg *Message, now time.Duration) bool {
 	for _, h := range msg.Hosts {
--- /dev/null
+++ b/internal/settings/entry.go
@@ -0,0 +1,108 @@
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/entry"
+	"github.com/nutmeglatch/nutmeglatch/internal/strictyaml"
+)
+
+// Bounds of the settings of entry hosts that tell flows apart by tokens.
+const (
+	maxFlowLogLines = 10_000
+	minInterval     = 10 * time.Millisecond
+	maxInterval     = time.Minute
+)
+
+// entryFile is the file of such an entry host. What is not set keeps its default, which follows from the deployment.
+type entryFile struct {
+	Entry entrySettings `yaml:"entry"`
+}
+
+type entrySettings struct {
+	MaxFlows       int               `yaml:"max_flows"`
+	FlowIdle       document.Duration `yaml:"flow_idle"`
+	FlowLogLines   int               `yaml:"flow_log_lines"` // a second
+	GossipInterval document.Duration `yaml:"gossip_interval"`
+	Store          entryStore        `yaml:"store"`
+}
+
+type entryStore struct {
+	WatchWait   document.Duration `yaml:"watch_wait"`
+	CallTimeout document.Duration `yaml:"call_timeout"`
+	StaleAfter  document.Duration `yaml:"stale_after"`
+	RetryMin    document.Duration `yaml:"retry_min"`
+	RetryMax    document.Duration `yaml:"retry_max"`
+}
+
+// LoadEntry reads and checks a file of limits and puts them in place of the defaults.
+func LoadEntry(path string, defaults entry.Limits) (entry.Limits, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return defaults, errors.Wrap(err, "read settings")
+	}
+	return ParseEntry(raw, defaults)
+}
+
+// ParseEntry decodes and checks limits and puts them in place of the defaults. All faults are reported at once.
+func ParseEntry(raw []byte, defaults entry.Limits) (entry.Limits, error) {
+	file := entryFile{Entry: entrySettingsOf(&defaults)}
+	faults := strictyaml.Decode(raw, MaxBytes, &file)
+	if len(faults) > 0 && (faults.Kind() == strictyaml.Malformed || faults.Kind() == strictyaml.TooLarge) {
+		return defaults, faults
+	}
+	faults.Merge(file.Entry.check())
+	if len(faults) > 0 {
+		return defaults, faults
+	}
+	return file.Entry.limits(), nil
+}
+
+func entrySettingsOf(l *entry.Limits) entrySettings {
+	return entrySettings{
+		MaxFlows:       l.MaxFlows,
+		FlowIdle:       document.Duration(l.FlowIdle),
+		FlowLogLines:   l.FlowLinesPerS,
+		GossipInterval: document.Duration(l.GossipInterval),
+		Store: entryStore{
+			WatchWait:   document.Duration(l.Follower.WatchWait),
+			CallTimeout: document.Duration(l.Follower.CallTimeout),
+			StaleAfter:  document.Duration(l.Follower.StaleAfter),
+			RetryMin:    document.Duration(l.Follower.RetryMin),
+			RetryMax:    document.Duration(l.Follower.RetryMax),
+		},
+	}
+}
+
+func (e *entrySettings) limits() entry.Limits {
+	var l entry.Limits
+	l.MaxFlows = e.MaxFlows
+	l.FlowIdle = e.FlowIdle.Std()
+	l.FlowLinesPerS = e.FlowLogLines
+	l.GossipInterval = e.GossipInterval.Std()
+	l.Follower.WatchWait = e.Store.WatchWait.Std()
+	l.Follower.CallTimeout = e.Store.CallTimeout.Std()
+	l.Follower.StaleAfter = e.Store.StaleAfter.Std()
+	l.Follower.RetryMin = e.Store.RetryMin.Std()
+	l.Follower.RetryMax = e.Store.RetryMax.Std()
+	return l
+}
+
+func (e *entrySettings) check() strictyaml.Faults {
+	c := &strictyaml.Checker{}
+	c.Between("entry.max_flows", e.MaxFlows, MinMaxFlows, MaxMaxFlows)
+	c.Duration("entry.flow_idle", e.FlowIdle.Std(), time.Second, time.Hour)
+	c.Between("entry.flow_log_lines", e.FlowLogLines, 0, maxFlowLogLines)
+	c.Duration("entry.gossip_interval", e.GossipInterval.Std(), minInterval, time.Second)
+	c.Duration("entry.store.watch_wait", e.Store.WatchWait.Std(), minInterval, maxInterval)
+	c.Duration("entry.store.call_timeout", e.Store.CallTimeout.Std(), minInterval, maxInterval)
+	// A host that reads no sooner than a reader confirms would read always.
+	c.Duration("entry.store.stale_after", e.Store.StaleAfter.Std(), e.Store.WatchWait.Std()+e.GossipInterval.Std(), maxInterval)
+	c.Duration("entry.store.retry_min", e.Store.RetryMin.Std(), minInterval, maxInterval)
+	c.Duration("entry.store.retry_max", e.Store.RetryMax.Std(), e.Store.RetryMin.Std(), maxInterval)
+	return c.Faults
+}
--- /dev/null
+++ b/internal/settings/entry_test.go
@@ -0,0 +1,49 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/entry"
+)
+
+// Guards against a default that the checks reject, and against values that replace others than their own.
+func TestEntryLimits(t *testing.T) {
+	defaults := entry.DefaultLimits(3 * time.Second)
+	got, err := ParseEntry([]byte("entry: {max_flows: 5000, store: {retry_max: 2s}}\n"), defaults)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := defaults
+	want.MaxFlows, want.Follower.RetryMax = 5000, 2*time.Second
+	if got != want {
+		t.Fatalf("limits %+v, want %+v", got, want)
+	}
+	if _, err := ParseEntry([]byte("entry: {}\n"), entry.DefaultLimits(5*time.Second)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against limits that make a host useless, and against faults that do not name their field.
+func TestEntryLimitsRefused(t *testing.T) {
+	for text, field := range map[string]string{
+		"entry: {max_flows: 1}":                        "entry.max_flows",
+		"entry: {flow_idle: 0s}":                       "entry.flow_idle",
+		"entry: {flow_log_lines: -1}":                  "entry.flow_log_lines",
+		"entry: {gossip_interval: 5s}":                 "entry.gossip_interval",
+		"entry: {store: {watch_wait: 0s}}":             "entry.store.watch_wait",
+		"entry: {store: {call_timeout: 0s}}":           "entry.store.call_timeout",
+		"entry: {store: {stale_after: 1s}}":            "entry.store.stale_after",
+		"entry: {store: {retry_min: 2s}}":              "entry.store.retry_max",
+		"entry: {store: {retry_min: 0s}}":              "entry.store.retry_min",
+		"entry: {other: 1}":                            "entry.other",
+		"entry: {max_flows: many}":                     "entry.max_flows",
+		"entry: {store: {retry_max: 1s, watch_wait: }": "",
+	} {
+		_, err := ParseEntry([]byte(text), entry.DefaultLimits(3*time.Second))
+		if err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: error %v, want one that names %q", text, err, field)
+		}
+	}
+}
