affinity, entry: tell when the belief about a backend server changes

Change: a notice, log line and counter for each change with its cause, flows and the age of the last sign of life; they have a budget of their own. Lines of rejected packets no longer name a preference. Resets are sent before they are logged.

--- a/internal/affinity/evidence_test.go
+++ b/internal/affinity/evidence_test.go
@@ -215,7 +215,7 @@
 	w.server("meter", "a")
 	w.show()
 	s := w.router.servers[suspect]
-	s.suspect(w.now)
+	s.suspect(OpeningLate, w.now)
 	opened := func() int {
 		n := 0
 		for range 10 {
@@ -345,3 +345,28 @@
 	w.router.SetFleet(Fleet{Self: selfHost})
 	expect(t, w.caller(meterAddr).open(0), Forward, NewFlow)
 }
+
+// Guards against beliefs that change without a trace: each change is told once, with its cause.
+func TestNotices(t *testing.T) {
+	w := newWorld(t)
+	w.server("meter", "a")
+	w.show()
+	c := w.caller(meterAddr)
+	c.open(0)
+	w.wait(100 * time.Millisecond)
+	list := w.router.TakeNotices()
+	if len(list) != 1 || list[0].Belief != Suspect || list[0].Cause != OpeningLate || list[0].For != suspicionPeriod {
+		t.Fatalf("notices %+v, want one of a late answer", list)
+	}
+	c.seq, c.ack = c.seq+1, c.ack+1
+	c.request()
+	list = w.router.TakeNotices()
+	if len(list) != 1 || list[0].Belief != Answers {
+		t.Fatalf("notices %+v, want one of an answer", list)
+	}
+	c.answered()
+	c.request()
+	if list = w.router.TakeNotices(); len(list) != 0 {
+		t.Fatalf("notices %+v though nothing changed", list)
+	}
+}
--- a/internal/affinity/openings.go
+++ b/internal/affinity/openings.go
@@ -54,7 +54,7 @@
 	wait := o.wait()
 	n := 0
 	for n < len(o.queue) && now-o.queue[n].at >= wait {
-		o.queue[n].judge(now)
+		o.queue[n].judge(OpeningLate, now)
 		caller := o.queue[n].key.Caller.Addr()
 		if o.byCaller[caller].at <= o.queue[n].at {
 			delete(o.byCaller, caller)
@@ -68,18 +68,18 @@
 // as it does after a refusal. It returns that server, or nil.
 func (o *openings) restarted(key FlowKey, now time.Duration) *server {
 	last, ok := o.byCaller[key.Caller.Addr()]
-	if !ok || last.key == key || !last.judge(now) {
+	if !ok || last.key == key || !last.judge(CallerRestarted, now) {
 		return nil
 	}
 	return last.server
 }
 
 // judge suspects the server if nothing has proved an answer since the opening packet. It reports whether it did.
-func (n *opening) judge(now time.Duration) bool {
+func (n *opening) judge(cause Cause, now time.Duration) bool {
 	if n.flow.open || n.flow.server != n.server || n.server.lastSign >= n.at {
 		return false
 	}
-	n.server.suspect(now)
+	n.server.suspect(cause, now)
 	return true
 }
 
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -62,6 +62,7 @@
 	unknown   map[uint32]time.Duration // tokens that no view named, and when they were first seen
 	table     flowTable
 	openings  openings
+	notices   notices
 	seed      maphash.Seed
 	turn      uint32
 	stepAt    time.Duration
@@ -148,14 +149,14 @@
 func (r *Router) update(entry *registry.Server) *server {
 	s := r.servers[entry.ID]
 	if s == nil {
-		s = &server{token: entry.Token()}
+		s = &server{token: entry.Token(), notices: &r.notices}
 		r.servers[entry.ID] = s
 	}
 	restarted := s.StartedMs != 0 && entry.StartedMs > s.StartedMs
 	s.Server = *entry
 	s.present, s.goneAt, s.drained = true, 0, false
 	if restarted {
-		s.answered(0)
+		s.forgive()
 	}
 	return s
 }
@@ -311,7 +312,7 @@
 func (r *Router) reopen(p *Packet, f *flow, rt *route, now time.Duration) Verdict {
 	f.lastAt = now
 	if f.sentAt >= max(f.server.lastSign, r.resumedAt) {
-		f.server.suspect(now)
+		f.server.suspect(OpeningRepeated, now)
 		if f.server.strike(f, now) {
 			r.orderResets(f.server, BackendServerSilent)
 		}
--- a/internal/affinity/server.go
+++ b/internal/affinity/server.go
@@ -29,6 +29,7 @@
 // server is what the host knows and has observed of a backend server. It outlives views.
 type server struct {
 	registry.Server
+	notices *notices
 	token   uint32
 	present bool
 	goneAt  time.Duration // when it left the view
@@ -51,7 +52,15 @@
 
 // answered clears all evidence against the server.
 func (s *server) answered(now time.Duration) {
+	if s.suspectUntil != 0 || s.silentUntil != 0 {
+		s.notices.add(s, Answers, PacketAcknowledged, now, 0)
+	}
 	s.lastSign = now
+	s.forgive()
+}
+
+// forgive forgets all doubts, as after a restart of the server.
+func (s *server) forgive() {
 	s.clearEvidence()
 	s.suspectUntil, s.suspicion, s.onTrial, s.silentUntil = 0, 0, false, 0
 }
@@ -80,6 +89,7 @@
 		return false
 	}
 	s.silentUntil = now + silentPeriod
+	s.notices.add(s, Silent, DataRepeated, now, silentPeriod)
 	return true
 }
 
@@ -92,13 +102,14 @@
 }
 
 // suspect keeps new flows away for a while, longer each time that a trial fails.
-func (s *server) suspect(now time.Duration) {
+func (s *server) suspect(cause Cause, now time.Duration) {
 	if s.suspectUntil > now && !s.onTrial {
 		return
 	}
 	s.suspicion = min(max(2*s.suspicion, suspicionPeriod), maxSuspicion)
 	s.suspectUntil = now + s.suspicion
 	s.onTrial = false
+	s.notices.add(s, Suspect, cause, now, s.suspicion)
 }
 
 // doubtful reports whether packets of this host's callers have lately gone unanswered.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -54,3 +54,8 @@
 func countOutcome(o follower.Outcome) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`nutmeglatch_follower_outcomes_total{outcome=%q}`, o)).Inc()
 }
+
+func countNotice(n affinity.Notice) {
+	name := fmt.Sprintf(`nutmeglatch_affinity_beliefs_total{belief=%q,cause=%q}`, n.Belief, n.Cause)
+	metrics.GetOrCreateCounter(name).Inc()
+}
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -31,27 +31,29 @@
 
 // traffic reads callers' packets and forwards them.
 type traffic struct {
-	host       *Host
-	conn       *net.UDPConn
-	router     *affinity.Router
-	logger     log.Logger
-	lines      lineBudget
-	lastPacket atomic.Int64
-	view       *registry.View
-	sweptAt    time.Duration
-	packet     affinity.Packet
-	out        []byte
+	host        *Host
+	conn        *net.UDPConn
+	router      *affinity.Router
+	logger      log.Logger
+	lines       lineBudget
+	noticeLines lineBudget
+	lastPacket  atomic.Int64
+	view        *registry.View
+	sweptAt     time.Duration
+	packet      affinity.Packet
+	out         []byte
 }
 
 func newTraffic(h *Host, conn *net.UDPConn) *traffic {
 	self := affinity.Host{Addr: h.config.Peer, DataCentre: h.config.DataCentre}
 	c := affinity.Config{MaxFlows: h.config.Limits.MaxFlows, IdleTimeout: h.config.Limits.FlowIdle}
 	return &traffic{
-		host:   h,
-		conn:   conn,
-		router: affinity.NewRouter(c, self),
-		logger: log.With(h.logger, "part", "flow"),
-		lines:  lineBudget{perSecond: h.config.Limits.FlowLinesPerS},
+		host:        h,
+		conn:        conn,
+		router:      affinity.NewRouter(c, self),
+		logger:      log.With(h.logger, "part", "flow"),
+		lines:       lineBudget{perSecond: h.config.Limits.FlowLinesPerS},
+		noticeLines: lineBudget{perSecond: h.config.Limits.FlowLinesPerS},
 	}
 }
 
@@ -155,10 +157,26 @@
 	t.sendOrders(now)
 }
 
-// sendOrders resets the flows of backend servers that were found lost.
+// logNotices writes what the router has come to believe of backend servers. These lines have a budget of their own, as
+// the flows of a lost backend server can use up that of the others.
+func (t *traffic) logNotices() {
+	for _, n := range t.router.TakeNotices() {
+		countNotice(n)
+		t.noticeLines.do(t.host.now(), func() {
+			level.Info(t.logger).Log("msg", "backend server "+n.Belief.String(), "server", n.ServerID, "cause", n.Cause,
+				"flows", n.Flows, "since_sign", n.Since, "for", n.For)
+		})
+	}
+}
+
+// sendOrders resets the flows of backend servers that were found lost, then writes why.
 func (t *traffic) sendOrders(now time.Duration) {
-	for _, o := range t.router.TakeOrders() {
+	orders := t.router.TakeOrders()
+	for _, o := range orders {
 		t.reset(o.Key, o.Seq)
+	}
+	t.logNotices()
+	for _, o := range orders {
 		countOrder(o)
 		t.line(func() {
 			level.Info(t.logger).Log("msg", "flow reset", "caller", o.Key.Caller, "service_address", o.Key.Service,
@@ -180,38 +198,45 @@
 	}
 }
 
+// logVerdict writes what was decided about a packet, and from what.
 func (t *traffic) logVerdict(v *affinity.Verdict, now time.Duration) {
 	p := &t.packet
 	t.line(func() {
-		level.Info(t.logger).Log("msg", actionText[v.Action], "caller", p.Caller, "service_address", p.Service,
-			"seq", p.Seq, "copy", p.Copy, "token", p.Token, "reason", v.Reason, "server", v.ServerID,
-			"preference", v.Preference, "flows", v.Flows, "config_version", t.view.Config.Version,
-			"revision", t.view.Revision, "age_ms", t.host.ageMs(now))
+		fields := []any{"msg", actionText[v.Action], "caller", p.Caller, "service_address", p.Service, "seq", p.Seq,
+			"reason", v.Reason, "server", v.ServerID, "config_version", t.view.Config.Version, "revision", t.view.Revision,
+			"age_ms", t.host.ageMs(now)}
+		if p.Opening {
+			fields = append(fields, "copy", p.Copy)
+		} else {
+			fields = append(fields, "token", p.Token)
+		}
+		if v.Reason == affinity.NewFlow || v.Reason == affinity.OpeningCopy {
+			fields = append(fields, "preference", v.Preference, "flows", v.Flows)
+		}
+		level.Info(t.logger).Log(fields...)
 	})
 }
 
 var actionText = [...]string{affinity.Drop: "packet dropped", affinity.Forward: "flow forwarded", affinity.Reject: "flow rejected"}
 
-// line writes a log line if the budget of the present second has one left.
-func (t *traffic) line(write func()) {
-	if t.lines.take(t.host.now()) {
-		write()
-		return
-	}
-	linesSuppressed.Inc()
-}
+// line writes a log line about a flow if the budget of the present second has one left.
+func (t *traffic) line(write func()) { t.lines.do(t.host.now(), write) }
 
-// lineBudget bounds log lines a second.
+// lineBudget bounds log lines a second. Lines beyond it are counted.
 type lineBudget struct {
 	perSecond int
 	since     time.Duration
 	taken     int
 }
 
-func (b *lineBudget) take(now time.Duration) bool {
+func (b *lineBudget) do(now time.Duration, write func()) {
 	if now-b.since >= time.Second {
 		b.since, b.taken = now, 0
 	}
+	if b.taken >= b.perSecond {
+		linesSuppressed.Inc()
+		return
+	}
 	b.taken++
-	return b.taken <= b.perSecond
+	write()
 }
