--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -9,7 +9,8 @@
 type Preference uint8
 
 const (
-	preferOwn      Preference = iota // own data centre
+	preferCrossing Preference = iota // another data centre, as the own one is too busy
+	preferOwn                        // own data centre
 	preferOther                      // another data centre
 	preferUnproven                   // has given no sign of life lately, which counts only after a failure
 	preferLapsed                     // its entry is away and may come back
@@ -19,7 +20,7 @@
 )
 
 var preferenceNames = [...]string{
-	"own_data_centre", "other_data_centre", "unproven", "lapsed", "suspect", "cold", "none",
+	"crossing", "own_data_centre", "other_data_centre", "unproven", "lapsed", "suspect", "cold", "none",
 }
 
 // String returns the name of the preference in logs.
@@ -68,6 +69,7 @@
 	var best *server
 	bestPreference, bestLoad := preferNone, 0.0
 	r.turn++
+	crosses := r.crosses(t.service, now)
 	for i := range t.service.servers {
 		s := t.service.servers[(i+int(r.turn))%len(t.service.servers)]
 		if f.has(s) {
@@ -77,6 +79,9 @@
 		if f.any() && p < preferUnproven && now-s.lastSign > provenWithin {
 			p = preferUnproven
 		}
+		if crosses && p == preferOther {
+			p = preferCrossing
+		}
 		load := float64(s.flows+1) / float64(s.Slots)
 		if p < bestPreference || p == bestPreference && load < bestLoad {
 			best, bestPreference, bestLoad = s, p, load
--- a/internal/affinity/fleet.go
+++ b/internal/affinity/fleet.go
@@ -12,11 +12,24 @@
 	DataCentre string
 }
 
+// Place is a service in a data centre.
+type Place struct {
+	Service    string
+	DataCentre string
+}
+
+// Load is the number of open flows that a host remembers at the backend servers of a place.
+type Load struct {
+	Place
+	Flows int
+}
+
 // Fleet is what the host knows of the other entry hosts.
 type Fleet struct {
 	Self        Host
 	Hosts       []Host          // the others, seen within the last minutes
 	Unreachable map[string]bool // data centres from whose hosts nothing arrives
+	Flows       map[Place]int   // flows that the other hosts report
 }
 
 // ranked reports whether this host is among the first n hosts of a data centre for a key, by rendezvous hash.
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -298,6 +298,10 @@
 	f := &affinity.Fleet{
 		Self:        affinity.Host{Addr: c.host.config.Peer, DataCentre: c.host.config.DataCentre},
 		Unreachable: c.members.Unreachable(now),
+		Flows:       map[affinity.Place]int{},
+	}
+	for _, l := range c.members.Loads(now) {
+		f.Flows[affinity.Place{Service: l.Service, DataCentre: l.DataCentre}] += l.Flows
 	}
 	for _, h := range c.members.All() {
 		f.Hosts = append(f.Hosts, affinity.Host(h))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -65,6 +65,7 @@
 	plans   chan plan // newest plan for the traffic goroutine; holds at most one
 	plan    atomic.Bool
 	control *control
+	loads   atomic.Pointer[[]affinity.Load] // of this host's flows, for other hosts
 	// confirmed is when the registry was last known to be the store's contents, or gossip.NeverConfirmed.
 	confirmed atomic.Int64
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -27,6 +27,11 @@
 		After:    after,
 		Changes:  changes,
 	}
+	if loads := c.host.loads.Load(); loads != nil {
+		for _, l := range *loads {
+			m.Loads = append(m.Loads, gossip.Load{Service: l.Service, DataCentre: l.DataCentre, Flows: l.Flows})
+		}
+	}
 	b, err := gossip.Encode(m)
 	if err != nil {
 		level.Error(c.logger).Log("msg", "message not encoded", "err", err)
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -116,6 +116,8 @@
 		t.sweptAt = now
 		t.router.Sweep(now)
 		t.sendOrders(now)
+		loads := t.router.Loads()
+		t.host.loads.Store(&loads)
 	}
 }
 
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -30,6 +30,7 @@
 	heardAt time.Duration // negative: named by others, not heard yet
 	addedAt time.Duration
 	leaving bool
+	loads   []Load
 }
 
 // Members is what a host knows of the others. It belongs to the control goroutine.
@@ -61,6 +62,7 @@
 		return false
 	}
 	known.heardAt, known.leaving, known.DataCentre = now, msg.Leaving, msg.From.DataCentre
+	known.loads = msg.Loads
 	m.heard[msg.From.DataCentre] = now
 	return isNew
 }
@@ -170,6 +172,28 @@
 	return hosts
 }
 
+// Loads returns the loads that live hosts report, with the number of flows scaled to all hosts of their data centre.
+func (m *Members) Loads(now time.Duration) []Load {
+	known, heard := map[string]int{}, map[string]int{}
+	for _, h := range m.members {
+		known[h.DataCentre]++
+		if h.alive(now) {
+			heard[h.DataCentre]++
+		}
+	}
+	var loads []Load
+	for _, h := range m.members {
+		if !h.alive(now) {
+			continue
+		}
+		for _, l := range h.loads {
+			l.Flows = l.Flows * known[h.DataCentre] / heard[h.DataCentre]
+			loads = append(loads, l)
+		}
+	}
+	return loads
+}
+
 // Unreachable returns the other data centres whose hosts were heard before and are silent now.
 func (m *Members) Unreachable(now time.Duration) map[string]bool {
 	out := map[string]bool{}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -18,6 +18,8 @@
 	MaxDatagram = 8192
 	// maxHosts is the number of host addresses in a message.
 	maxHosts = 8
+	// maxLoads is the number of loads in a message.
+	maxLoads = 16
 	// NeverConfirmed is the age of a copy that the store has never confirmed.
 	NeverConfirmed = -1
 )
@@ -28,6 +30,13 @@
 	DataCentre string         `json:"dc"`
 }
 
+// Load is the number of flows that a host has at the backend servers of a service in a data centre.
+type Load struct {
+	Service    string `json:"service"`
+	DataCentre string `json:"dc"`
+	Flows      int    `json:"flows"`
+}
+
 // Message is what a host tells another one.
 type Message struct {
 	From     Host              `json:"from"`
@@ -35,6 +44,7 @@
 	AgeMs    int64             `json:"age"` // since its copy was confirmed
 	Leaving  bool              `json:"leaving,omitempty"`
 	Hosts    []Host            `json:"hosts,omitempty"`
+	Loads    []Load            `json:"loads,omitempty"`
 	After    uint64            `json:"after,omitempty"` // revision that the changes follow
 	Changes  []registry.Update `json:"changes,omitempty"`
 }
@@ -65,9 +75,14 @@
 	if err := json.Unmarshal(b, &m); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "decode message"), ErrMalformed)
 	}
-	if m.AgeMs < NeverConfirmed || !m.From.Addr.IsValid() || m.From.DataCentre == "" || len(m.Hosts) > maxHosts {
+	if m.AgeMs < NeverConfirmed || !m.From.Addr.IsValid() || m.From.DataCentre == "" || len(m.Hosts) > maxHosts || len(m.Loads) > maxLoads {
 		return nil, errors.Wrap(ErrMalformed, "sender or hosts")
 	}
+	for _, l := range m.Loads {
+		if l.Service == "" || l.DataCentre == "" || l.Flows < 0 {
+			return nil, errors.Wrap(ErrMalformed, "load")
+		}
+	}
 	for i := range m.Changes {
 		if err := check(&m.Changes[i]); err != nil {
 			return nil, err
