affinity, entry: let a connection decide whether a doubtful backend server is lost

Change: repeated data and unanswered opening packets start a check, a connection that is closed at once. No verdict while this host sees no sign of any server. Ruled out as sufficient: thresholds on silence, which must be longer than a full queue takes and shorter than callers wait.

--- /dev/null
+++ b/internal/affinity/check.go
@@ -0,0 +1,86 @@
+package affinity
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// checkPause is the least time between two checks of a backend server.
+	checkPause = 500 * time.Millisecond
+	// ownSilence is the time without a sign of any backend server after which this host's own network, and not the
+	// backend servers, explains failed checks.
+	ownSilence = 500 * time.Millisecond
+)
+
+// CheckOrder asks whether a backend server accepts connections. Callers' packets alone cannot tell a lost backend server
+// from a busy one, which acknowledges a request only with its answer.
+type CheckOrder struct {
+	ServerID string
+	Addr     netip.AddrPort
+}
+
+// CheckOutcome is what a check found.
+type CheckOutcome uint8
+
+// Outcomes of a check.
+const (
+	Unchecked CheckOutcome = iota // the check could not be made
+	Accepts
+	Refuses  // nothing listens there any more
+	NoAnswer // nothing came back
+)
+
+var outcomeNames = [...]string{"unchecked", "accepts", "refuses", "no_answer"}
+
+// String returns the name of the outcome in logs and metrics.
+func (o CheckOutcome) String() string { return outcomeNames[o] }
+
+// check holds the state of the checks of a server.
+type check struct {
+	running   bool
+	startedAt time.Duration
+}
+
+// wantCheck asks for a check of a server that left packets unanswered. Draining servers may accept no connections while
+// they serve their flows.
+func (r *Router) wantCheck(s *server, now time.Duration) {
+	if s.check.running || s.Draining || !s.present || s.check.startedAt != 0 && now-s.check.startedAt < checkPause {
+		return
+	}
+	s.check = check{running: true, startedAt: now}
+	r.checks = append(r.checks, CheckOrder{ServerID: s.ID, Addr: s.Addr})
+}
+
+// TakeChecks returns the checks that are due, and forgets them. The slice is valid until the next call of the Router.
+func (r *Router) TakeChecks() []CheckOrder {
+	checks := r.checks
+	r.checks = r.checks[:0]
+	return checks
+}
+
+// Checked takes what a check found. A server that does not accept connections is silent if nothing else has proved since
+// that it lives; its flows are reset.
+func (r *Router) Checked(id string, outcome CheckOutcome, now time.Duration) {
+	s := r.servers[id]
+	if s == nil || !s.check.running {
+		return
+	}
+	s.check.running = false
+	switch {
+	case outcome == Accepts || outcome == Unchecked || s.lastSign >= s.check.startedAt || !s.present || s.Draining:
+	case r.lastSign < now-ownSilence && r.lastSign != 0:
+		r.notices.add(s, Suspect, OwnNetwork, now, 0)
+	default:
+		s.silentUntil = now + silentPeriod
+		r.notices.add(s, Silent, causeOf(outcome), now, silentPeriod)
+		r.orderResets(s, BackendServerSilent)
+	}
+}
+
+func causeOf(outcome CheckOutcome) Cause {
+	if outcome == Refuses {
+		return ConnectionRefused
+	}
+	return ConnectionUnanswered
+}
--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -22,7 +22,6 @@
 	ack      uint32        // the caller's last acknowledgement
 	open     bool          // the caller has answered the backend server
 	closed   bool
-	struckIn uint32 // the server's evidence that this flow has counted in, plus 1
 	lastAt   time.Duration
 	openedAt time.Duration
 }
--- a/internal/affinity/notice.go
+++ b/internal/affinity/notice.go
@@ -22,15 +22,18 @@
 
 // Causes.
 const (
-	PacketAcknowledged Cause = iota // a caller acknowledged what the server sent
-	OpeningLate                     // an opening packet was not answered in time
-	CallerRestarted                 // a caller opened another flow before the first was answered
-	OpeningRepeated                 // a caller sent a copy of an opening packet
-	DataRepeated                    // callers sent data again
+	PacketAcknowledged   Cause = iota // a caller acknowledged what the server sent
+	OpeningLate                       // an opening packet was not answered in time
+	CallerRestarted                   // a caller opened another flow before the first was answered
+	OpeningRepeated                   // a caller sent a copy of an opening packet
+	ConnectionRefused                 // a check found that nothing listens
+	ConnectionUnanswered              // a check got no answer
+	OwnNetwork                        // a check failed, and no backend server has given a sign lately
 )
 
 var causeNames = [...]string{
-	"packet_acknowledged", "opening_late", "caller_restarted", "opening_repeated", "data_repeated",
+	"packet_acknowledged", "opening_late", "caller_restarted", "opening_repeated", "connection_refused",
+	"connection_unanswered", "own_network",
 }
 
 // String returns the name of the cause in logs.
--- a/internal/affinity/openings.go
+++ b/internal/affinity/openings.go
@@ -29,6 +29,7 @@
 type openings struct {
 	queue      []opening
 	byCaller   map[netip.Addr]opening
+	late       []*server     // what expire returns
 	answerTime time.Duration // usual time from an opening packet to the caller's next packet
 }
 
@@ -49,12 +50,15 @@
 	return max(minOpeningWait, openingWaitFactor*o.answerTime)
 }
 
-// expire suspects the servers that did not answer in time.
-func (o *openings) expire(now time.Duration) {
+// expire suspects the servers that did not answer in time, and returns them.
+func (o *openings) expire(now time.Duration) []*server {
+	o.late = o.late[:0]
 	wait := o.wait()
 	n := 0
 	for n < len(o.queue) && now-o.queue[n].at >= wait {
-		o.queue[n].judge(OpeningLate, now)
+		if o.queue[n].judge(OpeningLate, now) {
+			o.late = append(o.late, o.queue[n].server)
+		}
 		caller := o.queue[n].key.Caller.Addr()
 		if o.byCaller[caller].at <= o.queue[n].at {
 			delete(o.byCaller, caller)
@@ -62,6 +66,7 @@
 		n++
 	}
 	o.queue = append(o.queue[:0], o.queue[n:]...)
+	return o.late
 }
 
 // restarted suspects the server of a caller's last opening packet when the caller opens another flow before an answer,
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -63,6 +63,8 @@
 	table     flowTable
 	openings  openings
 	notices   notices
+	checks    []CheckOrder
+	lastSign  time.Duration // of any backend server
 	seed      maphash.Seed
 	turn      uint32
 	stepAt    time.Duration
@@ -263,14 +265,13 @@
 // step clears evidence that a pause of this host makes worthless.
 func (r *Router) step(now time.Duration) {
 	if r.stepAt != 0 && now-r.stepAt > pauseLimit {
-		for _, s := range r.servers {
-			s.clearEvidence()
-		}
 		r.resumedAt = now
 		r.openings.forget()
 	}
 	r.stepAt = now
-	r.openings.expire(now)
+	for _, s := range r.openings.expire(now) {
+		r.wantCheck(s, now)
+	}
 }
 
 // open chooses a backend server for an opening packet. A copy means that the earlier choice has not answered.
@@ -284,6 +285,9 @@
 		r.table.remove(key, f)
 	}
 	refused := r.openings.restarted(key, now)
+	if refused != nil {
+		r.wantCheck(refused, now)
+	}
 	s := r.choose(rt, key, now, failed{refused})
 	if s == nil && refused != nil {
 		s = r.choose(rt, key, now, failed{})
@@ -313,9 +317,7 @@
 	f.lastAt = now
 	if f.sentAt >= max(f.server.lastSign, r.resumedAt) {
 		f.server.suspect(OpeningRepeated, now)
-		if f.server.strike(f, now) {
-			r.orderResets(f.server, BackendServerSilent)
-		}
+		r.wantCheck(f.server, now)
 	}
 	s := r.choose(rt, p.Key(), now, failed{f.server, f.earlier})
 	if s == nil {
@@ -343,10 +345,7 @@
 	}
 	f = r.remember(key, f, s, p, now)
 	took := f.openingTime(now)
-	lost := r.observe(f, p, now)
-	if lost {
-		r.orderResets(s, BackendServerSilent)
-	}
+	r.observe(f, p, now)
 	if s.silentUntil > now {
 		return r.giveUp(key, f, s, BackendServerSilent)
 	}
@@ -400,9 +399,9 @@
 	return f
 }
 
-// observe takes what a packet proves about the flow's backend server: an acknowledgement that moved proves an answer, and
-// data sent twice a missing one. It reports whether the backend server has just been found silent.
-func (r *Router) observe(f *flow, p *Packet, now time.Duration) bool {
+// observe takes what a packet proves about the flow's backend server: an acknowledgement that moved proves an answer.
+// Data sent twice may mean a missing one, which a check finds out.
+func (r *Router) observe(f *flow, p *Packet, now time.Duration) {
 	s := f.server
 	if took := f.openingTime(now); took > 0 {
 		r.openings.answered(took)
@@ -410,20 +409,20 @@
 	if !f.open || newer(p.Ack, f.ack) {
 		f.open, f.ack = true, p.Ack
 		s.answered(now)
+		r.lastSign = now
 	}
 	if p.Length == 0 {
-		return false
+		return
 	}
 	end := p.Seq + uint32(p.Length)
 	if newer(end, f.next) {
 		f.next = end
 		f.sentAt = now
-		return false
+		return
 	}
-	if end != f.next || f.sentAt < max(s.lastSign, r.resumedAt, now-repeatsWithin) {
-		return false
+	if end == f.next && f.sentAt >= max(s.lastSign, r.resumedAt, now-repeatsWithin) {
+		r.wantCheck(s, now)
 	}
-	return s.strike(f, now)
 }
 
 // orderResets asks for the reset of all remembered flows of a lost backend server.
--- a/internal/affinity/server.go
+++ b/internal/affinity/server.go
@@ -13,10 +13,6 @@
 	trialWait = 300 * time.Millisecond
 	// maxSuspicion bounds the suspicion after repeated failures.
 	maxSuspicion = 4 * time.Second
-	// silenceManyFlows is the silence after which several unanswered flows prove that a backend server is lost.
-	silenceManyFlows = 400 * time.Millisecond
-	// silenceOneFlow is the same when a single flow repeats itself.
-	silenceOneFlow = 700 * time.Millisecond
 	// silentPeriod is how long the verdict holds without new evidence.
 	silentPeriod = 3 * time.Second
 	// goneSettled is how long the entry of a backend server that was not draining must be away before its flows are
@@ -36,15 +32,12 @@
 	drained bool          // it was draining when it left
 	flows   int           // open flows that this host remembers
 
-	lastSign       time.Duration // last packet of a caller that proves an answer
-	unansweredFrom time.Duration // when the first of the packets that were repeated since lastSign was sent
-	strikes        int           // repeated packets since lastSign
-	struckFlows    int           // flows among them
-	suspectUntil   time.Duration
-	suspicion      time.Duration // length of the present suspicion
-	onTrial        bool          // the next unanswered opening packet renews the suspicion
-	silentUntil    time.Duration // while set, its flows are reset
-	evidence       uint32        // rises whenever the evidence is cleared, so that flows count once
+	lastSign     time.Duration // last packet of a caller that proves an answer
+	suspectUntil time.Duration
+	suspicion    time.Duration // length of the present suspicion
+	onTrial      bool          // the next unanswered opening packet renews the suspicion
+	silentUntil  time.Duration // while set, its flows are reset
+	check        check
 
 	coldWindow time.Duration // start of the present window of cold admission
 	coldTaken  int
@@ -61,46 +54,9 @@
 
 // forgive forgets all doubts, as after a restart of the server.
 func (s *server) forgive() {
-	s.clearEvidence()
 	s.suspectUntil, s.suspicion, s.onTrial, s.silentUntil = 0, 0, false, 0
 }
 
-func (s *server) clearEvidence() {
-	s.unansweredFrom, s.strikes, s.struckFlows = 0, 0, 0
-	s.evidence++
-}
-
-// strike notes that a caller repeated a packet that this host has forwarded before. It reports whether the server has
-// just been found silent.
-func (s *server) strike(f *flow, now time.Duration) bool {
-	if s.strikes == 0 || f.sentAt < s.unansweredFrom {
-		s.unansweredFrom = f.sentAt
-	}
-	s.strikes++
-	if f.struckIn != s.evidence+1 {
-		f.struckIn = s.evidence + 1
-		s.struckFlows++
-	}
-	if s.silentUntil > now {
-		s.silentUntil = now + silentPeriod
-		return false
-	}
-	if !s.lost(now) {
-		return false
-	}
-	s.silentUntil = now + silentPeriod
-	s.notices.add(s, Silent, DataRepeated, now, silentPeriod)
-	return true
-}
-
-func (s *server) lost(now time.Duration) bool {
-	silence := now - s.unansweredFrom
-	if s.struckFlows >= 2 && silence >= silenceManyFlows {
-		return true
-	}
-	return s.strikes >= 2 && silence >= silenceOneFlow
-}
-
 // suspect keeps new flows away for a while, longer each time that a trial fails.
 func (s *server) suspect(cause Cause, now time.Duration) {
 	if s.suspectUntil > now && !s.onTrial {
--- a/internal/affinity/world_test.go
+++ b/internal/affinity/world_test.go
@@ -106,6 +106,19 @@
 	}
 }
 
+// check answers the checks that are due, with Accepts for servers that are not lost. It returns their number.
+func (w *world) check(lost map[string]CheckOutcome) int {
+	orders := append([]CheckOrder(nil), w.router.TakeChecks()...)
+	for _, o := range orders {
+		outcome := Accepts
+		if l, ok := lost[o.ServerID]; ok {
+			outcome = l
+		}
+		w.router.Checked(o.ServerID, outcome, w.now)
+	}
+	return len(orders)
+}
+
 // caller is one flow of a caller.
 type caller struct {
 	w     *world
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -59,3 +59,7 @@
 	name := fmt.Sprintf(`nutmeglatch_affinity_beliefs_total{belief=%q,cause=%q}`, n.Belief, n.Cause)
 	metrics.GetOrCreateCounter(name).Inc()
 }
+
+func countCheck(o affinity.CheckOutcome) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`nutmeglatch_affinity_checks_total{outcome=%q}`, o)).Inc()
+}
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -37,6 +37,7 @@
 	logger      log.Logger
 	lines       lineBudget
 	noticeLines lineBudget
+	checker     *checker
 	lastPacket  atomic.Int64
 	view        *registry.View
 	sweptAt     time.Duration
@@ -52,11 +53,19 @@
 		conn:        conn,
 		router:      affinity.NewRouter(c, self),
 		logger:      log.With(h.logger, "part", "flow"),
+		checker:     newChecker(func() { interrupt(conn) }),
 		lines:       lineBudget{perSecond: h.config.Limits.FlowLinesPerS},
 		noticeLines: lineBudget{perSecond: h.config.Limits.FlowLinesPerS},
 	}
 }
 
+// interrupt ends the wait of the traffic goroutine for a packet.
+func interrupt(conn *net.UDPConn) {
+	if err := conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		packetErrors.Inc()
+	}
+}
+
 // run waits for the first view, so that packets of a start wait in the socket, then takes one packet at a time.
 func (t *traffic) run(ctx context.Context) error {
 	if err := t.conn.SetReadBuffer(packetBuffer); err != nil {
@@ -103,8 +112,13 @@
 	return err
 }
 
-// upkeep takes the newest plan and does what is due by time.
+// upkeep takes the newest plan and results of checks, and does what is due by time.
 func (t *traffic) upkeep(now time.Duration) {
+	for _, result := range t.checker.take() {
+		countCheck(result.outcome)
+		t.router.Checked(result.id, result.outcome, now)
+		t.sendOrders(now)
+	}
 	if t.host.plan.Swap(false) {
 		select {
 		case p := <-t.host.plans:
@@ -177,6 +191,9 @@
 	for _, o := range orders {
 		t.reset(o.Key, o.Seq)
 	}
+	for _, c := range t.router.TakeChecks() {
+		t.checker.start(c)
+	}
 	t.logNotices()
 	for _, o := range orders {
 		countOrder(o)
