affinity, entry, registry: checks need a reference; hosts pass configurations on as differences

Ruled out: the backend servers (the same ones answered other hosts at that time). Change: a check also connects to a backend server that has just given a sign of life; without its answer within 100 ms there is no verdict.

--- a/internal/affinity/check.go
+++ b/internal/affinity/check.go
@@ -8,9 +8,8 @@
 const (
 	// checkPause is the least time between two checks of a backend server.
 	checkPause = 500 * time.Millisecond
-	// ownSilence is the time without a sign of any backend server after which this host's own network, and not the
-	// backend servers, explains failed checks.
-	ownSilence = 500 * time.Millisecond
+	// referenceAge is the age of a backend server's last sign of life up to which it can be the reference of a check.
+	referenceAge = 5 * time.Second
 )
 
 // CheckOrder asks whether a backend server accepts connections. Callers' packets alone cannot tell a lost backend server
@@ -18,6 +17,9 @@
 type CheckOrder struct {
 	ServerID string
 	Addr     netip.AddrPort
+	// Reference is the address of a backend server that has lately given a sign of life. When it does not answer at once,
+	// the host's own link or processor explains a missing answer.
+	Reference netip.AddrPort
 }
 
 // CheckOutcome is what a check found.
@@ -48,8 +50,29 @@
 	if s.check.running || s.Draining || !s.present || s.check.startedAt != 0 && now-s.check.startedAt < checkPause {
 		return
 	}
+	reference := r.reference(s, now)
+	if reference == nil {
+		return
+	}
 	s.check = check{running: true, startedAt: now}
-	r.checks = append(r.checks, CheckOrder{ServerID: s.ID, Addr: s.Addr})
+	r.checks = append(r.checks, CheckOrder{ServerID: s.ID, Addr: s.Addr, Reference: reference.Addr})
+}
+
+// reference returns another server that has lately given a sign of life, or nil.
+func (r *Router) reference(s *server, now time.Duration) *server {
+	for _, other := range r.signs {
+		if other != nil && other != s && other.present && now-other.lastSign <= referenceAge {
+			return other
+		}
+	}
+	return nil
+}
+
+// noteSign remembers which two servers gave the last signs of life.
+func (r *Router) noteSign(s *server) {
+	if r.signs[0] != s {
+		r.signs[0], r.signs[1] = s, r.signs[0]
+	}
 }
 
 // TakeChecks returns the checks that are due, and forgets them. The slice is valid until the next call of the Router.
@@ -69,8 +92,6 @@
 	s.check.running = false
 	switch {
 	case outcome == Accepts || outcome == Unchecked || s.lastSign >= s.check.startedAt || !s.present || s.Draining:
-	case r.lastSign < now-ownSilence && r.lastSign != 0:
-		r.notices.add(s, Suspect, OwnNetwork, now, 0)
 	default:
 		s.silentUntil = now + silentPeriod
 		r.notices.add(s, Silent, causeOf(outcome), now, silentPeriod)
--- a/internal/affinity/notice.go
+++ b/internal/affinity/notice.go
@@ -28,12 +28,11 @@
 	OpeningRepeated                   // a caller sent a copy of an opening packet
 	ConnectionRefused                 // a check found that nothing listens
 	ConnectionUnanswered              // a check got no answer
-	OwnNetwork                        // a check failed, and no backend server has given a sign lately
 )
 
 var causeNames = [...]string{
 	"packet_acknowledged", "opening_late", "caller_restarted", "opening_repeated", "connection_refused",
-	"connection_unanswered", "own_network",
+	"connection_unanswered",
 }
 
 // String returns the name of the cause in logs.
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -64,7 +64,7 @@
 	openings  openings
 	notices   notices
 	checks    []CheckOrder
-	lastSign  time.Duration // of any backend server
+	signs     [2]*server // that gave the last signs of life
 	seed      maphash.Seed
 	turn      uint32
 	stepAt    time.Duration
@@ -409,7 +409,7 @@
 	if !f.open || newer(p.Ack, f.ack) {
 		f.open, f.ack = true, p.Ack
 		s.answered(now)
-		r.lastSign = now
+		r.noteSign(s)
 	}
 	if p.Length == 0 {
 		return
--- a/internal/entry/checker.go
+++ b/internal/entry/checker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -15,6 +16,8 @@
 const (
 	// checkTimeout bounds a check.
 	checkTimeout = 250 * time.Millisecond
+	// referenceTimeout bounds the answer of the reference; a host whose link or processor delays it more judges nobody.
+	referenceTimeout = 100 * time.Millisecond
 	// checkRepeat is when a second connection is tried, in case the first one's packet was lost.
 	checkRepeat = 100 * time.Millisecond
 	// maxChecks bounds the checks that run at once.
@@ -29,15 +32,19 @@
 
 // checker finds out whether backend servers accept connections. It sends them nothing.
 type checker struct {
-	places chan struct{}
-	wake   func() // called when a result is there
+	places  chan struct{}
+	wake    func() // called when a result is there
+	connect connectFunc
 
 	mu      sync.Mutex
 	results []checkResult
 }
 
+// connectFunc tries to open a connection.
+type connectFunc func(ctx context.Context, addr netip.AddrPort) affinity.CheckOutcome
+
 func newChecker(wake func()) *checker {
-	return &checker{places: make(chan struct{}, maxChecks), wake: wake}
+	return &checker{places: make(chan struct{}, maxChecks), wake: wake, connect: connect}
 }
 
 // start begins a check.
@@ -49,7 +56,7 @@
 		return
 	}
 	go func() {
-		outcome := checkServer(order.Addr.String())
+		outcome := c.connect.check(order)
 		<-c.places
 		c.add(checkResult{id: order.ServerID, outcome: outcome})
 		c.wake()
@@ -71,8 +78,24 @@
 	return results
 }
 
-// checkServer opens a connection, and another one if the first is not answered soon. The first answer counts.
-func checkServer(addr string) affinity.CheckOutcome {
+// check compares a backend server with the reference: only a host that reaches the reference at once can tell that
+// the server does not answer.
+func (connect connectFunc) check(order affinity.CheckOrder) affinity.CheckOutcome {
+	reference := make(chan affinity.CheckOutcome, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), referenceTimeout)
+		defer cancel()
+		reference <- connect(ctx, order.Reference)
+	}()
+	outcome := connect.twice(order.Addr)
+	if <-reference != affinity.Accepts && outcome == affinity.NoAnswer {
+		return affinity.Unchecked
+	}
+	return outcome
+}
+
+// twice opens a connection, and another one if the first is not answered soon. The first answer counts.
+func (connect connectFunc) twice(addr netip.AddrPort) affinity.CheckOutcome {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
 	outcomes := make(chan affinity.CheckOutcome, 2)
@@ -90,9 +113,9 @@
 	return min(first, <-outcomes)
 }
 
-func connect(ctx context.Context, addr string) affinity.CheckOutcome {
+func connect(ctx context.Context, addr netip.AddrPort) affinity.CheckOutcome {
 	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp4", addr)
+	conn, err := dialer.DialContext(ctx, "tcp4", addr.String())
 	switch {
 	case err == nil:
 		conn.Close()
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -117,7 +117,7 @@
 	case fetchEnd:
 		c.onFetchEnd(e)
 	case queryEvent:
-		e.reply <- c.copySince(e.query.After)
+		e.reply <- c.copySince(e.query)
 	case statusEvent:
 		e.reply <- c.status()
 	case reload:
@@ -221,11 +221,12 @@
 
 // adopt puts changes in force and passes them on.
 func (c *control) adopt(changed []registry.Update, before uint64, from string) {
+	version := c.version // of the configuration that the receivers are likely to have
 	if len(changed) > 0 || !c.host.ready.Load() && c.state.Loaded() {
 		c.publishView()
 	}
 	if len(changed) > 0 && before != 0 {
-		c.tell(c.members.Receivers(c.host.now()), before, changed)
+		c.tell(c.members.Receivers(c.host.now()), before, c.state.Shorten(changed, version))
 	}
 	if c.state.Loaded() && !c.leaving.Load() && !c.host.ready.Swap(true) {
 		level.Info(c.logger).Log("msg", "ready", "revision", c.state.Revision(), "from", from,
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -113,9 +113,9 @@
 		return
 	}
 	c.fetching = true
-	after := c.state.Revision()
+	query := gossip.Query{After: c.state.Revision(), ConfigVersion: c.state.ConfigVersion()}
 	go func() {
-		answer, err := gossip.Fetch(ctx, from, after)
+		answer, err := gossip.Fetch(ctx, from, query)
 		c.post(ctx, fetchEnd{from: from, copy: answer, err: err})
 	}()
 }
@@ -160,10 +160,13 @@
 	}
 }
 
-func (c *control) copySince(after uint64) *gossip.Copy {
-	answer := &gossip.Copy{Loaded: c.state.Complete(), Revision: c.state.Revision(), AgeMs: c.host.ageMs(c.host.now()), After: after}
+func (c *control) copySince(q gossip.Query) *gossip.Copy {
+	answer := &gossip.Copy{Loaded: c.state.Complete(), Revision: c.state.Revision(), AgeMs: c.host.ageMs(c.host.now()), After: q.After}
 	if answer.Loaded {
-		answer.Updates, answer.Full = c.state.Since(after)
+		answer.Updates, answer.Full = c.state.Since(q.After)
+	}
+	if !answer.Full {
+		answer.Updates = c.state.Shorten(answer.Updates, q.ConfigVersion)
 	}
 	return answer
 }
--- a/internal/gossip/transfer.go
+++ b/internal/gossip/transfer.go
@@ -27,7 +27,8 @@
 
 // Query asks for the updates after a revision.
 type Query struct {
-	After uint64 `json:"after"`
+	After         uint64 `json:"after"`
+	ConfigVersion uint64 `json:"config_version"` // that the asking host has; 0: none
 }
 
 // Copy is what a host knows beyond a revision.
@@ -41,7 +42,7 @@
 }
 
 // Fetch asks a host for what it knows beyond a revision.
-func Fetch(ctx context.Context, host netip.AddrPort, after uint64) (*Copy, error) {
+func Fetch(ctx context.Context, host netip.AddrPort, q Query) (*Copy, error) {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	var dialer net.Dialer
@@ -52,7 +53,7 @@
 	rpc := open(ctx, conn, jsonrpc2.HandlerWithError(refuse))
 	defer rpc.Close()
 	var c Copy
-	if err := rpc.Call(ctx, methodSince, Query{After: after}, &c); err != nil {
+	if err := rpc.Call(ctx, methodSince, q, &c); err != nil {
 		return nil, errors.Wrapf(err, "fetch from host %s", host)
 	}
 	for i := range c.Updates {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -59,7 +59,7 @@
 	IdleTimeout time.Duration `json:"idle_timeout"` // after which an idle flow may be forgotten
 }
 
-// Update is a change of one published item. Exactly one of Server, Config and OutDataCentre is set unless the item was
+// Update is a change of one published item. Exactly one of Server, Config, Delta and OutDataCentre is set unless the item was
 // removed or refused.
 type Update struct {
 	Key           string         `json:"key"` // the publisher's name of the item, opaque here
@@ -68,6 +68,7 @@
 	Removed       bool           `json:"removed,omitempty"`
 	Server        *BackendServer `json:"server,omitempty"`
 	Config        *Config        `json:"config,omitempty"`
+	Delta         *ConfigDelta   `json:"delta,omitempty"` // in place of Config, between hosts
 	OutDataCentre string         `json:"out_data_centre,omitempty"`
 }
 
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -30,6 +30,7 @@
 type State struct {
 	items     map[string]*item
 	config    *Config
+	history   []*Config // the last versions, the newest last
 	revision  uint64
 	loaded    bool
 	disturbed time.Duration // when the last call to the store failed; negative when none did
@@ -51,6 +52,14 @@
 // Revision returns the revision up to which the registry is complete.
 func (s *State) Revision() uint64 { return s.revision }
 
+// ConfigVersion returns the version of the configuration in force, or 0.
+func (s *State) ConfigVersion() uint64 {
+	if s.config == nil {
+		return 0
+	}
+	return s.config.Version
+}
+
 // Disturb notes a failed call to the store.
 func (s *State) Disturb(now time.Duration) { s.disturbed = now }
 
@@ -64,6 +73,9 @@
 	var changed []Update
 	for _, u := range all {
 		named[u.Key] = true
+		if u.Delta != nil {
+			continue // a difference is no full reading
+		}
 		if s.apply(u, now) {
 			changed = append(changed, u)
 		}
@@ -92,6 +104,10 @@
 	if !s.loaded || after > s.revision {
 		return nil, false
 	}
+	updates, ok := s.expand(updates)
+	if !ok {
+		return nil, false
+	}
 	var changed []Update
 	for _, u := range updates {
 		if s.apply(u, now) {
@@ -127,6 +143,10 @@
 func (s *State) acceptConfig(c *Config) {
 	if s.config == nil || c.Version > s.config.Version {
 		s.config = c
+		s.history = append(s.history, c)
+		if len(s.history) > configHistory {
+			s.history = slices.Delete(s.history, 0, 1)
+		}
 	}
 }
 
