gossip: let the reader travel with the messages; send hosts and loads in every fourth one

Change: a message names the reader and the time since it was heard; the first live host reads for all that are in touch. Tests: one reader in fleets of 1, 2, 7, 90 and 300 after three deaths, one in each part of a cut, none awaited that leaves.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -71,6 +71,7 @@
 	fetchAfter time.Duration
 	gossipAt   time.Duration
 	fleetAt    time.Duration
+	rounds     int // of messages to the other hosts
 	storeDown  bool
 	wasReader  bool
 	version    uint64 // of the configuration in force
@@ -142,6 +143,7 @@
 	c.startCall(ctx, now)
 	if now >= c.gossipAt {
 		c.gossipAt = now + c.limits.GossipInterval
+		c.rounds++
 		c.tell(c.members.Receivers(now), 0, nil)
 	}
 	if now >= c.fleetAt {
@@ -156,7 +158,8 @@
 
 // startCall calls the store when a call is due.
 func (c *control) startCall(ctx context.Context, now time.Duration) {
-	reader := c.members.Reader(now) && !c.leaving.Load()
+	reader, _, _ := c.members.Reader(now)
+	reader = reader && !c.leaving.Load()
 	if reader != c.wasReader {
 		c.wasReader = reader
 		level.Info(c.logger).Log("msg", "reader of the store for the other hosts", "reader", reader)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -18,21 +18,7 @@
 	if len(receivers) == 0 {
 		return
 	}
-	m := &gossip.Message{
-		From:     gossip.Host{Addr: c.host.config.Peer, DataCentre: c.host.config.DataCentre},
-		Revision: c.state.Revision(),
-		AgeMs:    c.host.ageMs(c.host.now()),
-		Leaving:  c.leaving.Load(),
-		Hosts:    c.members.Sample(),
-		After:    after,
-		Changes:  changes,
-	}
-	if loads := c.host.loads.Load(); loads != nil {
-		for _, l := range *loads {
-			m.Loads = append(m.Loads, gossip.Load{Service: l.Service, DataCentre: l.DataCentre, Flows: l.Flows})
-		}
-	}
-	b, err := gossip.Encode(m)
+	b, err := gossip.Encode(c.message(after, changes))
 	if err != nil {
 		level.Error(c.logger).Log("msg", "message not encoded", "err", err)
 		return
@@ -94,6 +80,35 @@
 	}
 }
 
+// fullRounds is how often a message carries hosts and loads, which change slowly.
+const fullRounds = 4
+
+// message returns what this host has to say.
+func (c *control) message(after uint64, changes []registry.Update) *gossip.Message {
+	now := c.host.now()
+	_, reader, readerAge := c.members.Reader(now)
+	m := &gossip.Message{
+		From:     gossip.Host{Addr: c.host.config.Peer, DataCentre: c.host.config.DataCentre},
+		Revision: c.state.Revision(),
+		AgeMs:    c.host.ageMs(now),
+		Leaving:  c.leaving.Load(),
+		Reader:   reader,
+		ReaderMs: readerAge.Milliseconds(),
+		After:    after,
+		Changes:  changes,
+	}
+	if len(changes) > 0 || c.rounds%fullRounds != 1 {
+		return m
+	}
+	m.Hosts = c.members.Sample()
+	if loads := c.host.loads.Load(); loads != nil {
+		for _, l := range *loads {
+			m.Loads = append(m.Loads, gossip.Load{Service: l.Service, DataCentre: l.DataCentre, Flows: l.Flows})
+		}
+	}
+	return m
+}
+
 // confirm notes that another host has confirmed the registry as of a time.
 func (c *control) confirm(at time.Duration) {
 	c.follower.Confirm(at)
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -12,6 +12,8 @@
 const (
 	// aliveFor is how long after its last message a host counts as alive.
 	aliveFor = 1200 * time.Millisecond
+	// readerAliveFor is how long after the reader was heard another host takes its place.
+	readerAliveFor = 2 * time.Second
 	// memberRetention is how long a host that is silent is kept and written to.
 	memberRetention = 2 * time.Minute
 	// unreachableAfter is the silence of all hosts of a data centre after which it counts as out of reach.
@@ -39,12 +41,14 @@
 	seeds   []netip.AddrPort
 	members map[netip.AddrPort]*member
 	heard   map[string]time.Duration // last message from each data centre
+	reader  Host                     // that reads the store, as far as this host knows
+	readAt  time.Duration            // when the reader was last heard, by this host or another one
 	random  *rand.Rand
 }
 
 // NewMembers returns the members known at a start: none, beside the addresses of the seeds.
 func NewMembers(self Host, seeds []netip.AddrPort, random *rand.Rand) *Members {
-	return &Members{self: self, seeds: seeds, members: map[netip.AddrPort]*member{}, heard: map[string]time.Duration{}, random: random}
+	return &Members{self: self, seeds: seeds, members: map[netip.AddrPort]*member{}, heard: map[string]time.Duration{}, random: random, readAt: -readerAliveFor}
 }
 
 // SetSeeds replaces the seeds.
@@ -62,7 +66,10 @@
 		return false
 	}
 	known.heardAt, known.leaving, known.DataCentre = now, msg.Leaving, msg.From.DataCentre
-	known.loads = msg.Loads
+	if len(msg.Loads) > 0 {
+		known.loads = msg.Loads
+	}
+	m.hearReader(msg, now)
 	m.heard[msg.From.DataCentre] = now
 	return isNew
 }
@@ -83,16 +90,34 @@
 	}
 }
 
-// Reader reports whether this host reads the store for the others: the first of the hosts that it hears. In a large
-// fleet each host hears only some, so that there are several readers.
-func (m *Members) Reader(now time.Duration) bool {
-	own := readerRank(m.self.Addr)
-	for _, h := range m.members {
-		if h.alive(now) && readerRank(h.Addr) < own {
-			return false
-		}
+// Reader reports whether this host reads the store for the others, and the host that does with the time since it was
+// heard. The first of the live hosts reads; who it is travels with the messages, so that a large fleet, in which each
+// host hears only some, has one reader as well.
+func (m *Members) Reader(now time.Duration) (own bool, reader Host, age time.Duration) {
+	if m.reader.Addr != m.self.Addr && now-m.readAt < readerAliveFor && readerRank(m.reader.Addr) < readerRank(m.self.Addr) {
+		return false, m.reader, now - m.readAt
+	}
+	m.reader, m.readAt = m.self, now
+	return true, m.self, 0
+}
+
+// hearReader takes the reader that a message names, unless it has said that it leaves.
+func (m *Members) hearReader(msg *Message, now time.Duration) {
+	if msg.Leaving && m.reader.Addr == msg.From.Addr {
+		m.readAt = now - readerAliveFor
+	}
+	if named := m.members[msg.Reader.Addr]; !msg.Reader.Addr.IsValid() || named != nil && named.leaving {
+		return
+	}
+	at := now - time.Duration(msg.ReaderMs)*time.Millisecond
+	if msg.Reader.Addr == m.reader.Addr {
+		m.readAt = max(m.readAt, at)
+		return
+	}
+	stale := now-m.readAt >= readerAliveFor
+	if now-at < readerAliveFor && (stale || readerRank(msg.Reader.Addr) < readerRank(m.reader.Addr)) {
+		m.reader, m.readAt = msg.Reader, at
 	}
-	return true
 }
 
 func readerRank(addr netip.AddrPort) uint64 { return xxhash.Sum64String(addr.String()) }
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -29,43 +29,111 @@
 	}
 }
 
-// Guards against a fleet without a reader, and against two readers in a fleet whose hosts hear each other.
-func TestOneReader(t *testing.T) {
-	hosts := []Host{host(1, "a"), host(2, "a"), host(3, "b"), host(4, "c")}
-	readers := func(down int, now time.Duration) int {
-		n := 0
-		for i, self := range hosts {
-			m := newMembers(self)
-			for j, other := range hosts {
-				if j == i {
-					continue
-				}
-				at := now
-				if j == down {
-					at = now - aliveFor
-				}
-				m.Hear(&Message{From: other}, at)
+// fleet is hosts that exchange messages in rounds, each with a few others.
+type fleet struct {
+	hosts   []Host
+	members []*Members
+	down    map[int]bool
+	cut     func(from, to int) bool // no message passes
+	now     time.Duration
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{down: map[int]bool{}, cut: func(int, int) bool { return false }, now: time.Second}
+	for i := range n {
+		h := Host{Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000), DataCentre: []string{"a", "b", "c"}[i%3]}
+		f.hosts = append(f.hosts, h)
+		f.members = append(f.members, NewMembers(h, nil, rand.New(rand.NewPCG(uint64(i), 2))))
+	}
+	for i, m := range f.members {
+		for j, h := range f.hosts {
+			if j != i {
+				m.add(h, f.now)
 			}
-			if i != down && m.Reader(now) {
-				n++
+		}
+	}
+	return f
+}
+
+// run lets the hosts exchange messages for a while.
+func (f *fleet) run(d time.Duration) {
+	index := map[netip.AddrPort]int{}
+	for i, h := range f.hosts {
+		index[h.Addr] = i
+	}
+	for end := f.now + d; f.now < end; f.now += 250 * time.Millisecond {
+		for i, m := range f.members {
+			if f.down[i] {
+				continue
+			}
+			_, reader, age := m.Reader(f.now)
+			msg := &Message{From: f.hosts[i], Reader: reader, ReaderMs: age.Milliseconds()}
+			for _, to := range m.Receivers(f.now) {
+				if j := index[to]; !f.down[j] && !f.cut(i, j) {
+					f.members[j].Hear(msg, f.now)
+				}
 			}
 		}
-		return n
 	}
-	for down := -1; down < len(hosts); down++ {
-		if n := readers(down, 10*time.Second); n != 1 {
-			t.Errorf("%d readers with host %d down, want 1", n, down)
+}
+
+// readers returns the hosts that read.
+func (f *fleet) readers() []int {
+	var out []int
+	for i, m := range f.members {
+		if own, _, _ := m.Reader(f.now); own && !f.down[i] {
+			out = append(out, i)
 		}
 	}
+	return out
+}
+
+// Guards against a fleet without a reader after the reader's death, and against many in a fleet in which each host hears
+// only some of the others.
+func TestOneReader(t *testing.T) {
+	for _, n := range []int{1, 2, 7, 90, 300} {
+		f := newFleet(n)
+		f.run(4 * time.Second)
+		for range min(3, n-1) {
+			readers := f.readers()
+			if len(readers) != 1 {
+				t.Fatalf("%d hosts: readers %v, want one", n, readers)
+			}
+			f.down[readers[0]] = true
+			f.run(readerAliveFor + 3*time.Second)
+		}
+		if readers := f.readers(); len(readers) != 1 {
+			t.Fatalf("%d hosts: readers %v after three deaths, want one", n, readers)
+		}
+	}
+}
+
+// Guards against a part of a fleet that has no reader while it is cut off.
+func TestEachPartHasAReader(t *testing.T) {
+	f := newFleet(12)
+	part := func(i int) bool { return f.hosts[i].DataCentre == "b" }
+	f.run(4 * time.Second)
+	f.cut = func(from, to int) bool { return part(from) != part(to) }
+	f.run(readerAliveFor + 2*time.Second)
+	readers := f.readers()
+	if len(readers) != 2 || part(readers[0]) == part(readers[1]) {
+		t.Fatalf("readers %v, want one in each part", readers)
+	}
+	f.cut = func(int, int) bool { return false }
+	f.run(2 * time.Second)
+	if readers := f.readers(); len(readers) != 1 {
+		t.Fatalf("readers %v after the cut, want one", readers)
+	}
 }
 
-// Guards against a reader that is about to stop.
-func TestLeavingHostIsNoReader(t *testing.T) {
+// Guards against a fleet that waits for a reader that has said that it leaves.
+func TestLeavingReaderIsReplacedAtOnce(t *testing.T) {
 	hosts := []Host{host(1, "a"), host(2, "a")}
 	for i, self := range hosts {
 		m := newMembers(self)
-		m.Hear(&Message{From: hosts[1-i], Leaving: true}, time.Second)
-		if !m.Reader(time.Second) {
+		m.Hear(&Message{From: hosts[1-i], Reader: hosts[1-i]}, time.Second)
+		m.Hear(&Message{From: hosts[1-i], Reader: hosts[1-i], Leaving: true}, time.Second)
+		if own, _, _ := m.Reader(time.Second); !own {
 			t.Errorf("host %d does not read although the only other one leaves", i)
 		}
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -43,6 +43,8 @@
 	Revision uint64            `json:"rev"`
 	AgeMs    int64             `json:"age"` // since its copy was confirmed
 	Leaving  bool              `json:"leaving,omitempty"`
+	Reader   Host              `json:"reader"`     // that reads the store for the sender
+	ReaderMs int64             `json:"reader_age"` // since the reader was heard, by whoever heard it
 	Hosts    []Host            `json:"hosts,omitempty"`
 	Loads    []Load            `json:"loads,omitempty"`
 	After    uint64            `json:"after,omitempty"` // revision that the changes follow
@@ -75,7 +77,7 @@
 	if err := json.Unmarshal(b, &m); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "decode message"), ErrMalformed)
 	}
-	if m.AgeMs < NeverConfirmed || !m.From.Addr.IsValid() || m.From.DataCentre == "" || len(m.Hosts) > maxHosts || len(m.Loads) > maxLoads {
+	if m.AgeMs < NeverConfirmed || m.ReaderMs < 0 || !m.From.Addr.IsValid() || m.From.DataCentre == "" || len(m.Hosts) > maxHosts || len(m.Loads) > maxLoads {
 		return nil, errors.Wrap(ErrMalformed, "sender or hosts")
 	}
 	for _, l := range m.Loads {
