registry: keep draining servers too when their entries lapse while the store is away

A draining backend server whose entry lapsed in an outage of the store counted as gone, and its flows were reset although it still served them.

--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -129,7 +129,7 @@
 		s.acceptConfig(u.Config)
 	case u.Removed && old != nil && old.update.Server != nil:
 		next.previous = &Server{BackendServer: *old.update.Server, Created: old.update.Created}
-		if !old.update.Server.Draining && s.Disturbed(now) {
+		if s.Disturbed(now) {
 			next.missingTo = now + returnGrace
 		}
 	case u.Removed && old != nil && old.update.OutDataCentre != "":
