--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"slices"
 	"time"
 )
 
@@ -9,18 +10,19 @@
 type Preference uint8
 
 const (
-	preferCrossing Preference = iota // another data centre, as the own one is too busy
-	preferOwn                        // own data centre
-	preferOther                      // another data centre
-	preferUnproven                   // has given no sign of life lately, which counts only after a failure
-	preferLapsed                     // its entry is away and may come back
-	preferSuspect                    // has left packets unanswered, or its data centre is out of reach
-	preferCold                       // bears little as yet
+	preferCrossing    Preference = iota // another data centre, as the own one is too busy
+	preferOwn                           // own data centre
+	preferOther                         // another data centre
+	preferOtherRegion                   // another region
+	preferUnproven                      // has given no sign of life lately, which counts only after a failure
+	preferLapsed                        // its entry is away and may come back
+	preferSuspect                       // has left packets unanswered, or its data centre is out of reach
+	preferCold                          // bears little as yet
 	preferNone
 )
 
 var preferenceNames = [...]string{
-	"crossing", "own_data_centre", "other_data_centre", "unproven", "lapsed", "suspect", "cold", "none",
+	"crossing", "own_data_centre", "other_data_centre", "other_region", "unproven", "lapsed", "suspect", "cold", "none",
 }
 
 // String returns the name of the preference in logs.
@@ -42,7 +44,7 @@
 	first := r.pickTarget(rt, key)
 	for i := range rt.targets {
 		target := &rt.targets[(first+i)%len(rt.targets)]
-		if s := r.chooseOf(target, now, f); s != nil {
+		if s := r.chooseOf(rt, target, now, f); s != nil {
 			return s
 		}
 	}
@@ -65,14 +67,14 @@
 	return 0
 }
 
-func (r *Router) chooseOf(t *target, now time.Duration, f failed) *server {
+func (r *Router) chooseOf(rt *route, t *target, now time.Duration, f failed) *server {
 	var best *server
 	bestPreference, bestLoad := preferNone, 0.0
 	r.turn++
 	crosses := r.crosses(t.service, now)
 	for i := range t.service.servers {
 		s := t.service.servers[(i+int(r.turn))%len(t.service.servers)]
-		if f.has(s) {
+		if f.has(s) || !rt.allows(s) {
 			continue
 		}
 		p := r.preferenceOf(s, now)
@@ -97,6 +99,11 @@
 	return best
 }
 
+// allows reports whether new flows of the route may go to the region of a server.
+func (rt *route) allows(s *server) bool {
+	return len(rt.regions) == 0 || slices.Contains(rt.regions, s.Region)
+}
+
 func (r *Router) preferenceOf(s *server, now time.Duration) Preference {
 	switch {
 	case !s.present || s.Draining || r.view.Out[s.DataCentre]:
@@ -111,6 +118,8 @@
 		return preferSuspect
 	case s.DataCentre == r.fleet.Self.DataCentre:
 		return preferOwn
+	case s.Region != r.fleet.Self.Region:
+		return preferOtherRegion
 	}
 	return preferOther
 }
--- a/internal/affinity/fleet.go
+++ b/internal/affinity/fleet.go
@@ -10,6 +10,7 @@
 type Host struct {
 	Addr       netip.AddrPort
 	DataCentre string
+	Region     string // of this host; not known of others
 }
 
 // Place is a service in a data centre.
--- a/internal/affinity/router_test.go
+++ b/internal/affinity/router_test.go
@@ -334,3 +334,30 @@
 		}
 	}
 }
+
+// Guards against new flows that leave the regions of their route, and against flows that cross regions without need.
+func TestRegions(t *testing.T) {
+	w := newWorld(t)
+	w.router.SetFleet(Fleet{Self: Host{Addr: selfHost.Addr, DataCentre: "a", Region: "r1"}})
+	in := func(region string) func(*registry.Server) { return func(s *registry.Server) { s.Region = region } }
+	abroad := w.server("meter", "x", in("r2"))
+	w.show()
+	if v := w.caller(meterAddr).connect(); v.ServerID != abroad {
+		t.Fatalf("new flow went to %q, want the only backend server", v.ServerID)
+	}
+	home := w.server("meter", "b", in("r1"))
+	w.show()
+	for range 10 {
+		if v := w.caller(meterAddr).connect(); v.ServerID != home {
+			t.Fatalf("new flow went to another region")
+		}
+	}
+	w.remove(home)
+	config := *w.view.Config
+	config.Version = 2
+	config.Routes = append([]registry.Route(nil), config.Routes...)
+	config.Routes[0].Regions = []string{"r1"}
+	w.view.Config = &config
+	w.show()
+	expect(t, w.caller(meterAddr).open(0), Reject, NoBackendServer)
+}
--- a/internal/affinity/view.go
+++ b/internal/affinity/view.go
@@ -27,6 +27,7 @@
 type route struct {
 	targets     []target
 	totalWeight uint64
+	regions     []string // that new flows may go to; none: all
 	present     bool
 	seen        time.Duration
 }
@@ -166,6 +167,7 @@
 		r.routes[published.Addr] = rt
 	}
 	rt.present, rt.seen = true, now
+	rt.regions = published.Regions
 	rt.targets, rt.totalWeight = rt.targets[:0], 0
 	for _, t := range published.Targets {
 		sv := r.services[t.Service]
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -300,7 +300,7 @@
 
 func (c *control) fleet(now time.Duration) *affinity.Fleet {
 	f := &affinity.Fleet{
-		Self:        affinity.Host{Addr: c.host.config.Peer, DataCentre: c.host.config.DataCentre},
+		Self:        c.host.self(),
 		Unreachable: c.members.Unreachable(now),
 		Flows:       map[affinity.Place]int{},
 	}
@@ -308,7 +308,7 @@
 		f.Flows[affinity.Place{Service: l.Service, DataCentre: l.DataCentre}] += l.Flows
 	}
 	for _, h := range c.members.All() {
-		f.Hosts = append(f.Hosts, affinity.Host(h))
+		f.Hosts = append(f.Hosts, affinity.Host{Addr: h.Addr, DataCentre: h.DataCentre})
 	}
 	return f
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,7 @@
 	Name       string
 	Version    string
 	DataCentre string
+	Region     string
 	Packets    netip.AddrPort // callers' packets; their port is also where callers take packets
 	Peer       netip.AddrPort // datagrams and connections of other hosts
 	Admin      netip.AddrPort // HTTP: metrics and status
@@ -81,6 +82,11 @@
 // now returns the time on the host's steady clock.
 func (h *Host) now() time.Duration { return time.Since(h.started) }
 
+// self returns this host as the router knows it.
+func (h *Host) self() affinity.Host {
+	return affinity.Host{Addr: h.config.Peer, DataCentre: h.config.DataCentre, Region: h.config.Region}
+}
+
 // ageMs returns the time since the registry was last confirmed.
 func (h *Host) ageMs(now time.Duration) int64 {
 	confirmed := h.confirmed.Load()
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -46,7 +46,7 @@
 }
 
 func newTraffic(h *Host, conn *net.UDPConn) *traffic {
-	self := affinity.Host{Addr: h.config.Peer, DataCentre: h.config.DataCentre}
+	self := h.self()
 	c := affinity.Config{MaxFlows: h.config.Limits.MaxFlows, IdleTimeout: h.config.Limits.FlowIdle}
 	return &traffic{
 		host:        h,
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -94,15 +94,19 @@
 	return f.inFlight
 }
 
+// maxTimeoutDoublings bounds how far the timeout grows while calls fail, so that a slow store is still read.
+const maxTimeoutDoublings = 2
+
 func (f *Follower) due(revision uint64, reader bool, now time.Duration) Call {
+	timeout := f.config.CallTimeout << min(f.failures, maxTimeoutDoublings)
 	if f.rereadAll {
-		return Call{Kind: ReadAll, Timeout: f.config.CallTimeout}
+		return Call{Kind: ReadAll, Timeout: timeout}
 	}
 	wait := f.config.WatchWait
 	if !reader || !f.Fresh(now) {
 		wait = 0
 	}
-	return Call{Kind: Watch, After: revision, Wait: wait, Timeout: wait + f.config.CallTimeout}
+	return Call{Kind: Watch, After: revision, Wait: wait, Timeout: wait + timeout}
 }
 
 // Ended takes the outcome of the call in flight.
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -175,3 +175,22 @@
 		t.Errorf("watch that is silent: %v, %v", got, err)
 	}
 }
+
+// Guards against a store that is only slow and never read, as each call ends before its answer.
+func TestTimeoutGrowsWhileCallsFail(t *testing.T) {
+	f := newFollower()
+	now := time.Duration(0)
+	for i, want := range []time.Duration{500, 1000, 2000, 2000} {
+		c := f.Next(0, false, now)
+		if c.Timeout != want*time.Millisecond {
+			t.Fatalf("timeout %v after %d failures, want %v", c.Timeout, i, want*time.Millisecond)
+		}
+		f.Ended(Failed, now)
+		now = f.notBefore
+	}
+	f.Next(0, false, now)
+	f.Ended(Done, now)
+	if c := f.Next(1, true, now); c.Timeout != c.Wait+500*time.Millisecond {
+		t.Fatalf("timeout %v after a success", c.Timeout)
+	}
+}
--- a/internal/registry/delta.go
+++ b/internal/registry/delta.go
@@ -61,7 +61,7 @@
 }
 
 func sameRoute(a, b *Route) bool {
-	return a.Name == b.Name && a.Addr == b.Addr && slices.Equal(a.Targets, b.Targets)
+	return a.Name == b.Name && a.Addr == b.Addr && slices.Equal(a.Targets, b.Targets) && slices.Equal(a.Regions, b.Regions)
 }
 
 // Shorten replaces whole configurations in updates by differences, for a receiver that has a given version. Updates
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -16,6 +16,7 @@
 	Service    string         `json:"service"`
 	Addr       netip.AddrPort `json:"addr"`
 	DataCentre string         `json:"data_centre"`
+	Region     string         `json:"region"`
 	Slots      int            `json:"slots"` // requests that it processes concurrently
 	Draining   bool           `json:"draining,omitempty"`
 	ColdFor    time.Duration  `json:"cold_for,omitempty"` // how long it stays cold, counted from the report
@@ -42,6 +43,7 @@
 	Name    string         `json:"name"`
 	Addr    netip.AddrPort `json:"addr"`
 	Targets []Target       `json:"targets"`
+	Regions []string       `json:"regions,omitempty"` // that new flows may go to; none: all
 }
 
 // Service holds the limits that a configuration states for a service.
