kvstore: the client of the configuration service no longer shares its name with the users' platform

internal/platform read the product's own documents, platform/ translates for the users' platform; two packages of one name stopped every reader.

--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -17,7 +17,7 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/entry"
-	"github.com/nutmeglatch/nutmeglatch/internal/platform"
+	"github.com/nutmeglatch/nutmeglatch/internal/kvstore"
 	"github.com/nutmeglatch/nutmeglatch/internal/settings"
 	"github.com/nutmeglatch/nutmeglatch/internal/strictyaml"
 )
@@ -69,7 +69,7 @@
 		faults, err := checkDirectory(path)
 		return KindDirectory, faults, err
 	}
-	raw, err := platform.ReadFile(path, document.MaxValueBytes+1)
+	raw, err := kvstore.ReadFile(path, document.MaxValueBytes+1)
 	if err != nil {
 		return KindUnknown, nil, err
 	}
@@ -107,15 +107,15 @@
 // listFile returns the path of the host list of a data centre in a directory.
 func listFile(dataCentre string) string {
 	if dataCentre == "" {
-		return document.HostsKey + platform.FileExtension
+		return document.HostsKey + kvstore.FileExtension
 	}
-	return filepath.Join(document.HostsKey, dataCentre+platform.FileExtension)
+	return filepath.Join(document.HostsKey, dataCentre+kvstore.FileExtension)
 }
 
 // hostListOf returns the data centre whose host list a file of that path
 // holds: the path hosts/<data centre>.yaml stands for the key.
 func hostListOf(path string) (dataCentre string, ok bool) {
-	name, isValue := strings.CutSuffix(filepath.Base(path), platform.FileExtension)
+	name, isValue := strings.CutSuffix(filepath.Base(path), kvstore.FileExtension)
 	if !isValue || name == document.HostsKey || filepath.Base(filepath.Dir(path)) != document.HostsKey {
 		return "", false
 	}
@@ -133,7 +133,7 @@
 			}
 		}
 	}
-	switch strings.TrimSuffix(name, platform.FileExtension) {
+	switch strings.TrimSuffix(name, kvstore.FileExtension) {
 	case "settings":
 		return KindSettings
 	case document.DataCentresKey:
@@ -196,7 +196,7 @@
 // checkDirectory checks the values of a directory as the daemon accepts them,
 // and the settings in it.
 func checkDirectory(root string) ([]Fault, error) {
-	files, err := platform.Files(root)
+	files, err := kvstore.Files(root)
 	if err != nil {
 		return nil, err
 	}
@@ -211,7 +211,7 @@
 	state.Started()
 	lists := map[string]*document.HostList{}
 	for _, f := range files {
-		raw, err := platform.ReadFile(f.Path, document.MaxValueBytes+1)
+		raw, err := kvstore.ReadFile(f.Path, document.MaxValueBytes+1)
 		if err != nil {
 			return nil, err
 		}
@@ -228,11 +228,11 @@
 }
 
 func checkSettings(root string) (faults []Fault, found bool, err error) {
-	path := filepath.Join(root, "settings"+platform.FileExtension)
+	path := filepath.Join(root, "settings"+kvstore.FileExtension)
 	if _, err := os.Stat(path); err != nil {
 		return nil, false, nil
 	}
-	raw, err := platform.ReadFile(path, settings.MaxBytes+1)
+	raw, err := kvstore.ReadFile(path, settings.MaxBytes+1)
 	if err != nil {
 		return nil, true, err
 	}
@@ -262,5 +262,5 @@
 			faults.Invalid("out", name, "a data centre of the host list or of a service")
 		}
 	}
-	return label(filepath.Join(root, document.DataCentresKey+platform.FileExtension), faults.Err())
+	return label(filepath.Join(root, document.DataCentresKey+kvstore.FileExtension), faults.Err())
 }
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
-	"github.com/nutmeglatch/nutmeglatch/internal/platform"
+	"github.com/nutmeglatch/nutmeglatch/internal/kvstore"
 )
 
 const examples = "../../examples"
@@ -59,7 +59,7 @@
 
 func read(t *testing.T, path string) []byte {
 	t.Helper()
-	raw, err := platform.ReadFile(path, document.MaxValueBytes)
+	raw, err := kvstore.ReadFile(path, document.MaxValueBytes)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/configsync/shards.go
+++ b/internal/configsync/shards.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
-	"github.com/nutmeglatch/nutmeglatch/internal/platform"
+	"github.com/nutmeglatch/nutmeglatch/internal/kvstore"
 )
 
 // shardDepths is the number of characters of a service's name that select its
@@ -38,14 +38,14 @@
 	documents int
 	lists     int // host lists of one data centre
 	hosts     []string
-	plan      *platform.Plan
+	plan      *kvstore.Plan
 }
 
 // Plan returns what a host reads of the platform, and nil while the keys are
 // read as a whole. Hosts are the live ones of its data centre, itself
 // included. Values are never removed, so their number shows whether the last
 // plan still holds.
-func (s *Shards) Plan(a *Accepted, self, dataCentre string, hosts []string) *platform.Plan {
+func (s *Shards) Plan(a *Accepted, self, dataCentre string, hosts []string) *kvstore.Plan {
 	services := a.Services
 	if s.documents == len(services) && s.lists == len(a.HostLists) && slices.Equal(s.hosts, hosts) {
 		return s.plan
@@ -59,8 +59,8 @@
 	return s.plan
 }
 
-func makePlan(a *Accepted, depth int, self, dataCentre string, hosts []string) *platform.Plan {
-	plan := &platform.Plan{Shards: append(listShards(a.HostLists), shardsOf(a.Services, depth)...), Depth: depth}
+func makePlan(a *Accepted, depth int, self, dataCentre string, hosts []string) *kvstore.Plan {
+	plan := &kvstore.Plan{Shards: append(listShards(a.HostLists), shardsOf(a.Services, depth)...), Depth: depth}
 	plan.Polls = (len(plan.Shards) + len(hosts) - 1) / max(len(hosts), 1)
 	ranks := newShardRanks(dataCentre, hosts)
 	for _, shard := range plan.Shards {
@@ -89,14 +89,14 @@
 // listShards returns the shards of data centre state and host lists. When
 // there are lists of one data centre each, they and the list of all are read
 // one by one, and their names show new ones.
-func listShards(dataCentres []string) []platform.Shard {
-	shards := []platform.Shard{{Prefix: document.DataCentresKey}}
+func listShards(dataCentres []string) []kvstore.Shard {
+	shards := []kvstore.Shard{{Prefix: document.DataCentresKey}}
 	if len(dataCentres) == 0 {
-		return append(shards, platform.Shard{Prefix: document.HostsKey})
+		return append(shards, kvstore.Shard{Prefix: document.HostsKey})
 	}
-	shards = append(shards, platform.Shard{Prefix: document.HostsKey, Scope: platform.ScopeNames}, platform.Shard{Prefix: document.HostsKey, Scope: platform.ScopeKey})
+	shards = append(shards, kvstore.Shard{Prefix: document.HostsKey, Scope: kvstore.ScopeNames}, kvstore.Shard{Prefix: document.HostsKey, Scope: kvstore.ScopeKey})
 	for _, dc := range dataCentres {
-		shards = append(shards, platform.Shard{Prefix: document.HostsKeyPrefix + dc, Scope: platform.ScopeKey})
+		shards = append(shards, kvstore.Shard{Prefix: document.HostsKeyPrefix + dc, Scope: kvstore.ScopeKey})
 	}
 	return shards
 }
@@ -106,18 +106,18 @@
 // new ones. A shard without values would not do: the platform answers it with
 // the index of the whole store, so that every change ends a blocking read of
 // it, 14 reads for each of about a thousand unused pairs of characters.
-func shardsOf(services map[string]*document.Service, depth int) []platform.Shard {
-	var shards []platform.Shard
+func shardsOf(services map[string]*document.Service, depth int) []kvstore.Shard {
+	var shards []kvstore.Shard
 	below := shardsBelow(services, depth)
 	for _, c := range firstCharacters {
 		prefix := document.ServiceKeyPrefix + string(c)
 		if depth == 1 || len(below[prefix]) == 0 {
-			shards = append(shards, platform.Shard{Prefix: prefix})
+			shards = append(shards, kvstore.Shard{Prefix: prefix})
 			continue
 		}
-		shards = append(shards, platform.Shard{Prefix: prefix, Scope: platform.ScopeNames})
+		shards = append(shards, kvstore.Shard{Prefix: prefix, Scope: kvstore.ScopeNames})
 		found := slices.Collect(maps.Keys(below[prefix]))
-		slices.SortFunc(found, func(a, b platform.Shard) int { return strings.Compare(a.Prefix, b.Prefix) })
+		slices.SortFunc(found, func(a, b kvstore.Shard) int { return strings.Compare(a.Prefix, b.Prefix) })
 		shards = append(shards, found...)
 	}
 	return shards
@@ -125,19 +125,19 @@
 
 // shardsBelow returns the shards of known documents by the prefix of their
 // first character.
-func shardsBelow(services map[string]*document.Service, depth int) map[string]map[platform.Shard]bool {
-	below := map[string]map[platform.Shard]bool{}
+func shardsBelow(services map[string]*document.Service, depth int) map[string]map[kvstore.Shard]bool {
+	below := map[string]map[kvstore.Shard]bool{}
 	if depth == 1 {
 		return below
 	}
 	for name := range services {
 		first := document.ServiceKeyPrefix + name[:1]
 		if below[first] == nil {
-			below[first] = map[platform.Shard]bool{}
+			below[first] = map[kvstore.Shard]bool{}
 		}
-		shard := platform.Shard{Prefix: document.ServiceKeyPrefix + name[:min(depth, len(name))]}
+		shard := kvstore.Shard{Prefix: document.ServiceKeyPrefix + name[:min(depth, len(name))]}
 		if len(name) < depth {
-			shard.Scope = platform.ScopeKey
+			shard.Scope = kvstore.ScopeKey
 		}
 		below[first][shard] = true
 	}
@@ -160,7 +160,7 @@
 }
 
 // watches reports whether a host is one of the highest-ranked of a shard.
-func (r *shardRanks) watches(self string, shard platform.Shard) bool {
+func (r *shardRanks) watches(self string, shard kvstore.Shard) bool {
 	hash := r.seed ^ xxhash.Sum64String(shard.Prefix) + uint64(shard.Scope)
 	own := rankOf(hash, xxhash.Sum64String(self))
 	above := 0
--- a/internal/configsync/shards_test.go
+++ b/internal/configsync/shards_test.go
@@ -9,7 +9,7 @@
 	"testing"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
-	"github.com/nutmeglatch/nutmeglatch/internal/platform"
+	"github.com/nutmeglatch/nutmeglatch/internal/kvstore"
 )
 
 // randomServices returns n services whose names begin with random characters.
@@ -59,18 +59,18 @@
 		for name := range services {
 			keys = append(keys, document.ServiceKeyPrefix+name)
 		}
-		held := func(prefix string, scopes ...platform.Scope) bool {
-			return slices.ContainsFunc(plan.Shards, func(s platform.Shard) bool {
+		held := func(prefix string, scopes ...kvstore.Scope) bool {
+			return slices.ContainsFunc(plan.Shards, func(s kvstore.Shard) bool {
 				return strings.HasPrefix(prefix, s.Prefix) && slices.Contains(scopes, s.Scope)
 			})
 		}
 		for _, key := range keys {
-			if !held(key, platform.ScopeBelow, platform.ScopeKey) {
+			if !held(key, kvstore.ScopeBelow, kvstore.ScopeKey) {
 				t.Errorf("%d documents: no shard holds %s", n, key)
 			}
 		}
 		for _, c := range firstCharacters {
-			if prefix := document.ServiceKeyPrefix + string(c); !held(prefix, platform.ScopeBelow, platform.ScopeNames) {
+			if prefix := document.ServiceKeyPrefix + string(c); !held(prefix, kvstore.ScopeBelow, kvstore.ScopeNames) {
 				t.Errorf("%d documents: a new name below %s is not found", n, prefix)
 			}
 		}
@@ -81,8 +81,8 @@
 // and against watches that move when an unrelated host leaves.
 func TestShardWatchers(t *testing.T) {
 	services := randomServices(4000)
-	watchers := func(hosts []string) map[platform.Shard][]string {
-		found := map[platform.Shard][]string{}
+	watchers := func(hosts []string) map[kvstore.Shard][]string {
+		found := map[kvstore.Shard][]string{}
 		for _, self := range hosts {
 			var s Shards
 			for _, shard := range s.Plan(&Accepted{Services: services}, self, "a", hosts).Watch {
@@ -115,7 +115,7 @@
 			services := randomServices(size.documents)
 			ids := hostNames(size.hosts / dataCentres)
 			var s Shards
-			var plan *platform.Plan
+			var plan *kvstore.Plan
 			for b.Loop() {
 				s = Shards{}
 				plan = s.Plan(&Accepted{Services: services}, ids[0], "a", ids)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,8 +19,8 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/admin"
 	"github.com/nutmeglatch/nutmeglatch/internal/command"
 	"github.com/nutmeglatch/nutmeglatch/internal/flow"
+	"github.com/nutmeglatch/nutmeglatch/internal/kvstore"
 	"github.com/nutmeglatch/nutmeglatch/internal/peer"
-	"github.com/nutmeglatch/nutmeglatch/internal/platform"
 	"github.com/nutmeglatch/nutmeglatch/internal/route"
 	"github.com/nutmeglatch/nutmeglatch/internal/settings"
 )
@@ -30,8 +30,8 @@
 	Settings *settings.Settings
 	Version  string
 	Logger   log.Logger
-	Network  Network         // SystemNetwork when nil
-	Source   platform.Source // made from the settings when nil
+	Network  Network        // SystemNetwork when nil
+	Source   kvstore.Source // made from the settings when nil
 
 	environment Environment // of a Stepper
 }
@@ -42,7 +42,7 @@
 	version  string
 	logger   log.Logger
 	network  Network
-	source   platform.Source
+	source   kvstore.Source
 	stepped  bool // events are carried out at once, see Stepper
 	key      [16]byte
 	boot     uint64
@@ -67,7 +67,7 @@
 	lastPacket atomic.Int64 // time since start in nanoseconds
 	lastTick   atomic.Int64 // tick of the control loop whose effects are published
 	reader     atomic.Bool  // keeps a blocking read open on all keys of the platform
-	plan       atomic.Pointer[platform.Plan]
+	plan       atomic.Pointer[kvstore.Plan]
 }
 
 // New opens the sockets of the entry host. Run must be called afterwards.
--- a/internal/daemon/environment.go
+++ b/internal/daemon/environment.go
@@ -9,7 +9,7 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/command"
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
 	"github.com/nutmeglatch/nutmeglatch/internal/health"
-	"github.com/nutmeglatch/nutmeglatch/internal/platform"
+	"github.com/nutmeglatch/nutmeglatch/internal/kvstore"
 )
 
 // Environment is the clock of a daemon, the goroutines that wait for calls,
@@ -100,7 +100,7 @@
 }
 
 // Platform handles an update of the platform.
-func (s *Stepper) Platform(u platform.Update) {
+func (s *Stepper) Platform(u kvstore.Update) {
 	candidates, err := s.d.parse(context.Background(), u.Values)
 	if err != nil {
 		return
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -12,18 +12,18 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
+	"github.com/nutmeglatch/nutmeglatch/internal/kvstore"
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
-	"github.com/nutmeglatch/nutmeglatch/internal/platform"
 	"github.com/nutmeglatch/nutmeglatch/internal/settings"
 )
 
 // newSource returns the source that the settings name.
-func (d *Daemon) newSource() platform.Source {
+func (d *Daemon) newSource() kvstore.Source {
 	s := d.settings.Platform
 	if s.Type == settings.PlatformDirectory {
-		return platform.NewDirectory(platform.DirectoryConfig{Path: s.Path, Metrics: metrics.GetDefaultSet()})
+		return kvstore.NewDirectory(kvstore.DirectoryConfig{Path: s.Path, Metrics: metrics.GetDefaultSet()})
 	}
-	return platform.NewHTTP(platform.HTTPConfig{
+	return kvstore.NewHTTP(kvstore.HTTPConfig{
 		URL:     s.URL,
 		Wait:    s.Wait.Std(),
 		Poll:    s.Poll.Std(),
@@ -44,7 +44,7 @@
 
 // watchPlatform passes the platform's values to the control goroutine.
 func (c *control) watchPlatform(ctx context.Context) error {
-	updates := make(chan platform.Update)
+	updates := make(chan kvstore.Update)
 	failed := make(chan error, 1)
 	go func() { failed <- c.d.source.Watch(ctx, c.d.settings.Platform.Prefix, updates) }()
 	for {
@@ -63,7 +63,7 @@
 	}
 }
 
-func (c *control) platformUpdate(now time.Time, u platform.Update, candidates []configsync.Candidate) {
+func (c *control) platformUpdate(now time.Time, u kvstore.Update, candidates []configsync.Candidate) {
 	c.platformRead(u.Err)
 	for i, v := range u.Values {
 		c.offered(now, v.Key, c.config.OfferParsed(now, configsync.Platform, candidates[i]))
--- a/internal/daemon/sync.go
+++ b/internal/daemon/sync.go
@@ -10,8 +10,8 @@
 
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
+	"github.com/nutmeglatch/nutmeglatch/internal/kvstore"
 	"github.com/nutmeglatch/nutmeglatch/internal/membership"
-	"github.com/nutmeglatch/nutmeglatch/internal/platform"
 )
 
 // Limits of comparisons with peers.
@@ -243,9 +243,9 @@
 
 // offer gives values of a peer to the configuration.
 func (d *Daemon) offer(ctx context.Context, from string, values []configsync.Value) error {
-	kvs := make([]platform.KeyValue, len(values))
+	kvs := make([]kvstore.KeyValue, len(values))
 	for i, v := range values {
-		kvs[i] = platform.KeyValue{Key: v.Key, Value: v.Raw}
+		kvs[i] = kvstore.KeyValue{Key: v.Key, Value: v.Raw}
 	}
 	candidates, err := d.parse(ctx, kvs)
 	if err != nil {
@@ -265,7 +265,7 @@
 // parse parses values outside the control goroutine, since thousands of
 // documents take longer than the control loop may pause. Values that are in
 // effect are not parsed.
-func (d *Daemon) parse(ctx context.Context, values []platform.KeyValue) ([]configsync.Candidate, error) {
+func (d *Daemon) parse(ctx context.Context, values []kvstore.KeyValue) ([]configsync.Candidate, error) {
 	candidates := make([]configsync.Candidate, len(values))
 	known, err := ask(ctx, d, func(c *control, _ time.Time) []bool {
 		known := make([]bool, len(values))
--- a/internal/daemon/sync_test.go
+++ b/internal/daemon/sync_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/nutmeglatch/nutmeglatch/internal/configsync"
 	"github.com/nutmeglatch/nutmeglatch/internal/document"
-	"github.com/nutmeglatch/nutmeglatch/internal/platform"
+	"github.com/nutmeglatch/nutmeglatch/internal/kvstore"
 	"github.com/nutmeglatch/nutmeglatch/internal/settings"
 )
 
@@ -70,13 +70,13 @@
 }
 
 // listOf returns a host list of benchHosts as an update of the platform.
-func listOf(key string, version, from, to int) platform.Update {
+func listOf(key string, version, from, to int) kvstore.Update {
 	raw := fmt.Appendf(nil, "version: %d\nhosts:\n", version)
 	for i := from; i < to; i++ {
 		h := benchHost(i)
 		raw = fmt.Appendf(raw, "  - {id: %s, data_centre: %s, region: r, address: %s, peer_port: 6090, gue_port: 6080, state: live}\n", h.ID, h.DataCentre, h.Address)
 	}
-	return platform.Update{Values: []platform.KeyValue{{Key: key, Value: raw}}}
+	return kvstore.Update{Values: []kvstore.KeyValue{{Key: key, Value: raw}}}
 }
 
 // Guards against an announced value that is fetched more than once, as a whole
--- a/internal/platform/decode.go
+++ b/internal/kvstore/decode.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"encoding/json"
--- a/internal/platform/source.go
+++ b/internal/kvstore/source.go
@@ -1,7 +1,7 @@
-// Package platform reads the values that the platform publishes, from a
+// Package kvstore reads the values that the platform publishes, from a
 // configuration service that speaks the Consul KV HTTP API or from a local
 // directory. It never writes.
-package platform
+package kvstore
 
 import (
 	"context"
--- a/internal/replay/host.go
+++ b/internal/replay/host.go
@@ -6,7 +6,7 @@
 
 	"github.com/nutmeglatch/nutmeglatch/internal/daemon"
 	"github.com/nutmeglatch/nutmeglatch/internal/health"
-	"github.com/nutmeglatch/nutmeglatch/internal/platform"
+	"github.com/nutmeglatch/nutmeglatch/internal/kvstore"
 	"github.com/nutmeglatch/nutmeglatch/internal/settings"
 )
 
@@ -157,16 +157,16 @@
 	}
 	// A separated data centre does not reach the platform either.
 	if p.state == "down" || h.f.network.cut[h.dataCentre] {
-		h.daemon.Platform(platform.Update{Err: errPlatformDown})
+		h.daemon.Platform(kvstore.Update{Err: errPlatformDown})
 		return
 	}
 	h.readAt = h.f.clock.now
-	var u platform.Update
+	var u kvstore.Update
 	for _, key := range p.keys {
 		v, ok := p.read(key, h.f.clock.now.Add(-h.lag))
 		if ok && h.seen[key] != v.number {
 			h.seen[key] = v.number
-			u.Values = append(u.Values, platform.KeyValue{Key: key, Value: v.raw})
+			u.Values = append(u.Values, kvstore.KeyValue{Key: key, Value: v.raw})
 		}
 	}
 	h.daemon.Platform(u)
