affinity: reject new flows of a route without targets

Cause: reading the diff. A route whose services are unknown or have no weight divided by a total weight of 0, and the first caller would have ended the process. Change: nothing is chosen, and the flow is rejected. TestRouteWithoutTargets fails with a panic without it.

--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -41,6 +41,9 @@
 // choose returns the backend server for a new flow, or nil. After a failure it passes over the servers that failed, and
 // prefers those that have just proved that they live.
 func (r *Router) choose(rt *route, key FlowKey, now time.Duration, f failed) *server {
+	if len(rt.targets) == 0 {
+		return nil
+	}
 	first := r.pickTarget(rt, key)
 	for i := range rt.targets {
 		target := &rt.targets[(first+i)%len(rt.targets)]
--- a/internal/affinity/router_test.go
+++ b/internal/affinity/router_test.go
@@ -361,3 +361,20 @@
 	w.show()
 	expect(t, w.caller(meterAddr).open(0), Reject, NoBackendServer)
 }
+
+// Guards against a process that ends because of a route whose services are not known or have no weight.
+func TestRouteWithoutTargets(t *testing.T) {
+	for name, targets := range map[string][]registry.Target{
+		"none":            nil,
+		"unknown service": {{Service: "nobody", Weight: 1}},
+		"no weight":       {{Service: "meter", Weight: 0}, {Service: "bill", Weight: 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.server("meter", "a")
+			w.view.Config.Routes[0].Targets = targets
+			w.show()
+			expect(t, w.caller(meterAddr).open(0), Reject, NoBackendServer)
+		})
+	}
+}
