registry, entry: pass on all updates after a revision, also those known early

Cause: reading the diff. A host passed on the changes that were new to itself. An item that it had already met on a later page of a full reading was left out, and the receivers counted themselves complete without it. Change: the updates between the two revisions are passed on. TestChangesPassedOnAreComplete fails when only the changed ones are.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -229,7 +229,7 @@
 		c.publishView()
 	}
 	if len(changed) > 0 && before != 0 {
-		c.tell(c.members.Receivers(c.host.now()), before, c.state.Shorten(changed, version))
+		c.tell(c.members.Receivers(c.host.now()), before, c.state.Shorten(c.state.Between(before), version))
 	}
 	if c.state.Loaded() && !c.leaving.Load() && !c.host.ready.Swap(true) {
 		level.Info(c.logger).Log("msg", "ready", "revision", c.state.Revision(), "from", from,
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -161,6 +161,16 @@
 	return longest
 }
 
+// Between returns all updates after a revision, also those that this host knew before it was complete up to them, or nil
+// when removals among them may have been forgotten. Another host that is complete up to the revision needs them all.
+func (s *State) Between(after uint64) []Update {
+	updates, full := s.Since(after)
+	if full {
+		return nil
+	}
+	return updates
+}
+
 // Since returns the updates after a revision. When removals after it may have been forgotten, it returns everything and
 // full is true.
 func (s *State) Since(after uint64) (updates []Update, full bool) {
--- a/internal/registry/state_test.go
+++ b/internal/registry/state_test.go
@@ -218,3 +218,21 @@
 	}, gen.UInt64()))
 	properties.TestingRun(t)
 }
+
+// Guards against hosts that miss an update which the one that passes changes on had known early: a page of a full reading
+// may hold items newer than the revision up to which the reading is complete.
+func TestChangesPassedOnAreComplete(t *testing.T) {
+	giver, receiver := NewState(), loaded()
+	early := serverUpdate("s2", 12)
+	giver.Replace([]Update{configUpdate(3, 5), serverUpdate("s1", 6), early}, 10, 0)
+	changed, _ := giver.Apply([]Update{serverUpdate("s3", 11), early}, 10, 12, 0)
+	if len(changed) != 1 {
+		t.Fatalf("changed %+v, want only s3", changed)
+	}
+	if _, ok := receiver.Apply(giver.Between(10), 10, giver.Revision(), 0); !ok || len(receiver.View().Servers) != 3 {
+		t.Fatalf("servers %+v, want s1, s2 and s3", receiver.View().Servers)
+	}
+	if got := giver.Between(4); got != nil {
+		t.Fatalf("updates %+v from before the first reading, want none", got)
+	}
+}
