--- a/internal/gossip/transfer.go
+++ b/internal/gossip/transfer.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -127,5 +128,13 @@
 func open(ctx context.Context, conn net.Conn, handler jsonrpc2.Handler) *jsonrpc2.Conn {
 	limited := &limitedConn{Conn: conn, reader: io.LimitReader(conn, maxTransfer)}
 	stream := jsonrpc2.NewBufferedStream(limited, jsonrpc2.VSCodeObjectCodec{})
-	return jsonrpc2.NewConn(ctx, stream, handler)
+	return jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(protocolErrors{}))
 }
+
+var protocolErrorCount = metrics.NewCounter(`nutmeglatch_gossip_protocol_errors_total`)
+
+// protocolErrors counts what the RPC library would write to standard error. The calls concerned fail with an error.
+type protocolErrors struct{}
+
+// Printf counts one error.
+func (protocolErrors) Printf(string, ...any) { protocolErrorCount.Inc() }
--- a/internal/gossip/transfer_test.go
+++ b/internal/gossip/transfer_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// Guards against garbage that stops the server.
+// Guards against garbage that stops the server or goes uncounted.
 func TestServeSurvivesGarbage(t *testing.T) {
 	l, addr := listen(t)
 	go Serve(t.Context(), l, func(context.Context, Query) (*Copy, error) { return &Copy{Revision: 1}, nil })
@@ -74,4 +74,9 @@
 	if _, err := Fetch(t.Context(), addr, Query{}); err != nil {
 		t.Fatal(err)
 	}
+	for end := time.Now().Add(2 * time.Second); protocolErrorCount.Get() == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("malformed messages were not counted")
+		}
+	}
 }
