admin, entry, cli: status and explain for hosts that keep flows by token

Cause: operators of a host on the users' platform had GET /status with the revision only. Which backend servers a host avoids and why, who told it the revision, and why a flow went where it went, stood in log lines at best.

Ruled out: a second handler with types of its own (the two methods' hosts answer the same four paths, so admin.Handler serves both and the status names the method); a copy of the router's state for readers (the traffic goroutine answers questions itself, between two packets, and the answer is bounded to 64 avoided servers and 8 candidates a service); an explanation that runs the choice (it takes turns and cold admissions; the ranks are computed by the function that the choice uses).

Change: affinity.Report and Explain; standing.go says once what keeps new flows away, and preferences follow from it; internal/entry/operators.go is the admin.Source; nutmeglatch status and explain tell the methods apart, and explain takes the token of a log line. Owners' fields of an explanation are left out of the JSON of hosts that have no owners. docs/OPERATIONS.md shows both with printed output.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,8 +21,23 @@
 	maxHeaderBytes    = 16 << 10
 )
 
-// Status is the state of an entry host as operators see it.
+// Affinity methods, which status names.
+const (
+	// ByOwners keeps flows by entries at their owners.
+	ByOwners = "owners"
+	// ByToken keeps flows by a token that their ends return.
+	ByToken = "token"
+)
+
+// State is the status of an entry host, whatever its affinity method.
+type State interface {
+	// Available reports whether the host takes new traffic.
+	Available() bool
+}
+
+// Status is the state of an entry host that keeps flows by owners, as operators see it.
 type Status struct {
+	Affinity     string           `json:"affinity"`
 	ID           string           `json:"id"`
 	DataCentre   string           `json:"data_centre"`
 	Region       string           `json:"region"`
@@ -39,6 +55,9 @@
 	PlatformRead string           `json:"platform"`
 }
 
+// Available reports whether the host takes new traffic.
+func (s Status) Available() bool { return s.Serving && !s.Leaving }
+
 // DataCentreStatus is the accepted data centre state.
 type DataCentreStatus struct {
 	Version uint64   `json:"version"`
@@ -84,30 +103,36 @@
 type Query struct {
 	Source, Destination netip.AddrPort
 	Proto               uint8
+	Token               uint32 // that the flow's packets carry; 0: not known
 }
 
 // Explanation says where a flow goes and why.
 type Explanation struct {
-	Service   string   `json:"service"`
-	Bucket    int      `json:"bucket"`
-	Primary   string   `json:"primary"`
-	Secondary string   `json:"secondary"`
-	Backend   string   `json:"backend_server,omitempty"`
-	State     string   `json:"state,omitempty"`
-	Steps     []string `json:"steps"`
+	Service string `json:"service"`
+	*Ownership
+	Backend string   `json:"backend_server,omitempty"`
+	State   string   `json:"state,omitempty"`
+	Steps   []string `json:"steps"`
+}
+
+// Ownership names the owners of a flow; hosts that keep flows by token have none.
+type Ownership struct {
+	Bucket    int    `json:"bucket"`
+	Primary   string `json:"primary"`
+	Secondary string `json:"secondary"`
 }
 
 // Source gives the state that is served.
-type Source interface {
-	Status(ctx context.Context) (Status, error)
+type Source[S State] interface {
+	Status(ctx context.Context) (S, error)
 	Explain(ctx context.Context, q Query) (Explanation, error)
 }
 
 // Protocols that a query names.
 var protocols = map[string]uint8{"tcp": 6, "udp": 17}
 
-// ParseQuery reads a query from its text form.
-func ParseQuery(src, dst, proto string) (Query, error) {
+// ParseQuery reads a query from its text form. An empty token is not known.
+func ParseQuery(src, dst, proto, token string) (Query, error) {
 	s, err := netip.ParseAddrPort(src)
 	if err != nil {
 		return Query{}, errors.Wrapf(err, "src %q: want address:port", src)
@@ -120,18 +145,27 @@
 	if !ok {
 		return Query{}, errors.Newf("proto %q: want tcp or udp", proto)
 	}
-	return Query{Source: s, Destination: d, Proto: p}, nil
+	q := Query{Source: s, Destination: d, Proto: p}
+	if token == "" {
+		return q, nil
+	}
+	n, err := strconv.ParseUint(token, 10, 32)
+	if err != nil {
+		return Query{}, errors.Newf("token %q: want a number below 2^32", token)
+	}
+	q.Token = uint32(n)
+	return q, nil
 }
 
 // Handler returns the HTTP handler of the operators' interface.
-func Handler(src Source) http.Handler {
+func Handler[S State](src Source[S]) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(w, true)
 	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) {
 		st, err := src.Status(r.Context())
-		if err != nil || !st.Serving || st.Leaving {
+		if err != nil || !st.Available() {
 			http.Error(w, "not serving", http.StatusServiceUnavailable)
 			return
 		}
@@ -143,7 +177,7 @@
 	})
 	mux.HandleFunc("GET /explain", func(w http.ResponseWriter, r *http.Request) {
 		form := r.URL.Query()
-		q, err := ParseQuery(form.Get("src"), form.Get("dst"), form.Get("proto"))
+		q, err := ParseQuery(form.Get("src"), form.Get("dst"), form.Get("proto"), form.Get("token"))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
@@ -166,9 +200,9 @@
 }
 
 // Serve answers requests on the listener until the context ends.
-func Serve(ctx context.Context, l net.Listener, src Source) error {
+func Serve[S State](ctx context.Context, l net.Listener, src Source[S]) error {
 	server := &http.Server{
-		Handler:           Handler(src),
+		Handler:           Handler[S](src),
 		ReadHeaderTimeout: readHeaderTimeout,
 		WriteTimeout:      writeTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/affinity/check.go
+++ b/internal/affinity/check.go
@@ -93,8 +93,8 @@
 	switch {
 	case outcome == Accepts || outcome == Unchecked || s.lastSign >= s.check.startedAt || !s.present || s.Draining:
 	default:
-		s.silentUntil = now + silentPeriod
-		r.notices.add(s, Silent, causeOf(outcome), now, silentPeriod)
+		s.silentUntil, s.doubtCause = now+silentPeriod, causeOf(outcome)
+		r.notices.add(s, Silent, s.doubtCause, now, silentPeriod)
 		r.orderResets(s, BackendServerSilent)
 	}
 }
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -80,17 +80,7 @@
 		if f.has(s) || !rt.allows(s) {
 			continue
 		}
-		p := r.preferenceOf(s, now)
-		if f.any() && p < preferUnproven && now-s.lastSign > provenWithin {
-			p = preferUnproven
-		}
-		if crosses && p == preferOther {
-			p = preferCrossing
-		}
-		order := float64(s.flows+1) / float64(s.Slots)
-		if f.any() && p < preferUnproven {
-			order = float64(now - s.lastSign)
-		}
+		p, order := r.rankFor(s, crosses, f, now)
 		if p < bestPreference || p == bestPreference && order < bestOrder {
 			best, bestPreference, bestOrder = s, p, order
 		}
@@ -110,18 +100,34 @@
 	return len(rt.regions) == 0 || slices.Contains(rt.regions, s.Region)
 }
 
+// rankFor returns how a server ranks for a new flow: by preference, then by order, of which the lowest is taken. After a
+// failure only servers that have lately given a sign of life count in full, the last sign first.
+func (r *Router) rankFor(s *server, crosses bool, f failed, now time.Duration) (Preference, float64) {
+	p := r.preferenceOf(s, now)
+	if f.any() && p < preferUnproven && now-s.lastSign > provenWithin {
+		p = preferUnproven
+	}
+	if crosses && p == preferOther {
+		p = preferCrossing
+	}
+	if f.any() && p < preferUnproven {
+		return p, float64(now - s.lastSign)
+	}
+	return p, float64(s.flows+1) / float64(s.Slots)
+}
+
 func (r *Router) preferenceOf(s *server, now time.Duration) Preference {
-	switch {
-	case !s.present || s.Draining || r.view.Out[s.DataCentre]:
+	switch r.standingOf(s, now) {
+	case entryGone, entryDraining, dataCentreOut, doubtedAndUnreachable:
 		return preferNone
-	case s.Missing:
+	case entryLapsed:
 		return preferLapsed
-	case s.ColdUntil > now || r.view.EndedCold[s.DataCentre] > now:
+	case coldStart:
 		return preferCold
-	case s.doubtful(now) && r.fleet.Unreachable[s.DataCentre]:
-		return preferNone
-	case s.doubtful(now) || r.fleet.Unreachable[s.DataCentre]:
+	case doubted, dataCentreUnreachable:
 		return preferSuspect
+	}
+	switch {
 	case s.DataCentre == r.fleet.Self.DataCentre:
 		return preferOwn
 	case s.Region != r.fleet.Self.Region:
--- /dev/null
+++ b/internal/affinity/report.go
@@ -0,0 +1,182 @@
+package affinity
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxAvoided bounds the avoided backend servers in a report; a host of a large fleet knows tens of thousands.
+	maxAvoided = 64
+	// maxCandidates bounds the backend servers of a service in an explanation.
+	maxCandidates = 8
+)
+
+// Report is what a Router knows and believes, for operators.
+type Report struct {
+	Flows   int // remembered
+	Routes  int
+	Places  []PlaceReport
+	Avoided []ServerReport // that get no new flows, or only when no other is left; the first maxAvoided by id
+}
+
+// PlaceReport sums the backend servers of a service in a data centre.
+type PlaceReport struct {
+	Place
+	Servers    int
+	Avoided    int
+	Slots      int
+	Flows      int // remembered here
+	OtherFlows int // that other hosts report
+}
+
+// ServerReport is what a Router believes of a backend server.
+type ServerReport struct {
+	ID         string
+	Place      Place
+	Standing   string // "eligible", or what keeps new flows away
+	Preference Preference
+	Flows      int
+	Slots      int
+	Cause      string        // evidence for a doubt; "" without one
+	For        time.Duration // how long the doubt or the cold start holds without new evidence
+	SinceSign  time.Duration // since the last sign of life; negative: none seen
+}
+
+// Report returns the present beliefs. It changes nothing.
+func (r *Router) Report(now time.Duration) Report {
+	report := Report{Flows: len(r.table.flows)}
+	for _, rt := range r.routes {
+		if rt.present {
+			report.Routes++
+		}
+	}
+	places := map[Place]*PlaceReport{}
+	for _, s := range r.servers {
+		if !s.present {
+			continue
+		}
+		at := Place{s.Service, s.DataCentre}
+		place := places[at]
+		if place == nil {
+			place = &PlaceReport{Place: at, OtherFlows: r.fleet.Flows[at]}
+			places[at] = place
+		}
+		place.Servers++
+		place.Slots += s.Slots
+		place.Flows += s.flows
+		if r.standingOf(s, now) != eligible {
+			place.Avoided++
+			report.Avoided = append(report.Avoided, r.reportOf(s, now))
+		}
+	}
+	for _, place := range places {
+		report.Places = append(report.Places, *place)
+	}
+	slices.SortFunc(report.Places, func(a, b PlaceReport) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.DataCentre, b.DataCentre))
+	})
+	slices.SortFunc(report.Avoided, func(a, b ServerReport) int { return cmp.Compare(a.ID, b.ID) })
+	report.Avoided = report.Avoided[:min(len(report.Avoided), maxAvoided)]
+	return report
+}
+
+func (r *Router) reportOf(s *server, now time.Duration) ServerReport {
+	report := ServerReport{
+		ID:         s.ID,
+		Place:      Place{s.Service, s.DataCentre},
+		Standing:   r.standingOf(s, now).String(),
+		Preference: r.preferenceOf(s, now),
+		Flows:      s.flows,
+		Slots:      s.Slots,
+		SinceSign:  -1,
+	}
+	if s.lastSign > 0 {
+		report.SinceSign = now - s.lastSign
+	}
+	switch {
+	case s.doubtful(now):
+		report.Cause = s.doubtCause.String()
+		report.For = max(s.suspectUntil, s.silentUntil) - now
+	case r.standingOf(s, now) == coldStart:
+		report.For = max(s.ColdUntil, r.view.EndedCold[s.DataCentre]) - now
+	}
+	return report
+}
+
+// Explanation says where the packets of a flow go and why.
+type Explanation struct {
+	RouteKnown   bool // the route is in force, or was removed lately
+	RouteRemoved bool
+	Targets      []TargetExplanation // of a new flow, in the order in which they are tried
+	Remembered   *FlowExplanation    // nil: this host has seen no packet of the flow lately
+	Named        *ServerReport       // backend server that the token names
+}
+
+// TargetExplanation tells how the backend servers of a service rank for a new flow.
+type TargetExplanation struct {
+	Service    string
+	Weight     uint32
+	Crossing   bool           // the own data centre is too busy
+	Servers    int            // of the service
+	Candidates []ServerReport // the first maxCandidates, best first
+}
+
+// FlowExplanation is what this host remembers of a flow.
+type FlowExplanation struct {
+	ServerReport
+	Open       bool // the caller has answered the backend server
+	Closed     bool
+	Age        time.Duration // since this host saw it first
+	LastPacket time.Duration // since its last packet here
+}
+
+// Explain tells where the packets of a flow would go; a token of 0 is that of an opening packet. It changes nothing.
+func (r *Router) Explain(key FlowKey, token uint32, now time.Duration) Explanation {
+	var e Explanation
+	if f := r.table.flows[key]; f != nil {
+		e.Remembered = &FlowExplanation{
+			ServerReport: r.reportOf(f.server, now), Open: f.open, Closed: f.closed, Age: now - f.openedAt, LastPacket: now - f.lastAt,
+		}
+	}
+	if s := r.byToken[token]; s != nil && token != 0 {
+		named := r.reportOf(s, now)
+		e.Named = &named
+	}
+	rt := r.routes[key.Service]
+	if rt == nil {
+		return e
+	}
+	e.RouteKnown, e.RouteRemoved = true, !rt.present
+	if !rt.present || len(rt.targets) == 0 {
+		return e
+	}
+	first := r.pickTarget(rt, key)
+	for i := range rt.targets {
+		e.Targets = append(e.Targets, r.explainTarget(rt, &rt.targets[(first+i)%len(rt.targets)], now))
+	}
+	return e
+}
+
+func (r *Router) explainTarget(rt *route, t *target, now time.Duration) TargetExplanation {
+	e := TargetExplanation{
+		Service: t.service.name, Weight: t.weight, Crossing: r.crosses(t.service, now), Servers: len(t.service.servers),
+	}
+	order := map[string]float64{}
+	for _, s := range t.service.servers {
+		preference, rank := r.rankFor(s, e.Crossing, failed{}, now)
+		if preference == preferNone || !rt.allows(s) {
+			continue
+		}
+		report := r.reportOf(s, now)
+		report.Preference = preference
+		e.Candidates = append(e.Candidates, report)
+		order[s.ID] = rank
+	}
+	slices.SortFunc(e.Candidates, func(a, b ServerReport) int {
+		return cmp.Or(cmp.Compare(a.Preference, b.Preference), cmp.Compare(order[a.ID], order[b.ID]), cmp.Compare(a.ID, b.ID))
+	})
+	e.Candidates = e.Candidates[:min(len(e.Candidates), maxCandidates)]
+	return e
+}
--- a/internal/affinity/server.go
+++ b/internal/affinity/server.go
@@ -37,6 +37,7 @@
 	suspicion    time.Duration // length of the present suspicion
 	onTrial      bool          // the next unanswered opening packet renews the suspicion
 	silentUntil  time.Duration // while set, its flows are reset
+	doubtCause   Cause         // evidence for the present suspicion or silence
 	check        check
 
 	coldWindow time.Duration // start of the present window of cold admission
@@ -65,6 +66,7 @@
 	s.suspicion = min(max(2*s.suspicion, suspicionPeriod), maxSuspicion)
 	s.suspectUntil = now + s.suspicion
 	s.onTrial = false
+	s.doubtCause = cause
 	s.notices.add(s, Suspect, cause, now, s.suspicion)
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -51,6 +52,7 @@
 		{[]string{"status", "--admin", "127.0.0.1:1"}, ExitFailed, "127.0.0.1:1"},
 		{[]string{"explain", "--src", "x", "--dst", "198.51.100.10:7001"}, ExitUsage, `src "x"`},
 		{[]string{"explain", "--src", "192.0.2.1:1", "--dst", "198.51.100.10:7001", "--proto", "icmp"}, ExitUsage, "want tcp or udp"},
+		{[]string{"explain", "--src", "192.0.2.1:1", "--dst", "198.51.100.10:7001", "--token", "x"}, ExitUsage, `token "x"`},
 		{[]string{"demo", "--for", "1s"}, ExitUsage, "want 10s to 10m0s"},
 		{[]string{"demo", "--deployment", "x"}, ExitUsage, "peachtree-hollow"},
 		{[]string{"demo", "--flows", "0"}, ExitUsage, "--flows 0"},
@@ -90,7 +92,7 @@
 
 func (fixedSource) Status(context.Context) (admin.Status, error) {
 	return admin.Status{
-		ID: "host-1", Serving: true, Hosts: []admin.HostStatus{{ID: "host-2", State: "suspect"}},
+		Affinity: admin.ByOwners, ID: "host-1", Serving: true, Hosts: []admin.HostStatus{{ID: "host-2", State: "suspect"}},
 		Services: []admin.ServiceStatus{{Name: "gridwatch", Version: 7, Backends: []admin.BackendStatus{{Addr: "127.0.0.1:6080", Verdict: "draining"}}}},
 		Refusals: []admin.Refusal{{Key: "services/x", Reason: "older_version"}},
 	}, nil
@@ -121,3 +123,51 @@
 		t.Errorf("explain: %q", text)
 	}
 }
+
+// fixedTokenSource answers as a host that keeps flows by token.
+type fixedTokenSource struct{}
+
+func (fixedTokenSource) Status(context.Context) (admin.TokenStatus, error) {
+	return admin.TokenStatus{
+		Affinity: admin.ByToken, Host: "edge-3", Revision: 71, RevisionFrom: "10.0.0.9:7700", AgeMS: 412, ReaderHost: "10.0.0.8:7700",
+		Unreachable: []string{"substation-c"},
+		Places:      []admin.PlaceStatus{{Service: "meter", DataCentre: "substation-a", Servers: 6, Avoided: 1}},
+		Avoided:     []admin.AvoidedStatus{{Server: "i-50bab19318", Service: "meter", Why: "doubted", Cause: "opening_late", ForMS: 900}},
+	}, nil
+}
+
+func (fixedTokenSource) Explain(_ context.Context, q admin.Query) (admin.Explanation, error) {
+	return admin.Explanation{Service: "meter", Steps: []string{fmt.Sprintf("token %d", q.Token)}}, nil
+}
+
+// Guards against a command line that knows only one of the two affinity methods.
+func TestStatusAndExplainOfTokenHost(t *testing.T) {
+	server := httptest.NewServer(admin.Handler(fixedTokenSource{}))
+	defer server.Close()
+	addr := strings.TrimPrefix(server.URL, "http://")
+	status, text, errs := runCommand(t, "status", "--admin", addr)
+	if status != ExitOK {
+		t.Fatalf("status %d: %s", status, errs)
+	}
+	for _, want := range []string{
+		"edge-3", "revision 71 from 10.0.0.9:7700", "412ms ago", "10.0.0.8:7700", "substation-c", "substation-a",
+		"i-50bab19318", "doubted (opening_late) for 900ms",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("status lacks %q:\n%s", want, text)
+		}
+	}
+	_, text, _ = runCommand(t, "status", "--admin", addr, "--json")
+	var st admin.TokenStatus
+	if err := json.Unmarshal([]byte(text), &st); err != nil || st.Affinity != admin.ByToken || len(st.Avoided) != 1 {
+		t.Errorf("status --json: %v: %s", err, text)
+	}
+	_, text, _ = runCommand(t, "explain", "--admin", addr, "--src", "192.0.2.1:4000", "--dst", "198.51.100.10:7001", "--token", "77")
+	if text != "token 77\n" {
+		t.Errorf("explain: %q", text)
+	}
+	_, text, _ = runCommand(t, "explain", "--admin", addr, "--src", "192.0.2.1:4000", "--dst", "198.51.100.10:7001", "--json")
+	if strings.Contains(text, "bucket") {
+		t.Errorf("explain --json names owners that a token host lacks: %s", text)
+	}
+}
--- a/internal/cli/remote.go
+++ b/internal/cli/remote.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/url"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,29 +51,27 @@
 			if len(args) > 0 {
 				return usageError("status takes no argument, got %q", args[0])
 			}
-			var st admin.Status
+			var st hostStatus
 			if err := f.get(ctx, "/status", nil, &st); err != nil {
 				return err
 			}
-			if f.json {
-				return t.printJSON(st)
-			}
-			return printStatus(t.stdout, &st)
+			return t.printStatus(&st, f.json)
 		},
 	}
 }
 
 func (t *tool) explainCommand() *ffcli.Command {
 	var f remoteFlags
-	var src, dst, proto string
+	var src, dst, proto, token string
 	fs := t.flagSet("nutmeglatch explain")
 	f.register(fs)
 	fs.StringVar(&src, "src", "", "caller's `address:port`")
 	fs.StringVar(&dst, "dst", "", "service's `address:port`")
 	fs.StringVar(&proto, "proto", "tcp", "tcp or udp")
+	fs.StringVar(&token, "token", "", "`number` on the flow's packets, from a log line; for hosts that keep flows by token")
 	return &ffcli.Command{
 		Name:       "explain",
-		ShortUsage: "nutmeglatch explain --src ADDRESS:PORT --dst ADDRESS:PORT [--proto tcp|udp] [--admin ADDRESS] [--json]",
+		ShortUsage: "nutmeglatch explain --src ADDRESS:PORT --dst ADDRESS:PORT [--proto tcp|udp] [--token NUMBER] [--admin ADDRESS] [--json]",
 		ShortHelp:  "Says where a flow or command goes and why.",
 		FlagSet:    fs,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
@@ -82,11 +79,11 @@
 			if len(args) > 0 {
 				return usageError("explain takes no argument, got %q", args[0])
 			}
-			if _, err := admin.ParseQuery(src, dst, proto); err != nil {
+			if _, err := admin.ParseQuery(src, dst, proto, token); err != nil {
 				return usageError("%v", err)
 			}
 			var ex admin.Explanation
-			query := url.Values{"src": {src}, "dst": {dst}, "proto": {proto}}
+			query := url.Values{"src": {src}, "dst": {dst}, "proto": {proto}, "token": {token}}
 			if err := f.get(ctx, "/explain", query, &ex); err != nil {
 				return err
 			}
@@ -142,34 +139,3 @@
 	enc.SetIndent("", "  ")
 	return enc.Encode(v)
 }
-
-func printStatus(w io.Writer, st *admin.Status) error {
-	fmt.Fprintf(w, "entry host %s in %s (%s), version %s, up %s\n", st.ID, st.DataCentre, st.Region, st.Version, time.Duration(st.UptimeMS)*time.Millisecond)
-	fmt.Fprintf(w, "serving %t, leaving %t, majority %t, flows %d, platform %s\n", st.Serving, st.Leaving, st.Majority, st.Flows, st.PlatformRead)
-	if len(st.NoQuorum) > 0 {
-		fmt.Fprintf(w, "services without a quorum: %s\n", strings.Join(st.NoQuorum, ", "))
-	}
-	out := "none"
-	if len(st.DataCentres.Out) > 0 {
-		out = strings.Join(st.DataCentres.Out, ", ")
-	}
-	fmt.Fprintf(w, "data centres out (version %d): %s\n", st.DataCentres.Version, out)
-	tw := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(tw, "\nENTRY HOST\tDATA CENTRE\tSTATE")
-	for _, h := range st.Hosts {
-		fmt.Fprintf(tw, "%s\t%s\t%s\n", h.ID, h.DataCentre, h.State)
-	}
-	fmt.Fprintln(tw, "\nSERVICE\tVERSION\tBACKEND SERVER\tDATA CENTRE\tVERDICT\tWEIGHT\tFLOWS")
-	for _, s := range st.Services {
-		for _, b := range s.Backends {
-			fmt.Fprintf(tw, "%s\t%d\t%s\t%s\t%s\t%.2f\t%d\n", s.Name, s.Version, b.Addr, b.DataCentre, b.Verdict, b.Weight, b.Flows)
-		}
-	}
-	if len(st.Refusals) > 0 {
-		fmt.Fprintln(tw, "\nREFUSED VALUE\tVERSION\tREASON\tDETAIL")
-		for _, r := range st.Refusals {
-			fmt.Fprintf(tw, "%s\t%d\t%s\t%s\n", r.Key, r.Version, r.Reason, r.Detail)
-		}
-	}
-	return tw.Flush()
-}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -25,6 +25,7 @@
 	s, d := c.d.settings, c.d
 	accepted := c.config.Current()
 	st := admin.Status{
+		Affinity:     admin.ByOwners,
 		ID:           s.HostID,
 		DataCentre:   s.DataCentre,
 		Region:       s.Region,
@@ -98,8 +99,11 @@
 		return ex, nil
 	}
 	ex.Service = svc.Name
-	ex.Bucket = int(k.Hash() % route.Buckets)
-	ex.Primary, ex.Secondary = hostName(snap, svc.Primary(k)), hostName(snap, svc.Secondary(k))
+	ex.Ownership = &admin.Ownership{
+		Bucket:    int(k.Hash() % route.Buckets),
+		Primary:   hostName(snap, svc.Primary(k)),
+		Secondary: hostName(snap, svc.Secondary(k)),
+	}
 	step("service %s, bucket %d", svc.Name, ex.Bucket)
 	step("primary owner %s, secondary owner %s", ex.Primary, ex.Secondary)
 	if svc.CommandAddr.Addr == q.Destination.Addr() && svc.CommandAddr.Port == q.Destination.Port() {
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/nutmeglatch/nutmeglatch/internal/admin"
 	"github.com/nutmeglatch/nutmeglatch/internal/affinity"
 	"github.com/nutmeglatch/nutmeglatch/internal/follower"
 	"github.com/nutmeglatch/nutmeglatch/internal/gossip"
@@ -47,7 +48,7 @@
 		query gossip.Query
 		reply chan *gossip.Copy
 	}
-	statusEvent struct{ reply chan Status }
+	statusEvent struct{ reply chan admin.TokenStatus }
 	reload      struct {
 		seeds  []netip.AddrPort
 		limits Limits
@@ -75,6 +76,7 @@
 	storeDown  bool
 	wasReader  bool
 	version    uint64 // of the configuration in force
+	from       string // who told the present revision: "store", or the address of a host
 }
 
 func newControl(h *Host) *control {
@@ -224,6 +226,9 @@
 
 // adopt puts changes in force and passes them on.
 func (c *control) adopt(changed []registry.Update, before uint64, from string) {
+	if c.state.Revision() != before {
+		c.from = from
+	}
 	version := c.version // of the configuration that the receivers are likely to have
 	if len(changed) > 0 || !c.host.ready.Load() && c.state.Loaded() {
 		c.publishView()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/go-kit/log/level"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmeglatch/nutmeglatch/internal/admin"
 	"github.com/nutmeglatch/nutmeglatch/internal/affinity"
 	"github.com/nutmeglatch/nutmeglatch/internal/follower"
 	"github.com/nutmeglatch/nutmeglatch/internal/gossip"
@@ -120,9 +121,10 @@
 	group.Go(func() error { return control.receive(running) })
 	group.Go(func() error { return gossip.Serve(running, sockets.transfer, control.answer) })
 	group.Go(func() error { return serveHTTP(sockets.ready, http.HandlerFunc(h.serveReady)) })
-	group.Go(func() error { return serveHTTP(sockets.admin, h.adminHandler(control)) })
+	operators := admin.Handler(operators{host: h, control: control, traffic: traffic})
+	group.Go(func() error { return serveHTTP(sockets.admin, operators) })
 	if sockets.metrics != nil {
-		group.Go(func() error { return serveHTTP(sockets.metrics, h.adminHandler(control)) })
+		group.Go(func() error { return serveHTTP(sockets.metrics, operators) })
 	}
 	group.Go(func() error {
 		<-running.Done()
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -38,6 +38,7 @@
 	lines       lineBudget
 	noticeLines lineBudget
 	checker     *checker
+	queries     chan query
 	lastPacket  atomic.Int64
 	view        *registry.View
 	sweptAt     time.Duration
@@ -54,6 +55,7 @@
 		router:      affinity.NewRouter(c, self),
 		logger:      log.With(h.logger, "part", "flow"),
 		checker:     newChecker(func() { interrupt(conn) }),
+		queries:     make(chan query, maxQueries),
 		lines:       lineBudget{perSecond: h.config.Limits.FlowLinesPerS},
 		noticeLines: lineBudget{perSecond: h.config.Limits.FlowLinesPerS},
 	}
@@ -71,10 +73,7 @@
 	if err := t.conn.SetReadBuffer(packetBuffer); err != nil {
 		level.Warn(t.logger).Log("msg", "receive buffer keeps its size", "err", err)
 	}
-	select {
-	case p := <-t.host.plans:
-		t.adopt(p)
-	case <-ctx.Done():
+	if !t.awaitPlan(ctx) {
 		return nil
 	}
 	headroom := t.host.codec.Headroom()
@@ -104,6 +103,21 @@
 	}
 }
 
+// awaitPlan waits for the first plan, and answers operators meanwhile. It returns false when the host stops.
+func (t *traffic) awaitPlan(ctx context.Context) bool {
+	for {
+		select {
+		case p := <-t.host.plans:
+			t.adopt(p)
+			return true
+		case q := <-t.queries:
+			q(t.router, t.host.now())
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // stopError returns the error of a goroutine that ended, or nil when the host is stopping.
 func stopError(ctx context.Context, err error) error {
 	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
@@ -112,8 +126,13 @@
 	return err
 }
 
-// upkeep takes the newest plan and results of checks, and does what is due by time.
+// upkeep takes the newest plan, results of checks and operators' questions, and does what is due by time.
 func (t *traffic) upkeep(now time.Duration) {
+	select {
+	case q := <-t.queries:
+		q(t.router, now)
+	default:
+	}
 	for _, result := range t.checker.take() {
 		countCheck(result.outcome)
 		t.router.Checked(result.id, result.outcome, now)
