gossip, registry, affinity: messages in a binary format, fleets above 1,024 hosts, entries shared by views

Cause: three rows of docs/CAPACITY.md missed the target of 5,700 hosts and 40,000 backend servers, and one was not there at all: - messages took 10.4 KB/s of 4 KB/s, as JSON with the names of services; - each view copied all entries, 30 MB at each change, beside a bound of 64 MB; - a host remembered 1,024 others at most and forgot those not heard for two minutes. What each host may send to a cold backend server is the stated rate by the number of hosts, so 5,700 hosts that know 1,012 others would send five times the rate; - a host that has just started knows nobody and took an eighth of the rate.

Ruled out: loads in rotation (a host of a large fleet hears each other one every few seconds, so a sixteenth of the loads at a time would be minutes old); a longer interval (a data centre out of reach is told by 0.9 s of silence); views as differences by service (the router indexes addresses and tokens across services; to be done when the stall of 26 ms matters).

Change: datagrams are CBOR arrays behind a version byte, places travel as 32-bit digests, the reader as an address; views point at the entries of the registry; 8,192 members, kept longer in a larger fleet; messages carry how many hosts the sender knows, and a host that knows less than half of them sends nothing to a cold server that too few may send to. Hosts of the version before drop the new messages as malformed and read the store themselves.

TestMalformedMessages fed JSON; it now spoils each field of a whole message, and two tests feed bytes of other versions, cut ones, and claimed lengths.

--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -151,7 +151,7 @@
 	if now-s.coldWindow >= coldWindow {
 		s.coldWindow, s.coldTaken = now, 0
 	}
-	hosts := max(len(r.fleet.Hosts)+1, coldHostsFloor)
+	hosts := max(r.fleet.size(), coldHostsFloor)
 	allowed := int(sv.coldRate / float64(hosts))
 	if allowed == 0 && r.fleet.ranked(s.ID, s.DataCentre, coldSenders) {
 		allowed = 1
--- a/internal/affinity/crossing.go
+++ b/internal/affinity/crossing.go
@@ -38,7 +38,7 @@
 		side.flows += s.flows
 		if !seen[s.DataCentre] {
 			seen[s.DataCentre] = true
-			side.flows += r.fleet.Flows[Place{sv.name, s.DataCentre}]
+			side.flows += r.fleet.Flows[Place{sv.name, s.DataCentre}.Digest()]
 		}
 	}
 	if own.slots == 0 || others.slots == 0 || own.perSlot() < crossingMinimum {
@@ -57,7 +57,7 @@
 	}
 	loads := make([]Load, 0, len(flows))
 	for place, n := range flows {
-		loads = append(loads, Load{Place: place, Flows: n})
+		loads = append(loads, Load{Place: place.Digest(), Flows: n})
 	}
 	slices.SortFunc(loads, func(a, b Load) int { return b.Flows - a.Flows })
 	return loads[:min(len(loads), maxLoads)]
--- a/internal/affinity/crossing_test.go
+++ b/internal/affinity/crossing_test.go
@@ -30,7 +30,7 @@
 func openEverywhere(hosts []*world, rounds int) {
 	for range rounds {
 		for i, w := range hosts {
-			flows := map[Place]int{}
+			flows := map[PlaceDigest]int{}
 			for j, other := range hosts {
 				if j == i {
 					continue
--- a/internal/affinity/evidence_test.go
+++ b/internal/affinity/evidence_test.go
@@ -142,6 +142,38 @@
 	}
 }
 
+// Guards against a host that has just started and takes its part of a cold backend server's rate for the whole of it.
+func TestStartedHostSendsLittleToColdServers(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		rate  float64
+		fleet Fleet
+		want  int // new flows in the first second
+	}{
+		{"knows nobody, fleet unknown", 40, Fleet{Self: selfHost}, 40 / coldHostsFloor},
+		{"knows nobody, fleet of 20", 40, Fleet{Self: selfHost, Size: 20}, 2},
+		{"knows nobody, fleet of 5,700", 40, Fleet{Self: selfHost, Size: 5700}, 0},
+		{"knows half, fleet of 4, small rate", 0, Fleet{Self: selfHost, Size: 4, Hosts: []Host{{Addr: addrOfHost(1), DataCentre: "a"}}}, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t)
+			w.view.Config.Services[0].ColdRate = tt.rate
+			w.server("meter", "a", func(s *registry.Server) { s.ColdUntil = time.Hour })
+			w.show()
+			w.router.SetFleet(tt.fleet)
+			sent := 0
+			for range 60 {
+				if w.caller(meterAddr).open(0).Action == Forward {
+					sent++
+				}
+			}
+			if sent != tt.want {
+				t.Errorf("%d new flows to the cold backend server, want %d", sent, tt.want)
+			}
+		})
+	}
+}
+
 // Guards against a cold backend server that gets more than it bears, summed over hosts that do not coordinate.
 func TestColdServerGetsFewFlows(t *testing.T) {
 	const hosts, bound = 9, 5 // a second, with a stated rate of 0
--- a/internal/affinity/fleet.go
+++ b/internal/affinity/fleet.go
@@ -19,22 +19,40 @@
 	DataCentre string
 }
 
+// PlaceDigest stands for a Place in hosts' messages, which names would make long. Places with one digest would be taken
+// for equally busy; nothing else depends on it.
+type PlaceDigest uint32
+
+// Digest returns the digest of the place, the same on all hosts.
+func (p Place) Digest() PlaceDigest {
+	const mix = 0x9e3779b97f4a7c15 // odd, so that the service and the data centre do not cancel out
+	return PlaceDigest((xxhash.Sum64String(p.Service)*mix ^ xxhash.Sum64String(p.DataCentre)) >> 32)
+}
+
 // Load is the number of open flows that a host remembers at the backend servers of a place.
 type Load struct {
-	Place
+	Place PlaceDigest
 	Flows int
 }
 
 // Fleet is what the host knows of the other entry hosts.
 type Fleet struct {
 	Self        Host
-	Hosts       []Host          // the others, seen within the last minutes
-	Unreachable map[string]bool // data centres from whose hosts nothing arrives
-	Flows       map[Place]int   // flows that the other hosts report
+	Hosts       []Host              // the others, seen within the last minutes
+	Size        int                 // hosts in the whole fleet, as far as anybody knows
+	Unreachable map[string]bool     // data centres from whose hosts nothing arrives
+	Flows       map[PlaceDigest]int // that the other hosts report
 }
 
-// ranked reports whether this host is among the first n hosts of a data centre for a key, by rendezvous hash.
+// size returns the number of hosts in the fleet.
+func (f *Fleet) size() int { return max(f.Size, len(f.Hosts)+1) }
+
+// ranked reports whether this host is among the first n hosts of a data centre for a key, by rendezvous hash. A host that
+// knows less than half of the fleet, as after its start, can't tell and is not.
 func (f *Fleet) ranked(key, dataCentre string, n int) bool {
+	if 2*(len(f.Hosts)+1) < f.size() {
+		return false
+	}
 	if f.Self.DataCentre != dataCentre && f.has(dataCentre) {
 		return false
 	}
--- a/internal/affinity/report.go
+++ b/internal/affinity/report.go
@@ -60,7 +60,7 @@
 		at := Place{s.Service, s.DataCentre}
 		place := places[at]
 		if place == nil {
-			place = &PlaceReport{Place: at, OtherFlows: r.fleet.Flows[at]}
+			place = &PlaceReport{Place: at, OtherFlows: r.fleet.Flows[at.Digest()]}
 			places[at] = place
 		}
 		place.Servers++
--- a/internal/affinity/report_test.go
+++ b/internal/affinity/report_test.go
@@ -71,7 +71,7 @@
 		w.server("bill", "a")
 	}
 	w.show()
-	w.router.SetFleet(Fleet{Self: selfHost, Flows: map[Place]int{{"meter", "b"}: 7}})
+	w.router.SetFleet(Fleet{Self: selfHost, Flows: map[PlaceDigest]int{Place{"meter", "b"}.Digest(): 7}})
 	report := w.router.Report(w.now)
 	if len(report.Avoided) != maxAvoided || report.Places[2].Avoided != 3*maxAvoided || report.Places[2].OtherFlows != 7 {
 		t.Errorf("%d servers listed, %d counted", len(report.Avoided), report.Places[2].Avoided)
--- a/internal/affinity/router_test.go
+++ b/internal/affinity/router_test.go
@@ -256,7 +256,7 @@
 	near := w.server("meter", "a")
 	far := w.server("meter", "b")
 	w.show()
-	w.router.SetFleet(Fleet{Self: selfHost, Flows: map[Place]int{{"meter", "b"}: 20}})
+	w.router.SetFleet(Fleet{Self: selfHost, Flows: map[PlaceDigest]int{Place{"meter", "b"}.Digest(): 20}})
 	for range 20 {
 		if v := w.caller(meterAddr).connect(); v.ServerID != near {
 			t.Fatalf("new flow went to %q in another data centre", v.ServerID)
--- a/internal/affinity/view.go
+++ b/internal/affinity/view.go
@@ -93,7 +93,7 @@
 		s = &server{token: entry.Token(), notices: &r.notices}
 		r.servers[entry.ID] = s
 	}
-	restarted := s.StartedMs != 0 && entry.StartedMs > s.StartedMs
+	restarted := s.BackendServer != nil && s.StartedMs != 0 && entry.StartedMs > s.StartedMs
 	s.Server = *entry
 	s.present, s.goneAt, s.drained = true, 0, false
 	if restarted {
--- a/internal/affinity/world_test.go
+++ b/internal/affinity/world_test.go
@@ -53,7 +53,7 @@
 	w.nextID++
 	n := w.nextID
 	s := registry.Server{
-		BackendServer: registry.BackendServer{
+		BackendServer: &registry.BackendServer{
 			ID:         fmt.Sprintf("s%d", n),
 			Identity:   n,
 			Service:    service,
@@ -73,6 +73,8 @@
 func (w *world) change(id string, change func(*registry.Server)) {
 	for i := range w.view.Servers {
 		if w.view.Servers[i].ID == id {
+			entry := *w.view.Servers[i].BackendServer
+			w.view.Servers[i].BackendServer = &entry
 			change(&w.view.Servers[i])
 		}
 	}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -306,11 +306,12 @@
 func (c *control) fleet(now time.Duration) *affinity.Fleet {
 	f := &affinity.Fleet{
 		Self:        c.host.self(),
+		Size:        c.members.Size(now),
 		Unreachable: c.members.Unreachable(now),
-		Flows:       map[affinity.Place]int{},
+		Flows:       map[affinity.PlaceDigest]int{},
 	}
 	for _, l := range c.members.Loads(now) {
-		f.Flows[affinity.Place{Service: l.Service, DataCentre: l.DataCentre}] += l.Flows
+		f.Flows[affinity.PlaceDigest(l.Place)] += l.Flows
 	}
 	for _, h := range c.members.All() {
 		f.Hosts = append(f.Hosts, affinity.Host{Addr: h.Addr, DataCentre: h.DataCentre})
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -89,7 +89,7 @@
 		AgeMS:         c.host.ageMs(now),
 		StoreAnswers:  !c.storeDown,
 		Reader:        own && !c.leaving.Load(),
-		ReaderHost:    reader.Addr.String(),
+		ReaderHost:    reader.String(),
 		ReaderAgeMS:   readerAge.Milliseconds(),
 	}
 	for _, h := range c.members.All() {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -94,6 +94,7 @@
 		Leaving:  c.leaving.Load(),
 		Reader:   reader,
 		ReaderMs: readerAge.Milliseconds(),
+		Known:    c.members.Known(),
 		After:    after,
 		Changes:  changes,
 	}
@@ -103,7 +104,7 @@
 	m.Hosts = c.members.Sample()
 	if loads := c.host.loads.Load(); loads != nil {
 		for _, l := range *loads {
-			m.Loads = append(m.Loads, gossip.Load{Service: l.Service, DataCentre: l.DataCentre, Flows: l.Flows})
+			m.Loads = append(m.Loads, gossip.Load{Place: uint32(l.Place), Flows: l.Flows})
 		}
 	}
 	return m
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -14,16 +14,22 @@
 	aliveFor = 1200 * time.Millisecond
 	// readerAliveFor is how long after the reader was heard another host takes its place.
 	readerAliveFor = 2 * time.Second
-	// memberRetention is how long a host that is silent is kept and written to.
+	// memberRetention is the least time for which a host that is silent is kept and written to.
 	memberRetention = 2 * time.Minute
+	// memberRetentionPerHost lengthens it with the fleet: a host of a large fleet hears about 24 others a second, and
+	// none of them may be forgotten between two of its messages, of which one comes four times in this span on average.
+	memberRetentionPerHost = 160 * time.Millisecond
+	// knownSpan is how long the number of hosts that others know is believed, up to twice as long.
+	knownSpan = 30 * time.Second
 	// unreachableAfter is the silence of all hosts of a data centre after which it counts as out of reach.
 	unreachableAfter = 900 * time.Millisecond
 	// smallFleet is the number of hosts up to which each message goes to all of them.
 	smallFleet = 12
 	// fanOut is the number of receivers of a message in a larger fleet; half of them are in the own data centre.
 	fanOut = 6
-	// maxMembers bounds the hosts that are remembered.
-	maxMembers = 1024
+	// maxMembers bounds the hosts that are remembered: more than the 5,700 of the largest fleet planned, as the number of
+	// hosts divides what each may send to cold backend servers.
+	maxMembers = 8192
 )
 
 // member is another host.
@@ -41,8 +47,10 @@
 	seeds   []netip.AddrPort
 	members map[netip.AddrPort]*member
 	heard   map[string]time.Duration // last message from each data centre
-	reader  Host                     // that reads the store, as far as this host knows
+	reader  netip.AddrPort           // host that reads the store, as far as this host knows
 	readAt  time.Duration            // when the reader was last heard, by this host or another one
+	known   [2]int                   // the largest number of hosts that a sender knew, in the present span and the one before
+	knownAt time.Duration            // start of the present span
 	random  *rand.Rand
 }
 
@@ -70,6 +78,8 @@
 		known.loads = msg.Loads
 	}
 	m.hearReader(msg, now)
+	m.turnKnown(now)
+	m.known[0] = max(m.known[0], msg.Known)
 	m.heard[msg.From.DataCentre] = now
 	return isNew
 }
@@ -83,39 +93,61 @@
 
 // Sweep forgets hosts that have been silent for long.
 func (m *Members) Sweep(now time.Duration) {
+	retention := max(memberRetention, time.Duration(len(m.members))*memberRetentionPerHost)
 	for addr, h := range m.members {
-		if now-max(h.heardAt, h.addedAt) > memberRetention {
+		if now-max(h.heardAt, h.addedAt) > retention {
 			delete(m.members, addr)
 		}
 	}
 }
 
+// Known returns the number of hosts that this one has heard of, itself included.
+func (m *Members) Known() int { return len(m.members) + 1 }
+
+// Size returns the number of hosts in the fleet. A host that has just started knows few of them and takes the number that
+// others know.
+func (m *Members) Size(now time.Duration) int {
+	m.turnKnown(now)
+	return max(m.Known(), m.known[0], m.known[1])
+}
+
+// turnKnown starts a new span for the numbers that others know, so that those of a fleet that has shrunk are forgotten.
+func (m *Members) turnKnown(now time.Duration) {
+	if now-m.knownAt < knownSpan {
+		return
+	}
+	if now-m.knownAt >= 2*knownSpan {
+		m.known[0] = 0
+	}
+	m.known[0], m.known[1], m.knownAt = 0, m.known[0], now
+}
+
 // Reader reports whether this host reads the store for the others, and the host that does with the time since it was
 // heard. The first of the live hosts reads; who it is travels with the messages, so that a large fleet, in which each
 // host hears only some, has one reader as well.
-func (m *Members) Reader(now time.Duration) (own bool, reader Host, age time.Duration) {
-	if m.reader.Addr != m.self.Addr && now-m.readAt < readerAliveFor && readerRank(m.reader.Addr) < readerRank(m.self.Addr) {
+func (m *Members) Reader(now time.Duration) (own bool, reader netip.AddrPort, age time.Duration) {
+	if m.reader != m.self.Addr && now-m.readAt < readerAliveFor && readerRank(m.reader) < readerRank(m.self.Addr) {
 		return false, m.reader, now - m.readAt
 	}
-	m.reader, m.readAt = m.self, now
-	return true, m.self, 0
+	m.reader, m.readAt = m.self.Addr, now
+	return true, m.self.Addr, 0
 }
 
 // hearReader takes the reader that a message names, unless it has said that it leaves.
 func (m *Members) hearReader(msg *Message, now time.Duration) {
-	if msg.Leaving && m.reader.Addr == msg.From.Addr {
+	if msg.Leaving && m.reader == msg.From.Addr {
 		m.readAt = now - readerAliveFor
 	}
-	if named := m.members[msg.Reader.Addr]; !msg.Reader.Addr.IsValid() || named != nil && named.leaving {
+	if named := m.members[msg.Reader]; !msg.Reader.IsValid() || named != nil && named.leaving {
 		return
 	}
 	at := now - time.Duration(msg.ReaderMs)*time.Millisecond
-	if msg.Reader.Addr == m.reader.Addr {
+	if msg.Reader == m.reader {
 		m.readAt = max(m.readAt, at)
 		return
 	}
 	stale := now-m.readAt >= readerAliveFor
-	if now-at < readerAliveFor && (stale || readerRank(msg.Reader.Addr) < readerRank(m.reader.Addr)) {
+	if now-at < readerAliveFor && (stale || readerRank(msg.Reader) < readerRank(m.reader)) {
 		m.reader, m.readAt = msg.Reader, at
 	}
 }
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -131,8 +131,8 @@
 	hosts := []Host{host(1, "a"), host(2, "a")}
 	for i, self := range hosts {
 		m := newMembers(self)
-		m.Hear(&Message{From: hosts[1-i], Reader: hosts[1-i]}, time.Second)
-		m.Hear(&Message{From: hosts[1-i], Reader: hosts[1-i], Leaving: true}, time.Second)
+		m.Hear(&Message{From: hosts[1-i], Reader: hosts[1-i].Addr}, time.Second)
+		m.Hear(&Message{From: hosts[1-i], Reader: hosts[1-i].Addr, Leaving: true}, time.Second)
 		if own, _, _ := m.Reader(time.Second); !own {
 			t.Errorf("host %d does not read although the only other one leaves", i)
 		}
@@ -164,12 +164,67 @@
 	if n := len(m.All()); n > maxMembers {
 		t.Fatalf("%d members, allowed %d", n, maxMembers)
 	}
-	m.Sweep(2*time.Second + memberRetention)
+	m.Sweep(2*time.Second + maxMembers*memberRetentionPerHost)
 	if n := len(m.All()); n != 0 {
 		t.Fatalf("%d members after a long silence", n)
 	}
 }
 
+// Guards against a host that knows only a part of a fleet of the target size: what each host may send to a cold backend
+// server is a part of the stated rate by the number of hosts, so the sum over all would be above it.
+func TestLargeFleetIsKnown(t *testing.T) {
+	const (
+		hosts     = 5700
+		heardPerS = 4 * fanOut // messages that reach a host in a second
+		learning  = 30 * time.Minute
+		observed  = 15 * time.Minute
+	)
+	random := rand.New(rand.NewPCG(4, 5))
+	address := func() Host {
+		n := random.IntN(hosts)
+		return Host{Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(n >> 8), byte(n)}), 7000), DataCentre: "b"}
+	}
+	m := newMembers(host(0, "a"))
+	least := hosts
+	for now := time.Second; now < learning+observed; now += time.Second {
+		for i := range heardPerS {
+			message := &Message{From: address()}
+			for range maxHosts * (1 - min(i%4, 1)) { // one message of four names hosts
+				message.Hosts = append(message.Hosts, address())
+			}
+			m.Hear(message, now)
+		}
+		m.Sweep(now)
+		if now > learning {
+			least = min(least, len(m.All()))
+		}
+	}
+	if least < hosts*95/100 {
+		t.Errorf("%d of %d hosts known at times, want 95%%", least, hosts)
+	}
+}
+
+// Guards against a host that counts only itself after its start, and against the size of a fleet that has shrunk.
+func TestSizeOfTheFleet(t *testing.T) {
+	m := newMembers(host(0, "a"))
+	if got := m.Size(0); got != 1 {
+		t.Errorf("size %d of a fleet of one", got)
+	}
+	m.Hear(&Message{From: host(1, "a"), Known: 5700}, time.Second)
+	m.Hear(&Message{From: host(2, "a"), Known: 40}, 2*time.Second)
+	for _, tt := range []struct {
+		at   time.Duration
+		want int
+	}{{2 * time.Second, 5700}, {knownSpan, 5700}, {knownSpan + 20*time.Second, 5700}, {2*knownSpan + time.Second, 3}} {
+		if got := m.Size(tt.at); got != tt.want {
+			t.Errorf("at %v: size %d, want %d", tt.at, got, tt.want)
+		}
+	}
+	if m.Known() != 3 {
+		t.Errorf("the host tells others %d, want the 3 that it has heard of itself", m.Known())
+	}
+}
+
 // Guards against flows for a data centre that was cut off, and against a data centre that was never heard counting so.
 func TestUnreachable(t *testing.T) {
 	m := newMembers(host(1, "a"))
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -5,10 +5,11 @@
 package gossip
 
 import (
-	"encoding/json"
 	"net/netip"
+	"sync"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/registry"
 )
@@ -26,29 +27,32 @@
 
 // Host is an entry host as a message names it.
 type Host struct {
-	Addr       netip.AddrPort `json:"addr"` // where it takes messages
-	DataCentre string         `json:"dc"`
+	_          struct{}       `cbor:",toarray"`
+	Addr       netip.AddrPort // where it takes messages
+	DataCentre string
 }
 
-// Load is the number of flows that a host has at the backend servers of a service in a data centre.
+// Load is the number of flows that a host has at the backend servers of a place.
 type Load struct {
-	Service    string `json:"service"`
-	DataCentre string `json:"dc"`
-	Flows      int    `json:"flows"`
+	_     struct{} `cbor:",toarray"`
+	Place uint32   // digest of a service and a data centre
+	Flows int
 }
 
-// Message is what a host tells another one.
+// Message is what a host tells another one. Its fields travel without names, in this order.
 type Message struct {
-	From     Host              `json:"from"`
-	Revision uint64            `json:"rev"`
-	AgeMs    int64             `json:"age"` // since its copy was confirmed
-	Leaving  bool              `json:"leaving,omitempty"`
-	Reader   Host              `json:"reader"`     // that reads the store for the sender
-	ReaderMs int64             `json:"reader_age"` // since the reader was heard, by whoever heard it
-	Hosts    []Host            `json:"hosts,omitempty"`
-	Loads    []Load            `json:"loads,omitempty"`
-	After    uint64            `json:"after,omitempty"` // revision that the changes follow
-	Changes  []registry.Update `json:"changes,omitempty"`
+	_        struct{} `cbor:",toarray"`
+	From     Host
+	Revision uint64
+	AgeMs    int64 // since its copy was confirmed
+	Leaving  bool
+	Reader   netip.AddrPort // of the host that reads the store for the sender
+	ReaderMs int64          // since the reader was heard, by whoever heard it
+	Known    int            // hosts that the sender has heard of, itself included
+	Hosts    []Host
+	Loads    []Load
+	After    uint64 // revision that the changes follow
+	Changes  []registry.Update
 }
 
 // Confirmed reports whether the sender's copy was ever confirmed.
@@ -57,14 +61,25 @@
 // ErrMalformed is the error of a datagram that is not a message.
 var ErrMalformed = errors.New("malformed message")
 
+// formatVersion is the first byte of a datagram. Hosts of another version drop it, and read the store themselves.
+const formatVersion = 1
+
+// maxElements bounds the lists of a message and of what it holds, such as the routes of a configuration.
+const maxElements = 16 << 10
+
+// decoder refuses what no host sends before it takes memory for it.
+var decoder = sync.OnceValues(func() (cbor.DecMode, error) {
+	return cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: 1 << 10, MaxNestedLevels: 16, IndefLength: cbor.IndefLengthForbidden}.DecMode()
+})
+
 // Encode returns the datagram of a message. Changes that make it too large are left out; the receiver fetches them.
 func Encode(m *Message) ([]byte, error) {
-	b, err := json.Marshal(m)
+	body, err := cbor.Marshal(m)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode message")
 	}
-	if len(b) <= MaxDatagram || len(m.Changes) == 0 {
-		return b, nil
+	if len(body) < MaxDatagram || len(m.Changes) == 0 {
+		return append([]byte{formatVersion}, body...), nil
 	}
 	short := *m
 	short.After, short.Changes = 0, nil
@@ -73,15 +88,22 @@
 
 // Decode checks and decodes a datagram.
 func Decode(b []byte) (*Message, error) {
+	if len(b) == 0 || b[0] != formatVersion {
+		return nil, errors.Wrap(ErrMalformed, "not a message of this version")
+	}
+	mode, err := decoder()
+	if err != nil {
+		return nil, errors.Wrap(err, "limits of messages")
+	}
 	var m Message
-	if err := json.Unmarshal(b, &m); err != nil {
+	if err := mode.Unmarshal(b[1:], &m); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "decode message"), ErrMalformed)
 	}
-	if m.AgeMs < NeverConfirmed || m.ReaderMs < 0 || !m.From.Addr.IsValid() || m.From.DataCentre == "" || len(m.Hosts) > maxHosts || len(m.Loads) > maxLoads {
+	if m.AgeMs < NeverConfirmed || m.ReaderMs < 0 || m.Known < 0 || m.Known > maxMembers+1 || !m.From.Addr.IsValid() || m.From.DataCentre == "" || len(m.Hosts) > maxHosts || len(m.Loads) > maxLoads {
 		return nil, errors.Wrap(ErrMalformed, "sender or hosts")
 	}
 	for _, l := range m.Loads {
-		if l.Service == "" || l.DataCentre == "" || l.Flows < 0 {
+		if l.Flows < 0 {
 			return nil, errors.Wrap(ErrMalformed, "load")
 		}
 	}
--- a/internal/gossip/message_test.go
+++ b/internal/gossip/message_test.go
@@ -3,8 +3,10 @@
 import (
 	"net/netip"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,9 +23,24 @@
 	}}
 }
 
+// configChange returns a configuration that sets each of its fields.
+func configChange() registry.Update {
+	return registry.Update{Key: "config", Revision: 9, Created: 1, Config: &registry.Config{
+		Version: 4,
+		Routes: []registry.Route{{
+			Name: "r", Addr: netip.MustParseAddrPort("198.18.0.1:443"), Targets: []registry.Target{{Service: "meter", Weight: 2}}, Regions: []string{"x"},
+		}},
+		Services:    []registry.Service{{Name: "meter", ColdPeriod: 2 * time.Second, ColdRate: 1.5}},
+		IdleTimeout: 15 * time.Second,
+	}}
+}
+
 // Guards against fields that are lost on the way.
 func TestRoundTrip(t *testing.T) {
-	m := &Message{From: host(1, "a"), Revision: 9, AgeMs: 120, Hosts: []Host{host(2, "b")}, After: 8, Changes: []registry.Update{change("s1")}}
+	m := &Message{
+		From: host(1, "a"), Revision: 9, AgeMs: 120, Leaving: true, Reader: host(3, "b").Addr, ReaderMs: 40, Known: 12, Hosts: []Host{host(2, "b")},
+		Loads: []Load{{Place: 1 << 31, Flows: 3}}, After: 8, Changes: []registry.Update{change("s1"), configChange(), {Key: "s2", Revision: 9, Removed: true}},
+	}
 	b, err := Encode(m)
 	if err != nil {
 		t.Fatal(err)
@@ -49,20 +66,70 @@
 	}
 }
 
-// Guards against messages that put impossible values into the registry.
+// Guards against messages that put impossible values into the registry or among the members.
 func TestMalformedMessages(t *testing.T) {
-	for _, text := range []string{
-		"", "{}", "[]", "null", `{"from":{"addr":"10.0.0.1:1"}}`, `{"from":{"addr":"x","dc":"a"}}`,
-		`{"from":{"addr":"10.0.0.1:1","dc":"a"},"changes":[{"key":"","rev":1}]}`,
-		`{"from":{"addr":"10.0.0.1:1","dc":"a"},"changes":[{"key":"s","revision":2,"server":{"id":"s"}}]}`,
-		`{"from":{"addr":"10.0.0.1:1","dc":"a"},"rev":-1}`,
+	for name, spoil := range map[string]func(m *Message){
+		"no sender":                 func(m *Message) { m.From = Host{} },
+		"sender without place":      func(m *Message) { m.From.DataCentre = "" },
+		"impossible age":            func(m *Message) { m.AgeMs = NeverConfirmed - 1 },
+		"impossible fleet":          func(m *Message) { m.Known = maxMembers + 2 },
+		"negative fleet":            func(m *Message) { m.Known = -1 },
+		"impossible age of reader":  func(m *Message) { m.ReaderMs = -1 },
+		"too many hosts":            func(m *Message) { m.Hosts = slices.Repeat([]Host{host(2, "b")}, maxHosts+1) },
+		"too many loads":            func(m *Message) { m.Loads = make([]Load, maxLoads+1) },
+		"impossible load":           func(m *Message) { m.Loads = []Load{{Place: 1, Flows: -1}} },
+		"change without key":        func(m *Message) { m.Changes[0].Key = "" },
+		"change without revision":   func(m *Message) { m.Changes[0].Revision = 0 },
+		"server without identity":   func(m *Message) { m.Changes[0].Server.Identity = 0 },
+		"server without address":    func(m *Message) { m.Changes[0].Server.Addr = netip.AddrPort{} },
+		"server without slots":      func(m *Message) { m.Changes[0].Server.Slots = 0 },
+		"server without a service":  func(m *Message) { m.Changes[0].Server.Service = "" },
+		"server with minus 4 slots": func(m *Message) { m.Changes[0].Server.Slots = -4 },
 	} {
-		if m, err := Decode([]byte(text)); err == nil || !errors.Is(err, ErrMalformed) {
-			t.Errorf("%q: %+v, %v; want ErrMalformed", text, m, err)
+		m := &Message{From: host(1, "a"), Revision: 9, After: 8, Changes: []registry.Update{change("s1")}}
+		if _, err := Decode(encode(t, m)); err != nil {
+			t.Fatalf("whole message: %v", err)
+		}
+		spoil(m)
+		if got, err := Decode(encode(t, m)); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%s: %+v, %v; want ErrMalformed", name, got, err)
+		}
+	}
+}
+
+// Guards against bytes that are no message of this version, among them those of hosts before the binary format.
+func TestForeignDatagrams(t *testing.T) {
+	whole := encode(t, &Message{From: host(1, "a"), Revision: 9, Hosts: []Host{host(2, "b")}})
+	other := append([]byte{formatVersion + 1}, whole[1:]...)
+	datagrams := [][]byte{nil, {formatVersion}, other, []byte(`{"from":{"addr":"10.0.0.1:1","dc":"a"},"rev":1}`), append(whole[:len(whole):len(whole)], 0)}
+	for n := range whole {
+		datagrams = append(datagrams, whole[:n])
+	}
+	for _, b := range datagrams {
+		if m, err := Decode(b); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%x: %+v, %v; want ErrMalformed", b, m, err)
 		}
 	}
 }
 
+// Guards against lists that claim more elements than a datagram can hold.
+func TestClaimedLengthTakesNoMemory(t *testing.T) {
+	b := encode(t, &Message{From: host(1, "a")})
+	huge := append(b[:len(b)-1:len(b)-1], 0x9b, 0, 0, 0, 1, 0, 0, 0, 0) // a list of 2^32 changes
+	if _, err := Decode(huge); !errors.Is(err, ErrMalformed) {
+		t.Errorf("%v, want ErrMalformed", err)
+	}
+}
+
+func encode(t *testing.T, m *Message) []byte {
+	t.Helper()
+	b, err := Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
 // Guards against a datagram that stops the process.
 func FuzzDecode(f *testing.F) {
 	b, err := Encode(&Message{From: host(1, "a"), Revision: 9, Changes: []registry.Update{change("s1")}})
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -74,9 +74,9 @@
 	OutDataCentre string         `json:"out_data_centre,omitempty"`
 }
 
-// Server is a backend server as a View shows it.
+// Server is a backend server as a View shows it. Its entry is shared between views and never changed.
 type Server struct {
-	BackendServer
+	*BackendServer
 	Created   uint64        // revision at which the item appeared; orders two servers with one token or address
 	ColdUntil time.Duration // on the host's clock
 	Missing   bool          // its item went while the store was disturbed and may come back
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -128,7 +128,7 @@
 	case u.Config != nil:
 		s.acceptConfig(u.Config)
 	case u.Removed && old != nil && old.update.Server != nil:
-		next.previous = &Server{BackendServer: *old.update.Server, Created: old.update.Created}
+		next.previous = &Server{BackendServer: old.update.Server, Created: old.update.Created}
 		if s.Disturbed(now) {
 			next.missingTo = now + returnGrace
 		}
@@ -217,11 +217,14 @@
 
 // View returns an immutable picture of the registry.
 func (s *State) View() *View {
-	v := &View{Revision: s.revision, Config: s.config, Out: map[string]bool{}, EndedCold: maps.Clone(s.endedCold)}
+	v := &View{
+		Revision: s.revision, Config: s.config, Out: map[string]bool{}, EndedCold: maps.Clone(s.endedCold),
+		Servers: make([]Server, 0, len(s.items)),
+	}
 	for _, it := range s.items {
 		switch u := &it.update; {
 		case u.Server != nil:
-			v.Servers = append(v.Servers, Server{BackendServer: *u.Server, Created: u.Created, ColdUntil: coldUntil(it)})
+			v.Servers = append(v.Servers, Server{BackendServer: u.Server, Created: u.Created, ColdUntil: coldUntil(it)})
 		case it.missingTo != 0:
 			missing := *it.previous
 			missing.Missing = true
