--- a/internal/affinity/report.go
+++ b/internal/affinity/report.go
@@ -53,6 +53,7 @@
 		}
 	}
 	places := map[Place]*PlaceReport{}
+	var avoided []*server
 	for _, s := range r.servers {
 		if !s.present {
 			continue
@@ -68,17 +69,19 @@
 		place.Flows += s.flows
 		if r.standingOf(s, now) != eligible {
 			place.Avoided++
-			report.Avoided = append(report.Avoided, r.reportOf(s, now))
+			avoided = append(avoided, s)
 		}
 	}
+	slices.SortFunc(avoided, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	for _, s := range avoided[:min(len(avoided), maxAvoided)] {
+		report.Avoided = append(report.Avoided, r.reportOf(s, now))
+	}
 	for _, place := range places {
 		report.Places = append(report.Places, *place)
 	}
 	slices.SortFunc(report.Places, func(a, b PlaceReport) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.DataCentre, b.DataCentre))
 	})
-	slices.SortFunc(report.Avoided, func(a, b ServerReport) int { return cmp.Compare(a.ID, b.ID) })
-	report.Avoided = report.Avoided[:min(len(report.Avoided), maxAvoided)]
 	return report
 }
 
@@ -159,24 +162,31 @@
 	return e
 }
 
+// candidate is a backend server that a new flow may go to, with its rank.
+type candidate struct {
+	server     *server
+	preference Preference
+	order      float64
+}
+
 func (r *Router) explainTarget(rt *route, t *target, now time.Duration) TargetExplanation {
 	e := TargetExplanation{
 		Service: t.service.name, Weight: t.weight, Crossing: r.crosses(t.service, now), Servers: len(t.service.servers),
 	}
-	order := map[string]float64{}
+	var candidates []candidate
 	for _, s := range t.service.servers {
-		preference, rank := r.rankFor(s, e.Crossing, failed{}, now)
-		if preference == preferNone || !rt.allows(s) {
-			continue
+		preference, order := r.rankFor(s, e.Crossing, failed{}, now)
+		if preference != preferNone && rt.allows(s) {
+			candidates = append(candidates, candidate{s, preference, order})
 		}
-		report := r.reportOf(s, now)
-		report.Preference = preference
-		e.Candidates = append(e.Candidates, report)
-		order[s.ID] = rank
 	}
-	slices.SortFunc(e.Candidates, func(a, b ServerReport) int {
-		return cmp.Or(cmp.Compare(a.Preference, b.Preference), cmp.Compare(order[a.ID], order[b.ID]), cmp.Compare(a.ID, b.ID))
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.preference, b.preference), cmp.Compare(a.order, b.order), cmp.Compare(a.server.ID, b.server.ID))
 	})
-	e.Candidates = e.Candidates[:min(len(e.Candidates), maxCandidates)]
+	for _, c := range candidates[:min(len(candidates), maxCandidates)] {
+		report := r.reportOf(c.server, now)
+		report.Preference = c.preference
+		e.Candidates = append(e.Candidates, report)
+	}
 	return e
 }
