--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -23,8 +23,8 @@
 	knownSpan = 30 * time.Second
 	// unreachableAfter is the silence of all hosts of a data centre after which it counts as out of reach.
 	unreachableAfter = 900 * time.Millisecond
-	// unreachableAfterSampled is the same in a large fleet, where a host hears each of seven data centres twice a second:
-	// in this span nothing comes from one of them, to it and to the hosts that tell it, about once in 10^9 rounds.
+	// unreachableAfterSampled is the same in a large fleet, where a host hears each of seven data centres twice a second
+	// on average, and now and then nothing for most of a second.
 	unreachableAfterSampled = 1800 * time.Millisecond
 	// smallFleet is the number of hosts up to which each message goes to all of them.
 	smallFleet = 12
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -241,7 +241,7 @@
 
 func checkReach(t *testing.T, f *fleet) {
 	f.run(3 * time.Second)
-	for range 40 {
+	for range 80 {
 		f.run(250 * time.Millisecond)
 		for i, m := range f.members {
 			if got := m.Unreachable(f.now); len(got) > 0 {
