gossip: hosts that start are told the others at once

Cause: a host that has just started knows its seeds only, and others' names travelled in one of four messages to six receivers.

Ruled out: messages lost on full links (hosts heard each seed every few seconds throughout); a lag of the seeds (they knew 100 hosts).

Change: whoever hears a host that knows less than three quarters of the fleet answers with 32 names, at most 64 times a round. A host takes the size of the fleet from those that know more, and gives no verdict on data centres while it knows less than half. Names are picked in one pass instead of sorting all.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -18,6 +18,7 @@
 	linesSuppressed  = metrics.NewCounter(`nutmeglatch_entry_log_lines_total{outcome="over_budget"}`)
 	linesLost        = metrics.NewCounter(`nutmeglatch_entry_log_lines_total{outcome="queue_full"}`)
 	fetchFailures    = metrics.NewCounter(`nutmeglatch_entry_fetch_failures_total`)
+	introductions    = metrics.NewCounter(`nutmeglatch_entry_introductions_total`)
 	configVersion    = metrics.NewGauge(`nutmeglatch_entry_config_version`, nil)
 
 	openingTime   = metrics.NewHistogram(`nutmeglatch_affinity_opening_answer_seconds`)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -80,10 +80,7 @@
 // onMessage takes what another host tells.
 func (c *control) onMessage(ctx context.Context, m *gossip.Message) {
 	now := c.host.now()
-	if c.members.Hear(m, now) {
-		level.Info(c.logger).Log("msg", "host heard", "host", m.From.Addr, "data_centre", m.From.DataCentre)
-		c.tell([]netip.AddrPort{m.From.Addr}, c.message(0, nil))
-	}
+	c.greet(m, c.members.Hear(m, now))
 	if len(m.Changes) > 0 && m.Revision > c.state.Revision() {
 		before := c.state.Revision()
 		if changed, ok := c.state.Apply(m.Changes, m.After, m.Revision, now); ok {
@@ -99,6 +96,23 @@
 	}
 }
 
+// greet answers a host that is new to this one or that knows few others, as after its start.
+func (c *control) greet(m *gossip.Message, isNew bool) {
+	if isNew {
+		level.Info(c.logger).Log("msg", "host heard", "host", m.From.Addr, "data_centre", m.From.DataCentre)
+	}
+	names := c.members.Introduce(m, c.host.now())
+	if !isNew && len(names) == 0 {
+		return
+	}
+	answer := c.message(0, nil)
+	if len(names) > 0 {
+		introductions.Inc()
+		answer.Hosts = names
+	}
+	c.tell([]netip.AddrPort{m.From.Addr}, answer)
+}
+
 // fullRounds is how often a message carries hosts and loads, which change slowly.
 const fullRounds = 4
 
@@ -120,7 +134,7 @@
 	if len(changes) > 0 || c.rounds%fullRounds != 1 {
 		return m
 	}
-	m.Hosts = c.members.Sample()
+	m.Hosts = c.members.Sample(gossip.SampleHosts)
 	if loads := c.host.loads.Load(); loads != nil {
 		for _, l := range *loads {
 			m.Loads = append(m.Loads, gossip.Load{Place: uint32(l.Place), Flows: l.Flows})
--- a/internal/gossip/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -29,7 +29,7 @@
 				for round := range 4 {
 					msg := &Message{From: m.self, Revision: 1 << 30, AgeMs: 1000, Reader: m.self.Addr}
 					if round == 0 {
-						msg.Hosts, msg.Loads = m.Sample(), loads
+						msg.Hosts, msg.Loads = m.Sample(SampleHosts), loads
 					}
 					near, far := m.Receivers(time.Second)
 					for to, receivers := range [][]netip.AddrPort{near, far} {
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,6 +31,8 @@
 	fanOut = 6
 	// farSpread is the number of hosts of each other data centre that get a change from the host that read it.
 	farSpread = 2
+	// maxIntroductions bounds the answers with names in a round of messages: about 230 KB a second at a seed while a thousand hosts start.
+	maxIntroductions = 64
 	// farPatience is how long a host of a large fleet is behind before it fetches from another data centre: a bit longer
 	// than a round of messages.
 	farPatience = 300 * time.Millisecond
@@ -61,6 +62,8 @@
 	known   [2]int                   // the largest number of hosts that a sender knew, in the present span and the one before
 	knownAt time.Duration            // start of the present span
 	random  *rand.Rand
+
+	introductions int // answers with names in the present round
 }
 
 // NewMembers returns the members known at a start: none, beside the addresses of the seeds.
@@ -114,6 +117,16 @@
 // Known returns the number of hosts that this one has heard of, itself included.
 func (m *Members) Known() int { return len(m.members) + 1 }
 
+// Introduce returns hosts to name in an answer to a sender that knows less than three quarters of the fleet, as after its
+// start; else none. The answers of a round are bounded.
+func (m *Members) Introduce(msg *Message, now time.Duration) []Host {
+	if 4*msg.Known >= 3*m.Size(now) || m.introductions >= maxIntroductions {
+		return nil
+	}
+	m.introductions++
+	return m.Sample(maxHosts)
+}
+
 // Size returns the number of hosts in the fleet. A host that has just started knows few of them and takes the number that
 // others know.
 func (m *Members) Size(now time.Duration) int {
@@ -200,6 +213,7 @@
 // Receivers returns where the next message goes, by hosts of the own data centre and others: everywhere in a small fleet,
 // to a random part of a large one, and to the seeds while nobody has been heard.
 func (m *Members) Receivers(now time.Duration) (near, far []netip.AddrPort) {
+	m.introductions = 0
 	for addr, h := range m.members {
 		if h.DataCentre == m.self.DataCentre {
 			near = append(near, addr)
@@ -244,8 +258,9 @@
 	return !m.sampled() || sender.DataCentre == m.self.DataCentre || behindFor >= farPatience
 }
 
-// sampled reports whether messages go to some of the hosts only.
-func (m *Members) sampled() bool { return len(m.members) > smallFleet }
+// sampled reports whether the hosts of the fleet send messages to some of the others only. A host that has just started
+// knows few of them, and believes those that know more.
+func (m *Members) sampled() bool { return max(len(m.members), m.known[0]-1, m.known[1]-1) > smallFleet }
 
 func (m *Members) unheardSeeds() []netip.AddrPort {
 	var out []netip.AddrPort
@@ -273,19 +288,36 @@
 	return addrs[:min(n, len(addrs))]
 }
 
-// Sample returns a few hosts to name in a message, those heard last first in a small fleet.
-func (m *Members) Sample() []Host {
-	hosts := m.All()
-	m.random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	slices.SortStableFunc(hosts, func(a, b Host) int { return m.heardOrder(a) - m.heardOrder(b) })
-	return hosts[:min(maxHosts, len(hosts))]
+// Sample returns up to n hosts at random to name in a message, those that were heard first.
+func (m *Members) Sample(n int) []Host {
+	heard, named := reservoir{size: n}, reservoir{size: n}
+	for _, h := range m.members {
+		if h.heardAt >= 0 {
+			heard.take(h.Host, m.random)
+		} else {
+			named.take(h.Host, m.random)
+		}
+	}
+	hosts := append(heard.hosts, named.hosts...)
+	return hosts[:min(n, len(hosts))]
+}
+
+// reservoir picks size of the hosts that it is given, each with the same chance.
+type reservoir struct {
+	size  int
+	hosts []Host
+	seen  int
 }
 
-func (m *Members) heardOrder(h Host) int {
-	if m.members[h.Addr].heardAt >= 0 {
-		return 0
+func (r *reservoir) take(h Host, random *rand.Rand) {
+	r.seen++
+	if len(r.hosts) < r.size {
+		r.hosts = append(r.hosts, h)
+		return
+	}
+	if i := random.IntN(r.seen); i < r.size {
+		r.hosts[i] = h
 	}
-	return 1
 }
 
 // All returns the known hosts.
@@ -321,12 +353,16 @@
 
 // Unreachable returns the other data centres whose hosts were heard before and are silent now, also to the other hosts of
 // the own data centre as far as they tell. A host of a large fleet often hears nothing of a data centre for a second.
+// One that knows less than half of the fleet, as after its start, can't tell.
 func (m *Members) Unreachable(now time.Duration) map[string]bool {
 	limit := unreachableAfter
 	if m.sampled() {
 		limit = unreachableAfterSampled
 	}
 	out := map[string]bool{}
+	if 2*m.Known() < m.Size(now) {
+		return out
+	}
 	for dataCentre, at := range m.heard {
 		last := max(at, m.told[digest(dataCentre)])
 		if dataCentre != m.self.DataCentre && now-last > limit {
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -37,6 +37,8 @@
 	down    map[int]bool
 	cut     func(from, to int) bool // no message passes
 	now     time.Duration
+	rounds  int
+	index   map[netip.AddrPort]int
 }
 
 func newFleet(n int) *fleet { return newFleetIn(n, "a", "b", "c") }
@@ -60,30 +62,56 @@
 
 // run lets the hosts exchange messages for a while.
 func (f *fleet) run(d time.Duration) {
-	index := map[netip.AddrPort]int{}
+	f.index = map[netip.AddrPort]int{}
 	for i, h := range f.hosts {
-		index[h.Addr] = i
+		f.index[h.Addr] = i
 	}
 	for end := f.now + d; f.now < end; f.now += 250 * time.Millisecond {
-		for i, m := range f.members {
-			if f.down[i] {
-				continue
-			}
-			_, reader, age := m.Reader(f.now)
-			near, far := m.Receivers(f.now)
-			for _, to := range append(near, far...) {
-				msg := &Message{From: f.hosts[i], Reader: reader, ReaderMs: age.Milliseconds()}
-				if slices.Contains(near, to) {
-					msg.Heard = m.Heard(f.now)
-				}
-				if j := index[to]; !f.down[j] && !f.cut(i, j) {
-					f.members[j].Hear(msg, f.now)
-				}
+		f.rounds++
+		for i := range f.members {
+			if !f.down[i] {
+				f.tellOthers(i)
 			}
 		}
 	}
 }
 
+// tellOthers sends the messages of a host's round.
+func (f *fleet) tellOthers(i int) {
+	const fullRounds = 4
+	m := f.members[i]
+	near, far := m.Receivers(f.now)
+	for _, to := range append(near, far...) {
+		msg := f.message(i)
+		if slices.Contains(near, to) {
+			msg.Heard = m.Heard(f.now)
+		}
+		if f.rounds%fullRounds == 1 {
+			msg.Hosts = m.Sample(SampleHosts)
+		}
+		f.send(i, f.index[to], msg)
+	}
+}
+
+func (f *fleet) message(i int) *Message {
+	_, reader, age := f.members[i].Reader(f.now)
+	return &Message{From: f.hosts[i], Reader: reader, ReaderMs: age.Milliseconds(), Known: f.members[i].Known()}
+}
+
+// send brings a message to its receiver, which answers a sender that is new or knows few hosts.
+func (f *fleet) send(from, to int, msg *Message) {
+	if f.down[to] || f.cut(from, to) {
+		return
+	}
+	m := f.members[to]
+	isNew := m.Hear(msg, f.now)
+	if names := m.Introduce(msg, f.now); isNew || len(names) > 0 {
+		answer := f.message(to)
+		answer.Hosts = names
+		f.send(to, from, answer)
+	}
+}
+
 // readers returns the hosts that read.
 func (f *fleet) readers() []int {
 	var out []int
@@ -156,8 +184,8 @@
 	if n := len(receivers(m, time.Second)); n != fanOut {
 		t.Fatalf("%d receivers in a fleet of 200, want %d", n, fanOut)
 	}
-	if n := len(m.Sample()); n != maxHosts {
-		t.Fatalf("%d hosts named, want %d", n, maxHosts)
+	if n := len(m.Sample(SampleHosts)); n != SampleHosts {
+		t.Fatalf("%d hosts named, want %d", n, SampleHosts)
 	}
 }
 
@@ -196,7 +224,7 @@
 	for now := time.Second; now < learning+observed; now += time.Second {
 		for i := range heardPerS {
 			message := &Message{From: address()}
-			for range maxHosts * (1 - min(i%4, 1)) { // one message of four names hosts
+			for range SampleHosts * (1 - min(i%4, 1)) { // one message of four names hosts
 				message.Hosts = append(message.Hosts, address())
 			}
 			m.Hear(message, now)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -17,8 +17,10 @@
 const (
 	// MaxDatagram is the largest datagram that hosts send, in bytes.
 	MaxDatagram = 8192
-	// maxHosts is the number of host addresses in a message.
-	maxHosts = 8
+	// maxHosts is the number of host addresses in a message to a host that has just started.
+	maxHosts = 32
+	// SampleHosts is the number of host addresses in any other message that names some.
+	SampleHosts = 8
 	// maxLoads is the number of loads in a message.
 	maxLoads = 16
 	// maxDataCentres is the number of data centres in a message.
--- /dev/null
+++ b/internal/gossip/start_test.go
@@ -0,0 +1,80 @@
+package gossip
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// restart lets a host begin anew with the first hosts as its seeds.
+func (f *fleet) restart(i int) {
+	const seeds = 3
+	var addrs []netip.AddrPort
+	for _, h := range f.hosts[:seeds] {
+		addrs = append(addrs, h.Addr)
+	}
+	f.members[i] = NewMembers(f.hosts[i], addrs, rand.New(rand.NewPCG(uint64(i), 7)))
+}
+
+// Guards against hosts that know only their seeds for long after their start. They hear of changes late, take data centres
+// for lost and read the store themselves (incident d11f: 4 of 105 hosts known for up to 20 s after all had lost power).
+func TestStartedHostsFindTheOthers(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		hosts     int
+		restarted func(i int) bool
+	}{
+		{"all of 105", 105, func(int) bool { return true }},
+		{"all of 300", 300, func(int) bool { return true }},
+		{"all of 1,000", 1000, func(int) bool { return true }},
+		{"one of 300", 300, func(i int) bool { return i == 200 }},
+		{"a seed of 300", 300, func(i int) bool { return i == 0 }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(tt.hosts)
+			f.run(2 * time.Second)
+			for i := range f.members {
+				if tt.restarted(i) {
+					f.restart(i)
+				}
+			}
+			lost := 0
+			for range 12 { // half of the 6 s that the users allow for catching up
+				f.run(250 * time.Millisecond)
+				for _, m := range f.members {
+					lost += len(m.Unreachable(f.now))
+				}
+			}
+			if lost > 0 {
+				t.Errorf("data centres count as out of reach %d times, and all are there", lost)
+			}
+			for i, m := range f.members {
+				if 2*m.Known() < tt.hosts {
+					t.Errorf("host %d knows %d of %d hosts 3 s after the start", i, m.Known(), tt.hosts)
+					return
+				}
+			}
+		})
+	}
+}
+
+// Guards against a fleet whose seeds answer every message of thousands of hosts that start at once.
+func TestIntroductionsAreBounded(t *testing.T) {
+	m := newMembers(host(0, "a"))
+	for i := range 200 {
+		m.Hear(&Message{From: host(byte(i+1), "a"), Known: 1}, time.Second)
+	}
+	answered := 0
+	for i := range 200 {
+		if len(m.Introduce(&Message{From: host(byte(i+1), "a"), Known: 4}, time.Second)) > 0 {
+			answered++
+		}
+	}
+	if answered != maxIntroductions {
+		t.Errorf("%d answers with names in a round, want %d", answered, maxIntroductions)
+	}
+	if names := m.Introduce(&Message{From: host(1, "a"), Known: 190}, time.Second); len(names) > 0 {
+		t.Error("a host that knows most others is told names")
+	}
+}
