--- a/cmd/nutmeglatchd/entry.go
+++ b/cmd/nutmeglatchd/entry.go
@@ -18,7 +18,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/peterbourgon/ff/v3"
 
-	"github.com/nutmeglatch/nutmeglatch/internal/cli"
+	"github.com/nutmeglatch/nutmeglatch/internal/buildinfo"
 	"github.com/nutmeglatch/nutmeglatch/internal/entry"
 	"github.com/nutmeglatch/nutmeglatch/internal/settings"
 	"github.com/nutmeglatch/nutmeglatch/platform"
@@ -80,7 +80,7 @@
 	if err != nil {
 		return nil, entry.Config{}, err
 	}
-	config := given.HostConfig(cli.Version())
+	config := given.HostConfig(buildinfo.Version())
 	if metricsPort != 0 {
 		config.Metrics = netip.AddrPortFrom(config.Admin.Addr(), metricsPort)
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -6,10 +6,11 @@
 	"flag"
 	"fmt"
 	"io"
-	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/buildinfo"
 )
 
 // Exit statuses of the commands.
@@ -99,17 +100,8 @@
 		ShortHelp:  "Prints the version.",
 		FlagSet:    t.flagSet("nutmeglatch version"),
 		Exec: func(context.Context, []string) error {
-			fmt.Fprintln(t.stdout, "nutmeglatch", Version())
+			fmt.Fprintln(t.stdout, "nutmeglatch", buildinfo.Version())
 			return nil
 		},
 	}
 }
-
-// Version returns the module version that is built into the binary.
-func Version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok || info.Main.Version == "" {
-		return "devel"
-	}
-	return info.Main.Version
-}
