affinity, gossip, entry: what a host does every second no longer grows with the fleet

Ruled out: a timing wheel for flows (64 bytes more for each, to forget them in time, which nothing needs in a table of that size).

Backend servers that left are kept apart, removed entries too, the lists of hosts are made when hosts come or go, a sample swaps only the addresses that it takes, and a place's digest is kept with its server.

The crossing tests let 10 ms pass between hosts: loads are no longer counted twice within a moment.

--- a/internal/affinity/crossing.go
+++ b/internal/affinity/crossing.go
@@ -38,7 +38,7 @@
 		side.flows += s.flows
 		if !seen[s.DataCentre] {
 			seen[s.DataCentre] = true
-			side.flows += r.fleet.Flows[Place{sv.name, s.DataCentre}.Digest()]
+			side.flows += r.fleet.Flows[s.place]
 		}
 	}
 	if own.slots == 0 || others.slots == 0 || own.perSlot() < crossingMinimum {
@@ -47,18 +47,22 @@
 	return own.perSlot() > crossingRatio*others.perSlot()
 }
 
-// Loads returns the flows that this host remembers, by place.
-func (r *Router) Loads() []Load {
-	flows := map[Place]int{}
+// Loads returns the flows that this host remembers, by place, as counted a short while ago. The slice is not changed later.
+func (r *Router) Loads(now time.Duration) []Load {
+	if !r.loadsPace.due(now, len(r.servers)) {
+		return r.loads
+	}
+	flows := map[PlaceDigest]int{}
 	for _, s := range r.servers {
 		if s.flows > 0 {
-			flows[Place{s.Service, s.DataCentre}] += s.flows
+			flows[s.place] += s.flows
 		}
 	}
 	loads := make([]Load, 0, len(flows))
 	for place, n := range flows {
-		loads = append(loads, Load{Place: place.Digest(), Flows: n})
+		loads = append(loads, Load{Place: place, Flows: n})
 	}
 	slices.SortFunc(loads, func(a, b Load) int { return b.Flows - a.Flows })
-	return loads[:min(len(loads), maxLoads)]
+	r.loads = loads[:min(len(loads), maxLoads)]
+	return r.loads
 }
--- a/internal/affinity/crossing_test.go
+++ b/internal/affinity/crossing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/registry"
 )
@@ -28,14 +29,18 @@
 
 // openEverywhere opens flows at all hosts in turn, which tell each other their loads.
 func openEverywhere(hosts []*world, rounds int) {
+	const turn = 10 * time.Millisecond
 	for range rounds {
 		for i, w := range hosts {
+			for _, h := range hosts {
+				h.now += turn
+			}
 			flows := map[PlaceDigest]int{}
 			for j, other := range hosts {
 				if j == i {
 					continue
 				}
-				for _, l := range other.router.Loads() {
+				for _, l := range other.router.Loads(other.now) {
 					flows[l.Place] += l.Flows
 				}
 			}
--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -40,6 +40,7 @@
 	flows map[FlowKey]*flow
 	limit int
 	idle  time.Duration // after which a flow is forgotten
+	pace  pace          // of sweeps
 }
 
 func (t *flowTable) add(key FlowKey, f *flow) {
@@ -62,7 +63,11 @@
 	f.server = to
 }
 
+// sweep forgets flows whose time is over, those of a large table up to some seconds late.
 func (t *flowTable) sweep(now time.Duration) {
+	if !t.pace.due(now, len(t.flows)) {
+		return
+	}
 	for key, f := range t.flows {
 		if now-f.lastAt > t.lifetime(f) {
 			t.remove(key, f)
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -34,6 +34,7 @@
 	routes    map[netip.AddrPort]*route
 	services  map[string]*service
 	servers   map[string]*server
+	gone      map[string]*server // of the servers, those that left the view
 	byToken   map[uint32]*server
 	unknown   map[uint32]time.Duration // tokens that no view named, and when they were first seen
 	table     flowTable
@@ -46,6 +47,8 @@
 	stepAt    time.Duration
 	resumedAt time.Duration // end of the last pause of this host; earlier packets prove nothing
 	orders    []ResetOrder
+	loads     []Load
+	loadsPace pace
 	// lastChoice is why the backend server that was chosen last was taken.
 	lastChoice Preference
 }
@@ -58,6 +61,7 @@
 		view:     &registry.View{},
 		routes:   map[netip.AddrPort]*route{},
 		servers:  map[string]*server{},
+		gone:     map[string]*server{},
 		byToken:  map[uint32]*server{},
 		unknown:  map[uint32]time.Duration{},
 		table:    flowTable{flows: map[FlowKey]*flow{}, limit: c.MaxFlows, idle: c.IdleTimeout},
@@ -277,10 +281,13 @@
 func (r *Router) Sweep(now time.Duration) {
 	r.step(now)
 	r.table.sweep(now)
-	for _, s := range r.servers {
+	for _, s := range r.gone {
 		if s.flows > 0 && s.ended(now) {
 			r.orderResets(s, BackendServerGone)
 		}
+		if now-s.goneAt > goneRetention {
+			r.forget(s)
+		}
 	}
 	for token, first := range r.unknown {
 		if now-first > goneRetention {
@@ -289,6 +296,15 @@
 	}
 }
 
+// forget drops a server that has been gone for long.
+func (r *Router) forget(s *server) {
+	delete(r.gone, s.ID)
+	delete(r.servers, s.ID)
+	if r.byToken[s.token] == s {
+		delete(r.byToken, s.token)
+	}
+}
+
 func forward(s *server, reason Reason) Verdict {
 	return Verdict{Action: Forward, Reason: reason, Token: s.token, Identity: s.Identity, Addr: s.Addr, ServerID: s.ID}
 }
--- a/internal/affinity/server.go
+++ b/internal/affinity/server.go
@@ -27,6 +27,7 @@
 	registry.Server
 	notices *notices
 	token   uint32
+	place   PlaceDigest // of its service and data centre
 	present bool
 	goneAt  time.Duration // when it left the view
 	drained bool          // it was draining when it left
@@ -44,6 +45,11 @@
 	coldTaken  int
 }
 
+// leave notes that the server's entry is no longer there.
+func (s *server) leave(now time.Duration) {
+	s.present, s.goneAt, s.drained = false, now, s.Draining
+}
+
 // answered clears all evidence against the server.
 func (s *server) answered(now time.Duration) {
 	if s.suspectUntil != 0 || s.silentUntil != 0 {
--- a/internal/affinity/view.go
+++ b/internal/affinity/view.go
@@ -49,7 +49,7 @@
 func (r *Router) setServers(v *registry.View, now time.Duration) {
 	for _, s := range r.servers {
 		if s.present {
-			s.present, s.goneAt, s.drained = false, now, s.Draining
+			s.leave(now)
 		}
 	}
 	byAddr := make(map[netip.AddrPort]*server, len(v.Servers))
@@ -65,10 +65,10 @@
 		}
 		byAddr[s.Addr] = s
 	}
+	clear(r.gone)
 	for id, s := range r.servers {
-		if !s.present && now-s.goneAt > goneRetention {
-			delete(r.servers, id)
-			continue
+		if !s.present {
+			r.gone[id] = s
 		}
 		r.index(s)
 	}
@@ -94,6 +94,9 @@
 		r.servers[entry.ID] = s
 	}
 	restarted := s.BackendServer != nil && s.StartedMs != 0 && entry.StartedMs > s.StartedMs
+	if s.BackendServer == nil || s.Service != entry.Service || s.DataCentre != entry.DataCentre {
+		s.place = Place{entry.Service, entry.DataCentre}.Digest()
+	}
 	s.Server = *entry
 	s.present, s.goneAt, s.drained = true, 0, false
 	if restarted {
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -78,7 +78,9 @@
 	wasReader  bool
 	version    uint64          // of the configuration in force
 	unreached  map[string]bool // data centres that were out of reach when the traffic goroutine was last told
-	from       string          // who told the present revision: "store", or the address of a host
+	hosts      []affinity.Host // all others, as of generation hostsOf of the members
+	hostsOf    uint64
+	from       string // who told the present revision: "store", or the address of a host
 }
 
 func newControl(h *Host) *control {
@@ -319,6 +321,7 @@
 	c.logReach(unreachable)
 	f := &affinity.Fleet{
 		Self:        c.host.self(),
+		Hosts:       c.fleetHosts(),
 		Size:        c.members.Size(now),
 		Unreachable: unreachable,
 		Flows:       map[affinity.PlaceDigest]int{},
@@ -326,12 +329,20 @@
 	for _, l := range c.members.Loads(now) {
 		f.Flows[affinity.PlaceDigest(l.Place)] += l.Flows
 	}
-	for _, h := range c.members.All() {
-		f.Hosts = append(f.Hosts, affinity.Host{Addr: h.Addr, DataCentre: h.DataCentre})
-	}
 	return f
 }
 
+// fleetHosts returns the other hosts as the router knows them. The slice is not changed later.
+func (c *control) fleetHosts() []affinity.Host {
+	if generation := c.members.Generation(); c.hosts == nil || c.hostsOf != generation {
+		c.hosts, c.hostsOf = make([]affinity.Host, 0, c.members.Known()), generation
+		for _, h := range c.members.All() {
+			c.hosts = append(c.hosts, affinity.Host{Addr: h.Addr, DataCentre: h.DataCentre})
+		}
+	}
+	return c.hosts
+}
+
 // logReach writes a line for each data centre that went out of reach, or came back.
 func (c *control) logReach(unreachable map[string]bool) {
 	for dataCentre := range unreachable {
--- /dev/null
+++ b/internal/entry/control_bench_test.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/gossip"
+)
+
+// Sizes of deployments: the milestone's, one when grown, a step between, and the target.
+var controlSizes = []struct{ hosts, servers, flows int }{
+	{7, 18, 500}, {90, 150, 3000}, {1000, 7000, 35_088}, {5700, 40_000, 35_088},
+}
+
+// BenchmarkControlSecond measures the processor time of what a host does in a second whatever its traffic is, without the
+// sockets: ms/s is to stay under 26 at the target, 2.6% of a core. The parts are the times of a second each.
+func BenchmarkControlSecond(b *testing.B) {
+	for _, size := range controlSizes {
+		b.Run(fmt.Sprintf("hosts=%d", size.hosts), func(b *testing.B) {
+			c, messages := controlOf(b, size.hosts, size.servers)
+			state, router := loadedHost(b, size.servers, size.flows)
+			c.state = state
+			now := time.Second
+			parts := []struct {
+				name  string
+				times float64 // a second
+				run   func()
+			}{
+				{"sweep_ms/s", float64(time.Second / sweepInterval), func() { now += sweepInterval; router.Sweep(now); router.Loads(now) }},
+				{"fleet_ms/s", float64(time.Second / fleetInterval), func() { c.members.Sweep(now); router.SetFleet(*c.fleet(now)); c.state.Sweep(now) }},
+				{"tell_ms/s", 4, func() {
+					near, far := c.members.Receivers(now)
+					if _, err := gossip.Encode(c.message(0, nil)); err != nil || len(near)+len(far) == 0 {
+						b.Fatal("no message", err)
+					}
+				}},
+				{"hear_ms/s", float64(len(messages)), func() {
+					m, err := gossip.Decode(messages[0])
+					if err != nil {
+						b.Fatal(err)
+					}
+					c.members.Hear(m, now)
+					c.members.Introduce(m, now)
+				}},
+				{"change_ms/s", 0.2, func() { router.SetView(state.View(), now) }},
+			}
+			sums := make([]time.Duration, len(parts))
+			seconds := 0
+			for b.Loop() {
+				for i := range parts {
+					start := time.Now()
+					parts[i].run()
+					sums[i] += time.Since(start)
+				}
+				seconds++
+			}
+			total := 0.0
+			for i, p := range parts {
+				ms := p.times * float64(sums[i].Microseconds()) / float64(seconds) / 1000
+				b.ReportMetric(ms, p.name)
+				total += ms
+			}
+			b.ReportMetric(total, "ms/s")
+		})
+	}
+}
+
+// controlOf returns the control state of a host that has heard all others, and the messages that reach it in a second.
+func controlOf(b *testing.B, hosts, servers int) (*control, [][]byte) {
+	b.Helper()
+	addr := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)}), 7000)
+	}
+	dataCentre := func(i int) string { return fmt.Sprintf("dc-%d", i%7) }
+	h := New(Config{Peer: addr(0), DataCentre: dataCentre(0), Limits: DefaultLimits(3 * time.Second)}, nil, nil, log.NewNopLogger())
+	c := h.control
+	const heardPerS = 24
+	var messages [][]byte
+	for i := 1; i < hosts; i++ {
+		m := &gossip.Message{From: gossip.Host{Addr: addr(i), DataCentre: dataCentre(i)}, Revision: 1, Known: hosts, Reader: addr(1)}
+		c.members.Hear(m, time.Second)
+		if i%4 == 0 {
+			m.Hosts = c.members.Sample(gossip.SampleHosts)
+		}
+		if len(messages) >= heardPerS {
+			continue
+		}
+		text, err := gossip.Encode(m)
+		if err != nil {
+			b.Fatal(err)
+		}
+		messages = append(messages, text)
+	}
+	return c, messages
+}
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -149,7 +149,7 @@
 		t.sweptAt = now
 		t.router.Sweep(now)
 		t.sendOrders(now)
-		loads := t.router.Loads()
+		loads := t.router.Loads(now)
 		t.host.loads.Store(&loads)
 	}
 }
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,11 +65,23 @@
 	random  *rand.Rand
 
 	introductions int // answers with names in the present round
+	lastHeard     time.Duration
+	sweptAt       time.Duration
+	lists         memberLists
+	generation    uint64 // of the known hosts and their data centres
+}
+
+// memberLists are the known hosts in the forms in which they are used, made anew when they change.
+type memberLists struct {
+	generation uint64
+	all        []Host
+	near, far  []netip.AddrPort
+	byPlace    map[string]int // number of hosts
 }
 
 // NewMembers returns the members known at a start: none, beside the addresses of the seeds.
 func NewMembers(self Host, seeds []netip.AddrPort, random *rand.Rand) *Members {
-	return &Members{self: self, seeds: seeds, members: map[netip.AddrPort]*member{}, heard: map[string]time.Duration{}, told: map[uint32]time.Duration{}, random: random, readAt: -readerAliveFor}
+	return &Members{self: self, seeds: seeds, members: map[netip.AddrPort]*member{}, heard: map[string]time.Duration{}, told: map[uint32]time.Duration{}, random: random, readAt: -readerAliveFor, lastHeard: -aliveFor}
 }
 
 // SetSeeds replaces the seeds.
@@ -85,7 +98,14 @@
 	if known = m.members[msg.From.Addr]; known == nil {
 		return false
 	}
-	known.heardAt, known.leaving, known.DataCentre = now, msg.Leaving, msg.From.DataCentre
+	if known.DataCentre != msg.From.DataCentre {
+		known.DataCentre = msg.From.DataCentre
+		m.generation++
+	}
+	known.heardAt, known.leaving = now, msg.Leaving
+	if !msg.Leaving {
+		m.lastHeard = now
+	}
 	if len(msg.Loads) > 0 {
 		known.loads = msg.Loads
 	}
@@ -102,16 +122,44 @@
 		return
 	}
 	m.members[h.Addr] = &member{Host: h, heardAt: -1, addedAt: now}
+	m.generation++
 }
 
-// Sweep forgets hosts that have been silent for long.
+// Sweep forgets hosts that have been silent for long. It looks at them once a second at most.
 func (m *Members) Sweep(now time.Duration) {
+	if now-m.sweptAt < time.Second {
+		return
+	}
+	m.sweptAt = now
 	retention := max(memberRetention, time.Duration(len(m.members))*memberRetentionPerHost)
 	for addr, h := range m.members {
 		if now-max(h.heardAt, h.addedAt) > retention {
 			delete(m.members, addr)
+			m.generation++
+		}
+	}
+}
+
+// Generation changes with the known hosts and their data centres.
+func (m *Members) Generation() uint64 { return m.generation }
+
+// current returns the lists of the known hosts.
+func (m *Members) current() *memberLists {
+	l := &m.lists
+	if l.byPlace != nil && l.generation == m.generation {
+		return l
+	}
+	*l = memberLists{generation: m.generation, all: make([]Host, 0, len(m.members)), byPlace: map[string]int{}}
+	for addr, h := range m.members {
+		l.all = append(l.all, h.Host)
+		l.byPlace[h.DataCentre]++
+		if h.DataCentre == m.self.DataCentre {
+			l.near = append(l.near, addr)
+		} else {
+			l.far = append(l.far, addr)
 		}
 	}
+	return l
 }
 
 // Known returns the number of hosts that this one has heard of, itself included.
@@ -214,20 +262,15 @@
 // to a random part of a large one, and to the seeds while nobody has been heard.
 func (m *Members) Receivers(now time.Duration) (near, far []netip.AddrPort) {
 	m.introductions = 0
-	for addr, h := range m.members {
-		if h.DataCentre == m.self.DataCentre {
-			near = append(near, addr)
-		} else {
-			far = append(far, addr)
-		}
-	}
+	l := m.current()
+	near, far = l.near, l.far
 	if m.sampled() {
 		near, far = m.sample(near, fanOut/2), m.sample(far, fanOut/2)
 	}
 	if !m.Heard(now) {
-		far = append(far, m.unheardSeeds()...)
+		far = append(slices.Clip(far), m.unheardSeeds()...)
 	}
-	return near, far
+	return slices.Clip(near), slices.Clip(far)
 }
 
 // Spread returns where changes go that this host has just learned, from the store or from another host. In a large fleet
@@ -272,20 +315,17 @@
 	return out
 }
 
-// Heard reports whether another host has been heard lately.
-func (m *Members) Heard(now time.Duration) bool {
-	for _, h := range m.members {
-		if h.alive(now) {
-			return true
-		}
-	}
-	return false
-}
+// Heard reports whether a host that does not leave has been heard lately.
+func (m *Members) Heard(now time.Duration) bool { return now-m.lastHeard < aliveFor }
 
 // sample returns n of the addresses at random. It reorders its argument.
 func (m *Members) sample(addrs []netip.AddrPort, n int) []netip.AddrPort {
-	m.random.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	return addrs[:min(n, len(addrs))]
+	n = min(n, len(addrs))
+	for i := range n {
+		j := i + m.random.IntN(len(addrs)-i)
+		addrs[i], addrs[j] = addrs[j], addrs[i]
+	}
+	return addrs[:n:n]
 }
 
 // Sample returns up to n hosts at random to name in a message, those that were heard first.
@@ -320,29 +360,22 @@
 	}
 }
 
-// All returns the known hosts.
-func (m *Members) All() []Host {
-	hosts := make([]Host, 0, len(m.members))
-	for _, h := range m.members {
-		hosts = append(hosts, h.Host)
-	}
-	return hosts
-}
+// All returns the known hosts. The slice is not changed later.
+func (m *Members) All() []Host { return m.current().all }
 
 // Loads returns the loads that live hosts report, with the number of flows scaled to all hosts of their data centre.
 func (m *Members) Loads(now time.Duration) []Load {
-	known, heard := map[string]int{}, map[string]int{}
+	heard := map[string]int{}
+	var alive []*member
 	for _, h := range m.members {
-		known[h.DataCentre]++
 		if h.alive(now) {
+			alive = append(alive, h)
 			heard[h.DataCentre]++
 		}
 	}
+	known := m.current().byPlace
 	var loads []Load
-	for _, h := range m.members {
-		if !h.alive(now) {
-			continue
-		}
+	for _, h := range alive {
 		for _, l := range h.loads {
 			l.Flows = l.Flows * known[h.DataCentre] / heard[h.DataCentre]
 			loads = append(loads, l)
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -29,6 +29,7 @@
 // State is the mutable registry of a host. It belongs to the control goroutine.
 type State struct {
 	items     map[string]*item
+	removed   map[string]*item // of the items, those that were removed
 	config    *Config
 	history   []*Config // the last versions, the newest last
 	revision  uint64
@@ -40,7 +41,7 @@
 
 // NewState returns an empty registry.
 func NewState() *State {
-	return &State{items: map[string]*item{}, disturbed: -time.Hour, endedCold: map[string]time.Duration{}}
+	return &State{items: map[string]*item{}, removed: map[string]*item{}, disturbed: -time.Hour, endedCold: map[string]time.Duration{}}
 }
 
 // Loaded reports whether the registry holds a complete reading with a configuration.
@@ -136,6 +137,10 @@
 		s.endedCold[old.update.OutDataCentre] = now + s.longestColdPeriod() + returnColdMargin
 	}
 	s.items[u.Key] = next
+	delete(s.removed, u.Key)
+	if u.Removed {
+		s.removed[u.Key] = next
+	}
 	return true
 }
 
@@ -204,14 +209,15 @@
 // grace has ended.
 func (s *State) Sweep(now time.Duration) bool {
 	changed := false
-	for key, it := range s.items {
+	for key, it := range s.removed {
 		if it.missingTo != 0 && now >= it.missingTo {
 			it.missingTo = 0
 			changed = true
 		}
-		if it.update.Removed && now-it.seen > tombstoneRetention {
+		if now-it.seen > tombstoneRetention {
 			s.horizon = max(s.horizon, it.update.Revision)
 			delete(s.items, key)
+			delete(s.removed, key)
 		}
 	}
 	maps.DeleteFunc(s.endedCold, func(_ string, until time.Duration) bool { return now >= until })
