--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -320,47 +320,5 @@
 	c.host.plan.Store(true)
 }
 
-func (c *control) fleet(now time.Duration) *affinity.Fleet {
-	unreachable := c.members.Unreachable(now)
-	c.logReach(unreachable)
-	f := &affinity.Fleet{
-		Self:        c.host.self(),
-		Hosts:       c.fleetHosts(),
-		Size:        c.members.Size(now),
-		Unreachable: unreachable,
-		Flows:       map[affinity.PlaceDigest]int{},
-	}
-	for _, l := range c.members.Loads(now) {
-		f.Flows[affinity.PlaceDigest(l.Place)] += l.Flows
-	}
-	return f
-}
-
-// fleetHosts returns the other hosts as the router knows them. The slice is not changed later.
-func (c *control) fleetHosts() []affinity.Host {
-	if generation := c.members.Generation(); c.hosts == nil || c.hostsOf != generation {
-		c.hosts, c.hostsOf = make([]affinity.Host, 0, c.members.Known()), generation
-		for _, h := range c.members.All() {
-			c.hosts = append(c.hosts, affinity.Host{Addr: h.Addr, DataCentre: h.DataCentre})
-		}
-	}
-	return c.hosts
-}
-
-// logReach writes a line for each data centre that went out of reach, or came back.
-func (c *control) logReach(unreachable map[string]bool) {
-	for dataCentre := range unreachable {
-		if !c.unreached[dataCentre] {
-			level.Info(c.logger).Log("msg", "data centre out of reach", "data_centre", dataCentre, "hosts_known", c.members.Known())
-		}
-	}
-	for dataCentre := range c.unreached {
-		if !unreachable[dataCentre] {
-			level.Info(c.logger).Log("msg", "data centre heard again", "data_centre", dataCentre)
-		}
-	}
-	c.unreached = unreachable
-}
-
 // leave tells the other hosts that this one stops.
 func (c *control) leave() { c.leaving.Store(true) }
