affinity, entry: hosts that have just started spare cold backend servers

Cause: a host that has just started counts itself and its seeds as the whole fleet. Where a cold backend server's rate is below one flow a second for each host, the two hosts that rank first in its data centre send to it, and each of 35 hosts that start at once is one of two.

Ruled out: waiting until half of the fleet is known (ranked does this already, once a seed has told the fleet's size); reporting it as not ready.

--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -146,8 +146,12 @@
 )
 
 // admitCold takes one of the few flows that this host may send to a cold backend server. Hosts do not coordinate: each
-// takes its part of the stated rate, and where that is less than one flow a second only the hosts ranked first send.
+// takes its part of the stated rate, and where that is less than one flow a second only the hosts ranked first send. One
+// that may not know the others yet sends nothing.
 func (r *Router) admitCold(s *server, sv *service, now time.Duration) bool {
+	if r.fleet.Starting {
+		return false
+	}
 	if now-s.coldWindow >= coldWindow {
 		s.coldWindow, s.coldTaken = now, 0
 	}
--- a/internal/affinity/fleet.go
+++ b/internal/affinity/fleet.go
@@ -40,6 +40,7 @@
 	Self        Host
 	Hosts       []Host              // the others, seen within the last minutes
 	Size        int                 // hosts in the whole fleet, as far as anybody knows
+	Starting    bool                // this host may know few of the others as yet, whatever Size says
 	Unreachable map[string]bool     // data centres from whose hosts nothing arrives
 	Flows       map[PlaceDigest]int // that the other hosts report
 }
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -8,6 +8,10 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/affinity"
 )
 
+// startingFor is how long a host may be unaware of the fleet's size after its start. All hosts may start within 0.3 s of
+// each other, and the seeds that answer it know by then how many there are.
+const startingFor = time.Second
+
 // fleet returns what the router needs to know of the other hosts.
 func (c *control) fleet(now time.Duration) *affinity.Fleet {
 	unreachable := c.members.Unreachable(now)
@@ -16,6 +20,7 @@
 		Self:        c.host.self(),
 		Hosts:       c.fleetHosts(),
 		Size:        c.members.Size(now),
+		Starting:    now < startingFor || !c.members.Met(),
 		Unreachable: unreachable,
 		Flows:       map[affinity.PlaceDigest]int{},
 	}
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -49,10 +49,12 @@
 func newTraffic(h *Host, conn *net.UDPConn) *traffic {
 	self := h.self()
 	c := affinity.Config{MaxFlows: h.config.Limits.MaxFlows, IdleTimeout: h.config.Limits.FlowIdle}
+	router := affinity.NewRouter(c, self)
+	router.SetFleet(affinity.Fleet{Self: self, Starting: true})
 	return &traffic{
 		host:        h,
 		conn:        conn,
-		router:      affinity.NewRouter(c, self),
+		router:      router,
 		logger:      log.With(h.logger, "part", "flow"),
 		checker:     newChecker(func() { interrupt(conn) }),
 		queries:     make(chan query, maxQueries),
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -167,6 +168,11 @@
 	return h.heardAt >= 0 && !h.leaving && now-h.heardAt < aliveFor
 }
 
+// Met reports whether this host has heard from another one since its start, or has no seed but itself.
+func (m *Members) Met() bool {
+	return m.lastHeard >= 0 || !slices.ContainsFunc(m.seeds, func(s netip.AddrPort) bool { return s != m.self.Addr })
+}
+
 // Heard reports whether a host that does not leave has been heard lately.
 func (m *Members) Heard(now time.Duration) bool { return now-m.lastHeard < aliveFor }
 
--- a/internal/gossip/start_test.go
+++ b/internal/gossip/start_test.go
@@ -78,3 +78,15 @@
 		t.Error("a host that knows most others is told names")
 	}
 }
+
+// Guards against a host that takes itself for the whole fleet because its seeds are down.
+func TestMet(t *testing.T) {
+	m := newMembers(host(1, "a"), host(1, "a").Addr, host(2, "a").Addr)
+	if m.Met() {
+		t.Error("a host whose seed is silent counts as having met the others")
+	}
+	m.Hear(&Message{From: host(3, "b")}, time.Second)
+	if !m.Met() || !newMembers(host(1, "a"), host(1, "a").Addr).Met() {
+		t.Error("a host that has heard another one, or is its own only seed, counts as having met nobody")
+	}
+}
