affinity, entry: flows of lapsed entries stay until the store confirms that they are gone

Hosts counted the 2.5 s that an entry may be away on their own clock and ended the flows of the 23 with 1,105 resets between 12.37 and 12.70 s, just before the entries were back. The same clock ended unknown tokens on hosts that had started meanwhile.

Ruled out: crashed servers (3 of 38 refused connections); news that were late between hosts; counting from the first answer after the outage (entries need 2 s from the store's return to be back, so that answer proves nothing); taking other hosts' failures for the choice of new flows too (a removed server could then be used longer than a drain allows).

Change: both times count only while the registry is confirmed and no host has told a failed call of its own; messages carry the age of the last one (format version 2). Servers whose entries went without draining are checked like others, so that flows of crashed ones do not wait for the store.

--- a/internal/affinity/check.go
+++ b/internal/affinity/check.go
@@ -47,7 +47,7 @@
 // wantCheck asks for a check of a server that left packets unanswered. Draining servers may accept no connections while
 // they serve their flows.
 func (r *Router) wantCheck(s *server, now time.Duration) {
-	if s.check.running || s.Draining || !s.present || s.check.startedAt != 0 && now-s.check.startedAt < checkPause {
+	if s.check.running || s.Draining || s.drained || s.check.startedAt != 0 && now-s.check.startedAt < checkPause {
 		return
 	}
 	reference := r.reference(s, now)
@@ -91,7 +91,7 @@
 	}
 	s.check.running = false
 	switch {
-	case outcome == Accepts || outcome == Unchecked || s.lastSign >= s.check.startedAt || !s.present || s.Draining:
+	case outcome == Accepts || outcome == Unchecked || s.lastSign >= s.check.startedAt || s.Draining || s.drained:
 	default:
 		s.silentUntil, s.doubtCause = now+silentPeriod, causeOf(outcome)
 		r.notices.add(s, Silent, s.doubtCause, now, silentPeriod)
--- a/internal/affinity/fleet.go
+++ b/internal/affinity/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -41,10 +42,18 @@
 	Hosts       []Host              // the others, seen within the last minutes
 	Size        int                 // hosts in the whole fleet, as far as anybody knows
 	Starting    bool                // this host may know few of the others as yet, whatever Size says
+	Confirmed   time.Duration       // when the registry was last known to be the store's contents
+	StoreAway   time.Duration       // when a call to the store last failed, of any host that tells it
 	Unreachable map[string]bool     // data centres from whose hosts nothing arrives
 	Flows       map[PlaceDigest]int // that the other hosts report
 }
 
+// confirmedSince returns for how long the store has confirmed the registry since a time, and without a failed call. Entries
+// that the store lost while it was away may take goneSettled to come back.
+func (f *Fleet) confirmedSince(at time.Duration) time.Duration {
+	return f.Confirmed - max(at, f.StoreAway)
+}
+
 // size returns the number of hosts in the fleet.
 func (f *Fleet) size() int { return max(f.Size, len(f.Hosts)+1) }
 
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// unknownTokenPatience is how long a token that no view names may be that of a backend server just registered.
+	// unknownTokenPatience is how long a token that no view names may be that of a backend server just registered, or of one
+	// whose entry the store has lost for a while. It ends only when the store has been read since.
 	unknownTokenPatience = 2500 * time.Millisecond
 	// maxUnknownTokens bounds what forged tokens can make a host remember.
 	maxUnknownTokens = 1024
@@ -174,7 +175,7 @@
 	if s == nil {
 		return verdict
 	}
-	if s.ended(now) {
+	if r.ended(s) {
 		return r.giveUp(key, f, s, BackendServerGone)
 	}
 	f = r.remember(key, f, s, p, now)
@@ -214,7 +215,7 @@
 	switch {
 	case !seen && len(r.unknown) < maxUnknownTokens:
 		r.unknown[p.Token] = now
-	case seen && now-first >= unknownTokenPatience:
+	case seen && r.fleet.confirmedSince(first) >= unknownTokenPatience:
 		return nil, Verdict{Action: Reject, Reason: TokenNeverListed}
 	}
 	return nil, Verdict{Action: Drop, Reason: UnknownToken}
@@ -282,20 +283,25 @@
 	r.step(now)
 	r.table.sweep(now)
 	for _, s := range r.gone {
-		if s.flows > 0 && s.ended(now) {
+		if s.flows > 0 && r.ended(s) {
 			r.orderResets(s, BackendServerGone)
 		}
-		if now-s.goneAt > goneRetention {
+		if r.fleet.confirmedSince(s.goneAt) > goneRetention {
 			r.forget(s)
 		}
 	}
 	for token, first := range r.unknown {
-		if now-first > goneRetention {
+		if r.fleet.confirmedSince(first) > goneRetention {
 			delete(r.unknown, token)
 		}
 	}
 }
 
+// ended reports whether the flows of a server that left the view can be reset.
+func (r *Router) ended(s *server) bool {
+	return !s.present && (s.drained || r.fleet.confirmedSince(s.goneAt) >= goneSettled)
+}
+
 // forget drops a server that has been gone for long.
 func (r *Router) forget(s *server) {
 	delete(r.gone, s.ID)
--- a/internal/affinity/router_test.go
+++ b/internal/affinity/router_test.go
@@ -178,6 +178,7 @@
 			w.show()
 			for range test.after / (100 * time.Millisecond) {
 				w.now += 100 * time.Millisecond
+				w.confirm()
 			}
 			if v := c.request(); v.Action != test.action {
 				t.Fatalf("%v after the entry went: action %d (%v), want %d", test.after, v.Action, v.Reason, test.action)
--- a/internal/affinity/server.go
+++ b/internal/affinity/server.go
@@ -15,8 +15,8 @@
 	maxSuspicion = 4 * time.Second
 	// silentPeriod is how long the verdict holds without new evidence.
 	silentPeriod = 3 * time.Second
-	// goneSettled is how long the entry of a backend server that was not draining must be away before its flows are
-	// reset, since an entry may lapse and return.
+	// goneSettled is how long the entry of a backend server that was not draining must be away, as the store confirms,
+	// before its flows are reset, since an entry may lapse and return.
 	goneSettled = 2500 * time.Millisecond
 	// goneRetention is how long a backend server that went is remembered, so that its flows can be told.
 	goneRetention = time.Minute
@@ -86,8 +86,3 @@
 		s.suspectUntil = now + trialWait
 	}
 }
-
-// ended reports whether the flows of a server that left the view can be reset.
-func (s *server) ended(now time.Duration) bool {
-	return !s.present && (s.drained || now-s.goneAt >= goneSettled)
-}
--- a/internal/affinity/world_test.go
+++ b/internal/affinity/world_test.go
@@ -24,6 +24,8 @@
 	view   registry.View
 	port   uint16
 	nextID uint64
+	// storeAway keeps the registry from being confirmed.
+	storeAway bool
 }
 
 func newWorld(t testing.TB) *world {
@@ -97,6 +99,16 @@
 	v := w.view
 	v.Servers = append([]registry.Server(nil), w.view.Servers...)
 	w.router.SetView(&v, w.now)
+	w.confirm()
+}
+
+// confirm tells the router that the registry is the store's contents, or that the store is away.
+func (w *world) confirm() {
+	if w.storeAway {
+		w.router.fleet.StoreAway = w.now
+		return
+	}
+	w.router.fleet.Confirmed = w.now
 }
 
 // wait lets time pass in steps that the router does not take for a pause.
@@ -104,6 +116,7 @@
 	const step = 100 * time.Millisecond
 	for ; d > 0; d -= step {
 		w.now += min(d, step)
+		w.confirm()
 		w.router.Sweep(w.now)
 	}
 }
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -21,6 +21,8 @@
 		Hosts:       c.fleetHosts(),
 		Size:        c.members.Size(now),
 		Starting:    now < startingFor || !c.members.Met(),
+		Confirmed:   c.confirmed(),
+		StoreAway:   c.storeAway,
 		Unreachable: unreachable,
 		Flows:       map[affinity.PlaceDigest]int{},
 	}
@@ -30,6 +32,12 @@
 	return f
 }
 
+// confirmed returns when the registry was last known to be the store's contents; negative when never.
+func (c *control) confirmed() time.Duration {
+	at, _ := c.follower.Confirmed()
+	return at
+}
+
 // fleetHosts returns the other hosts as the router knows them. The slice is not changed later.
 func (c *control) fleetHosts() []affinity.Host {
 	if generation := c.members.Generation(); c.hosts == nil || c.hostsOf != generation {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -27,6 +27,8 @@
 	maxDataCentres = 64
 	// NeverConfirmed is the age of a copy that the store has never confirmed.
 	NeverConfirmed = -1
+	// NeverFailed is the age of a failed call when there was none lately.
+	NeverFailed = -1
 )
 
 // Host is an entry host as a message names it.
@@ -56,6 +58,7 @@
 	From     Host
 	Revision uint64
 	AgeMs    int64 // since its copy was confirmed
+	FailedMs int64 // since a call of its own to the store failed; NeverFailed: not lately
 	Leaving  bool
 	Reader   netip.AddrPort // of the host that reads the store for the sender
 	ReaderMs int64          // since the reader was heard, by whoever heard it
@@ -74,7 +77,7 @@
 var ErrMalformed = errors.New("malformed message")
 
 // formatVersion is the first byte of a datagram. Hosts of another version drop it, and read the store themselves.
-const formatVersion = 1
+const formatVersion = 2
 
 // maxElements bounds the lists of a message or copy and of what they hold: a copy names up to 40,000 backend servers.
 const maxElements = 128 << 10
@@ -111,7 +114,7 @@
 	if err := mode.Unmarshal(b[1:], &m); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "decode message"), ErrMalformed)
 	}
-	if m.AgeMs < NeverConfirmed || m.ReaderMs < 0 || m.Known < 0 || m.Known > maxMembers+1 || !m.From.Addr.IsValid() || m.From.DataCentre == "" || len(m.Hosts) > maxHosts || len(m.Heard) > maxDataCentres || len(m.Loads) > maxLoads {
+	if m.AgeMs < NeverConfirmed || m.FailedMs < NeverFailed || m.ReaderMs < 0 || m.Known < 0 || m.Known > maxMembers+1 || !m.From.Addr.IsValid() || m.From.DataCentre == "" || len(m.Hosts) > maxHosts || len(m.Heard) > maxDataCentres || len(m.Loads) > maxLoads {
 		return nil, errors.Wrap(ErrMalformed, "sender or hosts")
 	}
 	for _, h := range m.Heard {
