--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -75,8 +75,7 @@
 	fleetAt    time.Duration
 	rounds     int // of messages to the other hosts
 	storeDown  bool
-	failedAt   time.Duration // of this host's last call to the store that failed; negative: none
-	storeAway  time.Duration // the same of any host that has told it
+	toldAway   time.Duration // when the store was last away from a host that has told it; negative: never
 	wasReader  bool
 	version    uint64          // of the configuration in force
 	unreached  map[string]bool // data centres that were out of reach when the traffic goroutine was last told
@@ -97,7 +96,7 @@
 		state:    registry.NewState(),
 		follower: follower.New(h.config.Limits.Follower, slices.Contains(h.config.Seeds, h.config.Peer), random),
 		members:  gossip.NewMembers(self, h.config.Seeds, random),
-		failedAt: -1, storeAway: -1,
+		toldAway: -1,
 	}
 }
 
@@ -227,7 +226,6 @@
 
 func (c *control) onCallFailed(e callEnd, now time.Duration) {
 	if e.outcome != follower.HistoryLost {
-		c.failedAt, c.storeAway = now, now
 		c.state.Disturb(now)
 	}
 	if !c.storeDown || e.outcome == follower.HistoryLost {
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -22,7 +22,7 @@
 		Size:        c.members.Size(now),
 		Starting:    now < startingFor || !c.members.Met(),
 		Confirmed:   c.confirmed(),
-		StoreAway:   c.storeAway,
+		StoreAway:   c.awayAt(),
 		Unreachable: unreachable,
 		Flows:       map[affinity.PlaceDigest]int{},
 	}
@@ -38,6 +38,12 @@
 	return at
 }
 
+// awayAt returns when the store was last away from this host or from one that has told it; negative when never.
+func (c *control) awayAt() time.Duration {
+	own, _ := c.follower.AwayAt()
+	return max(own, c.toldAway)
+}
+
 // fleetHosts returns the other hosts as the router knows them. The slice is not changed later.
 func (c *control) fleetHosts() []affinity.Host {
 	if generation := c.members.Generation(); c.hosts == nil || c.hostsOf != generation {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -81,8 +81,8 @@
 func (c *control) onMessage(ctx context.Context, m *gossip.Message) {
 	now := c.host.now()
 	c.greet(m, c.members.Hear(m, now))
-	if m.FailedMs != gossip.NeverFailed {
-		c.storeAway = max(c.storeAway, now-time.Duration(m.FailedMs)*time.Millisecond)
+	if m.AwayMs != gossip.NeverAway {
+		c.toldAway = max(c.toldAway, now-time.Duration(m.AwayMs)*time.Millisecond)
 	}
 	if len(m.Changes) > 0 && m.Revision > c.state.Revision() {
 		before := c.state.Revision()
@@ -99,15 +99,16 @@
 	}
 }
 
-// failureMemory is how long a host tells others that a call of its own has failed.
-const failureMemory = 4 * time.Second
+// awayMemory is how long a host tells others that the store was away from it.
+const awayMemory = 4 * time.Second
 
-// failedMs returns the age of this host's last failed call to the store.
-func (c *control) failedMs(now time.Duration) int64 {
-	if c.failedAt < 0 || now-c.failedAt > failureMemory {
-		return gossip.NeverFailed
+// awayMs returns the time since the store was away from this host.
+func (c *control) awayMs(now time.Duration) int64 {
+	at, ok := c.follower.AwayAt()
+	if !ok || now-at > awayMemory {
+		return gossip.NeverAway
 	}
-	return (now - c.failedAt).Milliseconds()
+	return (now - at).Milliseconds()
 }
 
 // greet answers a host that is new to this one or that knows few others, as after its start.
@@ -138,7 +139,7 @@
 		From:     gossip.Host{Addr: c.host.config.Peer, DataCentre: c.host.config.DataCentre},
 		Revision: c.state.Revision(),
 		AgeMs:    c.host.ageMs(now),
-		FailedMs: c.failedMs(now),
+		AwayMs:   c.awayMs(now),
 		Leaving:  c.leaving.Load(),
 		Reader:   reader,
 		ReaderMs: readerAge.Milliseconds(),
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -83,6 +83,7 @@
 	confirmed time.Duration // when the copy was last known to be the store's contents; negative when never
 	notBefore time.Duration
 	failures  int
+	awayAt    time.Duration // when a call last failed, or was the first to be answered after that; negative: never
 	rereadAll bool
 	waited    bool          // for a copy, so that the next full reading reads all pages
 	copyBy    time.Duration // until when a copy is waited for while others are heard
@@ -91,7 +92,7 @@
 
 // New returns a Follower that has read nothing. One that leads reads all pages at once, as others take their copies from it.
 func New(c Config, leads bool, random *rand.Rand) *Follower {
-	f := &Follower{confirmed: -1, rereadAll: true, leads: leads, random: random}
+	f := &Follower{confirmed: -1, awayAt: -1, rereadAll: true, leads: leads, random: random}
 	f.SetConfig(c)
 	return f
 }
@@ -138,6 +139,9 @@
 func (f *Follower) Ended(outcome Outcome, now time.Duration) {
 	call := f.inFlight
 	f.inFlight = Call{}
+	if f.failures > 0 || outcome == Refused || outcome == Failed {
+		f.awayAt = now
+	}
 	switch outcome {
 	case Done:
 		f.failures = 0
@@ -151,7 +155,7 @@
 		f.notBefore, f.copyBy = now+alonePatience, now+f.patience()
 		return
 	case HistoryLost:
-		f.rereadAll = true
+		f.failures, f.rereadAll = 0, true
 		return
 	}
 	f.failures++
@@ -195,6 +199,10 @@
 // Confirmed returns when the copy was last confirmed, and false when it never was.
 func (f *Follower) Confirmed() (time.Duration, bool) { return f.confirmed, f.confirmed >= 0 }
 
+// AwayAt returns when the store was last known to be away, which is until the first answer after a failed call, and false
+// when it never was.
+func (f *Follower) AwayAt() (time.Duration, bool) { return f.awayAt, f.awayAt >= 0 }
+
 // Fresh reports whether the copy was confirmed within the time that a host may rely on others.
 func (f *Follower) Fresh(now time.Duration) bool {
 	return f.confirmed >= 0 && now-f.confirmed < f.config.StaleAfter
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -141,6 +141,28 @@
 	}
 }
 
+// Guards against a store that counts as back when a call fails for the last time: it may return at any moment until the
+// next one is answered.
+func TestAwayUntilTheFirstAnswer(t *testing.T) {
+	f := newFollower()
+	read(t, f, 0)
+	if _, ok := f.AwayAt(); ok {
+		t.Fatal("a store that has answered each call counts as away")
+	}
+	f.Next(7, reader, time.Second)
+	f.Ended(Failed, 2*time.Second)
+	if at, ok := f.AwayAt(); !ok || at != 2*time.Second {
+		t.Fatalf("away at %v, %v after a failed call", at, ok)
+	}
+	f.Next(7, reader, 3*time.Second)
+	f.Ended(Done, 5*time.Second)
+	f.Next(7, reader, 5*time.Second)
+	f.Ended(Done, 6*time.Second)
+	if at, _ := f.AwayAt(); at != 5*time.Second {
+		t.Fatalf("away until %v, want the first answer at 5s", at)
+	}
+}
+
 // Guards against a full reading of a host that already has everything from another one.
 func TestCopyFromAnotherHost(t *testing.T) {
 	f := newFollower()
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -27,8 +27,8 @@
 	maxDataCentres = 64
 	// NeverConfirmed is the age of a copy that the store has never confirmed.
 	NeverConfirmed = -1
-	// NeverFailed is the age of a failed call when there was none lately.
-	NeverFailed = -1
+	// NeverAway stands for a store that was not away lately.
+	NeverAway = -1
 )
 
 // Host is an entry host as a message names it.
@@ -58,7 +58,7 @@
 	From     Host
 	Revision uint64
 	AgeMs    int64 // since its copy was confirmed
-	FailedMs int64 // since a call of its own to the store failed; NeverFailed: not lately
+	AwayMs   int64 // since the store was away from the sender; NeverAway: not lately
 	Leaving  bool
 	Reader   netip.AddrPort // of the host that reads the store for the sender
 	ReaderMs int64          // since the reader was heard, by whoever heard it
@@ -114,7 +114,7 @@
 	if err := mode.Unmarshal(b[1:], &m); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "decode message"), ErrMalformed)
 	}
-	if m.AgeMs < NeverConfirmed || m.FailedMs < NeverFailed || m.ReaderMs < 0 || m.Known < 0 || m.Known > maxMembers+1 || !m.From.Addr.IsValid() || m.From.DataCentre == "" || len(m.Hosts) > maxHosts || len(m.Heard) > maxDataCentres || len(m.Loads) > maxLoads {
+	if m.AgeMs < NeverConfirmed || m.AwayMs < NeverAway || m.ReaderMs < 0 || m.Known < 0 || m.Known > maxMembers+1 || !m.From.Addr.IsValid() || m.From.DataCentre == "" || len(m.Hosts) > maxHosts || len(m.Heard) > maxDataCentres || len(m.Loads) > maxLoads {
 		return nil, errors.Wrap(ErrMalformed, "sender or hosts")
 	}
 	for _, h := range m.Heard {
