--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -38,11 +38,8 @@
 	return at
 }
 
-// awayAt returns when the store was last away from this host or from one that has told it; negative when never.
-func (c *control) awayAt() time.Duration {
-	own, _ := c.follower.AwayAt()
-	return max(own, c.toldAway)
-}
+// awayAt returns when the store may last have been away from this host or from one that has told it; negative when never.
+func (c *control) awayAt() time.Duration { return max(c.follower.Unsettled(), c.toldAway) }
 
 // fleetHosts returns the other hosts as the router knows them. The slice is not changed later.
 func (c *control) fleetHosts() []affinity.Host {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -84,6 +84,7 @@
 	notBefore time.Duration
 	failures  int
 	awayAt    time.Duration // when a call last failed, or was the first to be answered after that; negative: never
+	gapAt     time.Duration // end of the last long time without a confirmation; negative: never
 	rereadAll bool
 	waited    bool          // for a copy, so that the next full reading reads all pages
 	copyBy    time.Duration // until when a copy is waited for while others are heard
@@ -92,7 +93,7 @@
 
 // New returns a Follower that has read nothing. One that leads reads all pages at once, as others take their copies from it.
 func New(c Config, leads bool, random *rand.Rand) *Follower {
-	f := &Follower{confirmed: -1, awayAt: -1, rereadAll: true, leads: leads, random: random}
+	f := &Follower{confirmed: -1, awayAt: -1, gapAt: -1, rereadAll: true, leads: leads, random: random}
 	f.SetConfig(c)
 	return f
 }
@@ -185,8 +186,14 @@
 	return time.Duration(math.Pow(part, 1.0/copyPatienceRoot) * float64(copyPatience))
 }
 
-// Confirm notes that the copy was the store's contents at a time.
-func (f *Follower) Confirm(at time.Duration) { f.confirmed = max(f.confirmed, at) }
+// Confirm notes that the copy was the store's contents at a time. The store may have been away unnoticed when the reader's
+// watch has not confirmed it in the time that it takes.
+func (f *Follower) Confirm(at time.Duration) {
+	if f.confirmed >= 0 && at-f.confirmed > f.config.WatchWait+f.config.CallTimeout/2 {
+		f.gapAt = at
+	}
+	f.confirmed = max(f.confirmed, at)
+}
 
 // Copied notes that another host has given this one a complete copy, so that changes after it suffice.
 func (f *Follower) Copied() {
@@ -203,6 +210,10 @@
 // when it never was.
 func (f *Follower) AwayAt() (time.Duration, bool) { return f.awayAt, f.awayAt >= 0 }
 
+// Unsettled returns the last time at which the store may have been away, as far as this host knows by itself; negative when
+// it never was. Unlike AwayAt it counts that no confirmation came, which says nothing to other hosts.
+func (f *Follower) Unsettled() time.Duration { return max(f.awayAt, f.gapAt) }
+
 // Fresh reports whether the copy was confirmed within the time that a host may rely on others.
 func (f *Follower) Fresh(now time.Duration) bool {
 	return f.confirmed >= 0 && now-f.confirmed < f.config.StaleAfter
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -163,6 +163,25 @@
 	}
 }
 
+// Guards against a store that was away between two answers without a failed call (soak seed 6402: a watch was answered, the
+// store went away, and other hosts found it well again before the next watch failed).
+func TestMissingConfirmationsMayBeAnOutage(t *testing.T) {
+	f := newFollower()
+	read(t, f, 0)
+	for _, tt := range []struct{ at, want time.Duration }{
+		{1200 * time.Millisecond, -1}, {2450 * time.Millisecond, -1}, {4200 * time.Millisecond, 4200 * time.Millisecond},
+		{5400 * time.Millisecond, 4200 * time.Millisecond},
+	} {
+		f.Confirm(tt.at)
+		if got := f.Unsettled(); got != tt.want {
+			t.Errorf("after the confirmation at %v: unsettled at %v, want %v", tt.at, got, tt.want)
+		}
+	}
+	if _, ok := f.AwayAt(); ok {
+		t.Error("a late confirmation is told to others as an outage")
+	}
+}
+
 // Guards against a full reading of a host that already has everything from another one.
 func TestCopyFromAnotherHost(t *testing.T) {
 	f := newFollower()
