affinity: the loss of many backend servers is taken in one pass

Cause, found on reading the change: each server that left compared its token with all that had left, and each lost server looked at all remembered flows. When a data centre of the target size is lost, 5,700 servers leave in one view: 259 ms and, with 9,000 flows, 657 ms of a whole core in the goroutine that forwards packets.

Ruled out: an index of flows by server (100 bytes more for each flow).

Change: only tokens that several servers have had are settled, and the flows of all lost servers are collected in one pass when the resets are taken. The registry notes a change where it makes it, without a deferred call.

--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -37,6 +37,7 @@
 	servers   map[string]*server
 	gone      map[string]*server // of the servers, those that left the view
 	byToken   map[uint32]*server
+	holders   map[uint32]int           // number of servers with a token, those that left included
 	unknown   map[uint32]time.Duration // tokens that no view named, and when they were first seen
 	table     flowTable
 	openings  openings
@@ -47,6 +48,7 @@
 	turn      uint32
 	stepAt    time.Duration
 	resumedAt time.Duration // end of the last pause of this host; earlier packets prove nothing
+	lost      []*server     // whose flows are to be reset
 	orders    []ResetOrder
 	loads     []Load
 	loadsPace pace
@@ -64,6 +66,7 @@
 		servers:  map[string]*server{},
 		gone:     map[string]*server{},
 		byToken:  map[uint32]*server{},
+		holders:  map[uint32]int{},
 		unknown:  map[uint32]time.Duration{},
 		table:    flowTable{flows: map[FlowKey]*flow{}, limit: c.MaxFlows, idle: c.IdleTimeout},
 		openings: openings{byCaller: map[netip.Addr]opening{}},
@@ -262,17 +265,32 @@
 
 // orderResets asks for the reset of all remembered flows of a lost backend server.
 func (r *Router) orderResets(s *server, reason Reason) {
+	s.resetsDue, s.resetReason = true, reason
+	r.lost = append(r.lost, s)
+}
+
+// collectOrders looks at all flows once, however many servers are lost.
+func (r *Router) collectOrders() {
+	if len(r.lost) == 0 {
+		return
+	}
 	for key, f := range r.table.flows {
-		if f.server != s || f.closed || !f.open {
+		s := f.server
+		if !s.resetsDue || f.closed || !f.open {
 			continue
 		}
-		r.orders = append(r.orders, ResetOrder{Key: key, Seq: f.ack, Reason: reason, ServerID: s.ID})
+		r.orders = append(r.orders, ResetOrder{Key: key, Seq: f.ack, Reason: s.resetReason, ServerID: s.ID})
 		r.table.remove(key, f)
 	}
+	for _, s := range r.lost {
+		s.resetsDue = false
+	}
+	r.lost = r.lost[:0]
 }
 
 // TakeOrders returns the resets that are due, and forgets them. The slice is valid until the next call of the Router.
 func (r *Router) TakeOrders() []ResetOrder {
+	r.collectOrders()
 	orders := r.orders
 	r.orders = r.orders[:0]
 	return orders
@@ -306,6 +324,9 @@
 func (r *Router) forget(s *server) {
 	delete(r.gone, s.ID)
 	delete(r.servers, s.ID)
+	if r.holders[s.token]--; r.holders[s.token] == 0 {
+		delete(r.holders, s.token)
+	}
 	if r.byToken[s.token] == s {
 		delete(r.byToken, s.token)
 	}
--- a/internal/affinity/server.go
+++ b/internal/affinity/server.go
@@ -33,6 +33,9 @@
 	drained bool          // it was draining when it left
 	flows   int           // open flows that this host remembers
 
+	resetsDue   bool // its flows are to be reset
+	resetReason Reason
+
 	lastSign     time.Duration // last packet of a caller that proves an answer
 	suspectUntil time.Duration
 	suspicion    time.Duration // length of the present suspicion
--- a/internal/affinity/view.go
+++ b/internal/affinity/view.go
@@ -85,13 +85,20 @@
 	if sv := r.services[s.Service]; sv != nil {
 		sv.servers = slices.DeleteFunc(sv.servers, func(other *server) bool { return other == s })
 	}
-	for _, other := range r.gone {
-		if other.token == s.token {
-			r.byToken[s.token] = s
-			r.index(other)
+	r.gone[s.ID] = s
+	if r.holders[s.token] > 1 {
+		r.settleToken(s.token)
+	}
+}
+
+// settleToken finds which of the servers that have left keeps a token that they share.
+func (r *Router) settleToken(token uint32) {
+	delete(r.byToken, token)
+	for _, s := range r.gone {
+		if s.token == token {
+			r.index(s)
 		}
 	}
-	r.gone[s.ID] = s
 }
 
 func (r *Router) setServers(v *registry.View, now time.Duration) {
@@ -140,6 +147,7 @@
 	if s == nil {
 		s = &server{token: entry.Token(), notices: &r.notices}
 		r.servers[entry.ID] = s
+		r.holders[s.token]++
 	}
 	restarted := s.BackendServer != nil && s.StartedMs != 0 && entry.StartedMs > s.StartedMs
 	if s.BackendServer == nil || s.Service != entry.Service || s.DataCentre != entry.DataCentre {
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -138,8 +138,8 @@
 	for _, result := range t.checker.take() {
 		countCheck(result.outcome)
 		t.router.Checked(result.id, result.outcome, now)
-		t.sendOrders(now)
 	}
+	t.sendOrders(now)
 	if t.host.plan.Swap(false) {
 		select {
 		case p := <-t.host.plans:
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -127,7 +127,6 @@
 		return false
 	}
 	next := &item{update: u, seen: now}
-	defer func() { s.changes.note(u.Key, old.shown(), next.shown()) }()
 	switch {
 	case u.Config != nil:
 		s.acceptConfig(u.Config)
@@ -150,6 +149,7 @@
 	if u.Removed {
 		s.removed[u.Key] = next
 	}
+	s.changes.note(u.Key, old.shown(), next.shown())
 	return true
 }
 
