gossip: send copies in parts, each packed when it is requested

Cause: a host packed a whole copy before it sent the first byte.

Change: a copy is sent in parts of 2,000 updates over the same connection. The fetching host requests one after the other and unpacks each as it arrives, so neither side works for long without progress. A copy is used only after all of its parts have arrived and agree on revision and number. The method is renamed to registry.copy: a host of an older version that fetches from a new one gets an error and reads the store, as with datagrams of another format version, and never takes the first part for the whole.

Tests: only the first part is packed for the first request; a copy that ends between parts, or whose parts belong to different copies, is refused; the number of parts is bounded.

--- a/internal/gossip/pack.go
+++ b/internal/gossip/pack.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -22,21 +23,59 @@
 	packedDeflate
 )
 
-// packer packs copies for other hosts. It caches the last full copy, because many hosts request one at the same time after
-// they have restarted together.
+const (
+	// partUpdates is the number of updates in a part of a copy. It bounds the time to pack one: a host with a twentieth of a
+	// processor takes a fifth of a second.
+	partUpdates = 2000
+	// maxParts is the maximum number of parts of a copy.
+	maxParts = maxElements/partUpdates + 1
+)
+
+// parts are the parts of a copy, each of which is packed when it is first requested. A whole copy of the largest deployment
+// takes so long to pack that the requesting host would give up before the first byte.
+type parts struct {
+	mu      sync.Mutex
+	updates [][]registry.Update // by part; nil after it was packed
+	packed  [][]byte            // by part; nil until then
+}
+
+func newParts(updates []registry.Update) *parts {
+	p := &parts{updates: slices.Collect(slices.Chunk(updates, partUpdates))}
+	if len(p.updates) == 0 {
+		p.updates = [][]registry.Update{nil}
+	}
+	p.packed = make([][]byte, len(p.updates))
+	return p
+}
+
+func (p *parts) num() int { return len(p.packed) }
+
+// pack returns the packed form of part n.
+func (p *parts) pack(n int) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.packed[n] == nil {
+		b, err := pack(p.updates[n])
+		if err != nil {
+			return nil, err
+		}
+		p.packed[n], p.updates[n] = b, nil
+	}
+	return p.packed[n], nil
+}
+
+// packer keeps the parts of the last full copy, because many hosts request one at the same time after they have restarted
+// together.
 type packer struct {
 	mu       sync.Mutex
 	revision uint64 // of the cached copy; 0: none
-	cached   []byte
+	cached   *parts
 }
 
-// pack returns the wire form of a copy.
-func (p *packer) pack(c *Copy) (*packedCopy, error) {
-	packed := &packedCopy{Copy: *c}
+// partsOf returns the parts of a copy.
+func (p *packer) partsOf(c *Copy) (*parts, error) {
 	if !c.Full {
-		var err error
-		packed.Packed, err = pack(c.Updates)
-		return packed, err
+		return newParts(c.Updates), nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -44,14 +83,9 @@
 		return nil, errors.Newf("the copy of revision %d is no longer at hand", c.Revision)
 	}
 	if !c.Cached && p.revision != c.Revision {
-		b, err := pack(c.Updates)
-		if err != nil {
-			return nil, err
-		}
-		p.cached, p.revision = b, c.Revision
+		p.cached, p.revision = newParts(c.Updates), c.Revision
 	}
-	packed.Packed = p.cached
-	return packed, nil
+	return p.cached, nil
 }
 
 // cachedRevision returns the revision of the cached copy, or 0 if there is none.
--- a/internal/gossip/pack_test.go
+++ b/internal/gossip/pack_test.go
@@ -79,20 +79,41 @@
 // Guards against a host that packs the same copy again for each request, and against one that serves an outdated copy.
 func TestFullCopyIsPackedOnce(t *testing.T) {
 	p := &packer{}
-	first, err := p.pack(&Copy{Full: true, Revision: 5, Updates: manyServers(2)})
-	if err != nil {
-		t.Fatal(err)
+	packedPart := func(revision uint64, servers int) []byte {
+		t.Helper()
+		parts, err := p.partsOf(&Copy{Full: true, Revision: revision, Updates: manyServers(servers)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := parts.pack(0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
 	}
-	again, err := p.pack(&Copy{Full: true, Revision: 5, Updates: manyServers(2)})
-	if err != nil || &again.Packed[0] != &first.Packed[0] {
-		t.Errorf("packed twice, %v", err)
+	first := packedPart(5, 2)
+	if again := packedPart(5, 2); &again[0] != &first[0] {
+		t.Error("packed twice")
 	}
-	next, err := p.pack(&Copy{Full: true, Revision: 6, Updates: manyServers(3)})
+	if got, err := unpack(packedPart(6, 3)); err != nil || len(got) != 3 {
+		t.Errorf("%d updates at the next revision, %v; want 3", len(got), err)
+	}
+}
+
+// Guards against a host that packs all entries of the largest deployment before it sends the first of them.
+func TestFirstPartIsPackedAlone(t *testing.T) {
+	parts := newParts(manyServers(40_000))
+	b, err := parts.pack(0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got, err := unpack(next.Packed); err != nil || len(got) != 3 {
-		t.Errorf("%d updates at the next revision, %v; want 3", len(got), err)
+	if got, err := unpack(b); err != nil || len(got) != partUpdates {
+		t.Errorf("the first part has %d updates, %v; want %d", len(got), err, partUpdates)
+	}
+	for n := 1; n < parts.num(); n++ {
+		if parts.packed[n] != nil {
+			t.Errorf("part %d was packed before it was requested", n)
+		}
 	}
 }
 
--- a/internal/gossip/transfer.go
+++ b/internal/gossip/transfer.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// methodSince is the JSON-RPC method that requests the updates after a revision.
-	methodSince = "registry.since"
+	// methodCopy is the JSON-RPC method that requests a part of the updates after a revision.
+	methodCopy = "registry.copy"
 	// idleTimeout bounds the time for which a transfer may make no progress. A full copy of the largest deployment takes a
 	// second on a link of 10 Mbit/s, and several transfers may share the link.
 	idleTimeout = 2 * time.Second
@@ -47,17 +47,25 @@
 	AgeMs    int64             `json:"age"`    // time since the sender's copy was confirmed; NeverConfirmed: never
 	Full     bool              `json:"full"`   // Updates are the full contents, not just the updates after a revision
 	Cached   bool              `json:"-"`      // Updates is empty; the cached packed copy of the query's CachedRevision is sent
-	Updates  []registry.Update `json:"-"`      // sent in packed form, see packedCopy
+	Updates  []registry.Update `json:"-"`      // sent in packed parts, see copyPart
 	Loaded   bool              `json:"loaded"` // false: the sender has no complete contents yet
 }
 
-// packedCopy is the wire form of a Copy.
-type packedCopy struct {
+// partQuery is the wire form of a Query. Part 0 requests a new copy; the other parts belong to the copy that was requested
+// last on the connection.
+type partQuery struct {
+	Query
+	Part int `json:"part"`
+}
+
+// copyPart is the wire form of a part of a Copy.
+type copyPart struct {
 	Copy
-	Packed []byte `json:"updates"`
+	NumParts int    `json:"parts"`
+	Packed   []byte `json:"updates"`
 }
 
-// Fetch requests the updates after a revision from a host.
+// Fetch requests the updates after a revision from a host. It returns an error unless all parts of the copy arrive.
 func Fetch(ctx context.Context, host netip.AddrPort, q Query) (*Copy, error) {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
@@ -68,17 +76,47 @@
 	}
 	rpc := newRPCConn(ctx, &limitedConn{Conn: conn, limitReads: true}, jsonrpc2.HandlerWithError(rejectCall))
 	defer rpc.Close()
-	var packed packedCopy
-	if err := rpc.Call(ctx, methodSince, q, &packed); err != nil {
-		return nil, errors.Wrapf(err, "fetch from host %s", host)
+	c, err := fetchParts(ctx, rpc, q)
+	return c, errors.Wrapf(err, "fetch from host %s", host)
+}
+
+// fetchParts requests all parts of a copy, one after the other.
+func fetchParts(ctx context.Context, rpc *jsonrpc2.Conn, q Query) (*Copy, error) {
+	first, err := fetchPart(ctx, rpc, partQuery{Query: q})
+	if err != nil {
+		return nil, err
+	}
+	if first.NumParts < 1 || first.NumParts > maxParts {
+		return nil, errors.Wrapf(ErrMalformed, "copy of %d parts", first.NumParts)
 	}
-	c := packed.Copy
-	if c.Updates, err = unpack(packed.Packed); err != nil {
-		return nil, errors.Wrapf(err, "unpack copy from host %s", host)
+	c := first.Copy
+	for n := 1; n < first.NumParts; n++ {
+		part, err := fetchPart(ctx, rpc, partQuery{Query: q, Part: n})
+		if err != nil {
+			return nil, err
+		}
+		if part.Revision != c.Revision || part.Full != c.Full || part.NumParts != first.NumParts {
+			return nil, errors.Wrapf(ErrMalformed, "part %d belongs to another copy", n)
+		}
+		c.Updates = append(c.Updates, part.Updates...)
 	}
 	return &c, nil
 }
 
+// fetchPart requests a part and unpacks its updates.
+func fetchPart(ctx context.Context, rpc *jsonrpc2.Conn, q partQuery) (*copyPart, error) {
+	var part copyPart
+	if err := rpc.Call(ctx, methodCopy, q, &part); err != nil {
+		return nil, errors.Wrapf(err, "request part %d", q.Part)
+	}
+	updates, err := unpack(part.Packed)
+	if err != nil {
+		return nil, errors.Wrapf(err, "unpack part %d", q.Part)
+	}
+	part.Updates = updates
+	return &part, nil
+}
+
 // rejectCall rejects requests that the serving host sends, because the fetching host has no methods to call.
 func rejectCall(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end answers no calls"}
@@ -86,7 +124,7 @@
 
 // Serve answers fetches of other hosts until the listener is closed. Connections above maxTransfers are closed at once.
 // Serve calls answer concurrently.
-func Serve(ctx context.Context, l net.Listener, answer func(context.Context, Query) (*Copy, error)) error {
+func Serve(ctx context.Context, l net.Listener, answer answerFunc) error {
 	slots := make(chan struct{}, maxTransfers)
 	packer := &packer{}
 	for {
@@ -109,15 +147,16 @@
 	}
 }
 
-func serveConn(ctx context.Context, conn net.Conn, p *packer, answer func(context.Context, Query) (*Copy, error)) {
+func serveConn(ctx context.Context, conn net.Conn, p *packer, answer answerFunc) {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
+	transfer := &transfer{packer: p, answer: answer}
 	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-		// The client sends nothing while it receives its copy, so reads no longer have a deadline.
+		// The client sends nothing while it receives a part, so reads no longer have a deadline.
 		if err := conn.SetReadDeadline(time.Time{}); err != nil {
 			return nil, err
 		}
-		return handle(ctx, r, p, answer)
+		return transfer.handle(ctx, r)
 	})
 	if err := conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 		conn.Close()
@@ -131,20 +170,53 @@
 	}
 }
 
-func handle(ctx context.Context, r *jsonrpc2.Request, p *packer, answer func(context.Context, Query) (*Copy, error)) (any, error) {
-	if r.Method != methodSince || r.Params == nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "allowed method: " + methodSince}
+// answerFunc returns the copy that answers a query.
+type answerFunc func(context.Context, Query) (*Copy, error)
+
+// transfer is the state of a connection on which another host fetches a copy. Its calls are handled one at a time.
+type transfer struct {
+	packer *packer
+	answer answerFunc
+	header Copy   // the copy requested last, without its updates
+	parts  *parts // of that copy; nil: none was requested
+}
+
+func (t *transfer) handle(ctx context.Context, r *jsonrpc2.Request) (any, error) {
+	if r.Method != methodCopy || r.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "allowed method: " + methodCopy}
 	}
-	var q Query
+	var q partQuery
 	if err := json.Unmarshal(*r.Params, &q); err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
-	q.CachedRevision = p.cachedRevision()
-	c, err := answer(ctx, q)
+	if q.Part == 0 {
+		if err := t.begin(ctx, q.Query); err != nil {
+			return nil, err
+		}
+	}
+	if t.parts == nil || q.Part < 0 || q.Part >= t.parts.num() {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no such part of the requested copy"}
+	}
+	packed, err := t.parts.pack(q.Part)
 	if err != nil {
 		return nil, err
 	}
-	return p.pack(c)
+	return &copyPart{Copy: t.header, NumParts: t.parts.num(), Packed: packed}, nil
+}
+
+// begin takes the copy that answers a query, to be sent in parts.
+func (t *transfer) begin(ctx context.Context, q Query) error {
+	q.CachedRevision = t.packer.cachedRevision()
+	c, err := t.answer(ctx, q)
+	if err != nil {
+		return err
+	}
+	if t.parts, err = t.packer.partsOf(c); err != nil {
+		return err
+	}
+	t.header = *c
+	t.header.Updates = nil
+	return nil
 }
 
 // limitedConn fails a write that makes no progress for idleTimeout, and a read as well if limitReads is set.
--- a/internal/gossip/transfer_test.go
+++ b/internal/gossip/transfer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/netip"
@@ -9,6 +10,9 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
 	"github.com/nutmeglatch/nutmeglatch/internal/registry"
 )
 
@@ -143,3 +147,89 @@
 		}
 	}
 }
+
+// serveOneConn answers the requests of one connection with the given handler.
+func serveOneConn(t *testing.T, handler func(q partQuery) (any, error)) netip.AddrPort {
+	l, addr := listen(t)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		rpc := newRPCConn(t.Context(), conn, jsonrpc2.HandlerWithError(func(_ context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+			var q partQuery
+			if err := json.Unmarshal(*r.Params, &q); err != nil {
+				return nil, err
+			}
+			answer, err := handler(q)
+			if answer == nil && err == nil {
+				conn.Close()
+			}
+			return answer, err
+		}))
+		defer rpc.Close()
+		<-rpc.DisconnectNotify()
+	}()
+	return addr
+}
+
+// Guards against a copy that ends between two parts, or whose parts belong to different copies, and is taken for a whole
+// one. Entries that it lacks would count as removed.
+func TestIncompleteCopyIsRefused(t *testing.T) {
+	packed, err := pack(manyServers(3))
+	if err != nil {
+		t.Fatal(err)
+	}
+	part := func(revision uint64, numParts int) *copyPart {
+		return &copyPart{Copy: Copy{Loaded: true, Full: true, Revision: revision}, NumParts: numParts, Packed: packed}
+	}
+	for name, second := range map[string]*copyPart{
+		"connection closed": nil, "another revision": part(10, 2), "another number of parts": part(9, 3), "nothing packed": {Copy: Copy{Full: true, Revision: 9}, NumParts: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serveOneConn(t, func(q partQuery) (any, error) {
+				if q.Part > 0 {
+					if second == nil {
+						return nil, nil
+					}
+					return second, nil
+				}
+				return part(9, 2), nil
+			})
+			if c, err := Fetch(t.Context(), addr, Query{}); err == nil {
+				t.Errorf("accepted %d updates", len(c.Updates))
+			}
+		})
+	}
+}
+
+// Guards against a copy without parts, or with so many that the memory of the fetching host does not suffice.
+func TestNumberOfPartsIsBounded(t *testing.T) {
+	packed, err := pack(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, numParts := range []int{-1, 0, maxParts + 1} {
+		addr := serveOneConn(t, func(partQuery) (any, error) {
+			return &copyPart{Copy: Copy{Loaded: true, Full: true, Revision: 9}, NumParts: numParts, Packed: packed}, nil
+		})
+		if _, err := Fetch(t.Context(), addr, Query{}); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%d parts: %v, want ErrMalformed", numParts, err)
+		}
+	}
+}
+
+// Guards against a request for a part that the copy does not have, or before any copy was requested.
+func TestUnknownPartIsRefused(t *testing.T) {
+	for _, part := range []int{-1, 1, 7} {
+		tr := &transfer{packer: &packer{}, answer: func(context.Context, Query) (*Copy, error) { return &Copy{Revision: 9}, nil }}
+		text, err := json.Marshal(partQuery{Part: part})
+		if err != nil {
+			t.Fatal(err)
+		}
+		params := json.RawMessage(text)
+		if answer, err := tr.handle(t.Context(), &jsonrpc2.Request{Method: methodCopy, Params: &params}); err == nil {
+			t.Errorf("part %d: answered %+v", part, answer)
+		}
+	}
+}
