entry: leave the routers' rotation while most hosts of the data centre are silent

Cause: the routers use all hosts of a data centre, dead ones included, while fewer than half of them take packets, and those of the nearest other one while none does.

Change: a host yields while it has had no message from most other hosts of its data centre for 750 ms and knows a data centre in which most hosts are alive. It takes packets again as soon as half of them are heard. Only in fleets of up to 13 hosts, where each hears all others.

A stopping host's state is now a flag of its own: before, an event that loaded the registry could set it ready again between two stores, and the router got no state of the fleet during a stop.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -67,7 +66,6 @@
 	seeds    []netip.AddrPort
 	limits   Limits
 
-	leaving          atomic.Bool
 	fetching         bool            // a fetch from another host is running
 	fetchAfter       time.Duration   // earliest time of the next fetch
 	behindSince      time.Duration   // when another host first reported a newer revision; 0: this host is up to date
@@ -149,6 +147,7 @@
 func (c *control) runScheduled(ctx context.Context) {
 	now := c.host.now()
 	c.startCall(ctx, now)
+	c.updateYielding(now)
 	if now >= c.gossipAt {
 		c.gossipAt = now + c.limits.GossipInterval
 		c.rounds++
@@ -167,7 +166,7 @@
 // startCall starts a call to the store in a goroutine of its own when one is due.
 func (c *control) startCall(ctx context.Context, now time.Duration) {
 	reader, _, _ := c.members.Reader(now)
-	reader = reader && !c.leaving.Load()
+	reader = reader && !c.host.leaving.Load()
 	if reader != c.wasReader {
 		c.wasReader = reader
 		level.Info(c.logger).Log("msg", "role as reader of the store for the other hosts changed", "reader", reader)
@@ -253,7 +252,7 @@
 	if len(changed) > 0 && before != 0 {
 		c.sendChanges(origin, before, c.state.EncodeDeltas(c.state.UpdatesAfter(before), version))
 	}
-	if c.state.Loaded() && !c.leaving.Load() && !c.host.ready.Swap(true) {
+	if c.state.Loaded() && !c.host.ready.Swap(true) {
 		level.Info(c.logger).Log("msg", "ready", "revision", c.state.Revision(), "from", source,
 			"ms_since_start", c.host.now().Milliseconds())
 	}
@@ -325,6 +324,3 @@
 	c.host.updates <- u
 	c.host.pendingUpdate.Store(true)
 }
-
-// leave makes further messages to the other hosts say that this host is leaving.
-func (c *control) leave() { c.leaving.Store(true) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,7 +64,9 @@
 	logger  log.Logger
 	started time.Time
 
-	ready         atomic.Bool
+	ready         atomic.Bool        // a configuration is loaded
+	leaving       atomic.Bool        // the host has been asked to stop
+	yielding      atomic.Bool        // callers are better served by another data centre, see gossip.Members.ShouldYield
 	updates       chan pendingUpdate // pending update for the traffic goroutine; holds at most one
 	pendingUpdate atomic.Bool        // an update has been sent since the traffic goroutine last took one
 	control       *control
@@ -134,7 +136,7 @@
 		return nil
 	})
 	group.Go(func() error {
-		h.awaitStop(ctx, running, traffic, control)
+		h.awaitStop(ctx, running, traffic)
 		stop()
 		return nil
 	})
@@ -145,7 +147,7 @@
 
 // awaitStop waits until ctx ends, announces the stop to the routers and the other hosts, and returns when no packet has
 // arrived for stopQuiet or the time to stop has run out. The host forwards packets meanwhile.
-func (h *Host) awaitStop(ctx, running context.Context, t *traffic, c *control) {
+func (h *Host) awaitStop(ctx, running context.Context, t *traffic) {
 	select {
 	case <-ctx.Done():
 	case <-running.Done():
@@ -153,8 +155,7 @@
 	}
 	asked := h.now()
 	level.Info(h.logger).Log("part", "entry", "msg", "stopping; not ready from now on", "host", h.config.Name)
-	h.ready.Store(false)
-	c.leave()
+	h.leaving.Store(true)
 	limit := asked + h.config.StopWithin - stopReserve
 	for now := h.now(); now < limit; now = h.now() {
 		quiet := now - time.Duration(t.lastPacket.Load())
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -70,3 +70,12 @@
 	}
 	c.lastUnreachable = unreachable
 }
+
+// updateYielding decides whether the routers should leave out this host, and logs a change.
+func (c *control) updateYielding(now time.Duration) {
+	yielding := c.members.ShouldYield(now)
+	if c.host.yielding.Swap(yielding) != yielding {
+		level.Info(c.logger).Log("msg", "yielding to hosts of another data centre changed", "yielding", yielding,
+			"hosts_known", c.members.NumKnown())
+	}
+}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -28,7 +28,12 @@
 	switch {
 	case r.URL.Path != h.config.ReadyPath:
 		http.NotFound(w, r)
-	case !h.ready.Load():
+	case !h.takesPackets():
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
+
+// takesPackets reports whether the routers may send callers' packets to this host.
+func (h *Host) takesPackets() bool {
+	return h.ready.Load() && !h.leaving.Load() && !h.yielding.Load()
+}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -83,13 +83,13 @@
 		Version:       c.host.config.Version,
 		DataCentre:    c.host.config.DataCentre,
 		UptimeMS:      now.Milliseconds(),
-		Ready:         c.host.ready.Load(),
+		Ready:         c.host.takesPackets(),
 		Revision:      c.state.Revision(),
 		RevisionFrom:  c.origin,
 		ConfigVersion: c.version,
 		AgeMS:         c.host.ageMs(now),
 		StoreAnswers:  !c.storeDown,
-		Reader:        own && !c.leaving.Load(),
+		Reader:        own && !c.host.leaving.Load(),
 		ReaderHost:    reader.String(),
 		ReaderAgeMS:   readerAge.Milliseconds(),
 	}
@@ -135,7 +135,7 @@
 		return admin.Explanation{}, err
 	}
 	ex := explanationText(&e, q)
-	if !o.host.ready.Load() {
+	if !o.host.takesPackets() {
 		ex.Steps = append([]string{"this host is not ready: the routers send it no packets"}, ex.Steps...)
 	}
 	return ex, nil
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -147,7 +147,7 @@
 		Revision:    c.state.Revision(),
 		AgeMs:       c.host.ageMs(now),
 		OutageAgeMs: c.outageAgeMs(now),
-		Leaving:     c.leaving.Load(),
+		Leaving:     c.host.leaving.Load(),
 		Reader:      reader,
 		ReaderAgeMs: readerAge.Milliseconds(),
 		NumKnown:    c.members.NumKnown(),
