entry, affinity: a paused host does not act on what is seconds old

After a host has been frozen, it handles what has waited in its sockets' buffers since before. (1) Callers' retransmissions and further tries among these packets marked the backend servers as suspect for 1.5 s and requested checks. (2) The time of a pause entered the average answer time, so that an unanswered opening packet counted as late after 1.25 s instead of 60 ms. (3) A check that could not complete because of the pause made its server silent and reset its flows. (4) Confirmations in other hosts' messages counted as present ones, so the host decided by contents that were seconds old and did not ask the store. (5) All other hosts counted as silent: the host took over as reader of the store and avoided other data centres.

The same fault without a pause: a copy that takes seconds to arrive counted as confirmed when it arrived, 5 s too late in the test.

Change: nothing that is handled within 250 ms after a pause of more than 300 ms is evidence about backend servers; confirmations in such messages count as older by the pause; the pause is no silence of other hosts; a copy is confirmed as of the time when it was requested. A log line tells of each pause.

--- a/internal/affinity/check.go
+++ b/internal/affinity/check.go
@@ -69,8 +69,13 @@
 	return nil
 }
 
-// recordAnswer keeps the two servers that answered most recently, so that a check of one of them has a reference.
-func (r *Router) recordAnswer(s *server) {
+// recordAnswer records an observed answer. It keeps the two servers that answered most recently, so that a check of one of
+// them has a reference.
+func (r *Router) recordAnswer(s *server, now time.Duration) {
+	if now < r.evidenceSince {
+		return
+	}
+	s.answered(now)
 	if r.lastAnswering[0] != s {
 		r.lastAnswering[0], r.lastAnswering[1] = s, r.lastAnswering[0]
 	}
@@ -84,7 +89,8 @@
 }
 
 // HandleCheckResult processes the result of a check. A server that did not accept the connection becomes Silent and its
-// flows are reset, unless it drains or a caller's packet has acknowledged an answer from it since the check started.
+// flows are reset, unless it drains, a caller's packet has acknowledged an answer from it since the check started, or this
+// host was paused meanwhile.
 func (r *Router) HandleCheckResult(id string, outcome CheckOutcome, now time.Duration) {
 	s := r.servers[id]
 	if s == nil || !s.check.running {
@@ -93,6 +99,7 @@
 	s.check.running = false
 	switch {
 	case outcome == Accepts || outcome == Unchecked || s.lastAnswerAt >= s.check.startedAt || s.Draining || s.drained:
+	case s.check.startedAt < r.evidenceSince && outcome == NoAnswer:
 	default:
 		s.silentUntil, s.healthCause = now+silentPeriod, causeOf(outcome)
 		r.healthChanges.add(s, Silent, s.healthCause, now, silentPeriod)
--- a/internal/affinity/harness_test.go
+++ b/internal/affinity/harness_test.go
@@ -111,7 +111,7 @@
 	h.router.fleet.ConfirmedAt = h.now
 }
 
-// advance moves the clock in steps that are shorter than hostPauseThreshold.
+// advance moves the clock in steps that are shorter than HostPauseThreshold.
 func (h *harness) advance(d time.Duration) {
 	const step = 100 * time.Millisecond
 	for ; d > 0; d -= step {
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -17,9 +17,12 @@
 	// retransmitWindow is how long after its first transmission the retransmission of data is evidence that it was not
 	// answered. Callers give up after that time.
 	retransmitWindow = 2 * time.Second
-	// hostPauseThreshold is the time between two calls of advance above which this host itself was paused, so that missing
-	// answers are no evidence against a backend server.
-	hostPauseThreshold = 300 * time.Millisecond
+	// HostPauseThreshold is the time without any scheduled work above which this host itself was paused, so that missing
+	// answers and messages are no evidence against others.
+	HostPauseThreshold = 300 * time.Millisecond
+	// BacklogTime is how long after a pause of this host packets may have waited in the socket's buffer since before its
+	// end. Their arrival says nothing about the present.
+	BacklogTime = 250 * time.Millisecond
 )
 
 // Config holds the limits of a Router.
@@ -48,7 +51,7 @@
 	seed          maphash.Seed
 	rotation      uint32        // offset that varies which of equally ranked servers is chosen
 	advancedAt    time.Duration // last call of advance
-	resumedAt     time.Duration // end of the last pause of this host; earlier packets are no evidence
+	evidenceSince time.Duration // packets that were handled earlier are no evidence, because this host was paused
 	lostServers   []*server     // servers whose flows are to be reset
 	resets        []FlowReset
 	loads         []Load
@@ -104,8 +107,8 @@
 // advance moves the clock. It discards evidence that a pause of this host invalidates, and marks servers that did not
 // answer opening packets in time as suspect.
 func (r *Router) advance(now time.Duration) {
-	if r.advancedAt != 0 && now-r.advancedAt > hostPauseThreshold {
-		r.resumedAt = now
+	if r.advancedAt != 0 && now-r.advancedAt > HostPauseThreshold {
+		r.evidenceSince = now + BacklogTime
 		r.openings.reset()
 	}
 	r.advancedAt = now
@@ -139,7 +142,9 @@
 	s.opened(now)
 	f = &flow{server: s, opening: p.Seq, next: p.Seq + 1, sentAt: now, openedAt: now, lastAt: now}
 	r.table.add(key, f)
-	r.openings.add(opening{key: key, flow: f, server: s, at: now})
+	if now >= r.evidenceSince {
+		r.openings.add(opening{key: key, flow: f, server: s, at: now})
+	}
 	reason := NewFlow
 	if p.Copy > 0 {
 		reason = OpeningCopy
@@ -157,7 +162,7 @@
 // retryOpening chooses another backend server for a retransmitted opening packet, if there is one.
 func (r *Router) retryOpening(p *Packet, f *flow, rt *route, now time.Duration) Verdict {
 	f.lastAt = now
-	if f.sentAt >= max(f.server.lastAnswerAt, r.resumedAt) {
+	if f.sentAt >= max(f.server.lastAnswerAt, r.evidenceSince) {
 		f.server.suspect(OpeningRepeated, now)
 		r.requestCheck(f.server, now)
 	}
@@ -245,13 +250,12 @@
 // Retransmitted data may mean that the answer is missing, which a check determines.
 func (r *Router) observe(f *flow, p *Packet, now time.Duration) {
 	s := f.server
-	if latency := f.openingLatency(now); latency > 0 {
+	if latency := f.openingLatency(now); latency > 0 && f.sentAt >= r.evidenceSince {
 		r.openings.answered(latency)
 	}
 	if !f.open || newer(p.Ack, f.ack) {
 		f.open, f.ack = true, p.Ack
-		s.answered(now)
-		r.recordAnswer(s)
+		r.recordAnswer(s, now)
 	}
 	if p.Length == 0 {
 		return
@@ -262,7 +266,7 @@
 		f.sentAt = now
 		return
 	}
-	if end == f.next && f.sentAt >= max(s.lastAnswerAt, r.resumedAt, now-retransmitWindow) {
+	if end == f.next && f.sentAt >= max(s.lastAnswerAt, r.evidenceSince, now-retransmitWindow) {
 		r.requestCheck(s, now)
 	}
 }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -39,9 +39,10 @@
 		err     error
 	}
 	fetchEnd struct {
-		from netip.AddrPort
-		copy *gossip.Copy
-		err  error
+		from      netip.AddrPort
+		startedAt time.Duration
+		copy      *gossip.Copy
+		err       error
 	}
 	queryEvent struct {
 		query gossip.Query
@@ -65,6 +66,7 @@
 	members  *gossip.Members
 	seeds    []netip.AddrPort
 	limits   Limits
+	pauses   pauseDetector
 
 	fetching         bool            // a fetch from another host is running
 	fetchAfter       time.Duration   // earliest time of the next fetch
@@ -106,8 +108,10 @@
 	for {
 		select {
 		case e := <-c.events:
+			c.detectPause()
 			c.handle(ctx, e)
 		case <-ticker.C:
+			c.detectPause()
 		case <-ctx.Done():
 			return nil
 		}
@@ -132,6 +136,16 @@
 	}
 }
 
+// detectPause records a pause of this host. It runs before an event is handled, as the pause explains its age.
+func (c *control) detectPause() {
+	pause := c.pauses.ran(c.host.now())
+	if pause == 0 {
+		return
+	}
+	c.members.Resumed(pause)
+	level.Info(c.logger).Log("msg", "host was paused", "for", pause, "revision", c.state.Revision())
+}
+
 // onReload applies the seeds and limits of e if they have changed.
 func (c *control) onReload(e reload) {
 	if slices.Equal(e.seeds, c.seeds) && e.limits == c.limits {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -99,7 +99,7 @@
 		return
 	}
 	if m.Confirmed() && m.Revision == c.state.Revision() {
-		c.confirm(now - time.Duration(m.AgeMs)*time.Millisecond)
+		c.confirm(now - c.pauses.waited(now) - time.Duration(m.AgeMs)*time.Millisecond)
 	}
 }
 
@@ -193,7 +193,7 @@
 	query := gossip.Query{After: c.state.Revision(), ConfigVersion: c.state.ConfigVersion()}
 	go func() {
 		answer, err := gossip.Fetch(ctx, from.Addr, query)
-		c.post(ctx, fetchEnd{from: from.Addr, copy: answer, err: err})
+		c.post(ctx, fetchEnd{from: from.Addr, startedAt: now, copy: answer, err: err})
 	}()
 }
 
@@ -220,7 +220,7 @@
 	}
 	c.follower.CopyReceived()
 	if e.copy.AgeMs > gossip.NeverConfirmed {
-		c.confirm(now - time.Duration(e.copy.AgeMs)*time.Millisecond)
+		c.confirm(e.startedAt - time.Duration(e.copy.AgeMs)*time.Millisecond)
 	}
 	c.propagateChanges(changed, before, e.from)
 }
--- /dev/null
+++ b/internal/entry/peers_test.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/gossip"
+	"github.com/nutmeglatch/nutmeglatch/internal/registry"
+)
+
+// idleControl returns the control state of a host that has run for a minute without any event.
+func idleControl() *control {
+	host := New(Config{Peer: netip.MustParseAddrPort("10.0.0.1:7000"), DataCentre: "a", Limits: DefaultLimits(3 * time.Second)}, nil, nil, log.NewNopLogger())
+	host.started = time.Now().Add(-time.Minute)
+	return host.control
+}
+
+// listenUDP returns a socket on the loopback network.
+func listenUDP(t *testing.T) *net.UDPConn {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// Guards against a copy that took seconds to arrive and counts as confirmed when it arrives. Changes made meanwhile would
+// be missed for longer than hosts may be behind, and a removed backend server would stay in use.
+func TestConfirmationOfASlowCopy(t *testing.T) {
+	const (
+		transferTime = 5 * time.Second
+		ageAtSender  = 200 * time.Millisecond
+	)
+	c := idleControl()
+	copied := &gossip.Copy{Loaded: true, Full: true, Revision: 7, AgeMs: ageAtSender.Milliseconds(), Updates: []registry.Update{
+		{Key: "config", Revision: 7, Config: &registry.Config{Version: 1}},
+	}}
+	startedAt := c.host.now() - transferTime
+	c.onFetchEnd(fetchEnd{from: netip.MustParseAddrPort("10.0.0.2:7000"), startedAt: startedAt, copy: copied})
+	if at, ok := c.follower.Confirmed(); !ok || at > startedAt-ageAtSender {
+		t.Errorf("confirmed at %v (%v), but the copy was requested at %v and %v old then", at, ok, startedAt, ageAtSender)
+	}
+}
+
+// Guards against a host that was frozen and takes the confirmations in messages that have waited in its socket's buffer for
+// present ones, so that it decides by contents that are seconds old and does not ask the store.
+func TestConfirmationInAMessageFromBeforeAPause(t *testing.T) {
+	const pause = 5 * time.Second
+	c := idleControl()
+	other := listenUDP(t)
+	c.conn = listenUDP(t)
+	c.state.Replace([]registry.Update{{Key: "config", Revision: 7, Config: &registry.Config{Version: 1}}}, 7, 0)
+	now := c.host.now()
+	c.pauses.ran(now - pause)
+	c.detectPause()
+	message := &gossip.Message{From: gossip.Host{Addr: other.LocalAddr().(*net.UDPAddr).AddrPort(), DataCentre: "a"}, Revision: 7, AgeMs: 100, OutageAgeMs: gossip.NoRecentOutage}
+	c.onMessage(t.Context(), message)
+	if at, _ := c.follower.Confirmed(); at > now-pause {
+		t.Errorf("confirmed %v ago, but the message may be as old as the pause of %v", c.host.now()-at, pause)
+	}
+	c.pauses.backlogUntil = 0
+	c.onMessage(t.Context(), message)
+	if at, ok := c.follower.Confirmed(); !ok || at < now-time.Second {
+		t.Errorf("a message of the present confirms as of %v ago", c.host.now()-at)
+	}
+}
--- /dev/null
+++ b/internal/gossip/pause.go
@@ -0,0 +1,23 @@
+package gossip
+
+import "time"
+
+// Resumed records that this host was paused until now. It received nothing meanwhile, so the pause is no silence of the
+// others: all times of their messages are moved by it.
+func (m *Members) Resumed(pause time.Duration) {
+	for _, h := range m.members {
+		if h.lastMessageAt >= 0 {
+			h.lastMessageAt += pause
+		}
+	}
+	for dataCentre := range m.lastContact {
+		m.lastContact[dataCentre] += pause
+	}
+	for dataCentre := range m.reportedContact {
+		m.reportedContact[dataCentre] += pause
+	}
+	if m.lastPeerMessageAt >= 0 {
+		m.lastPeerMessageAt += pause
+	}
+	m.readerSeenAt += pause
+}
