healthcheck: ranked hosts check a backend server, and share what they find

Cause: each host learned alone that a backend server had stopped. It lost its own callers' first tries and opened its own checks, up to two connections every 0.5 s and host. And one host's view was enough to reset flows.

Change: a new package decides who checks and what the results mean. A host whose callers' packets go unanswered asks the two hosts of its data centre that rank first for the server. Their findings go back to those that asked and, if unfavourable, spread within the data centre. A server is silent, so that its flows are reset, if the checks of two hosts failed, or the check of one and another one's callers went without an answer; by a single check it is suspect. Only a host that has no other one to ask decides alone: it is the only one of its data centre, or four checkers left it without an answer. Other hosts' findings make at most half of a service avoided. They expire after 2 s, name the start of the server that they mean, and are outweighed by any later answer that the host sees itself.

Messages are datagrams of their own format, so older hosts drop only these and go on as before; the new ones then check by themselves. They carry no addresses: a host connects only to servers that its own registry names.

--- a/internal/affinity/check.go
+++ b/internal/affinity/check.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/registry"
 )
 
 const (
@@ -13,10 +15,17 @@
 	maxReferenceAge = 5 * time.Second
 )
 
+// Instance identifies one start of a backend server.
+type Instance struct {
+	Identity  uint64
+	StartedMs int64 // 0: unknown
+}
+
 // CheckRequest asks the user of the Router to test whether a backend server accepts connections. Callers' packets alone
 // cannot distinguish a failed backend server from a busy one, which acknowledges a request only with its response.
 type CheckRequest struct {
 	ServerID string
+	Instance Instance
 	Addr     netip.AddrPort
 	// Reference is the address of another backend server, one that has answered recently. If it does not answer promptly
 	// either, a missing answer is attributed to this host's own link or processor.
@@ -45,18 +54,53 @@
 	startedAt time.Duration
 }
 
-// requestCheck queues a check of a server that left packets unanswered. Draining servers are not checked, because they
-// may refuse new connections while they still serve their flows.
+// requestCheck queues a request for a check of a server that left packets unanswered.
 func (r *Router) requestCheck(s *server, now time.Duration) {
-	if s.check.running || s.Draining || s.drained || s.check.startedAt != 0 && now-s.check.startedAt < minCheckInterval {
+	if s.Draining || s.drained || s.checkRequestedAt != 0 && now-s.checkRequestedAt < minCheckInterval {
 		return
 	}
+	s.checkRequestedAt = now
+	r.checks = append(r.checks, s.instance())
+}
+
+// StartCheck returns the check of a backend server, which the user of the Router must perform. It returns false if the
+// server is unknown or has just been checked, if no other server can serve as the reference, or if the server drains: it
+// may refuse new connections then while it still serves its flows.
+func (r *Router) StartCheck(i Instance, now time.Duration) (CheckRequest, bool) {
+	s := r.serverOf(i)
+	if s == nil || s.check.running || s.Draining || s.check.startedAt != 0 && now-s.check.startedAt < minCheckInterval {
+		return CheckRequest{}, false
+	}
 	reference := r.reference(s, now)
 	if reference == nil {
-		return
+		return CheckRequest{}, false
 	}
 	s.check = check{running: true, startedAt: now}
-	r.checks = append(r.checks, CheckRequest{ServerID: s.ID, Addr: s.Addr, Reference: reference.Addr})
+	return CheckRequest{ServerID: s.ID, Instance: i, Addr: s.Addr, Reference: reference.Addr}, true
+}
+
+// Checking reports whether a check of an instance has been started and has not ended.
+func (r *Router) Checking(i Instance) bool {
+	s := r.serverOf(i)
+	return s != nil && s.check.running
+}
+
+// ServerID returns the ID of a backend server for logs, or "" if it is unknown.
+func (r *Router) ServerID(i Instance) string {
+	if s := r.serverOf(i); s != nil {
+		return s.ID
+	}
+	return ""
+}
+
+// serverOf returns the server of an instance, or nil if it is unknown, has been restarted or has left its address to another
+// one. The server may have lost its entry while the store was unavailable.
+func (r *Router) serverOf(i Instance) *server {
+	s := r.byToken[(&registry.BackendServer{Identity: i.Identity}).Token()]
+	if s == nil || s.drained || s.instance() != i {
+		return nil
+	}
+	return s
 }
 
 // reference returns a server other than s that has answered recently, or nil.
@@ -81,33 +125,77 @@
 	}
 }
 
-// TakeChecks returns the queued checks and empties the queue. The slice is valid until the next call of a Router method.
-func (r *Router) TakeChecks() []CheckRequest {
+// TakeChecks returns the backend servers that are to be checked and empties the list. The slice is valid until the next call
+// of a Router method.
+func (r *Router) TakeChecks() []Instance {
 	checks := r.checks
 	r.checks = r.checks[:0]
 	return checks
 }
 
-// HandleCheckResult processes the result of a check. A server that did not accept the connection becomes Silent and its
-// flows are reset, unless it drains, a caller's packet has acknowledged an answer from it since the check started, or this
-// host was paused meanwhile.
-func (r *Router) HandleCheckResult(id string, outcome CheckOutcome, now time.Duration) {
-	s := r.servers[id]
+// HandleCheckResult ends a check and returns what its outcome says: Accepts if a caller's packet has acknowledged an answer
+// of the server since the check started, and Unchecked if this host was paused meanwhile or the server has gone.
+func (r *Router) HandleCheckResult(i Instance, outcome CheckOutcome, now time.Duration) CheckOutcome {
+	s := r.serverOf(i)
 	if s == nil || !s.check.running {
-		return
+		return Unchecked
 	}
 	s.check.running = false
 	switch {
-	case outcome == Accepts || outcome == Unchecked || s.lastAnswerAt >= s.check.startedAt || s.Draining || s.drained:
+	case outcome == Accepts || outcome == Unchecked:
+		return outcome
+	case s.lastAnswerAt >= s.check.startedAt:
+		return Accepts
 	case s.check.startedAt < r.evidenceSince && outcome == NoAnswer:
-	default:
-		s.silentUntil, s.healthCause = now+silentPeriod, causeOf(outcome)
-		r.healthChanges.add(s, Silent, s.healthCause, now, silentPeriod)
+		return Unchecked
+	}
+	return outcome
+}
+
+// maxAvoidedDivisor bounds what other hosts' findings can do: servers are avoided by them while at most one in
+// maxAvoidedDivisor of the service is suspect or silent.
+const maxAvoidedDivisor = 2
+
+// SetHealth puts in force what the evidence of this and other hosts says about a backend server: Suspect, or Silent, which
+// also resets its flows. An answer that this host has observed after since outweighs it, and draining servers are left
+// alone. Without evidence of this host's own, it returns false once too many servers of the service are avoided.
+func (r *Router) SetHealth(i Instance, h Health, c Cause, since time.Duration, ownEvidence bool, now time.Duration) bool {
+	s := r.serverOf(i)
+	if s == nil || s.Draining || s.lastAnswerAt >= since || h == Answers {
+		return false
+	}
+	if !ownEvidence && !s.suspectOrSilent(now) && r.avoidsTooMany(s.Service, now) {
+		return false
+	}
+	if h == Suspect {
+		s.suspect(c, now)
+		return true
+	}
+	if s.silentUntil <= now {
 		r.scheduleResets(s, BackendServerSilent)
 	}
+	s.silentUntil, s.healthCause = now+silentPeriod, c
+	r.healthChanges.add(s, Silent, s.healthCause, now, silentPeriod)
+	return true
+}
+
+// avoidsTooMany reports whether one more suspect server would exceed the share that maxAvoidedDivisor allows.
+func (r *Router) avoidsTooMany(service string, now time.Duration) bool {
+	sv := r.services[service]
+	if sv == nil {
+		return true
+	}
+	avoided := 1
+	for _, s := range sv.servers {
+		if s.suspectOrSilent(now) {
+			avoided++
+		}
+	}
+	return avoided*maxAvoidedDivisor > len(sv.servers)
 }
 
-func causeOf(outcome CheckOutcome) Cause {
+// CauseOf returns the cause that an unfavourable outcome of a check is.
+func CauseOf(outcome CheckOutcome) Cause {
 	if outcome == Refuses {
 		return ConnectionRefused
 	}
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -46,7 +46,7 @@
 	table         flowTable
 	openings      openings
 	healthChanges healthChanges
-	checks        []CheckRequest
+	checks        []Instance // backend servers that are to be checked
 	lastAnswering [2]*server // the two servers that answered most recently, the latest first
 	seed          maphash.Seed
 	rotation      uint32        // offset that varies which of equally ranked servers is chosen
--- a/internal/affinity/server.go
+++ b/internal/affinity/server.go
@@ -45,10 +45,17 @@
 	healthCause  Cause         // evidence for the present suspicion or silence
 	check        check
 
+	checkRequestedAt time.Duration // last request for a check, by this host or another one
+
 	coldWindow time.Duration // start of the present window of cold admission
 	coldTaken  int           // new flows sent in that window
 }
 
+// instance returns the present instance of the server.
+func (s *server) instance() Instance {
+	return Instance{Identity: s.Identity, StartedMs: s.StartedMs}
+}
+
 // markRemoved records that the server's entry has left the view.
 func (s *server) markRemoved(now time.Duration) {
 	s.present, s.removedAt, s.drained = false, now, s.Draining
--- a/internal/entry/checker.go
+++ b/internal/entry/checker.go
@@ -27,8 +27,8 @@
 
 // checkResult is the result of the check of a backend server.
 type checkResult struct {
-	id      string
-	outcome affinity.CheckOutcome
+	instance affinity.Instance
+	outcome  affinity.CheckOutcome
 }
 
 // checker checks whether backend servers accept connections. It sends no data on them.
@@ -53,13 +53,13 @@
 	select {
 	case c.running <- struct{}{}:
 	default:
-		c.add(checkResult{id: request.ServerID, outcome: affinity.Unchecked})
+		c.add(checkResult{instance: request.Instance, outcome: affinity.Unchecked})
 		return
 	}
 	go func() {
 		outcome := c.connect.check(request)
 		<-c.running
-		c.add(checkResult{id: request.ServerID, outcome: outcome})
+		c.add(checkResult{instance: request.Instance, outcome: outcome})
 		c.wake()
 	}()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,7 @@
 	updates       chan pendingUpdate // pending update for the traffic goroutine; holds at most one
 	pendingUpdate atomic.Bool        // an update has been sent since the traffic goroutine last took one
 	control       *control
+	checkInbox    checkInbox
 	loads         atomic.Pointer[[]affinity.Load] // open flows of this host, reported to other hosts
 	// confirmedAt is when the registry was last confirmed to match the store, in nanoseconds of now, or
 	// gossip.NeverConfirmed.
--- /dev/null
+++ b/internal/entry/healthchecks.go
@@ -0,0 +1,214 @@
+package entry
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/affinity"
+	"github.com/nutmeglatch/nutmeglatch/internal/healthcheck"
+)
+
+const (
+	// findingInterval is the minimum time between two datagrams with findings to a sample of the hosts.
+	findingInterval = 250 * time.Millisecond
+	// findingFanOut is the number of hosts of the own data centre that a finding is passed on to.
+	findingFanOut = 3
+	// maxPendingFindings is the maximum number of findings that wait to be passed on; further ones are not.
+	maxPendingFindings = 64
+	// maxInbox is the maximum number of messages about checks that wait for the traffic goroutine.
+	maxInbox = 256
+)
+
+// checkMessage is a message about checks from another host.
+type checkMessage struct {
+	from    netip.AddrPort
+	message *healthcheck.Message
+}
+
+// checkInbox holds messages that the control goroutine has received for the traffic goroutine.
+type checkInbox struct {
+	mu       sync.Mutex
+	messages []checkMessage
+	wake     func() // called when a message is available
+}
+
+// put adds a message. It reports whether there was room.
+func (i *checkInbox) put(m checkMessage) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if len(i.messages) >= maxInbox {
+		return false
+	}
+	i.messages = append(i.messages, m)
+	i.wake()
+	return true
+}
+
+// take returns the messages and empties the inbox.
+func (i *checkInbox) take() []checkMessage {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	messages := i.messages
+	i.messages = nil
+	return messages
+}
+
+// healthChecks runs the checks of this host and exchanges their findings with the other hosts of its data centre. The
+// traffic goroutine owns it.
+type healthChecks struct {
+	traffic *traffic
+	state   *healthcheck.State
+	hosts   []affinity.Host // of the fleet that the state's peers come from
+	checker *checker
+	pending []healthcheck.Finding // to be passed on
+	sentAt  time.Duration         // when findings were last passed on
+}
+
+// run handles what has happened since the last call: doubts of the router, results of checks, and messages.
+func (h *healthChecks) run(now time.Duration) {
+	for _, m := range h.traffic.host.checkInbox.take() {
+		h.receive(m, now)
+	}
+	for _, result := range h.checker.takeResults() {
+		h.checked(result, now)
+	}
+	for _, i := range h.traffic.router.TakeChecks() {
+		h.doubt(i, now)
+	}
+	h.passOn(now)
+}
+
+// doubt has a backend server checked whose answers to this host's callers are missing.
+func (h *healthChecks) doubt(i affinity.Instance, now time.Duration) {
+	plan := h.state.Doubt(i, now)
+	if plan.CheckSelf {
+		h.check(i, now)
+	}
+	if len(plan.Ask) > 0 {
+		checksAsked.Add(len(plan.Ask))
+		h.send(plan.Ask, &healthcheck.Message{Asks: []affinity.Instance{i}}, now)
+	}
+	h.decide(i, now)
+}
+
+// check starts a check by this host. If it can't check the backend server, the hosts that asked for it are told at once.
+func (h *healthChecks) check(i affinity.Instance, now time.Duration) {
+	request, ok := h.traffic.router.StartCheck(i, now)
+	switch {
+	case ok:
+		h.checker.start(request)
+	case !h.traffic.router.Checking(i):
+		h.report(i, affinity.Unchecked, now)
+	}
+}
+
+// checked handles the result of a check by this host.
+func (h *healthChecks) checked(result checkResult, now time.Duration) {
+	outcome := h.traffic.router.HandleCheckResult(result.instance, result.outcome, now)
+	countCheck(outcome)
+	h.report(result.instance, outcome, now)
+}
+
+// report records this host's finding, tells the hosts that asked for it, and queues an unfavourable one for the others.
+func (h *healthChecks) report(i affinity.Instance, outcome affinity.CheckOutcome, now time.Duration) {
+	finding, waiting := h.state.Checked(i, outcome, now)
+	h.send(waiting, &healthcheck.Message{Findings: []healthcheck.Finding{finding}}, now)
+	if outcome == affinity.Refuses || outcome == affinity.NoAnswer {
+		h.log("check of a backend server failed", &finding, now)
+		h.enqueue(finding)
+	}
+	h.decide(i, now)
+}
+
+// receive handles a message of another host.
+func (h *healthChecks) receive(m checkMessage, now time.Duration) {
+	if !h.state.IsPeer(m.from) {
+		checkMessagesRefused.Inc()
+		return
+	}
+	for _, i := range m.message.Asks {
+		answer, check := h.state.Asked(m.from, i, now)
+		if answer != nil {
+			h.send([]netip.AddrPort{m.from}, &healthcheck.Message{Findings: []healthcheck.Finding{*answer}}, now)
+		}
+		if check {
+			h.check(i, now)
+		}
+	}
+	for _, f := range m.message.Findings {
+		if h.state.Receive(f, now) {
+			h.log("another host's check of a backend server failed", &f, now)
+			h.enqueue(f)
+		}
+		h.decide(f.Instance, now)
+	}
+}
+
+// decide puts the present verdict about a backend server in force.
+func (h *healthChecks) decide(i affinity.Instance, now time.Duration) {
+	v := h.state.Verdict(i, now)
+	h.traffic.router.SetHealth(i, v.Health, v.Cause, v.Since, v.OwnEvidence, now)
+}
+
+// enqueue adds a finding to those that are passed on.
+func (h *healthChecks) enqueue(f healthcheck.Finding) {
+	if len(h.pending) >= maxPendingFindings {
+		findingsDropped.Inc()
+		return
+	}
+	h.pending = append(h.pending, f)
+}
+
+// passOn sends pending findings to other hosts of the own data centre, a datagram in each findingInterval at most.
+func (h *healthChecks) passOn(now time.Duration) {
+	if len(h.pending) == 0 || now-h.sentAt < findingInterval {
+		return
+	}
+	h.sentAt = now
+	n := min(len(h.pending), healthcheck.MaxFindings)
+	h.send(h.state.SamplePeers(findingFanOut), &healthcheck.Message{Findings: h.pending[:n]}, now)
+	h.pending = append(h.pending[:0], h.pending[n:]...)
+}
+
+func (h *healthChecks) send(receivers []netip.AddrPort, m *healthcheck.Message, now time.Duration) {
+	if len(receivers) == 0 {
+		return
+	}
+	b, err := healthcheck.Encode(m, now)
+	if err != nil {
+		level.Error(h.traffic.logger).Log("msg", "encoding a message about checks failed", "err", err)
+		return
+	}
+	for _, to := range receivers {
+		if _, err := h.traffic.host.control.conn.WriteToUDPAddrPort(b, to); err != nil {
+			peerErrors.Inc()
+			level.Debug(h.traffic.logger).Log("msg", "sending a message about checks failed", "to", to, "err", err)
+		}
+	}
+}
+
+func (h *healthChecks) log(msg string, f *healthcheck.Finding, now time.Duration) {
+	t := h.traffic
+	t.healthLimiter.do(now, func() {
+		level.Info(t.logger).Log("msg", msg, "server", t.router.ServerID(f.Instance), "outcome", f.Outcome, "checker", f.Checker,
+			"age", now-f.At)
+	})
+}
+
+// setPeers replaces the hosts that checks are shared with, the others of the own data centre.
+func (h *healthChecks) setPeers(f *affinity.Fleet) {
+	if len(f.Hosts) == len(h.hosts) && (len(f.Hosts) == 0 || &f.Hosts[0] == &h.hosts[0]) {
+		return // the slice is replaced when the hosts change
+	}
+	h.hosts = f.Hosts
+	var peers []netip.AddrPort
+	for _, other := range f.Hosts {
+		if other.DataCentre == f.Self.DataCentre {
+			peers = append(peers, other.Addr)
+		}
+	}
+	h.state.SetPeers(peers)
+}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -19,7 +19,12 @@
 	linesLost        = metrics.NewCounter(`nutmeglatch_entry_log_lines_total{outcome="queue_full"}`)
 	fetchFailures    = metrics.NewCounter(`nutmeglatch_entry_fetch_failures_total`)
 	bootstrapReplies = metrics.NewCounter(`nutmeglatch_entry_introductions_total`)
-	configVersion    = metrics.NewGauge(`nutmeglatch_entry_config_version`, nil)
+	// checkMessagesRefused counts messages about checks from hosts that are unknown or of another data centre.
+	checkMessagesRefused = metrics.NewCounter(`nutmeglatch_entry_dropped_total{port="peer",reason="not_of_own_data_centre"}`)
+
+	checksAsked     = metrics.NewCounter(`nutmeglatch_healthcheck_requests_total`)
+	findingsDropped = metrics.NewCounter(`nutmeglatch_healthcheck_findings_dropped_total`)
+	configVersion   = metrics.NewGauge(`nutmeglatch_entry_config_version`, nil)
 
 	openingTime   = metrics.NewHistogram(`nutmeglatch_affinity_opening_answer_seconds`)
 	storeCallTime = metrics.NewHistogram(`nutmeglatch_follower_call_seconds`)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/gossip"
+	"github.com/nutmeglatch/nutmeglatch/internal/healthcheck"
 	"github.com/nutmeglatch/nutmeglatch/internal/registry"
 )
 
@@ -66,8 +67,13 @@
 			level.Debug(c.logger).Log("msg", "read from peer socket failed", "err", err)
 			continue
 		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		if healthcheck.IsMessage(buffer[:n]) {
+			c.receiveCheckMessage(buffer[:n], from)
+			continue
+		}
 		m, err := gossip.Decode(buffer[:n])
-		if err != nil || m.From.Addr != netip.AddrPortFrom(from.Addr().Unmap(), from.Port()) {
+		if err != nil || m.From.Addr != from {
 			peerMalformed.Inc()
 			level.Debug(c.logger).Log("msg", "malformed message dropped", "from", from, "err", err)
 			continue
@@ -80,6 +86,20 @@
 	}
 }
 
+// receiveCheckMessage hands a message about checks over to the traffic goroutine. It drops malformed messages, and all
+// messages while the inbox is full.
+func (c *control) receiveCheckMessage(b []byte, from netip.AddrPort) {
+	m, err := healthcheck.Decode(b, c.host.now())
+	if err != nil {
+		peerMalformed.Inc()
+		level.Debug(c.logger).Log("msg", "malformed message about checks dropped", "from", from, "err", err)
+		return
+	}
+	if !c.host.checkInbox.put(checkMessage{from: from, message: m}) {
+		eventsDropped.Inc()
+	}
+}
+
 // onMessage handles a message of another host: it applies its changes, fetches missing ones, or takes over its confirmation
 // of the registry.
 func (c *control) onMessage(ctx context.Context, m *gossip.Message) {
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -13,6 +14,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/affinity"
+	"github.com/nutmeglatch/nutmeglatch/internal/healthcheck"
 	"github.com/nutmeglatch/nutmeglatch/internal/registry"
 )
 
@@ -37,7 +39,7 @@
 	logger        log.Logger
 	flowLimiter   logLimiter // log lines about flows
 	healthLimiter logLimiter // log lines about the health of backend servers
-	checker       *checker
+	checks        *healthChecks
 	queries       chan query
 	lastPacket    atomic.Int64 // arrival of the last packet, in nanoseconds of Host.now
 	view          *registry.View
@@ -51,16 +53,20 @@
 	c := affinity.Config{MaxFlows: h.config.Limits.MaxFlows, IdleTimeout: h.config.Limits.FlowIdle}
 	router := affinity.NewRouter(c, self)
 	router.SetFleet(affinity.Fleet{Self: self, Starting: true})
-	return &traffic{
+	t := &traffic{
 		host:          h,
 		conn:          conn,
 		router:        router,
 		logger:        log.With(h.logger, "part", "flow"),
-		checker:       newChecker(func() { interrupt(conn) }),
 		queries:       make(chan query, maxQueries),
 		flowLimiter:   logLimiter{perSecond: h.config.Limits.FlowLinesPerS},
 		healthLimiter: logLimiter{perSecond: h.config.Limits.FlowLinesPerS},
 	}
+	wake := func() { interrupt(conn) }
+	h.checkInbox.wake = wake
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	t.checks = &healthChecks{traffic: t, state: healthcheck.New(h.config.Peer, random), checker: newChecker(wake)}
+	return t
 }
 
 // interrupt wakes the traffic goroutine while it waits for a packet, by a read deadline in the past.
@@ -129,7 +135,7 @@
 	return err
 }
 
-// runPending runs an operator's query, handles results of checks, applies a pending update and sweeps the flow table when
+// runPending runs an operator's query, handles messages about checks and their results, applies a pending update and sweeps the flow table when
 // that is due.
 func (t *traffic) runPending(now time.Duration) {
 	select {
@@ -137,10 +143,6 @@
 		q(t.router, now)
 	default:
 	}
-	for _, result := range t.checker.takeResults() {
-		countCheck(result.outcome)
-		t.router.HandleCheckResult(result.id, result.outcome, now)
-	}
 	t.flushRouter(now)
 	if t.host.pendingUpdate.Swap(false) {
 		select {
@@ -152,6 +154,7 @@
 	if now-t.sweptAt >= sweepInterval {
 		t.sweptAt = now
 		t.router.Sweep(now)
+		t.checks.state.Sweep(now)
 		t.flushRouter(now)
 		loads := t.router.Loads(now)
 		t.host.loads.Store(&loads)
@@ -161,6 +164,7 @@
 func (t *traffic) applyUpdate(u pendingUpdate) {
 	if u.fleet != nil {
 		t.router.SetFleet(*u.fleet)
+		t.checks.setPeers(u.fleet)
 	}
 	for _, v := range u.views {
 		t.view = v
@@ -208,16 +212,14 @@
 	}
 }
 
-// flushRouter sends the resets that the router has queued for flows of lost backend servers, starts the checks that it
-// requests, and logs the health changes and the resets.
+// flushRouter starts the checks that the router requests, sends the resets that it has queued for flows of lost backend
+// servers, and logs the health changes and the resets.
 func (t *traffic) flushRouter(now time.Duration) {
+	t.checks.run(now)
 	resets := t.router.TakeResets()
 	for _, r := range resets {
 		t.reset(r.Key, r.Seq)
 	}
-	for _, c := range t.router.TakeChecks() {
-		t.checker.start(c)
-	}
 	t.logHealthChanges()
 	for _, r := range resets {
 		countReset(r)
--- /dev/null
+++ b/internal/healthcheck/state.go
@@ -0,0 +1,315 @@
+// Package healthcheck decides which entry hosts check a backend server that leaves packets unanswered, and what the results
+// of several hosts mean.
+//
+// A host whose callers' packets go unanswered asks the checkers of the backend server: two hosts of its own data centre that
+// rank first for it. Their findings spread within the data centre. So the number of connections to a backend server in doubt
+// does not grow with the fleet, and no host alone can have a backend server given up, not even for itself. Findings stay in
+// their data centre, because other data centres reach the backend server over other links.
+package healthcheck
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/affinity"
+)
+
+const (
+	// checkersPerServer is the number of hosts of a data centre that check a backend server.
+	checkersPerServer = 2
+	// answerTimeout is the time that checkers have to answer: the longest check, and the way there and back.
+	answerTimeout = 400 * time.Millisecond
+	// reuseTime is how long the result of a check answers further hosts that ask for one.
+	reuseTime = 500 * time.Millisecond
+	// maxAttempts is the number of times that checkers may leave a host without an answer before it checks a backend server
+	// itself. Each time it asks the hosts that rank next.
+	maxAttempts = 2
+	// evidenceLifetime is how long findings and other evidence count.
+	evidenceLifetime = 2 * time.Second
+	// recordRetention is how long a backend server is remembered after the last event.
+	recordRetention = 2 * evidenceLifetime
+	// maxRecords is the maximum number of backend servers remembered.
+	maxRecords = 4096
+	// maxWaiting is the maximum number of hosts that get the result of a check.
+	maxWaiting = 16
+	// never is the time of an event that has not happened.
+	never = -time.Hour
+)
+
+// Finding is the result of a check by some host.
+type Finding struct {
+	Instance affinity.Instance
+	Outcome  affinity.CheckOutcome
+	Checker  uint32        // digest of the checker's address
+	At       time.Duration // when the check ended, on this host's clock
+}
+
+// unfavourable reports whether the finding speaks against the backend server.
+func (f *Finding) unfavourable() bool {
+	return f.Outcome == affinity.Refuses || f.Outcome == affinity.NoAnswer
+}
+
+// Plan is the answer to a doubt: what to do to have the backend server checked.
+type Plan struct {
+	CheckSelf bool
+	Ask       []netip.AddrPort // hosts to ask for a check
+}
+
+// Verdict is what the evidence about a backend server amounts to.
+type Verdict struct {
+	Health affinity.Health // Answers: nothing speaks against it
+	Cause  affinity.Cause
+	Since  time.Duration // of the oldest finding that counts; an answer after it outweighs the verdict
+	// OwnEvidence is set if this host's callers or its own check contributed. Otherwise only other hosts did.
+	OwnEvidence bool
+}
+
+// record is the evidence about an instance of a backend server.
+type record struct {
+	doubtedAt    time.Duration // last unanswered packets of this host's callers
+	askedFor     time.Duration // last time another host asked for a check, which is its evidence
+	askedAt      time.Duration // last time this host asked checkers
+	attempts     int           // number of times in a row that checkers left this host without an answer
+	awaited      bool          // checkers have been asked and none has answered
+	waiting      []netip.AddrPort
+	unfavourable []Finding // the latest of each checker
+	own          *Finding  // the last result of this host's own checks; nil: none
+	touchedAt    time.Duration
+}
+
+// State is the evidence that a host has about backend servers. It does no I/O and must be used by one goroutine only.
+type State struct {
+	self    uint32 // digest of the own address
+	hosts   []host // of the own data centre, this one first
+	records map[affinity.Instance]*record
+	random  *rand.Rand
+}
+
+// host is an entry host of the own data centre.
+type host struct {
+	addr   netip.AddrPort
+	digest uint32
+}
+
+// New returns a State without evidence.
+func New(self netip.AddrPort, random *rand.Rand) *State {
+	s := &State{self: Digest(self), records: map[affinity.Instance]*record{}, random: random}
+	s.SetPeers(nil)
+	return s
+}
+
+// Digest identifies a host in findings.
+func Digest(addr netip.AddrPort) uint32 { return uint32(xxhash.Sum64String(addr.String())) }
+
+// SetPeers replaces the other hosts of the own data centre.
+func (s *State) SetPeers(peers []netip.AddrPort) {
+	s.hosts = append(s.hosts[:0], host{digest: s.self})
+	for _, addr := range peers {
+		s.hosts = append(s.hosts, host{addr: addr, digest: Digest(addr)})
+	}
+}
+
+// SamplePeers returns up to n random other hosts of the own data centre.
+func (s *State) SamplePeers(n int) []netip.AddrPort {
+	peers := s.hosts[1:]
+	n = min(n, len(peers))
+	sample := make([]netip.AddrPort, 0, n)
+	for k := range n {
+		j := k + s.random.IntN(len(peers)-k)
+		peers[k], peers[j] = peers[j], peers[k]
+		sample = append(sample, peers[k].addr)
+	}
+	return sample
+}
+
+// IsPeer reports whether an address belongs to another host of the own data centre.
+func (s *State) IsPeer(addr netip.AddrPort) bool {
+	return slices.ContainsFunc(s.hosts, func(h host) bool { return h.addr == addr })
+}
+
+// record returns the record of an instance, or nil if there are too many.
+func (s *State) record(i affinity.Instance, now time.Duration) *record {
+	r := s.records[i]
+	if r == nil {
+		if len(s.records) >= maxRecords {
+			return nil
+		}
+		r = &record{doubtedAt: never, askedFor: never, askedAt: never}
+		s.records[i] = r
+	}
+	r.touchedAt = now
+	return r
+}
+
+// Sweep removes outdated records.
+func (s *State) Sweep(now time.Duration) {
+	for i, r := range s.records {
+		if now-r.touchedAt > recordRetention {
+			delete(s.records, i)
+		}
+	}
+}
+
+// Doubt records that packets of this host's callers to a backend server went unanswered.
+func (s *State) Doubt(i affinity.Instance, now time.Duration) Plan {
+	r := s.record(i, now)
+	if r == nil {
+		return Plan{}
+	}
+	r.doubtedAt = now
+	if r.awaited && now-r.askedAt < answerTimeout {
+		return Plan{}
+	}
+	if r.awaited {
+		r.attempts++
+	}
+	p := s.plan(i, r.attempts)
+	r.askedAt, r.awaited = now, len(p.Ask) > 0
+	return p
+}
+
+// plan returns the checkers to ask after a number of attempts that were left without an answer.
+func (s *State) plan(i affinity.Instance, attempts int) Plan {
+	if len(s.hosts) == 1 || attempts >= maxAttempts {
+		return Plan{CheckSelf: true}
+	}
+	var p Plan
+	ranked := s.ranked(i, (attempts+1)*checkersPerServer)
+	for _, h := range ranked[min(len(ranked), attempts*checkersPerServer):] {
+		if h.digest == s.self {
+			p.CheckSelf = true
+		} else {
+			p.Ask = append(p.Ask, h.addr)
+		}
+	}
+	p.CheckSelf = p.CheckSelf || len(p.Ask) == 0
+	return p
+}
+
+// ranked returns the first n hosts for an instance in rendezvous order.
+func (s *State) ranked(i affinity.Instance, n int) []host {
+	ranked := make([]host, 0, n+1)
+	for _, h := range s.hosts {
+		at, _ := slices.BinarySearchFunc(ranked, h, func(a, b host) int {
+			return cmp.Compare(rank(b, i), rank(a, i))
+		})
+		if at < n {
+			ranked = slices.Insert(ranked, at, h)[:min(len(ranked)+1, n)]
+		}
+	}
+	return ranked
+}
+
+// rank returns the rank of a host for an instance; the highest is first.
+func rank(h host, i affinity.Instance) uint64 {
+	const mix = 0x9e3779b97f4a7c15 // odd multiplier, spreads the bits
+	x := (i.Identity ^ uint64(h.digest)<<32 ^ uint64(h.digest)) * mix
+	return (x ^ x>>29) * mix
+}
+
+// Asked records that another host asks for a check. It returns the finding to answer with, if there is a recent one, and
+// whether this host is to check the backend server now.
+func (s *State) Asked(from netip.AddrPort, i affinity.Instance, now time.Duration) (answer *Finding, check bool) {
+	r := s.record(i, now)
+	if r == nil {
+		return nil, false
+	}
+	r.askedFor = now
+	if r.own != nil && now-r.own.At < reuseTime {
+		return r.own, false
+	}
+	if len(r.waiting) < maxWaiting && !slices.Contains(r.waiting, from) {
+		r.waiting = append(r.waiting, from)
+	}
+	return nil, true
+}
+
+// Checked records the result of this host's own check. It returns the hosts that asked for it.
+func (s *State) Checked(i affinity.Instance, o affinity.CheckOutcome, now time.Duration) (Finding, []netip.AddrPort) {
+	f := Finding{Instance: i, Outcome: o, Checker: s.self, At: now}
+	r := s.record(i, now)
+	if r == nil {
+		return f, nil
+	}
+	r.add(f)
+	r.own = &f
+	waiting := r.waiting
+	r.waiting = nil
+	return f, waiting
+}
+
+// Receive records a finding of another host. It reports whether the finding is new, so that it is to be passed on.
+func (s *State) Receive(f Finding, now time.Duration) bool {
+	if f.Checker == s.self || now-f.At >= evidenceLifetime {
+		return false
+	}
+	r := s.record(f.Instance, now)
+	if r == nil {
+		return false
+	}
+	r.awaited, r.attempts = false, 0
+	return r.add(f) && f.unfavourable()
+}
+
+// add stores a finding in place of an earlier one of the same checker. It reports whether it says something new.
+func (r *record) add(f Finding) bool {
+	at := slices.IndexFunc(r.unfavourable, func(o Finding) bool { return o.Checker == f.Checker })
+	switch {
+	case f.Outcome == affinity.Unchecked:
+		return false
+	case !f.unfavourable():
+		if at >= 0 {
+			r.unfavourable = slices.Delete(r.unfavourable, at, at+1)
+		}
+		return at >= 0
+	case at < 0:
+		r.unfavourable = append(r.unfavourable, f)
+		return true
+	}
+	isNew := f.At-r.unfavourable[at].At >= answerTimeout
+	if f.At > r.unfavourable[at].At {
+		r.unfavourable[at] = f
+	}
+	return isNew
+}
+
+// Verdict returns what the evidence about an instance amounts to. A backend server is silent if the checks of two hosts
+// failed, or the check of one and another one's callers went without an answer; the check of a single host makes it suspect.
+// A host that has no other one to ask decides alone.
+func (s *State) Verdict(i affinity.Instance, now time.Duration) Verdict {
+	v := Verdict{Since: now}
+	r := s.records[i]
+	if r == nil {
+		return v
+	}
+	own, others := 0, 0
+	for n := range r.unfavourable {
+		f := &r.unfavourable[n]
+		if now-f.At >= evidenceLifetime {
+			continue
+		}
+		if f.Checker == s.self {
+			own++
+		} else {
+			others++
+		}
+		v.Since = min(v.Since, f.At)
+		v.Cause = affinity.CauseOf(f.Outcome)
+	}
+	doubted, askedFor := now-r.doubtedAt < evidenceLifetime, now-r.askedFor < evidenceLifetime
+	v.OwnEvidence = own > 0 || doubted
+	alone := len(s.hosts) == 1 || r.attempts >= maxAttempts
+	switch {
+	case own+others == 0:
+	case own+others > 1, others > 0 && doubted, own > 0 && (askedFor || alone):
+		v.Health = affinity.Silent
+	default:
+		v.Health = affinity.Suspect
+	}
+	return v
+}
