--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -20,6 +20,7 @@
 	next     uint32        // sequence number that follows the caller's last data
 	sentAt   time.Duration // when this host first forwarded that data
 	ack      uint32        // last acknowledgement number of the caller
+	ackAt    time.Duration // when this host first saw it
 	open     bool          // the caller has acknowledged the backend server's answer to the opening packet
 	closed   bool
 	lastAt   time.Duration
@@ -35,6 +36,10 @@
 	return now - f.sentAt
 }
 
+// mayAwaitAnswer reports whether the caller may have sent a request that has not been answered. Data that another host has
+// forwarded is unknown to this one.
+func (f *flow) mayAwaitAnswer() bool { return f.sentAt == neverSent || f.sentAt >= f.ackAt }
+
 // flowTable keeps up to limit flows. Packets of flows beyond the limit are forwarded without keeping state.
 type flowTable struct {
 	flows       map[FlowKey]*flow
--- a/internal/affinity/harness_test.go
+++ b/internal/affinity/harness_test.go
@@ -41,7 +41,7 @@
 		Config: &registry.Config{
 			Version: 1,
 			Routes: []registry.Route{
-				{Name: "meter", Addr: meterAddr, Targets: []registry.Target{{Service: "meter", Weight: 1}}},
+				{Name: "meter", Addr: meterAddr, Targets: []registry.Target{{Service: "meter", Weight: 1}}, Idempotent: true},
 				{Name: "bill", Addr: billAddr, Targets: []registry.Target{{Service: "bill", Weight: 1}}},
 			},
 			Services: []registry.Service{{Name: "meter", ColdPeriod: 2 * time.Second}, {Name: "bill"}},
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -193,7 +193,7 @@
 	f = r.trackFlow(key, f, s, p, now)
 	latency := f.openingLatency(now)
 	r.observe(f, p, now)
-	if s.silentUntil > now {
+	if s.silentUntil > now && !r.mayBeRunning(key, f) {
 		return r.rejectLost(key, f, s, BackendServerSilent)
 	}
 	if p.Closing || p.Reset {
@@ -254,7 +254,7 @@
 		r.openings.answered(latency)
 	}
 	if !f.open || newer(p.Ack, f.ack) {
-		f.open, f.ack = true, p.Ack
+		f.open, f.ack, f.ackAt = true, p.Ack, now
 		r.recordAnswer(s, now)
 	}
 	if p.Length == 0 {
@@ -277,6 +277,14 @@
 	r.lostServers = append(r.lostServers, s)
 }
 
+// mayBeRunning reports whether a silent backend server may still answer a request of a flow that its caller must not repeat.
+// The server may only be paused; a reset would tell the caller nothing and make the answer useless. A server that refuses
+// connections has ended.
+func (r *Router) mayBeRunning(key FlowKey, f *flow) bool {
+	rt := r.routes[key.Service]
+	return (rt == nil || !rt.idempotent) && f.server.healthCause != ConnectionRefused && f.mayAwaitAnswer()
+}
+
 // collectResets collects the resets of all lost servers in one pass over the flows, however many servers are lost.
 func (r *Router) collectResets() {
 	if len(r.lostServers) == 0 {
@@ -284,7 +292,7 @@
 	}
 	for key, f := range r.table.flows {
 		s := f.server
-		if !s.resetsDue || f.closed || !f.open {
+		if !s.resetsDue || f.closed || !f.open || s.resetReason == BackendServerSilent && r.mayBeRunning(key, f) {
 			continue
 		}
 		r.resets = append(r.resets, FlowReset{Key: key, Seq: f.ack, Reason: s.resetReason, ServerID: s.ID})
--- a/internal/affinity/view.go
+++ b/internal/affinity/view.go
@@ -29,6 +29,7 @@
 	targets     []target
 	totalWeight uint64
 	regions     []string      // regions that new flows may go to; empty: all
+	idempotent  bool          // callers may repeat its requests
 	present     bool          // part of the configuration in force
 	seen        time.Duration // last time at which a configuration contained it
 }
@@ -230,7 +231,7 @@
 		r.routes[published.Addr] = rt
 	}
 	rt.present, rt.seen = true, now
-	rt.regions = published.Regions
+	rt.regions, rt.idempotent = published.Regions, published.Idempotent
 	rt.targets, rt.totalWeight = rt.targets[:0], 0
 	for _, t := range published.Targets {
 		sv := r.services[t.Service]
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -44,6 +44,8 @@
 	Addr    netip.AddrPort `json:"addr"`
 	Targets []Target       `json:"targets"`
 	Regions []string       `json:"regions,omitempty"` // regions that new flows may go to; empty: all
+	// Idempotent states that callers may repeat the requests of the route. Others run at most once.
+	Idempotent bool `json:"idempotent,omitempty"`
 }
 
 // Service holds the limits that a configuration sets for a service.
