affinity: the choice for a new flow costs the same at any number of servers

Cause: the choice looked at every backend server of the service twice, for the spillover and for the choice itself.

Change: the servers of a service are kept by data centre. Those that nothing speaks against form a heap by flows per slot and by their last turn; the others are a list that is looked at only when no data centre has a ready server. Sums of slots and flows of the ready ones serve the spillover. A server changes between the two when its state changes or its time has come. After a failed try the servers that answered last are known per data centre. The preferences are the same. Turns start from a hash of host and server, so that hosts that start together begin with different servers; before, all began at the same place of the same list.

TestChoiceEqualsScan compares the choice with that of a scan over random states of servers, data centres, flows and failed tries. TestRemovalOfManyServersIsFast no longer shortens the services' lists.

--- a/internal/affinity/bench_test.go
+++ b/internal/affinity/bench_test.go
@@ -40,6 +40,28 @@
 	}
 }
 
+// BenchmarkOpen measures the choice of a backend server for a new flow. The flow ends at once, so that the number of flows
+// stays the same.
+func BenchmarkOpen(b *testing.B) {
+	for _, n := range []int{18, 234, 1000, 40000} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			h, _ := newLoadedHarness(b, n)
+			c := h.caller(meterAddr)
+			b.ReportAllocs()
+			for b.Loop() {
+				h.now += time.Microsecond
+				c.seq++
+				if v := c.open(0); v.Action != Forward {
+					b.Fatal(v.Reason)
+				}
+				c.seq, c.ack = c.seq+1, c.ack+1
+				p := c.packet()
+				h.router.Decide(&p, h.now)
+			}
+		})
+	}
+}
+
 // newLoadedHarness returns a harness with n backend servers and 1,000 open flows.
 func newLoadedHarness(b *testing.B, n int) (*harness, []*caller) {
 	h := newHarness(b)
--- a/internal/affinity/check.go
+++ b/internal/affinity/check.go
@@ -174,6 +174,7 @@
 	if s.silentUntil <= now {
 		r.scheduleResets(s, BackendServerSilent)
 	}
+	s.markChanged()
 	s.silentUntil, s.healthCause = now+silentPeriod, c
 	r.healthChanges.add(s, Silent, s.healthCause, now, silentPeriod)
 	return true
@@ -185,13 +186,17 @@
 	if sv == nil {
 		return true
 	}
-	avoided := 1
-	for _, s := range sv.servers {
-		if s.suspectOrSilent(now) {
-			avoided++
+	avoided, servers := 1, 0
+	for _, p := range sv.places {
+		p.refresh(now)
+		servers += len(p.servers)
+		for _, s := range p.special {
+			if s.suspectOrSilent(now) {
+				avoided++
+			}
 		}
 	}
-	return avoided*maxAvoidedDivisor > len(sv.servers)
+	return avoided*maxAvoidedDivisor > servers
 }
 
 // CauseOf returns the cause that an unfavourable outcome of a check is.
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -72,35 +72,82 @@
 	return 0
 }
 
+// choice is the best backend server found so far for a new flow.
+type choice struct {
+	server     *server
+	preference Preference
+	order      float64
+}
+
+// consider replaces the choice by s if s ranks before it.
+func (c *choice) consider(s *server, p Preference, order float64) {
+	if s != nil && (p < c.preference || p == c.preference && order < c.order) {
+		*c = choice{server: s, preference: p, order: order}
+	}
+}
+
 // chooseFrom returns the best backend server of a target for a new flow, or nil.
 func (r *Router) chooseFrom(rt *route, t *target, now time.Duration, f failed) *server {
-	var best *server
-	bestPreference, bestOrder := preferNone, 0.0
-	r.rotation++
+	for _, p := range t.service.places {
+		p.refresh(now)
+	}
+	best := choice{preference: preferNone}
 	spillsOver := r.spillsOver(t.service, now)
-	for i := range t.service.servers {
-		s := t.service.servers[(i+int(r.rotation))%len(t.service.servers)]
-		if f.has(s) || !rt.allows(s) {
-			continue
-		}
-		p, order := r.rankFor(s, spillsOver, f, now)
-		if p < bestPreference || p == bestPreference && order < bestOrder {
-			best, bestPreference, bestOrder = s, p, order
+	for _, p := range t.service.places {
+		if rt.allows(p) {
+			r.considerReady(p, spillsOver, f, now, &best)
 		}
 	}
-	if bestPreference == preferNone {
+	if best.preference > preferUnproven {
+		r.considerSpecial(rt, t.service, f, now, &best)
+	}
+	if best.server == nil {
 		return nil
 	}
-	if bestPreference == preferCold && !r.admitCold(best, t.service, now) {
+	if best.preference == preferCold && !r.admitCold(best.server, t.service, now) {
 		return nil
 	}
-	r.lastPreference = bestPreference
-	return best
+	r.turns++
+	best.server.at.took(best.server, r.turns)
+	r.lastPreference = best.preference
+	return best.server
+}
+
+// considerReady considers the ready servers of a place that can be the best: the one that answered last, after a failure,
+// and the one with the fewest flows.
+func (r *Router) considerReady(p *place, spillsOver bool, f failed, now time.Duration, best *choice) {
+	if s := p.leastLoaded(f); s != nil {
+		preference, order := r.rankFor(s, spillsOver, f, now)
+		best.consider(s, preference, order)
+	}
+	if !f.any() {
+		return
+	}
+	if s := p.answeredLast(f, now); s != nil {
+		preference, order := r.rankFor(s, spillsOver, f, now)
+		best.consider(s, preference, order)
+	}
+}
+
+// considerSpecial considers the servers that are not ready.
+func (r *Router) considerSpecial(rt *route, sv *service, f failed, now time.Duration, best *choice) {
+	for _, p := range sv.places {
+		if !rt.allows(p) {
+			continue
+		}
+		for _, s := range p.special {
+			if f.has(s) {
+				continue
+			}
+			preference, order := r.rankFor(s, false, f, now)
+			best.consider(s, preference, order)
+		}
+	}
 }
 
-// allows reports whether the route permits new flows to the region of a server.
-func (rt *route) allows(s *server) bool {
-	return len(rt.regions) == 0 || slices.Contains(rt.regions, s.Region)
+// allows reports whether the route permits new flows to a place.
+func (rt *route) allows(p *place) bool {
+	return len(rt.regions) == 0 || slices.Contains(rt.regions, p.region)
 }
 
 // rankFor returns the rank of a server for a new flow: its preference, then an order within the same preference; the lowest
--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -52,19 +52,19 @@
 	if len(t.flows) >= t.limit {
 		return
 	}
-	f.server.flows++
+	f.server.addFlows(1)
 	t.flows[key] = f
 }
 
 func (t *flowTable) remove(key FlowKey, f *flow) {
-	f.server.flows--
+	f.server.addFlows(-1)
 	delete(t.flows, key)
 }
 
 // reassign moves the flow to another backend server.
 func (f *flow) reassign(to *server) {
-	f.server.flows--
-	to.flows++
+	f.server.addFlows(-1)
+	to.addFlows(1)
 	f.server = to
 }
 
--- a/internal/affinity/loss_test.go
+++ b/internal/affinity/loss_test.go
@@ -18,10 +18,6 @@
 	}
 	h.view.Config.Services = slices.Clone(h.view.Config.Services)
 	h.applyView()
-	// Services are small in a deployment of that size, so each of the two services keeps a list of one server.
-	for _, sv := range h.router.services {
-		sv.servers = sv.servers[:1]
-	}
 	partial := &registry.View{Revision: 2, Config: h.view.Config, Partial: true, OutDataCentres: h.view.OutDataCentres}
 	for _, s := range h.view.Servers[:lost] {
 		partial.Removed = append(partial.Removed, s.ID)
--- a/internal/affinity/partial_test.go
+++ b/internal/affinity/partial_test.go
@@ -91,8 +91,10 @@
 	}
 	for name, sv := range r.services {
 		var ids []string
-		for _, s := range sv.servers {
-			ids = append(ids, s.ID)
+		for _, p := range sv.places {
+			for _, s := range p.servers {
+				ids = append(ids, fmt.Sprintf("%s in %s %s %v", s.ID, p.dataCentre, p.region, s.at == p))
+			}
 		}
 		slices.Sort(ids)
 		out = append(out, fmt.Sprintf("service %s: %v", name, ids))
--- a/internal/affinity/report.go
+++ b/internal/affinity/report.go
@@ -164,25 +164,25 @@
 	return e
 }
 
-// candidate is a backend server that may get a new flow, with its rank.
-type candidate struct {
-	server     *server
-	preference Preference
-	order      float64
-}
-
 func (r *Router) explainTarget(rt *route, t *target, now time.Duration) TargetExplanation {
+	for _, p := range t.service.places {
+		p.refresh(now)
+	}
 	e := TargetExplanation{
-		Service: t.service.name, Weight: t.weight, Spillover: r.spillsOver(t.service, now), Servers: len(t.service.servers),
+		Service: t.service.name, Weight: t.weight, Spillover: r.spillsOver(t.service, now), Servers: t.service.numServers(),
 	}
-	var candidates []candidate
-	for _, s := range t.service.servers {
-		preference, order := r.rankFor(s, e.Spillover, failed{}, now)
-		if preference != preferNone && rt.allows(s) {
-			candidates = append(candidates, candidate{s, preference, order})
+	var candidates []choice
+	for _, p := range t.service.places {
+		if !rt.allows(p) {
+			continue
+		}
+		for _, s := range p.servers {
+			if preference, order := r.rankFor(s, e.Spillover, failed{}, now); preference != preferNone {
+				candidates = append(candidates, choice{s, preference, order})
+			}
 		}
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
+	slices.SortFunc(candidates, func(a, b choice) int {
 		return cmp.Or(cmp.Compare(a.preference, b.preference), cmp.Compare(a.order, b.order), cmp.Compare(a.server.ID, b.server.ID))
 	})
 	for _, c := range candidates[:min(len(candidates), maxCandidates)] {
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -49,7 +49,7 @@
 	checks        []Instance // backend servers that are to be checked
 	lastAnswering [2]*server // the two servers that answered most recently, the latest first
 	seed          maphash.Seed
-	rotation      uint32        // offset that varies which of equally ranked servers is chosen
+	turns         uint64        // number of choices so far, above all initial turns of servers
 	advancedAt    time.Duration // last call of advance
 	evidenceSince time.Duration // packets that were handled earlier are no evidence, because this host was paused
 	lostServers   []*server     // servers whose flows are to be reset
@@ -75,6 +75,7 @@
 		table:         flowTable{flows: map[FlowKey]*flow{}, limit: c.MaxFlows, idle: c.IdleTimeout},
 		openings:      openings{byCaller: map[netip.Addr]opening{}},
 		seed:          maphash.MakeSeed(),
+		turns:         firstTurn,
 	}
 }
 
--- a/internal/affinity/server.go
+++ b/internal/affinity/server.go
@@ -32,7 +32,13 @@
 	present       bool          // its entry is in the view
 	removedAt     time.Duration // when it left the view
 	drained       bool          // it was draining when it left the view, or another server has taken over its address
-	flows         int           // open flows that this host tracks
+	flows         int           // open flows that this host tracks; changed by addFlows
+
+	at                              *place // nil: in no service
+	index, readyIndex, specialIndex int    // in the lists of the place; noIndex: not there
+	readySlots                      int    // slots when it became ready, which the heap's order depends on
+	turn                            uint64 // when it was chosen last, in choices of the Router; lower than all choices: never
+	changed                         bool   // in the place's list of changed servers
 
 	resetsDue   bool // its flows are to be reset
 	resetReason Reason
@@ -56,8 +62,24 @@
 	return Instance{Identity: s.Identity, StartedMs: s.StartedMs}
 }
 
+// addFlows changes the number of flows.
+func (s *server) addFlows(n int) {
+	s.flows += n
+	if s.at != nil {
+		s.at.flowsChanged(s, n)
+	}
+}
+
+// markChanged records that the server may have become ready, or no longer is.
+func (s *server) markChanged() {
+	if s.at != nil {
+		s.at.markChanged(s)
+	}
+}
+
 // markRemoved records that the server's entry has left the view.
 func (s *server) markRemoved(now time.Duration) {
+	s.markChanged()
 	s.present, s.removedAt, s.drained = false, now, s.Draining
 }
 
@@ -68,10 +90,16 @@
 	}
 	s.lastAnswerAt = now
 	s.clearSuspicion()
+	if s.at != nil {
+		s.at.answered(s)
+	}
 }
 
 // clearSuspicion makes the server neither suspect nor silent, as after its restart.
 func (s *server) clearSuspicion() {
+	if s.suspectUntil != 0 || s.silentUntil != 0 {
+		s.markChanged()
+	}
 	s.suspectUntil, s.suspicion, s.onTrial, s.silentUntil = 0, 0, false, 0
 }
 
@@ -81,6 +109,7 @@
 	if s.suspectUntil > now && !s.onTrial {
 		return
 	}
+	s.markChanged()
 	s.suspicion = min(max(2*s.suspicion, suspicionPeriod), maxSuspicion)
 	s.suspectUntil = now + s.suspicion
 	s.onTrial = false
@@ -98,6 +127,7 @@
 // avoid the server until it answers or trialTimeout has passed.
 func (s *server) opened(now time.Duration) {
 	if s.suspectUntil != 0 {
+		s.markChanged()
 		s.onTrial = true
 		s.suspectUntil = now + trialTimeout
 	}
--- a/internal/affinity/spillover.go
+++ b/internal/affinity/spillover.go
@@ -24,22 +24,20 @@
 // happens when the own data centre has lost most of its backend servers or receives most of the callers.
 func (r *Router) spillsOver(sv *service, now time.Duration) bool {
 	var own, others slotUsage
-	seen := map[string]bool{}
-	for _, s := range sv.servers {
+	for _, p := range sv.places {
+		if len(p.ready) == 0 {
+			continue
+		}
 		side := &others
-		switch r.preferenceOf(s, now) {
+		switch r.preferenceOf(p.ready[0], now) {
 		case preferOwn:
 			side = &own
 		case preferOther:
 		default:
 			continue
 		}
-		side.slots += s.Slots
-		side.flows += s.flows
-		if !seen[s.DataCentre] {
-			seen[s.DataCentre] = true
-			side.flows += r.fleet.Flows[s.place]
-		}
+		side.slots += p.readySlots
+		side.flows += p.readyFlows + r.fleet.Flows[p.digest]
 	}
 	if own.slots == 0 || others.slots == 0 || own.perSlot() < minSpilloverLoad {
 		return false
--- a/internal/affinity/view.go
+++ b/internal/affinity/view.go
@@ -2,12 +2,18 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/registry"
 )
 
+// firstTurn is the turn of the first choice.
+const firstTurn = 1 << 32
+
+// initialTurn returns the turn of a server that has never been chosen. It differs between hosts, so that those that start
+// together do not all send their first flows to the same servers.
+func (r *Router) initialTurn(id string) uint64 { return rendezvous(id, r.fleet.Self.Addr) % firstTurn }
+
 // routeRetention is how long a removed route is kept, so that its flows can be reset.
 const routeRetention = time.Minute
 
@@ -21,7 +27,43 @@
 type service struct {
 	name     string
 	coldRate float64 // new flows per second that a cold backend server can bear
-	servers  []*server
+	places   []*place
+}
+
+// numServers returns the number of backend servers of the service.
+func (sv *service) numServers() int {
+	n := 0
+	for _, p := range sv.places {
+		n += len(p.servers)
+	}
+	return n
+}
+
+// keepRecent takes over which servers have answered recently from the service under an earlier configuration, if any.
+func (sv *service) keepRecent(before *service) {
+	if before == nil {
+		return
+	}
+	for _, p := range sv.places {
+		for _, old := range before.places {
+			if old.dataCentre == p.dataCentre && old.region == p.region {
+				p.recent = old.recent
+			}
+		}
+	}
+}
+
+// add adds a server to the place that it belongs to.
+func (sv *service) add(s *server) {
+	for _, p := range sv.places {
+		if p.dataCentre == s.DataCentre && p.region == s.Region {
+			p.add(s)
+			return
+		}
+	}
+	p := &place{dataCentre: s.DataCentre, region: s.Region, digest: s.place}
+	sv.places = append(sv.places, p)
+	p.add(s)
 }
 
 // route is a published route whose services are resolved.
@@ -71,8 +113,8 @@
 		s := r.update(entry)
 		delete(r.removed, s.ID)
 		r.indexToken(s)
-		if !slices.Contains(sv.servers, s) {
-			sv.servers = append(sv.servers, s)
+		if s.at == nil {
+			sv.add(s)
 		}
 	}
 }
@@ -84,8 +126,8 @@
 		return
 	}
 	s.markRemoved(now)
-	if sv := r.services[s.Service]; sv != nil {
-		sv.servers = slices.DeleteFunc(sv.servers, func(other *server) bool { return other == s })
+	if s.at != nil {
+		s.at.remove(s)
 	}
 	r.removed[s.ID] = s
 	if r.tokenUsers[s.token] > 1 {
@@ -149,7 +191,7 @@
 func (r *Router) update(entry *registry.Server) *server {
 	s := r.servers[entry.ID]
 	if s == nil {
-		s = &server{token: entry.Token(), healthChanges: &r.healthChanges}
+		s = &server{token: entry.Token(), healthChanges: &r.healthChanges, turn: r.initialTurn(entry.ID)}
 		r.servers[entry.ID] = s
 		r.tokenUsers[s.token]++
 	}
@@ -157,7 +199,11 @@
 	if s.BackendServer == nil || s.Service != entry.Service || s.DataCentre != entry.DataCentre {
 		s.place = Place{entry.Service, entry.DataCentre}.Digest()
 	}
+	if s.at != nil && (s.at.dataCentre != entry.DataCentre || s.at.region != entry.Region || s.readySlots != entry.Slots) {
+		s.at.remove(s)
+	}
 	s.Server = *entry
+	s.markChanged()
 	s.present, s.removedAt, s.drained = true, 0, false
 	if restarted {
 		s.clearSuspicion()
@@ -172,6 +218,7 @@
 	if a.StartedMs > b.StartedMs || a.StartedMs == b.StartedMs && a.Created > b.Created {
 		loser, winner = b, a
 	}
+	loser.markChanged()
 	loser.present, loser.removedAt, loser.drained = false, now, true
 	return winner
 }
@@ -198,6 +245,10 @@
 	if c.IdleTimeout > 0 {
 		r.table.idle = c.IdleTimeout
 	}
+	for _, s := range r.servers {
+		s.at, s.changed = nil, false
+	}
+	before := r.services
 	r.services = make(map[string]*service, len(c.Services))
 	for _, s := range c.Services {
 		r.services[s.Name] = &service{name: s.Name, coldRate: s.ColdRate}
@@ -208,9 +259,12 @@
 			continue
 		}
 		if sv := r.services[s.Service]; sv != nil {
-			sv.servers = append(sv.servers, s)
+			sv.add(s)
 		}
 	}
+	for name, sv := range r.services {
+		sv.keepRecent(before[name])
+	}
 	for _, rt := range r.routes {
 		rt.present = false
 	}
