affinity: check a backend server only when its answer stays away

Cause: a caller that opens a second flow before the first is answered may have been refused, so the server of the first became suspect and was checked at once.

--- a/internal/affinity/check_test.go
+++ b/internal/affinity/check_test.go
@@ -188,3 +188,33 @@
 		})
 	}
 }
+
+// Guards against checks of live backend servers because callers open several flows at once: a second opening packet of a
+// caller may mean that the first one was refused, but only the answer that stays away shows it.
+func TestConcurrentFlowsOfACallerNeedNoCheck(t *testing.T) {
+	h := newHarness(t)
+	for range 3 {
+		h.server("meter", "a")
+	}
+	h.applyView()
+	h.caller(meterAddr).connect()
+	first := h.caller(meterAddr)
+	refused := first.open(0).ServerID
+	h.now += 2 * time.Millisecond
+	second := first.retry()
+	second.open(0)
+	if n := len(h.router.TakeChecks()); n != 0 {
+		t.Errorf("%d checks although the first flow may still be answered", n)
+	}
+	if !h.router.servers[refused].suspectOrSilent(h.now) {
+		t.Error("the server is not suspect although it may have refused the flow")
+	}
+	h.advance(minOpeningWait + 100*time.Millisecond)
+	checks := map[Instance]bool{}
+	for _, i := range h.router.TakeChecks() {
+		checks[i] = true
+	}
+	if !checks[h.router.servers[refused].instance()] {
+		t.Errorf("checks %v, want one of %s, whose answer stayed away", checks, refused)
+	}
+}
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -130,9 +130,6 @@
 		r.table.remove(key, f)
 	}
 	refused := r.openings.restarted(key, now)
-	if refused != nil {
-		r.requestCheck(refused, now)
-	}
 	s := r.choose(rt, key, now, failed{refused})
 	if s == nil && refused != nil {
 		s = r.choose(rt, key, now, failed{})
