--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -180,12 +180,13 @@
 // startCall starts a call to the store in a goroutine of its own when one is due.
 func (c *control) startCall(ctx context.Context, now time.Duration) {
 	reader, _, _ := c.members.Reader(now)
-	reader = reader && !c.host.leaving.Load()
+	reader = reader && !c.host.leaving.Load() && now >= startDuration
 	if reader != c.wasReader {
 		c.wasReader = reader
 		level.Info(c.logger).Log("msg", "role as reader of the store for the other hosts changed", "reader", reader)
 	}
-	call := c.follower.Next(c.state.Revision(), follower.Fleet{Reader: reader, PeerAlive: c.members.PeerAlive(now)}, now)
+	fleet := follower.Fleet{Reader: reader, PeerAlive: c.members.PeerAlive(now), Fetching: c.fetching}
+	call := c.follower.Next(c.state.Revision(), fleet, now)
 	if call.Kind == follower.None {
 		return
 	}
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -8,8 +8,9 @@
 	"github.com/nutmeglatch/nutmeglatch/internal/affinity"
 )
 
-// startDuration is how long after its start a host may not have learned the size of the fleet. All hosts may start within
-// 0.3 s of each other, and by the end of this time the seeds that answer it have learned how many there are.
+// startDuration is how long after its start a host may not have learned the size of the fleet, nor which host is the reader
+// of the store. All hosts may start within 0.3 s of each other, and by the end of this time the seeds that answer it have
+// learned how many there are.
 const startDuration = time.Second
 
 // fleet returns the state of the other hosts and of the store for the router.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -114,9 +114,12 @@
 			c.propagateChanges(changed, before, m.From.Addr)
 		}
 	}
-	if m.Revision > c.state.Revision() {
-		c.fetch(ctx, m.From, now)
+	switch {
+	case m.Revision > c.state.Revision():
+		c.fetch(ctx, m, now)
 		return
+	case m.Revision == 0:
+		c.follower.ExpectNoCopy()
 	}
 	if m.Confirmed() && m.Revision == c.state.Revision() {
 		c.confirm(now - c.pauses.waited(now) - time.Duration(m.AgeMs)*time.Millisecond)
@@ -199,14 +202,16 @@
 	}
 }
 
-// fetch starts a fetch of missing changes from a host with a newer revision, unless another fetch is running or has just
-// ended, or the fetch must wait for another sender, see gossip.Members.ShouldFetchFrom.
-func (c *control) fetch(ctx context.Context, from gossip.Host, now time.Duration) {
+// fetch starts a fetch of missing changes from the sender of a message with a newer revision, unless another fetch is running
+// or has just ended, the fetch must wait for another sender, see gossip.Members.ShouldFetchFrom, or the sender's contents may
+// be outdated.
+func (c *control) fetch(ctx context.Context, m *gossip.Message, now time.Duration) {
 	if c.behindSince == 0 {
 		c.behindSince = now
 	}
+	from := m.From
 	postponed := c.state.Loaded() && !c.members.ShouldFetchFrom(from, now-c.behindSince)
-	if c.fetching || now < c.fetchAfter || postponed {
+	if c.fetching || now < c.fetchAfter || postponed || c.outdated(m) {
 		return
 	}
 	c.fetching = true
@@ -217,6 +222,13 @@
 	}()
 }
 
+// outdated reports whether the sender of a message can't confirm its contents although the store answers this host. A host
+// that has just started would put entries in force that the store no longer has.
+func (c *control) outdated(m *gossip.Message) bool {
+	age := time.Duration(m.AgeMs) * time.Millisecond
+	return !c.state.Loaded() && !c.storeDown && (!m.Confirmed() || age > c.limits.Follower.StaleAfter)
+}
+
 func (c *control) onFetchEnd(e fetchEnd) {
 	now := c.host.now()
 	c.fetching, c.fetchAfter = false, now+fetchDelay
--- a/internal/entry/peers_test.go
+++ b/internal/entry/peers_test.go
@@ -70,3 +70,39 @@
 		t.Errorf("a message of the present confirms as of %v ago", c.host.now()-at)
 	}
 }
+
+// Guards against a host that has just started and puts contents in force that its peer could not confirm for minutes: a
+// backend server that has left, or a route that was removed, would be in use again. Without the store they are better than
+// none.
+func TestStartIgnoresOutdatedCopies(t *testing.T) {
+	sender := listenUDP(t).LocalAddr().(*net.UDPAddr).AddrPort()
+	message := func(age time.Duration) *gossip.Message {
+		return &gossip.Message{From: gossip.Host{Addr: sender, DataCentre: "a"}, Revision: 7, AgeMs: age.Milliseconds(), OutageAgeMs: gossip.NoRecentOutage}
+	}
+	for _, tt := range []struct {
+		name      string
+		age       time.Duration
+		storeDown bool
+		loaded    bool
+		fetches   bool
+	}{
+		{"confirmed copy", time.Second, false, false, true},
+		{"copy of a host that has been cut from the store", 3 * time.Minute, false, false, false},
+		{"copy of a host that has read nothing yet", gossip.NeverConfirmed * time.Millisecond, false, false, false},
+		{"old copy, store down", 3 * time.Minute, true, false, true},
+		{"old changes for a host that has run for long", 3 * time.Minute, false, true, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := idleControl()
+			c.conn = listenUDP(t)
+			c.storeDown = tt.storeDown
+			if tt.loaded {
+				c.state.Replace([]registry.Update{{Key: "config", Revision: 5, Config: &registry.Config{Version: 1}}}, 5, 0)
+			}
+			c.onMessage(t.Context(), message(tt.age))
+			if c.fetching != tt.fetches {
+				t.Errorf("fetches %v, want %v", c.fetching, tt.fetches)
+			}
+		})
+	}
+}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -26,7 +26,12 @@
 	alone  = Fleet{Reader: true}
 )
 
-func newFollower() *Follower { return New(testConfig(), false, rand.New(rand.NewPCG(1, 2))) }
+// newFollower returns a Follower of a host to which no other one sends a copy at its start.
+func newFollower() *Follower {
+	f := New(testConfig(), false, rand.New(rand.NewPCG(1, 2)))
+	f.ExpectNoCopy()
+	return f
+}
 
 // readFull makes the first full read.
 func readFull(t *testing.T, f *Follower, now time.Duration) {
