follower: a start calls the store at once again

Change: the wait is gone. What stays: watches 200 ms apart, no reader in the first second, no copies that their sender could not confirm.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -185,7 +185,7 @@
 		c.wasReader = reader
 		level.Info(c.logger).Log("msg", "role as reader of the store for the other hosts changed", "reader", reader)
 	}
-	fleet := follower.Fleet{Reader: reader, PeerAlive: c.members.PeerAlive(now), Fetching: c.fetching}
+	fleet := follower.Fleet{Reader: reader, PeerAlive: c.members.PeerAlive(now)}
 	call := c.follower.Next(c.state.Revision(), fleet, now)
 	if call.Kind == follower.None {
 		return
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -114,12 +114,9 @@
 			c.propagateChanges(changed, before, m.From.Addr)
 		}
 	}
-	switch {
-	case m.Revision > c.state.Revision():
+	if m.Revision > c.state.Revision() {
 		c.fetch(ctx, m, now)
 		return
-	case m.Revision == 0:
-		c.follower.ExpectNoCopy()
 	}
 	if m.Confirmed() && m.Revision == c.state.Revision() {
 		c.confirm(now - c.pauses.waited(now) - time.Duration(m.AgeMs)*time.Millisecond)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -49,10 +49,6 @@
 func (o Outcome) String() string { return outcomeNames[o] }
 
 const (
-	// replyWait is how long a host that has just started waits for a message of a host that can send it a copy.
-	replyWait = 25 * time.Millisecond
-	// transferWait is how long it waits for the copy, from the end of replyWait.
-	transferWait = 75 * time.Millisecond
 	// copyWaitAlone is the time for which a host without a live peer waits for a copy when the contents have many pages.
 	copyWaitAlone = 500 * time.Millisecond
 	// maxCopyWait is the maximum time for which a host with a live peer waits for a copy.
@@ -82,7 +78,6 @@
 type Fleet struct {
 	Reader    bool // this host reads the store for the others
 	PeerAlive bool // another host has recently sent a message
-	Fetching  bool // a copy of another host is being fetched
 }
 
 // Follower is the schedule of a host's calls. It is not safe for concurrent use: the control goroutine owns it.
@@ -97,17 +92,15 @@
 	outageAt     time.Duration // end of the last call that failed or was the first answered after a failure; negative: never
 	gapEndedAt   time.Duration // end of the last gap between confirmations, see Confirm; negative: never
 	needFullRead bool          // the next call is a full read
-	replyBy      time.Duration // until then another host may offer its copy; 0: not yet known
-	noCopy       bool          // no other host is expected to send its copy at the start
 	copyAwaited  bool          // a copy is or was awaited, so the next full read reads all pages
 	copyDeadline time.Duration // end of the wait for a copy while a peer is alive
 	random       *rand.Rand
 }
 
-// New returns a Follower that starts with a full read, unless another host sends its copy within replyWait and transferWait
-// of the first call of Next. A seed reads all pages at once, because other hosts get their copies from it.
+// New returns a Follower that starts with a full read. A seed reads all pages at once, because other hosts get their
+// copies from it.
 func New(c Config, isSeed bool, random *rand.Rand) *Follower {
-	f := &Follower{confirmedAt: -1, outageAt: -1, gapEndedAt: -1, needFullRead: true, isSeed: isSeed, noCopy: isSeed, random: random}
+	f := &Follower{confirmedAt: -1, outageAt: -1, gapEndedAt: -1, needFullRead: true, isSeed: isSeed, random: random}
 	f.SetConfig(c)
 	return f
 }
@@ -124,8 +117,6 @@
 	switch {
 	case f.inFlight.Kind != None || now < f.notBefore:
 		return Call{}
-	case f.needFullRead && !f.noCopy && f.expectsCopy(fleet, now):
-		return Call{}
 	case f.needFullRead && f.copyAwaited && fleet.PeerAlive && now < f.copyDeadline:
 		return Call{}
 	case !f.needFullRead && !fleet.Reader && f.Fresh(now):
@@ -136,15 +127,6 @@
 	return f.inFlight
 }
 
-// expectsCopy reports whether a host that has just started waits for the copy of another one before its first call.
-func (f *Follower) expectsCopy(fleet Fleet, now time.Duration) bool {
-	if f.replyBy == 0 {
-		f.replyBy = now + replyWait
-	}
-	f.noCopy = now >= f.replyBy && !fleet.Fetching || now >= f.replyBy+transferWait
-	return !f.noCopy
-}
-
 // maxTimeoutDoublings bounds how often the timeout of a call doubles while calls fail. The longer timeout lets a host read
 // a slow store.
 const maxTimeoutDoublings = 2
@@ -225,9 +207,6 @@
 	f.confirmedAt = max(f.confirmedAt, at)
 }
 
-// ExpectNoCopy records that another host has no copy to send, as after a start of the whole fleet. The first call is due.
-func (f *Follower) ExpectNoCopy() { f.noCopy = true }
-
 // CopyReceived records that a complete copy has arrived from another host, so that no full read is needed.
 func (f *Follower) CopyReceived() {
 	if f.copyAwaited {
