affinity, healthcheck: a state lasts from the latest evidence, and is logged once

A silent backend server was silent for 3 s from the last message instead of from the last check, up to 5 s, and each time wrote a log line (187 lines "backend server silent" for seven servers).

Change: an assessment carries the time of its latest evidence. The state lasts from then, and only a change of the state is logged and resets flows. What an assessment is, is now one type of the router.

--- a/internal/affinity/check.go
+++ b/internal/affinity/check.go
@@ -156,27 +156,46 @@
 // maxAvoidedDivisor of the service is suspect or silent.
 const maxAvoidedDivisor = 2
 
-// SetHealth puts in force what the evidence of this and other hosts says about a backend server: Suspect, or Silent, which
-// also resets its flows. An answer that this host has observed after since outweighs it, and draining servers are left
-// alone. Without evidence of this host's own, it returns false once too many servers of the service are avoided.
-func (r *Router) SetHealth(i Instance, h Health, c Cause, since time.Duration, ownEvidence bool, now time.Duration) bool {
+// Assessment is what the evidence of this and other hosts amounts to about a backend server.
+type Assessment struct {
+	Health Health // Answers: nothing speaks against it
+	Cause  Cause
+	Since  time.Duration // time of the oldest evidence that counts; an answer after it outweighs the assessment
+	Latest time.Duration // time of the latest evidence, from which the state lasts
+	// OwnEvidence is set if this host's callers or its own check contributed. Otherwise only other hosts did.
+	OwnEvidence bool
+}
+
+// SetHealth puts an assessment in force: Suspect, or Silent, which also resets the server's flows. Draining servers are left
+// alone, and without evidence of this host's own so is a server once too many of its service are avoided. It reports whether
+// the state has changed.
+func (r *Router) SetHealth(i Instance, a Assessment, now time.Duration) bool {
 	s := r.serverOf(i)
-	if s == nil || s.Draining || s.lastAnswerAt >= since || h == Answers {
+	if s == nil || s.Draining || s.lastAnswerAt >= a.Since || a.Health == Answers {
 		return false
 	}
-	if !ownEvidence && !s.suspectOrSilent(now) && r.avoidsTooMany(s.Service, now) {
+	if !a.OwnEvidence && !s.suspectOrSilent(now) && r.avoidsTooMany(s.Service, now) {
 		return false
 	}
-	if h == Suspect {
-		s.suspect(c, now)
-		return true
+	if a.Health == Suspect {
+		wasSuspect := s.suspectOrSilent(now)
+		if !wasSuspect {
+			s.suspect(a.Cause, now)
+		}
+		return !wasSuspect
 	}
-	if s.silentUntil <= now {
-		r.scheduleResets(s, BackendServerSilent)
+	until := a.Latest + silentPeriod
+	wasSilent := s.silentUntil > now
+	if until <= now || wasSilent && until <= s.silentUntil {
+		return false
 	}
 	s.markChanged()
-	s.silentUntil, s.healthCause = now+silentPeriod, c
-	r.healthChanges.add(s, Silent, s.healthCause, now, silentPeriod)
+	s.silentUntil, s.healthCause = until, a.Cause
+	if wasSilent {
+		return false
+	}
+	r.scheduleResets(s, BackendServerSilent)
+	r.healthChanges.add(s, Silent, s.healthCause, now, until-now)
 	return true
 }
 
--- a/internal/affinity/harness_test.go
+++ b/internal/affinity/harness_test.go
@@ -143,10 +143,15 @@
 // endCheck reports the outcome of a check. An unfavourable one counts as if another host had found the same.
 func (h *harness) endCheck(c CheckRequest, outcome CheckOutcome) {
 	if o := h.router.HandleCheckResult(c.Instance, outcome, h.now); o == Refuses || o == NoAnswer {
-		h.router.SetHealth(c.Instance, Silent, CauseOf(o), h.now, true, h.now)
+		h.silence(c.Instance, CauseOf(o))
 	}
 }
 
+// silence makes a server silent, as if the checks of several hosts had just failed.
+func (h *harness) silence(i Instance, c Cause) {
+	h.router.SetHealth(i, Assessment{Health: Silent, Cause: c, Since: h.now, Latest: h.now, OwnEvidence: true}, h.now)
+}
+
 // caller is one flow of a caller.
 type caller struct {
 	h     *harness
--- a/internal/affinity/place_test.go
+++ b/internal/affinity/place_test.go
@@ -31,7 +31,7 @@
 	case 0:
 		s.suspect(OpeningLate, h.now)
 	case 1:
-		r.SetHealth(s.instance(), Silent, ConnectionRefused, h.now+1, true, h.now)
+		r.SetHealth(s.instance(), Assessment{Health: Silent, Cause: ConnectionRefused, Since: h.now + 1, Latest: h.now, OwnEvidence: true}, h.now)
 	case 2:
 		h.change(s.ID, func(e *registry.Server) { e.Draining = !e.Draining })
 	case 3:
--- a/internal/affinity/report_test.go
+++ b/internal/affinity/report_test.go
@@ -27,7 +27,7 @@
 		}, "data_centre_unreachable", "", preferSuspect},
 		{"doubted", func(h *harness, id string) { h.router.servers[id].suspect(OpeningLate, h.now) }, "doubted", "opening_late", preferSuspect},
 		{"silent", func(h *harness, id string) {
-			h.router.SetHealth(h.router.servers[id].instance(), Silent, ConnectionRefused, h.now, true, h.now)
+			h.silence(h.router.servers[id].instance(), ConnectionRefused)
 		}, "doubted", "connection_refused", preferSuspect},
 		{"doubted and unreachable", func(h *harness, id string) {
 			h.router.servers[id].suspect(CallerRestarted, h.now)
--- a/internal/affinity/running_test.go
+++ b/internal/affinity/running_test.go
@@ -40,7 +40,7 @@
 				h.router.Decide(&p, h.now)
 			}
 			h.advance(500 * time.Millisecond)
-			h.router.SetHealth(h.router.servers[id].instance(), Silent, CauseOf(tt.outcome), h.now, true, h.now)
+			h.silence(h.router.servers[id].instance(), CauseOf(tt.outcome))
 			if n := len(h.router.TakeResets()); n != 0 != tt.reset {
 				t.Fatalf("%d flows reset, want any: %v", n, tt.reset)
 			}
@@ -69,7 +69,7 @@
 	p := c.packet()
 	expect(t, h.router.Decide(&p, h.now), Forward, KnownFlow)
 	h.advance(time.Second)
-	h.router.SetHealth(h.router.servers[id].instance(), Silent, ConnectionUnanswered, h.now, true, h.now)
+	h.silence(h.router.servers[id].instance(), ConnectionUnanswered)
 	if n := len(h.router.TakeResets()); n != 0 {
 		t.Errorf("%d flows reset", n)
 	}
--- a/internal/entry/healthchecks.go
+++ b/internal/entry/healthchecks.go
@@ -147,10 +147,9 @@
 	}
 }
 
-// decide puts the present verdict about a backend server in force.
+// decide puts the present assessment of a backend server in force.
 func (h *healthChecks) decide(i affinity.Instance, now time.Duration) {
-	v := h.state.Verdict(i, now)
-	h.traffic.router.SetHealth(i, v.Health, v.Cause, v.Since, v.OwnEvidence, now)
+	h.traffic.router.SetHealth(i, h.state.Assess(i, now), now)
 }
 
 // enqueue adds a finding to those that are passed on.
--- a/internal/healthcheck/message_test.go
+++ b/internal/healthcheck/message_test.go
@@ -88,7 +88,7 @@
 				t.Errorf("finding of the future, %v", finding.At-now)
 			}
 			s.Receive(finding, now)
-			s.Verdict(finding.Instance, now)
+			s.Assess(finding.Instance, now)
 		}
 	})
 }
--- a/internal/healthcheck/sharing_test.go
+++ b/internal/healthcheck/sharing_test.go
@@ -230,7 +230,7 @@
 
 // decide puts the verdict of a host in force.
 func (s *simulation) decide(i int) {
-	switch s.hosts[i].state.Verdict(instance, s.now).Health {
+	switch s.hosts[i].state.Assess(instance, s.now).Health {
 	case affinity.Suspect:
 		s.hosts[i].avoid(s.now, simSuspicion)
 	case affinity.Silent:
--- a/internal/healthcheck/state.go
+++ b/internal/healthcheck/state.go
@@ -60,15 +60,6 @@
 	Ask       []netip.AddrPort // hosts to ask for a check
 }
 
-// Verdict is what the evidence about a backend server amounts to.
-type Verdict struct {
-	Health affinity.Health // Answers: nothing speaks against it
-	Cause  affinity.Cause
-	Since  time.Duration // of the oldest finding that counts; an answer after it outweighs the verdict
-	// OwnEvidence is set if this host's callers or its own check contributed. Otherwise only other hosts did.
-	OwnEvidence bool
-}
-
 // record is the evidence about an instance of a backend server.
 type record struct {
 	doubtedAt    time.Duration // last unanswered packets of this host's callers
@@ -278,14 +269,14 @@
 	return isNew
 }
 
-// Verdict returns what the evidence about an instance amounts to. A backend server is silent if the checks of two hosts
+// Assess returns what the evidence about an instance amounts to. A backend server is silent if the checks of two hosts
 // failed, or the check of one and another one's callers went without an answer; the check of a single host makes it suspect.
 // A host that has no other one to ask decides alone.
-func (s *State) Verdict(i affinity.Instance, now time.Duration) Verdict {
-	v := Verdict{Since: now}
+func (s *State) Assess(i affinity.Instance, now time.Duration) affinity.Assessment {
+	a := affinity.Assessment{Since: now}
 	r := s.records[i]
 	if r == nil {
-		return v
+		return a
 	}
 	own, others := 0, 0
 	for n := range r.unfavourable {
@@ -298,18 +289,18 @@
 		} else {
 			others++
 		}
-		v.Since = min(v.Since, f.At)
-		v.Cause = affinity.CauseOf(f.Outcome)
+		a.Since, a.Latest = min(a.Since, f.At), max(a.Latest, f.At)
+		a.Cause = affinity.CauseOf(f.Outcome)
 	}
 	doubted, askedFor := now-r.doubtedAt < evidenceLifetime, now-r.askedFor < evidenceLifetime
-	v.OwnEvidence = own > 0 || doubted
+	a.OwnEvidence = own > 0 || doubted
 	alone := len(s.hosts) == 1 || r.attempts >= maxAttempts
 	switch {
 	case own+others == 0:
 	case own+others > 1, others > 0 && doubted, own > 0 && (askedFor || alone):
-		v.Health = affinity.Silent
+		a.Health = affinity.Silent
 	default:
-		v.Health = affinity.Suspect
+		a.Health = affinity.Suspect
 	}
-	return v
+	return a
 }
--- a/internal/healthcheck/state_test.go
+++ b/internal/healthcheck/state_test.go
@@ -38,7 +38,7 @@
 
 // Guards against a backend server that is given up on the evidence of one host, whose own link may be bad, and against one
 // that is kept although several hosts agree.
-func TestVerdict(t *testing.T) {
+func TestAssess(t *testing.T) {
 	const noAnswer = affinity.NoAnswer
 	for _, tt := range []struct {
 		name  string
@@ -87,7 +87,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			s := newState(0, tt.hosts)
 			tt.do(s)
-			if got := s.Verdict(instance, now); got.Health != tt.want {
+			if got := s.Assess(instance, now); got.Health != tt.want {
 				t.Errorf("%v, want %v", got.Health, tt.want)
 			}
 		})
@@ -95,11 +95,11 @@
 }
 
 // Guards against a false verdict that stays in force although nobody finds it confirmed.
-func TestVerdictExpires(t *testing.T) {
+func TestAssessmentExpires(t *testing.T) {
 	s := newState(0, 3)
 	s.Doubt(instance, now)
 	s.Receive(findingOf(1, affinity.NoAnswer, now), now)
-	if got := s.Verdict(instance, now+evidenceLifetime); got.Health != affinity.Answers {
+	if got := s.Assess(instance, now+evidenceLifetime); got.Health != affinity.Answers {
 		t.Errorf("%v after %v without confirmation", got.Health, evidenceLifetime)
 	}
 }
@@ -154,7 +154,7 @@
 		t.Fatalf("plan %+v after %d attempts without an answer, want a check of its own", p, maxAttempts)
 	}
 	s.Checked(instance, affinity.NoAnswer, at)
-	if got := s.Verdict(instance, at).Health; got != affinity.Silent {
+	if got := s.Assess(instance, at).Health; got != affinity.Silent {
 		t.Errorf("%v by the own check of a host that has no other one to ask, want silent", got)
 	}
 }
