affinity: a check ends with the start of the server that it is of

Found by reading the diff: a backend server that was restarted, or gave its address away, while a check of it was running would never have been checked again, as its result belonged to no known start; and a server that began to drain during a check could have been told of as refusing, although it still serves its flows.

Change: a check belongs to one start, is awaited for at most 2 s, and says nothing about a draining server. Findings are logged with the address of the checker.

--- a/internal/affinity/check.go
+++ b/internal/affinity/check.go
@@ -48,12 +48,18 @@
 // String returns the name that logs and metrics use for the outcome.
 func (o CheckOutcome) String() string { return outcomeNames[o] }
 
+// maxCheckTime is the time after which the result of a check is no longer awaited.
+const maxCheckTime = 2 * time.Second
+
 // check is the state of the latest check of a server.
 type check struct {
 	running   bool
 	startedAt time.Duration
 }
 
+// awaited reports whether the result of the check is still to come.
+func (c *check) awaited(now time.Duration) bool { return c.running && now-c.startedAt < maxCheckTime }
+
 // requestCheck queues a request for a check of a server that left packets unanswered.
 func (r *Router) requestCheck(s *server, now time.Duration) {
 	if s.Draining || s.drained || s.checkRequestedAt != 0 && now-s.checkRequestedAt < minCheckInterval {
@@ -68,7 +74,7 @@
 // may refuse new connections then while it still serves its flows.
 func (r *Router) StartCheck(i Instance, now time.Duration) (CheckRequest, bool) {
 	s := r.serverOf(i)
-	if s == nil || s.check.running || s.Draining || s.check.startedAt != 0 && now-s.check.startedAt < minCheckInterval {
+	if s == nil || s.check.awaited(now) || s.Draining || s.check.startedAt != 0 && now-s.check.startedAt < minCheckInterval {
 		return CheckRequest{}, false
 	}
 	reference := r.reference(s, now)
@@ -79,10 +85,10 @@
 	return CheckRequest{ServerID: s.ID, Instance: i, Addr: s.Addr, Reference: reference.Addr}, true
 }
 
-// Checking reports whether a check of an instance has been started and has not ended.
-func (r *Router) Checking(i Instance) bool {
+// Checking reports whether the result of a check of an instance is awaited.
+func (r *Router) Checking(i Instance, now time.Duration) bool {
 	s := r.serverOf(i)
-	return s != nil && s.check.running
+	return s != nil && s.check.awaited(now)
 }
 
 // ServerID returns the ID of a backend server for logs, or "" if it is unknown.
@@ -134,7 +140,8 @@
 }
 
 // HandleCheckResult ends a check and returns what its outcome says: Accepts if a caller's packet has acknowledged an answer
-// of the server since the check started, and Unchecked if this host was paused meanwhile or the server has gone.
+// of the server since the check started, and Unchecked if this host was paused meanwhile, or if the server has gone, was
+// restarted or drains.
 func (r *Router) HandleCheckResult(i Instance, outcome CheckOutcome, now time.Duration) CheckOutcome {
 	s := r.serverOf(i)
 	if s == nil || !s.check.running {
@@ -142,6 +149,8 @@
 	}
 	s.check.running = false
 	switch {
+	case s.Draining:
+		return Unchecked
 	case outcome == Accepts || outcome == Unchecked:
 		return outcome
 	case s.lastAnswerAt >= s.check.startedAt:
--- a/internal/affinity/check_test.go
+++ b/internal/affinity/check_test.go
@@ -218,3 +218,41 @@
 		t.Errorf("checks %v, want one of %s, whose answer stayed away", checks, refused)
 	}
 }
+
+// Guards against a backend server that is never checked again because it was restarted, or changed otherwise, while a check
+// was running, against results about its earlier start, and against those about a server that has begun to drain meanwhile.
+func TestServerChangesDuringACheck(t *testing.T) {
+	for name, tt := range map[string]struct {
+		change    func(*registry.Server)
+		undo      func(*registry.Server)
+		wantAgain time.Duration // after which another check can start
+	}{
+		"restarted": {func(s *registry.Server) { s.StartedMs = 9 }, func(*registry.Server) {}, 0},
+		"drains":    {func(s *registry.Server) { s.Draining = true }, func(s *registry.Server) { s.Draining = false }, minCheckInterval},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, _, silent := newSilentHarness(t)
+			i := h.router.servers[silent].instance()
+			check, ok := h.router.StartCheck(i, h.now)
+			if !ok {
+				t.Fatal("the check was not started")
+			}
+			h.change(silent, tt.change)
+			if o := h.router.HandleCheckResult(check.Instance, Refuses, h.now); o != Unchecked {
+				t.Errorf("outcome %v, want unchecked", o)
+			}
+			h.change(silent, tt.undo)
+			h.advance(tt.wantAgain)
+			if _, ok := h.router.StartCheck(h.router.servers[silent].instance(), h.now); !ok {
+				t.Error("the server can't be checked again")
+			}
+		})
+	}
+	h, _, silent := newSilentHarness(t)
+	i := h.router.servers[silent].instance()
+	h.router.StartCheck(i, h.now)
+	h.advance(maxCheckTime)
+	if _, ok := h.router.StartCheck(i, h.now); !ok {
+		t.Error("a check without a result prevents further ones")
+	}
+}
--- a/internal/affinity/server.go
+++ b/internal/affinity/server.go
@@ -51,7 +51,7 @@
 	healthCause  Cause         // evidence for the present suspicion or silence
 	check        check
 
-	checkRequestedAt time.Duration // last request for a check, by this host or another one
+	checkRequestedAt time.Duration // last request of this host for a check
 
 	coldWindow time.Duration // start of the present window of cold admission
 	coldTaken  int           // new flows sent in that window
--- a/internal/affinity/view.go
+++ b/internal/affinity/view.go
@@ -196,6 +196,9 @@
 		r.tokenUsers[s.token]++
 	}
 	restarted := s.BackendServer != nil && s.StartedMs != 0 && entry.StartedMs > s.StartedMs
+	if s.BackendServer != nil && entry.StartedMs != s.StartedMs {
+		s.check, s.checkRequestedAt = check{}, 0 // results about the earlier start are ignored
+	}
 	if s.BackendServer == nil || s.Service != entry.Service || s.DataCentre != entry.DataCentre {
 		s.place = Place{entry.Service, entry.DataCentre}.Digest()
 	}
--- a/internal/entry/healthchecks.go
+++ b/internal/entry/healthchecks.go
@@ -100,7 +100,7 @@
 	switch {
 	case ok:
 		h.checker.start(request)
-	case !h.traffic.router.Checking(i):
+	case !h.traffic.router.Checking(i, now):
 		h.report(i, affinity.Unchecked, now)
 	}
 }
@@ -192,7 +192,7 @@
 func (h *healthChecks) log(msg string, f *healthcheck.Finding, now time.Duration) {
 	t := h.traffic
 	t.healthLimiter.do(now, func() {
-		level.Info(t.logger).Log("msg", msg, "server", t.router.ServerID(f.Instance), "outcome", f.Outcome, "checker", f.Checker,
+		level.Info(t.logger).Log("msg", msg, "server", t.router.ServerID(f.Instance), "outcome", f.Outcome, "checker", h.state.CheckerAddr(f),
 			"age", now-f.At)
 	})
 }
--- a/internal/healthcheck/state.go
+++ b/internal/healthcheck/state.go
@@ -75,7 +75,7 @@
 
 // State is the evidence that a host has about backend servers. It does no I/O and must be used by one goroutine only.
 type State struct {
-	self    uint32 // digest of the own address
+	self    host
 	hosts   []host // of the own data centre, this one first
 	records map[affinity.Instance]*record
 	random  *rand.Rand
@@ -89,7 +89,7 @@
 
 // New returns a State without evidence.
 func New(self netip.AddrPort, random *rand.Rand) *State {
-	s := &State{self: Digest(self), records: map[affinity.Instance]*record{}, random: random}
+	s := &State{self: host{addr: self, digest: Digest(self)}, records: map[affinity.Instance]*record{}, random: random}
 	s.SetPeers(nil)
 	return s
 }
@@ -99,7 +99,7 @@
 
 // SetPeers replaces the other hosts of the own data centre.
 func (s *State) SetPeers(peers []netip.AddrPort) {
-	s.hosts = append(s.hosts[:0], host{digest: s.self})
+	s.hosts = append(s.hosts[:0], s.self)
 	for _, addr := range peers {
 		s.hosts = append(s.hosts, host{addr: addr, digest: Digest(addr)})
 	}
@@ -120,7 +120,16 @@
 
 // IsPeer reports whether an address belongs to another host of the own data centre.
 func (s *State) IsPeer(addr netip.AddrPort) bool {
-	return slices.ContainsFunc(s.hosts, func(h host) bool { return h.addr == addr })
+	return slices.ContainsFunc(s.hosts[1:], func(h host) bool { return h.addr == addr })
+}
+
+// CheckerAddr returns the address of the host that a finding is of, for logs; not valid if the host is unknown.
+func (s *State) CheckerAddr(f *Finding) netip.AddrPort {
+	at := slices.IndexFunc(s.hosts, func(h host) bool { return h.digest == f.Checker })
+	if at < 0 {
+		return netip.AddrPort{}
+	}
+	return s.hosts[at].addr
 }
 
 // record returns the record of an instance, or nil if there are too many.
@@ -172,7 +181,7 @@
 	var p Plan
 	ranked := s.ranked(i, (attempts+1)*checkersPerServer)
 	for _, h := range ranked[min(len(ranked), attempts*checkersPerServer):] {
-		if h.digest == s.self {
+		if h.digest == s.self.digest {
 			p.CheckSelf = true
 		} else {
 			p.Ask = append(p.Ask, h.addr)
@@ -222,7 +231,7 @@
 
 // Checked records the result of this host's own check. It returns the hosts that asked for it.
 func (s *State) Checked(i affinity.Instance, o affinity.CheckOutcome, now time.Duration) (Finding, []netip.AddrPort) {
-	f := Finding{Instance: i, Outcome: o, Checker: s.self, At: now}
+	f := Finding{Instance: i, Outcome: o, Checker: s.self.digest, At: now}
 	r := s.record(i, now)
 	if r == nil {
 		return f, nil
@@ -236,7 +245,7 @@
 
 // Receive records a finding of another host. It reports whether the finding is new, so that it is to be passed on.
 func (s *State) Receive(f Finding, now time.Duration) bool {
-	if f.Checker == s.self || now-f.At >= evidenceLifetime {
+	if f.Checker == s.self.digest || now-f.At >= evidenceLifetime {
 		return false
 	}
 	r := s.record(f.Instance, now)
@@ -284,7 +293,7 @@
 		if now-f.At >= evidenceLifetime {
 			continue
 		}
-		if f.Checker == s.self {
+		if f.Checker == s.self.digest {
 			own++
 		} else {
 			others++
