affinity: a late packet of an earlier flow does not touch the caller's present one

Cause, looked for after the users' list (answers on a connection that is in use again): a host keeps one entry for a caller's port. A packet of an earlier flow from that port, late because it waited in a frozen host's buffer for instance, moved the entry to its own backend server and left the present flow's sequence numbers in it. If that server was lost, the host reset the port with the present flow's number: a caller lost a flow to a healthy server.

Change: an open flow stays on its server; a packet with another server's token is another flow and gets an entry of its own. The test fails without it (reset with the present flow's number).

--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -231,8 +231,13 @@
 	return nil, Verdict{Action: Drop, Reason: UnknownToken}
 }
 
-// trackFlow returns the state of a flow. It creates the state if f is nil, and moves the flow to s, the server of its token.
+// trackFlow returns the state of a flow. It creates the state if f is nil, or if f is another flow of the same caller's port:
+// an open flow stays on its server. It moves a flow that is being opened to s, the server of its token.
 func (r *Router) trackFlow(key FlowKey, f *flow, s *server, p *Packet, now time.Duration) *flow {
+	if f != nil && f.open && f.server != s {
+		r.table.remove(key, f)
+		f = nil
+	}
 	if f == nil {
 		f = &flow{server: s, next: p.Seq, ack: p.Ack, open: true, openedAt: now, sentAt: neverSent}
 		r.table.add(key, f)
--- a/internal/affinity/router_test.go
+++ b/internal/affinity/router_test.go
@@ -380,3 +380,29 @@
 		})
 	}
 }
+
+// Guards against a reset of a caller's flow because of a packet of its earlier flow from the same port, which arrives late: the
+// earlier flow's backend server is lost, and the reset must not carry the present flow's sequence number.
+func TestLatePacketOnAReusedPort(t *testing.T) {
+	h := newHarness(t)
+	h.server("meter", "a")
+	h.server("meter", "a")
+	h.applyView()
+	earlier := h.caller(meterAddr)
+	earlier.ack = 0x1000_0000
+	lost := earlier.connect().ServerID
+	present := &caller{h: h, key: earlier.key, seq: 0x5000_0000, ack: 0x6000_0000}
+	h.advance(100 * time.Millisecond)
+	if server := present.connect().ServerID; server == lost {
+		t.Fatalf("both flows are at %s", lost)
+	}
+	present.request()
+	expect(t, earlier.request(), Forward, KnownFlow)
+	h.silence(h.router.servers[lost].instance(), ConnectionRefused)
+	for _, r := range h.router.TakeResets() {
+		if r.Seq != earlier.ack {
+			t.Errorf("reset with sequence number %x, want that of the earlier flow, %x", r.Seq, earlier.ack)
+		}
+	}
+	expect(t, present.request(), Forward, KnownFlow)
+}
