affinity: one list of reasons against a server; pool for the servers of a data centre

What speaks against new flows to a server stood twice, in eligibilityOf and in ready. The server's own reasons are now one function, which the state of the data centre is added to. The type place was too close to Place; it is a pool.

No change of behaviour: TestChoiceEqualsScan and all tests of the package pass.

--- a/internal/affinity/check.go
+++ b/internal/affinity/check.go
@@ -215,7 +215,7 @@
 		return true
 	}
 	avoided, servers := 1, 0
-	for _, p := range sv.places {
+	for _, p := range sv.pools {
 		p.refresh(now)
 		servers += len(p.servers)
 		for _, s := range p.special {
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -88,12 +88,12 @@
 
 // chooseFrom returns the best backend server of a target for a new flow, or nil.
 func (r *Router) chooseFrom(rt *route, t *target, now time.Duration, f failed) *server {
-	for _, p := range t.service.places {
+	for _, p := range t.service.pools {
 		p.refresh(now)
 	}
 	best := choice{preference: preferNone}
 	spillsOver := r.spillsOver(t.service, now)
-	for _, p := range t.service.places {
+	for _, p := range t.service.pools {
 		if rt.allows(p) {
 			r.considerReady(p, spillsOver, f, now, &best)
 		}
@@ -108,14 +108,14 @@
 		return nil
 	}
 	r.turns++
-	best.server.at.took(best.server, r.turns)
+	best.server.pool.recordChoice(best.server, r.turns)
 	r.lastPreference = best.preference
 	return best.server
 }
 
-// considerReady considers the ready servers of a place that can be the best: the one that answered last, after a failure,
+// considerReady considers the ready servers of a pool that can be the best: the one that answered last, after a failure,
 // and the one with the fewest flows.
-func (r *Router) considerReady(p *place, spillsOver bool, f failed, now time.Duration, best *choice) {
+func (r *Router) considerReady(p *pool, spillsOver bool, f failed, now time.Duration, best *choice) {
 	if s := p.leastLoaded(f); s != nil {
 		preference, order := r.rankFor(s, spillsOver, f, now)
 		best.consider(s, preference, order)
@@ -131,7 +131,7 @@
 
 // considerSpecial considers the servers that are not ready.
 func (r *Router) considerSpecial(rt *route, sv *service, f failed, now time.Duration, best *choice) {
-	for _, p := range sv.places {
+	for _, p := range sv.pools {
 		if !rt.allows(p) {
 			continue
 		}
@@ -145,8 +145,8 @@
 	}
 }
 
-// allows reports whether the route permits new flows to a place.
-func (rt *route) allows(p *place) bool {
+// allows reports whether the route permits new flows to a pool.
+func (rt *route) allows(p *pool) bool {
 	return len(rt.regions) == 0 || slices.Contains(rt.regions, p.region)
 }
 
--- a/internal/affinity/eligibility.go
+++ b/internal/affinity/eligibility.go
@@ -25,23 +25,39 @@
 // String returns the name that reports use for the eligibility.
 func (e eligibility) String() string { return eligibilityNames[e] }
 
-// eligibilityOf returns the most restrictive reason that applies to a server, or eligible.
-func (r *Router) eligibilityOf(s *server, now time.Duration) eligibility {
+// eligibility returns the most restrictive reason that applies to the server itself, or eligible.
+func (s *server) eligibility(now time.Duration) eligibility {
 	switch {
 	case !s.present:
 		return entryRemoved
 	case s.Draining:
 		return entryDraining
-	case r.view.OutDataCentres[s.DataCentre]:
-		return dataCentreOut
 	case s.Lapsed:
 		return entryLapsed
-	case s.ColdUntil > now || r.view.RestoredColdUntil[s.DataCentre] > now:
+	case s.ColdUntil > now:
 		return coldStart
-	case s.suspectOrSilent(now) && r.fleet.Unreachable[s.DataCentre]:
-		return suspectedAndUnreachable
 	case s.suspectOrSilent(now):
 		return suspected
+	}
+	return eligible
+}
+
+// eligibilityOf returns the most restrictive reason that applies to a server or to its data centre, or eligible.
+func (r *Router) eligibilityOf(s *server, now time.Duration) eligibility {
+	own := s.eligibility(now)
+	switch {
+	case own == entryRemoved || own == entryDraining:
+		return own
+	case r.view.OutDataCentres[s.DataCentre]:
+		return dataCentreOut
+	case own == entryLapsed || own == coldStart:
+		return own
+	case r.view.RestoredColdUntil[s.DataCentre] > now:
+		return coldStart
+	case own == suspected && r.fleet.Unreachable[s.DataCentre]:
+		return suspectedAndUnreachable
+	case own == suspected:
+		return suspected
 	case r.fleet.Unreachable[s.DataCentre]:
 		return dataCentreUnreachable
 	}
--- a/internal/affinity/partial_test.go
+++ b/internal/affinity/partial_test.go
@@ -91,9 +91,9 @@
 	}
 	for name, sv := range r.services {
 		var ids []string
-		for _, p := range sv.places {
+		for _, p := range sv.pools {
 			for _, s := range p.servers {
-				ids = append(ids, fmt.Sprintf("%s in %s %s %v", s.ID, p.dataCentre, p.region, s.at == p))
+				ids = append(ids, fmt.Sprintf("%s in %s %s %v", s.ID, p.dataCentre, p.region, s.pool == p))
 			}
 		}
 		slices.Sort(ids)
--- a/internal/affinity/place.go
+++ b/internal/affinity/pool.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// place holds the backend servers of a service in a data centre, so that the choice of one for a new flow costs the same at
+// pool holds the backend servers of a service in a data centre, so that the choice of one for a new flow costs the same at
 // any number of servers.
-type place struct {
+type pool struct {
 	dataCentre string
 	region     string
 	digest     PlaceDigest
 	servers    []*server // all of them
-	ready      []*server // those that nothing speaks against: a heap by flows per slot, then by turn
+	ready      []*server // the eligible ones, whatever the state of the data centre: a heap by flows per slot, then by turn
 	special    []*server // all others, in any order
 	changed    []*server // may have to move between ready and special
 	nextChange time.Duration
@@ -21,23 +21,23 @@
 	recent     []*server // servers that answered most recently, the latest first; up to recentAnswers
 }
 
-// recentAnswers is the number of servers that a place remembers because they have answered. A caller's further try needs one
+// recentAnswers is the number of servers that a pool remembers because they have answered. A caller's further try needs one
 // that is ready and did not fail.
 const recentAnswers = 16
 
 // noIndex is the index of a server that is not in a list.
 const noIndex = -1
 
-// add adds a server to the place.
-func (p *place) add(s *server) {
-	s.at, s.index, s.readyIndex, s.specialIndex = p, len(p.servers), noIndex, len(p.special)
+// add adds a server to the pool.
+func (p *pool) add(s *server) {
+	s.pool, s.index, s.readyIndex, s.specialIndex = p, len(p.servers), noIndex, len(p.special)
 	p.servers = append(p.servers, s)
 	p.special = append(p.special, s)
 	p.markChanged(s)
 }
 
-// remove removes a server from the place.
-func (p *place) remove(s *server) {
+// remove removes a server from the pool.
+func (p *pool) remove(s *server) {
 	if s.readyIndex != noIndex {
 		p.removeReady(s)
 	} else {
@@ -46,11 +46,11 @@
 	last := p.servers[len(p.servers)-1]
 	p.servers[s.index], last.index = last, s.index
 	p.servers = p.servers[:len(p.servers)-1]
-	s.at, s.changed = nil, false
+	s.pool, s.changed = nil, false
 }
 
 // markChanged records that a server may have to move between ready and special.
-func (p *place) markChanged(s *server) {
+func (p *pool) markChanged(s *server) {
 	if !s.changed {
 		s.changed = true
 		p.changed = append(p.changed, s)
@@ -58,10 +58,10 @@
 }
 
 // refresh moves the servers whose state has changed since the last call, also by the passing of time.
-func (p *place) refresh(now time.Duration) {
+func (p *pool) refresh(now time.Duration) {
 	for _, s := range p.changed {
 		s.changed = false
-		if s.at == p {
+		if s.pool == p {
 			p.classify(s, now)
 		}
 	}
@@ -79,8 +79,8 @@
 const endOfTime = time.Duration(1<<63 - 1)
 
 // classify puts a server where it belongs.
-func (p *place) classify(s *server, now time.Duration) {
-	ready := s.ready(now)
+func (p *pool) classify(s *server, now time.Duration) {
+	ready := s.eligibility(now) == eligible
 	switch {
 	case ready && s.readyIndex == noIndex:
 		p.removeSpecial(s)
@@ -95,11 +95,6 @@
 	}
 }
 
-// ready reports whether nothing speaks against new flows to the server, apart from the state of its data centre.
-func (s *server) ready(now time.Duration) bool {
-	return s.present && !s.Draining && !s.Lapsed && s.ColdUntil <= now && !s.suspectOrSilent(now)
-}
-
 // readyAgainAt returns the earliest time after now at which a server may be ready without another event.
 func (s *server) readyAgainAt(now time.Duration) time.Duration {
 	at := endOfTime
@@ -111,14 +106,14 @@
 	return at
 }
 
-func (p *place) removeSpecial(s *server) {
+func (p *pool) removeSpecial(s *server) {
 	last := p.special[len(p.special)-1]
 	p.special[s.specialIndex], last.specialIndex = last, s.specialIndex
 	p.special = p.special[:len(p.special)-1]
 	s.specialIndex = noIndex
 }
 
-func (p *place) pushReady(s *server) {
+func (p *pool) pushReady(s *server) {
 	p.readySlots += s.Slots
 	p.readyFlows += s.flows
 	s.readySlots = s.Slots
@@ -127,7 +122,7 @@
 	p.up(s.readyIndex)
 }
 
-func (p *place) removeReady(s *server) {
+func (p *pool) removeReady(s *server) {
 	p.readySlots -= s.readySlots
 	p.readyFlows -= s.flows
 	i, last := s.readyIndex, len(p.ready)-1
@@ -140,7 +135,7 @@
 }
 
 // flowsChanged restores the order of the heap after the number of a server's flows has changed by n.
-func (p *place) flowsChanged(s *server, n int) {
+func (p *pool) flowsChanged(s *server, n int) {
 	if s.readyIndex != noIndex {
 		p.readyFlows += n
 		p.fix(s.readyIndex)
@@ -148,13 +143,13 @@
 }
 
 // fix moves the element at index i to where it belongs.
-func (p *place) fix(i int) {
+func (p *pool) fix(i int) {
 	if !p.down(i) {
 		p.up(i)
 	}
 }
 
-func (p *place) up(i int) {
+func (p *pool) up(i int) {
 	for i > 0 {
 		parent := (i - 1) / 2
 		if !p.ready[i].before(p.ready[parent]) {
@@ -166,7 +161,7 @@
 }
 
 // down moves the element at index i towards the leaves. It reports whether it moved.
-func (p *place) down(i int) bool {
+func (p *pool) down(i int) bool {
 	start := i
 	for {
 		child := 2*i + 1
@@ -185,7 +180,7 @@
 	return i > start
 }
 
-func (p *place) swap(i, j int) {
+func (p *pool) swap(i, j int) {
 	p.ready[i], p.ready[j] = p.ready[j], p.ready[i]
 	p.ready[i].readyIndex, p.ready[j].readyIndex = i, j
 }
@@ -198,10 +193,10 @@
 }
 
 // leastLoaded returns the ready server that comes first and has not failed, or nil.
-func (p *place) leastLoaded(f failed) *server { return p.leastLoadedFrom(0, f) }
+func (p *pool) leastLoaded(f failed) *server { return p.leastLoadedFrom(0, f) }
 
 // leastLoadedFrom is leastLoaded for the part of the heap below index i. It goes below servers that have failed only.
-func (p *place) leastLoadedFrom(i int, f failed) *server {
+func (p *pool) leastLoadedFrom(i int, f failed) *server {
 	if i >= len(p.ready) {
 		return nil
 	}
@@ -215,8 +210,8 @@
 	return left
 }
 
-// answered records that a server of the place has answered.
-func (p *place) answered(s *server) {
+// answered records that a server of the pool has answered.
+func (p *pool) answered(s *server) {
 	if len(p.recent) > 0 && p.recent[0] == s {
 		return
 	}
@@ -232,20 +227,20 @@
 }
 
 // answeredLast returns the ready server that answered last, within recentAnswerWindow, and has not failed, or nil.
-func (p *place) answeredLast(f failed, now time.Duration) *server {
+func (p *pool) answeredLast(f failed, now time.Duration) *server {
 	for _, s := range p.recent {
 		if now-s.lastAnswerAt > recentAnswerWindow {
 			return nil
 		}
-		if s.at == p && s.readyIndex != noIndex && !f.has(s) {
+		if s.pool == p && s.readyIndex != noIndex && !f.has(s) {
 			return s
 		}
 	}
 	return nil
 }
 
-// took records that a server has been chosen.
-func (p *place) took(s *server, turn uint64) {
+// recordChoice records that a server has been chosen.
+func (p *pool) recordChoice(s *server, turn uint64) {
 	s.turn = turn
 	if s.readyIndex != noIndex {
 		p.fix(s.readyIndex)
--- a/internal/affinity/place_test.go
+++ b/internal/affinity/pool_test.go
@@ -87,7 +87,7 @@
 				f[i] = h.router.servers[h.view.Servers[random.IntN(len(h.view.Servers))].ID]
 			}
 			h.router.advance(h.now)
-			for _, p := range rt.targets[0].service.places {
+			for _, p := range rt.targets[0].service.pools {
 				p.refresh(h.now)
 			}
 			preference, order := h.bestByScan(rt.targets[0].service, f)
@@ -120,7 +120,7 @@
 			}
 			h.applyView()
 			h.caller(meterAddr).connect()
-			p := h.router.services["meter"].places[0]
+			p := h.router.services["meter"].pools[0]
 			// Servers below the third level would be chosen only by a scan.
 			const topLevels = 7
 			for _, s := range p.ready[topLevels:] {
--- a/internal/affinity/report.go
+++ b/internal/affinity/report.go
@@ -165,14 +165,14 @@
 }
 
 func (r *Router) explainTarget(rt *route, t *target, now time.Duration) TargetExplanation {
-	for _, p := range t.service.places {
+	for _, p := range t.service.pools {
 		p.refresh(now)
 	}
 	e := TargetExplanation{
 		Service: t.service.name, Weight: t.weight, Spillover: r.spillsOver(t.service, now), Servers: t.service.numServers(),
 	}
 	var candidates []choice
-	for _, p := range t.service.places {
+	for _, p := range t.service.pools {
 		if !rt.allows(p) {
 			continue
 		}
--- a/internal/affinity/server.go
+++ b/internal/affinity/server.go
@@ -34,11 +34,11 @@
 	drained       bool          // it was draining when it left the view, or another server has taken over its address
 	flows         int           // open flows that this host tracks; changed by addFlows
 
-	at                              *place // nil: in no service
-	index, readyIndex, specialIndex int    // in the lists of the place; noIndex: not there
+	pool                            *pool  // nil: in no service
+	index, readyIndex, specialIndex int    // in the lists of the pool; noIndex: not there
 	readySlots                      int    // slots when it became ready, which the heap's order depends on
 	turn                            uint64 // when it was chosen last, in choices of the Router; lower than all choices: never
-	changed                         bool   // in the place's list of changed servers
+	changed                         bool   // in the pool's list of changed servers
 
 	resetsDue   bool // its flows are to be reset
 	resetReason Reason
@@ -65,15 +65,15 @@
 // addFlows changes the number of flows.
 func (s *server) addFlows(n int) {
 	s.flows += n
-	if s.at != nil {
-		s.at.flowsChanged(s, n)
+	if s.pool != nil {
+		s.pool.flowsChanged(s, n)
 	}
 }
 
 // markChanged records that the server may have become ready, or no longer is.
 func (s *server) markChanged() {
-	if s.at != nil {
-		s.at.markChanged(s)
+	if s.pool != nil {
+		s.pool.markChanged(s)
 	}
 }
 
@@ -90,8 +90,8 @@
 	}
 	s.lastAnswerAt = now
 	s.clearSuspicion()
-	if s.at != nil {
-		s.at.answered(s)
+	if s.pool != nil {
+		s.pool.answered(s)
 	}
 }
 
--- a/internal/affinity/spillover.go
+++ b/internal/affinity/spillover.go
@@ -24,7 +24,7 @@
 // happens when the own data centre has lost most of its backend servers or receives most of the callers.
 func (r *Router) spillsOver(sv *service, now time.Duration) bool {
 	var own, others slotUsage
-	for _, p := range sv.places {
+	for _, p := range sv.pools {
 		if len(p.ready) == 0 {
 			continue
 		}
--- a/internal/affinity/view.go
+++ b/internal/affinity/view.go
@@ -27,13 +27,13 @@
 type service struct {
 	name     string
 	coldRate float64 // new flows per second that a cold backend server can bear
-	places   []*place
+	pools    []*pool
 }
 
 // numServers returns the number of backend servers of the service.
 func (sv *service) numServers() int {
 	n := 0
-	for _, p := range sv.places {
+	for _, p := range sv.pools {
 		n += len(p.servers)
 	}
 	return n
@@ -44,8 +44,8 @@
 	if before == nil {
 		return
 	}
-	for _, p := range sv.places {
-		for _, old := range before.places {
+	for _, p := range sv.pools {
+		for _, old := range before.pools {
 			if old.dataCentre == p.dataCentre && old.region == p.region {
 				p.recent = old.recent
 			}
@@ -53,16 +53,16 @@
 	}
 }
 
-// add adds a server to the place that it belongs to.
+// add adds a server to the pool that it belongs to.
 func (sv *service) add(s *server) {
-	for _, p := range sv.places {
+	for _, p := range sv.pools {
 		if p.dataCentre == s.DataCentre && p.region == s.Region {
 			p.add(s)
 			return
 		}
 	}
-	p := &place{dataCentre: s.DataCentre, region: s.Region, digest: s.place}
-	sv.places = append(sv.places, p)
+	p := &pool{dataCentre: s.DataCentre, region: s.Region, digest: s.place}
+	sv.pools = append(sv.pools, p)
 	p.add(s)
 }
 
@@ -113,7 +113,7 @@
 		s := r.update(entry)
 		delete(r.removed, s.ID)
 		r.indexToken(s)
-		if s.at == nil {
+		if s.pool == nil {
 			sv.add(s)
 		}
 	}
@@ -126,8 +126,8 @@
 		return
 	}
 	s.markRemoved(now)
-	if s.at != nil {
-		s.at.remove(s)
+	if s.pool != nil {
+		s.pool.remove(s)
 	}
 	r.removed[s.ID] = s
 	if r.tokenUsers[s.token] > 1 {
@@ -202,8 +202,8 @@
 	if s.BackendServer == nil || s.Service != entry.Service || s.DataCentre != entry.DataCentre {
 		s.place = Place{entry.Service, entry.DataCentre}.Digest()
 	}
-	if s.at != nil && (s.at.dataCentre != entry.DataCentre || s.at.region != entry.Region || s.readySlots != entry.Slots) {
-		s.at.remove(s)
+	if s.pool != nil && (s.pool.dataCentre != entry.DataCentre || s.pool.region != entry.Region || s.readySlots != entry.Slots) {
+		s.pool.remove(s)
 	}
 	s.Server = *entry
 	s.markChanged()
@@ -249,7 +249,7 @@
 		r.table.idle = c.IdleTimeout
 	}
 	for _, s := range r.servers {
-		s.at, s.changed = nil, false
+		s.pool, s.changed = nil, false
 	}
 	before := r.services
 	r.services = make(map[string]*service, len(c.Services))
