--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -135,8 +135,8 @@
 	return err
 }
 
-// runPending runs an operator's query, handles messages about checks and their results, applies a pending update and sweeps the flow table when
-// that is due.
+// runPending runs an operator's query, handles messages about checks and their results, applies a pending update and sweeps
+// the flow table when that is due.
 func (t *traffic) runPending(now time.Duration) {
 	select {
 	case q := <-t.queries:
--- a/internal/healthcheck/state.go
+++ b/internal/healthcheck/state.go
@@ -3,8 +3,8 @@
 //
 // A host whose callers' packets go unanswered asks the checkers of the backend server: two hosts of its own data centre that
 // rank first for it. Their findings spread within the data centre. So the number of connections to a backend server in doubt
-// does not grow with the fleet, and no host alone can have a backend server given up, not even for itself. Findings stay in
-// their data centre, because other data centres reach the backend server over other links.
+// does not grow with the fleet, and no host gives a backend server up by its own evidence alone, unless it has no other host
+// to ask. Findings stay in their data centre, because other data centres reach the backend server over other links.
 package healthcheck
 
 import (
