gossip: unpack a copy after all of its parts have arrived

Cause: the fetching host unpacked each part before it requested the next one. Meanwhile it waited for no byte, but its connection counted as stuck after 2 s.

Change: parts are requested one after the other and unpacked at the end. Copies of up to 2,000 updates have one part and are fetched as before.

--- a/internal/gossip/transfer.go
+++ b/internal/gossip/transfer.go
@@ -80,41 +80,41 @@
 	return c, errors.Wrapf(err, "fetch from host %s", host)
 }
 
-// fetchParts requests all parts of a copy, one after the other.
+// fetchParts requests all parts of a copy, one after the other, and unpacks them when all have arrived: while a host unpacks,
+// it requests nothing, and the connection would count as stuck.
 func fetchParts(ctx context.Context, rpc *jsonrpc2.Conn, q Query) (*Copy, error) {
-	first, err := fetchPart(ctx, rpc, partQuery{Query: q})
+	parts, err := requestParts(ctx, rpc, q)
 	if err != nil {
 		return nil, err
 	}
-	if first.NumParts < 1 || first.NumParts > maxParts {
-		return nil, errors.Wrapf(ErrMalformed, "copy of %d parts", first.NumParts)
-	}
-	c := first.Copy
-	for n := 1; n < first.NumParts; n++ {
-		part, err := fetchPart(ctx, rpc, partQuery{Query: q, Part: n})
+	c := parts[0].Copy
+	for n, part := range parts {
+		updates, err := unpack(part.Packed)
 		if err != nil {
-			return nil, err
+			return nil, errors.Wrapf(err, "unpack part %d", n)
 		}
-		if part.Revision != c.Revision || part.Full != c.Full || part.NumParts != first.NumParts {
-			return nil, errors.Wrapf(ErrMalformed, "part %d belongs to another copy", n)
-		}
-		c.Updates = append(c.Updates, part.Updates...)
+		c.Updates = append(c.Updates, updates...)
 	}
 	return &c, nil
 }
 
-// fetchPart requests a part and unpacks its updates.
-func fetchPart(ctx context.Context, rpc *jsonrpc2.Conn, q partQuery) (*copyPart, error) {
-	var part copyPart
-	if err := rpc.Call(ctx, methodCopy, q, &part); err != nil {
-		return nil, errors.Wrapf(err, "request part %d", q.Part)
-	}
-	updates, err := unpack(part.Packed)
-	if err != nil {
-		return nil, errors.Wrapf(err, "unpack part %d", q.Part)
+// requestParts requests all parts of a copy and checks that they belong together.
+func requestParts(ctx context.Context, rpc *jsonrpc2.Conn, q Query) ([]*copyPart, error) {
+	var parts []*copyPart
+	for n := 0; n == 0 || n < parts[0].NumParts; n++ {
+		var part copyPart
+		if err := rpc.Call(ctx, methodCopy, partQuery{Query: q, Part: n}, &part); err != nil {
+			return nil, errors.Wrapf(err, "request part %d", n)
+		}
+		if n == 0 && (part.NumParts < 1 || part.NumParts > maxParts) {
+			return nil, errors.Wrapf(ErrMalformed, "copy of %d parts", part.NumParts)
+		}
+		parts = append(parts, &part)
+		if first := parts[0]; part.Revision != first.Revision || part.Full != first.Full || part.NumParts != first.NumParts {
+			return nil, errors.Wrapf(ErrMalformed, "part %d belongs to another copy", n)
+		}
 	}
-	part.Updates = updates
-	return &part, nil
+	return parts, nil
 }
 
 // rejectCall rejects requests that the serving host sends, because the fetching host has no methods to call.
