--- a/review/standin/configstorm.go
+++ b/review/standin/configstorm.go
@@ -23,6 +23,8 @@
 		stormFor   = 1500 * time.Millisecond
 		cutFor     = 5500 * time.Millisecond
 		watchFor   = 14 * time.Second // after the end of the cut
+
+		evacuateWithin = 5 * time.Second // bounds.evacuateMs
 	)
 	zones := []string{"substation-a", "substation-b", "substation-c"}
 	w.store = newStore(w)
@@ -40,10 +42,13 @@
 		admin.addRoute("gridwatch", "idempotent")
 	}
 	admin.publish()
+	var endpoints []*endpoint
 	for n := range 6 {
-		if _, err := w.newEndpoint("gridwatch", zones[n%len(zones)], n+1, 0); err != nil {
+		e, err := w.newEndpoint("gridwatch", zones[n%len(zones)], n+1, 0)
+		if err != nil {
 			return false, err
 		}
+		endpoints = append(endpoints, e)
 	}
 	if err := w.startAll(); err != nil {
 		return false, err
@@ -121,9 +126,16 @@
 	inTouch := func(h *entryHost, at time.Duration) bool {
 		return !trouble || h != reader || at < cutAt || at > cutEnd+stableWindow
 	}
+	evacuated := zones[2]
+	var evacuatedAt time.Duration // 0: not yet
 	breaks := 0
 	perHost := map[string]int{}
 	for until := cutEnd + watchFor; w.now() < until; time.Sleep(250 * time.Millisecond) {
+		if evacuatedAt == 0 && w.now() > cutEnd+500*time.Millisecond {
+			w.store.put("op/evacuate/"+evacuated, []byte("{}"))
+			evacuatedAt = w.now()
+			w.note("evacuate: %s", evacuated)
+		}
 		for _, r := range requesters {
 			for _, h := range w.hosts {
 				if h.zone != r.zone {
@@ -148,6 +160,16 @@
 	}
 	close(stop)
 	traffic.Wait()
+	late, from := 0, max(evacuatedAt+evacuateWithin, cutEnd+stableWindow)
+	for _, e := range endpoints {
+		for _, o := range e.openings() {
+			if e.zone == evacuated && o.at > from {
+				late++
+			}
+		}
+	}
+	w.note("besides: flows opened at endpoints of %s from %.1f s after its evacuation was acknowledged, when all hosts are in touch: %d",
+		evacuated, (from - evacuatedAt).Seconds(), late)
 	w.note("requests on the old route: %d served, %d not", served, lost)
 	w.note("requests on the new route refused too late: %d, by host %v", breaks, perHost)
 	return breaks > 0, nil
--- a/review/standin/traffic.go
+++ b/review/standin/traffic.go
@@ -193,6 +193,13 @@
 	e.w.store.put("servers/"+e.id, value)
 }
 
+// openings returns the first opening packet of each flow.
+func (e *endpoint) openings() []opening {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]opening(nil), e.opened...)
+}
+
 // drain reports that the endpoint is leaving.
 func (e *endpoint) drain() {
 	e.mu.Lock()
