--- a/review/standin/configstorm.go
+++ b/review/standin/configstorm.go
@@ -17,18 +17,17 @@
 	const (
 		bigConfigs = 3
 		bigCount   = 350                   // big_config, count
-		idleRoutes = 8                     // routes without traffic at the start
-		storms     = 3                     // one after the other
-		stormGap   = 60 * time.Millisecond // config_storm, gap_s 0.06
-		stormFor   = 1500 * time.Millisecond
+		idleRoutes = 110                   // routes without traffic at the start
+		storms     = 2                     // one after the other
+		stormGap   = 80 * time.Millisecond // config_storm, gap_s 0.08
+		stormFor   = 2 * time.Second       // config_storm, for_s 2
 		cutFor     = 5500 * time.Millisecond
 		watchFor   = 14 * time.Second // after the end of the cut
 
 		evacuateWithin = 5 * time.Second // bounds.evacuateMs
 	)
-	zones := []string{"substation-a", "substation-b", "substation-c"}
 	w.store = newStore(w)
-	if err := w.addHosts(zones, 2); err != nil {
+	if err := w.addHosts(); err != nil {
 		return false, err
 	}
 	for _, h := range w.hosts {
@@ -36,15 +35,15 @@
 			return false, err
 		}
 	}
-	admin := newSysadmin(w.store, service("gridwatch", 2, 0))
-	used := admin.addRoute("gridwatch", "idempotent")
+	admin := newSysadmin(w.store, service("booking-desk", 2, 0))
+	used := admin.addRoute("booking-desk", "idempotent")
 	for range idleRoutes {
-		admin.addRoute("gridwatch", "idempotent")
+		admin.addRoute("booking-desk", "idempotent")
 	}
 	admin.publish()
 	var endpoints []*endpoint
-	for n := range 6 {
-		e, err := w.newEndpoint("gridwatch", zones[n%len(zones)], n+1, 0)
+	for n := range 8 {
+		e, err := w.newEndpoint("booking-desk", zones[n%len(zones)], n+1, 0)
 		if err != nil {
 			return false, err
 		}
@@ -90,7 +89,7 @@
 	time.Sleep(2 * time.Second)
 	for n := range bigConfigs {
 		for range bigCount {
-			admin.addRoute("gridwatch", "idempotent")
+			admin.addRoute("booking-desk", "idempotent")
 		}
 		w.note("big_config %d: %d routes, %d bytes", n+1, len(admin.config.Routes), admin.publish())
 		time.Sleep(1500 * time.Millisecond)
@@ -117,7 +116,7 @@
 	var newest string
 	versions := 0
 	for begun := time.Now(); time.Since(begun) < storms*stormFor; time.Sleep(stormGap) {
-		newest = admin.addRoute("gridwatch", "idempotent")
+		newest = admin.addRoute("booking-desk", "idempotent")
 		admin.publish()
 		versions++
 	}
--- a/review/standin/foreignentry.go
+++ b/review/standin/foreignentry.go
@@ -13,9 +13,8 @@
 // foreignEntry shows that open flows of a draining endpoint are reset at once when another writer puts bytes that can't be
 // read in the place of its entry, although the endpoint lives and writes its entry again at its next heartbeat.
 func foreignEntry(w *world, trouble bool) (bool, error) {
-	zones := []string{"substation-a", "substation-b", "substation-c"}
 	w.store = newStore(w)
-	if err := w.addHosts(zones, 2); err != nil {
+	if err := w.addHosts(); err != nil {
 		return false, err
 	}
 	for _, h := range w.hosts {
@@ -23,12 +22,12 @@
 			return false, err
 		}
 	}
-	admin := newSysadmin(w.store, service("gridwatch", 2, 0))
-	route := admin.addRoute("gridwatch", "non_idempotent")
+	admin := newSysadmin(w.store, service("booking-desk", 2, 0))
+	route := admin.addRoute("booking-desk", "non_idempotent")
 	admin.publish()
 	var endpoints []*endpoint
-	for n := range 6 {
-		e, err := w.newEndpoint("gridwatch", zones[n%len(zones)], n+1, 0)
+	for n := range 8 {
+		e, err := w.newEndpoint("booking-desk", zones[n%len(zones)], n+1, 0)
 		if err != nil {
 			return false, err
 		}
--- a/review/standin/traffic.go
+++ b/review/standin/traffic.go
@@ -85,7 +85,8 @@
 	beats    bool // it writes its entry
 	sequence int
 	lastBeat time.Time
-	entry    string // last entry without its sequence
+	next     time.Time // of the next beat
+	entry    string    // last entry without its sequence
 	gone     bool
 	flows    map[netip.AddrPort]*endpointFlow
 	opened   []opening // first opening packet of each flow
@@ -114,28 +115,71 @@
 	if e.identity, err = strconv.ParseUint(e.id[2:], 16, 64); err != nil {
 		return nil, err
 	}
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	go e.beat()
+	return e, nil
+}
+
+// listen opens the sockets of the endpoint and serves them.
+func (e *endpoint) listen() error {
 	udp, err := net.ResolveUDPAddr("udp4", e.addr)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	if e.conn, err = net.ListenUDP("udp4", udp); err != nil {
-		return nil, err
+	conn, err := net.ListenUDP("udp4", udp)
+	if err != nil {
+		return err
 	}
-	if e.check, err = net.Listen("tcp4", e.addr); err != nil {
-		return nil, err
+	check, err := net.Listen("tcp4", e.addr)
+	if err != nil {
+		return err
 	}
+	e.conn, e.check = conn, check
 	go func() {
 		for {
-			c, err := e.check.Accept()
+			c, err := check.Accept()
 			if err != nil {
 				return
 			}
 			c.Close()
 		}
 	}()
-	go e.serve()
-	go e.beat()
-	return e, nil
+	go e.serve(conn)
+	return nil
+}
+
+// crash ends the endpoint without a word: it discards its flows and its entry stays.
+func (e *endpoint) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.beats = false
+	e.flows = map[netip.AddrPort]*endpointFlow{}
+	e.conn.Close()
+	e.check.Close()
+}
+
+// startDelay is the time from the report of an endpoint that has come back to its first flow.
+const startDelay = 100 * time.Millisecond
+
+// comeBack starts the endpoint again under its id. It reports itself first if the store is up, otherwise when it is up again.
+func (e *endpoint) comeBack(coldFor time.Duration) error {
+	e.mu.Lock()
+	e.bornAt, e.coldFor, e.sequence = time.Now(), coldFor, 0
+	if e.entry != "" {
+		e.entry = "of an earlier start"
+	}
+	e.beats, e.next = true, time.Now()
+	if !e.w.store.isDown() {
+		e.write()
+		e.next = time.Now().Add(heartbeat)
+	}
+	e.mu.Unlock()
+	time.Sleep(startDelay)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.listen()
 }
 
 // cold reports whether the endpoint is in its cold period.
@@ -143,16 +187,15 @@
 
 // beat writes the entry about every heartbeat. The store removes it after three intervals of silence, also while it is down.
 func (e *endpoint) beat() {
-	next := time.Now()
 	for {
 		e.mu.Lock()
 		if e.gone {
 			e.mu.Unlock()
 			return
 		}
-		if !time.Now().Before(next) && e.beats && !e.w.store.isDown() {
+		if !time.Now().Before(e.next) && e.beats && !e.w.store.isDown() {
 			e.write()
-			next = time.Now().Add(heartbeat)
+			e.next = time.Now().Add(heartbeat)
 		}
 		if !e.lastBeat.IsZero() && time.Since(e.lastBeat) > 3*heartbeat && e.entry != "" {
 			e.entry = ""
@@ -221,10 +264,10 @@
 }
 
 // serve answers packets: SYN+ACK to a SYN, a response of one packet to a request of one packet.
-func (e *endpoint) serve() {
+func (e *endpoint) serve(conn *net.UDPConn) {
 	b := make([]byte, 2048)
 	for {
-		n, _, err := e.conn.ReadFromUDPAddrPort(b)
+		n, _, err := conn.ReadFromUDPAddrPort(b)
 		if err != nil {
 			return
 		}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -97,16 +97,22 @@
 	fmt.Fprintf(w.record, "%9.3f  %s\n", w.now().Seconds(), fmt.Sprintf(format, args...))
 }
 
-// addHosts creates the settings of entry hosts, perZone in each zone.
-func (w *world) addHosts(zones []string, perZone int) error {
+// zones are those of qbph-lahore, and hostsIn is the number of entry hosts in each.
+var (
+	zones   = []string{"lhr-gulberg", "lhr-cantt", "fsd-main", "mtn-depot"}
+	hostsIn = []int{2, 2, 1, 1}
+)
+
+// addHosts creates the settings of the entry hosts.
+func (w *world) addHosts() error {
 	for z, zone := range zones {
-		for n := range perZone {
+		for n := range hostsIn[z] {
 			h := &entryHost{name: fmt.Sprintf("edge-%s-%d", zone, n+1), zone: zone, ip: w.ip(z+1, n+10), storeIP: w.ip(9, len(w.hosts)+1)}
 			w.hosts = append(w.hosts, h)
 		}
 	}
 	var seeds []string
-	for i := 0; i < len(w.hosts) && len(seeds) < 3; i += perZone {
+	for i := 0; i < len(w.hosts); i += 2 {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", w.hosts[i].ip, controlPort))
 	}
 	for _, h := range w.hosts {
@@ -118,9 +124,9 @@
 		line("serves", "edge,control_plane")
 		line("ip", h.ip)
 		line("zone", h.zone)
-		line("region", "ga-north")
+		line("region", "pk-punjab")
 		for _, zone := range zones {
-			line("zones."+zone, "ga-north")
+			line("zones."+zone, "pk-punjab")
 		}
 		line("listen.datagramAddr", fmt.Sprintf("%s:%d", h.ip, packetPort))
 		line("listen.readyAddr", fmt.Sprintf("%s:%d", h.ip, readyPort))
