entry: lines about failed checks tell how late the checker ran and when the server last answered

The checker's line now states how long the check took, the longest recent time without a run of the control goroutine, and the age of the clock reading; the line about another host's check states when this host last saw an answer. A counter tells how many findings contradict such an answer. No decision depends on any of it.

--- a/internal/affinity/check.go
+++ b/internal/affinity/check.go
@@ -94,6 +94,15 @@
 	return s != nil && s.check.awaited(now)
 }
 
+// SinceAnswer returns the time since the last answer of an instance that this host has observed, or a negative value if there
+// is none.
+func (r *Router) SinceAnswer(i Instance, now time.Duration) time.Duration {
+	if s := r.serverOf(i); s != nil && s.lastAnswerAt > 0 {
+		return now - s.lastAnswerAt
+	}
+	return -1
+}
+
 // ServerID returns the ID of a backend server for logs, or "" if it is unknown.
 func (r *Router) ServerID(i Instance) string {
 	if s := r.serverOf(i); s != nil {
--- a/internal/entry/checker.go
+++ b/internal/entry/checker.go
@@ -29,6 +29,7 @@
 type checkResult struct {
 	instance affinity.Instance
 	outcome  affinity.CheckOutcome
+	took     time.Duration
 }
 
 // checker checks whether backend servers accept connections. It sends no data on them.
@@ -57,9 +58,11 @@
 		return
 	}
 	go func() {
+		began := time.Now()
 		outcome := c.connect.check(request)
+		took := time.Since(began)
 		<-c.running
-		c.add(checkResult{instance: request.Instance, outcome: outcome})
+		c.add(checkResult{instance: request.Instance, outcome: outcome, took: took})
 		c.wake()
 	}()
 }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -146,7 +146,9 @@
 
 // detectPause records a pause of this host. It runs before an event is handled, as the pause explains its age.
 func (c *control) detectPause() {
-	pause := c.pauses.ran(c.host.now())
+	now := c.host.now()
+	c.host.gaps.ran(now)
+	pause := c.pauses.ran(now)
 	if pause == 0 {
 		return
 	}
--- a/internal/entry/healthchecks.go
+++ b/internal/entry/healthchecks.go
@@ -136,7 +136,7 @@
 	case ok:
 		h.start(request)
 	case !h.traffic.router.Checking(i, now):
-		h.report(i, affinity.Unchecked, now)
+		h.report(i, affinity.Unchecked, 0, now)
 	}
 }
 
@@ -144,17 +144,19 @@
 func (h *healthChecks) checked(result checkResult, now time.Duration) {
 	outcome := h.traffic.router.HandleCheckResult(result.instance, result.outcome, now)
 	countCheck(outcome)
-	h.report(result.instance, outcome, now)
+	h.report(result.instance, outcome, result.took, now)
 }
 
-// report records this host's finding, tells the hosts that asked for it, and queues an unfavourable one for the others.
-func (h *healthChecks) report(i affinity.Instance, outcome affinity.CheckOutcome, now time.Duration) {
+// report records this host's finding, tells the hosts that asked for it, and queues an unfavourable one for the others. took is
+// the duration of the check.
+func (h *healthChecks) report(i affinity.Instance, outcome affinity.CheckOutcome, took, now time.Duration) {
 	finding, waiting := h.state.Checked(i, outcome, now)
 	h.send(waiting, &healthcheck.Message{Findings: []healthcheck.Finding{finding}}, now)
 	probe := h.probes[i]
 	delete(h.probes, i)
 	if outcome == affinity.Refuses || outcome == affinity.NoAnswer {
-		h.log("check of a backend server failed", &finding, now)
+		h.log("check of a backend server failed", &finding, now, "took", took, "process_gap", h.traffic.host.gaps.recent(now),
+			"clock_read_ago", h.traffic.host.now()-now)
 		if !probe { // the others know already that it has ended
 			h.enqueue(finding)
 		}
@@ -180,7 +182,8 @@
 	}
 	for _, f := range m.message.Findings {
 		if h.state.Receive(f, now) {
-			h.log("another host's check of a backend server failed", &f, now)
+			h.countContradiction(f, now)
+			h.log("another host's check of a backend server failed", &f, now, "since_answer", h.traffic.router.SinceAnswer(f.Instance, now))
 			h.enqueue(f)
 		}
 		h.decide(f.Instance, now)
@@ -237,11 +240,19 @@
 	}
 }
 
-func (h *healthChecks) log(msg string, f *healthcheck.Finding, now time.Duration) {
+// countContradiction counts a failed check of another host during which this host may have seen an answer of the server.
+func (h *healthChecks) countContradiction(f healthcheck.Finding, now time.Duration) {
+	if since := h.traffic.router.SinceAnswer(f.Instance, now); since >= 0 && since < now-f.At+checkTimeout {
+		findingsContradicted.Inc()
+	}
+}
+
+// log logs a finding together with further fields.
+func (h *healthChecks) log(msg string, f *healthcheck.Finding, now time.Duration, fields ...any) {
 	t := h.traffic
 	t.healthLimiter.do(now, func() {
-		level.Info(t.logger).Log("msg", msg, "server", t.router.ServerID(f.Instance), "outcome", f.Outcome, "checker", h.state.CheckerAddr(f),
-			"age", now-f.At)
+		line := []any{"msg", msg, "server", t.router.ServerID(f.Instance), "outcome", f.Outcome, "checker", h.state.CheckerAddr(f), "age", now - f.At}
+		level.Info(t.logger).Log(append(line, fields...)...)
 	})
 }
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -24,7 +24,9 @@
 
 	checksAsked     = metrics.NewCounter(`nutmeglatch_healthcheck_requests_total`)
 	findingsDropped = metrics.NewCounter(`nutmeglatch_healthcheck_findings_dropped_total`)
-	configVersion   = metrics.NewGauge(`nutmeglatch_entry_config_version`, nil)
+	// findingsContradicted counts failed checks of other hosts during which this host may have seen an answer of the server.
+	findingsContradicted = metrics.NewCounter(`nutmeglatch_healthcheck_findings_contradicted_total`)
+	configVersion        = metrics.NewGauge(`nutmeglatch_entry_config_version`, nil)
 
 	withdrawnGauge = metrics.NewGauge(`nutmeglatch_withdrawal_withdrawn`, nil)
 	returns        = metrics.NewCounter(`nutmeglatch_withdrawal_returns_total`)
--- a/internal/entry/pause.go
+++ b/internal/entry/pause.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/affinity"
@@ -32,3 +33,31 @@
 	}
 	return d.pause
 }
+
+// gapWindow is how long a gapRecorder remembers a gap.
+const gapWindow = time.Second
+
+// gapRecorder keeps the longest recent time during which the control goroutine did not run. On a host that gets the processor
+// in time it runs every tickInterval. The recorder can be used by several goroutines.
+type gapRecorder struct{ ranAt, longest, endedAt atomic.Int64 }
+
+// ran records that the control goroutine runs.
+func (g *gapRecorder) ran(now time.Duration) {
+	last := time.Duration(g.ranAt.Swap(int64(now)))
+	if gap := now - last; last != 0 && gap >= g.remembered(now) {
+		g.longest.Store(int64(gap))
+		g.endedAt.Store(int64(now))
+	}
+}
+
+// recent returns the longest gap of the last gapWindow. It includes the present one.
+func (g *gapRecorder) recent(now time.Duration) time.Duration {
+	return max(now-time.Duration(g.ranAt.Load()), g.remembered(now))
+}
+
+func (g *gapRecorder) remembered(now time.Duration) time.Duration {
+	if now-time.Duration(g.endedAt.Load()) >= gapWindow {
+		return 0
+	}
+	return time.Duration(g.longest.Load())
+}
