--- a/internal/entry/checker_test.go
+++ b/internal/entry/checker_test.go
@@ -70,6 +70,32 @@
 	}
 }
 
+// Guards against a live backend server that is reported as silent by a host whose process gets the processor late: the time
+// limit passes before it handles the connection, which was accepted in time (incident 29).
+func TestCheckByALateHost(t *testing.T) {
+	server, reference := netip.MustParseAddrPort("10.0.0.1:80"), netip.MustParseAddrPort("10.0.0.2:80")
+	const pausedFrom = 50 * time.Millisecond
+	for _, resumesAt := range []time.Duration{checkTimeout + 20*time.Millisecond, checkTimeout + 70*time.Millisecond, 2 * checkTimeout} {
+		t.Run(resumesAt.String(), func(t *testing.T) {
+			began := time.Now()
+			fake := connectFunc(func(ctx context.Context, addr netip.AddrPort) affinity.CheckOutcome {
+				if addr == reference && time.Since(began) < pausedFrom {
+					return affinity.Accepts
+				}
+				select {
+				case <-time.After(resumesAt - time.Since(began)):
+					return affinity.Accepts
+				case <-ctx.Done():
+					return affinity.NoAnswer
+				}
+			})
+			if got := fake.check(affinity.CheckRequest{Addr: server, Reference: reference}); got == affinity.NoAnswer {
+				t.Errorf("%v by a process that did not run from %v to %v", got, pausedFrom, resumesAt)
+			}
+		})
+	}
+}
+
 // Guards against results that are not handled before the next packet arrives because the traffic goroutine is not woken, and
 // against an unlimited number of concurrent checks.
 func TestCheckerWakesAndLimitsChecks(t *testing.T) {
