entry: the failing test of late checks fixes the order in which answers are handled

The simulated process handled connections that were accepted at the same time in any order. It now handles the open connection to the reference first, then those to the server, then connections that are opened later.

--- a/internal/entry/checker_test.go
+++ b/internal/entry/checker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -73,29 +74,63 @@
 // Guards against a live backend server that is reported as silent by a host whose process gets the processor late: the time
 // limit passes before it handles the connection, which was accepted in time (incident 29).
 func TestCheckByALateHost(t *testing.T) {
-	server, reference := netip.MustParseAddrPort("10.0.0.1:80"), netip.MustParseAddrPort("10.0.0.2:80")
-	const pausedFrom = 50 * time.Millisecond
-	for _, resumesAt := range []time.Duration{checkTimeout + 20*time.Millisecond, checkTimeout + 70*time.Millisecond, 2 * checkTimeout} {
-		t.Run(resumesAt.String(), func(t *testing.T) {
-			began := time.Now()
-			fake := connectFunc(func(ctx context.Context, addr netip.AddrPort) affinity.CheckOutcome {
-				if addr == reference && time.Since(began) < pausedFrom {
-					return affinity.Accepts
-				}
-				select {
-				case <-time.After(resumesAt - time.Since(began)):
-					return affinity.Accepts
-				case <-ctx.Done():
-					return affinity.NoAnswer
-				}
-			})
-			if got := fake.check(affinity.CheckRequest{Addr: server, Reference: reference}); got == affinity.NoAnswer {
-				t.Errorf("%v by a process that did not run from %v to %v", got, pausedFrom, resumesAt)
+	for _, resumesAfter := range []time.Duration{checkTimeout + 20*time.Millisecond, checkTimeout + 70*time.Millisecond, 2 * checkTimeout} {
+		t.Run(resumesAfter.String(), func(t *testing.T) {
+			p := newPausedProcess(resumesAfter)
+			if got := connectFunc(p.connect).check(affinity.CheckRequest{Addr: p.server, Reference: p.reference}); got == affinity.NoAnswer {
+				t.Errorf("%v by a process that did not run until %v after the begin of the check", got, resumesAfter)
 			}
 		})
 	}
 }
 
+// pausedProcess simulates a process that stops when a check has begun and resumes some time later. All connections are accepted
+// at once, but the process handles that only when it runs: first the connection to the reference server that is open when it
+// resumes, then those to the server, then connections that are opened later.
+type pausedProcess struct {
+	server, reference netip.AddrPort
+	resumed           chan struct{}
+	references        atomic.Int32
+	servers           sync.WaitGroup // the two connections to the server, until they are handled
+}
+
+func newPausedProcess(resumesAfter time.Duration) *pausedProcess {
+	p := &pausedProcess{
+		server: netip.MustParseAddrPort("10.0.0.1:80"), reference: netip.MustParseAddrPort("10.0.0.2:80"), resumed: make(chan struct{}),
+	}
+	p.servers.Add(2)
+	time.AfterFunc(resumesAfter, func() { close(p.resumed) })
+	return p
+}
+
+func (p *pausedProcess) connect(ctx context.Context, addr netip.AddrPort) affinity.CheckOutcome {
+	if addr == p.server {
+		defer p.servers.Done()
+		return p.handledAfter(ctx, 20*time.Millisecond)
+	}
+	if p.references.Add(1) == 1 {
+		return affinity.Accepts // handled before the process stopped
+	}
+	select {
+	case <-p.resumed:
+		p.servers.Wait()
+		return affinity.Accepts
+	default:
+		return p.handledAfter(ctx, 0)
+	}
+}
+
+// handledAfter returns when the process handles a connection that was accepted while it was stopped.
+func (p *pausedProcess) handledAfter(ctx context.Context, delay time.Duration) affinity.CheckOutcome {
+	select {
+	case <-p.resumed:
+		time.Sleep(delay)
+		return affinity.Accepts
+	case <-ctx.Done():
+		return affinity.NoAnswer
+	}
+}
+
 // Guards against results that are not handled before the next packet arrives because the traffic goroutine is not woken, and
 // against an unlimited number of concurrent checks.
 func TestCheckerWakesAndLimitsChecks(t *testing.T) {
