entry: a late host no longer takes a backend server that accepts its check for silent

A check failed when its time limit had passed. A host that gets the processor late handles the end of the time limit before the accepted connection; the reference only showed that it was on time in the first 100 ms.

After the time limit the host now opens two connections to the reference, one after the other, and looks for the server's answer again. What arrived before the second one was opened has been handled when it is accepted, however late the process runs. No time bound decides. With one closing connection the test fails, because the answers to the reference and to the server may be handled together in any order.

--- a/internal/entry/checker.go
+++ b/internal/entry/checker.go
@@ -14,8 +14,12 @@
 )
 
 const (
-	// checkTimeout limits the duration of a check.
+	// checkTimeout is how long a check waits for the backend server.
 	checkTimeout = 250 * time.Millisecond
+	// closingConnections is the number of connections to the reference server, one after the other, that must be accepted after
+	// checkTimeout. A process that has handled them has also handled what arrived before, even if it gets the processor late:
+	// the first one may be handled together with the server's answer, the second one only after it.
+	closingConnections = 2
 	// referenceTimeout limits the time to connect to the reference server. If it takes longer, this host's own link or
 	// processor may cause the delay, and a server that does not answer is reported as Unchecked.
 	referenceTimeout = 100 * time.Millisecond
@@ -82,43 +86,57 @@
 	return results
 }
 
-// check checks a backend server and the reference server, if there is one, at the same time. The outcome NoAnswer requires that
-// the reference accepted a connection within referenceTimeout; otherwise the fault may be this host's, and the outcome is Unchecked.
+// check checks a backend server. The outcome NoAnswer requires that a reference server accepts a connection within
+// referenceTimeout at the beginning of the check and closingConnections after its time limit. Otherwise the fault may be this
+// host's, and the outcome is Unchecked.
 func (connect connectFunc) check(request affinity.CheckRequest) affinity.CheckOutcome {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	reference := make(chan affinity.CheckOutcome, 1)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), referenceTimeout)
-		defer cancel()
-		reference <- connect(ctx, request.Reference)
-	}()
-	outcome := connect.connectWithRetry(request.Addr)
-	if !request.Reference.IsValid() && outcome == affinity.NoAnswer {
-		return affinity.Unchecked
+	go func() { reference <- connect.connectPromptly(request.Reference) }()
+	server := make(chan affinity.CheckOutcome, 2)
+	connectServer := func() { server <- connect(ctx, request.Addr) }
+
+	go connectServer()
+	outcome := await(server, checkRetryDelay)
+	if outcome == affinity.NoAnswer {
+		go connectServer()
+		outcome = await(server, checkTimeout-checkRetryDelay)
+	}
+	if outcome != affinity.NoAnswer {
+		return outcome
 	}
-	if <-reference != affinity.Accepts && outcome == affinity.NoAnswer {
+	if !request.Reference.IsValid() || <-reference != affinity.Accepts {
 		return affinity.Unchecked
 	}
-	return outcome
+	for range closingConnections {
+		if connect.connectPromptly(request.Reference) != affinity.Accepts {
+			return affinity.Unchecked
+		}
+	}
+	return await(server, 0)
 }
 
-// connectWithRetry opens a connection, and a second one if the first is not answered within checkRetryDelay. It returns the
-// first outcome that is Accepts or Refuses, otherwise the lower of the two outcomes.
-func (connect connectFunc) connectWithRetry(addr netip.AddrPort) affinity.CheckOutcome {
-	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+// connectPromptly tries to open a connection to a reference server within referenceTimeout.
+func (connect connectFunc) connectPromptly(reference netip.AddrPort) affinity.CheckOutcome {
+	ctx, cancel := context.WithTimeout(context.Background(), referenceTimeout)
 	defer cancel()
-	outcomes := make(chan affinity.CheckOutcome, 2)
-	go func() { outcomes <- connect(ctx, addr) }()
+	return connect(ctx, reference)
+}
+
+// await returns the next outcome, or NoAnswer if there is none within a time.
+func await(outcomes <-chan affinity.CheckOutcome, limit time.Duration) affinity.CheckOutcome {
 	select {
 	case outcome := <-outcomes:
 		return outcome
-	case <-time.After(checkRetryDelay):
+	default:
 	}
-	go func() { outcomes <- connect(ctx, addr) }()
-	first := <-outcomes
-	if first == affinity.Accepts || first == affinity.Refuses {
-		return first
+	select {
+	case outcome := <-outcomes:
+		return outcome
+	case <-time.After(limit):
+		return affinity.NoAnswer
 	}
-	return min(first, <-outcomes)
 }
 
 func connect(ctx context.Context, addr netip.AddrPort) affinity.CheckOutcome {
