entry, healthcheck, affinity: a failed check counts from its start

A finding bore the time at which the result was handled, so that an answer seen while the check ran, up to 250 ms before and longer if the checker ran late, did not count against it, although it shows that the backend server answers.

A failed check is now dated at its start, in messages too, whose form is the same; hosts of both versions understand each other. A result that belongs to an earlier check than the running one, or that is outdated when it is handled, counts for nothing; it was taken for one of the running check.

--- a/internal/affinity/check.go
+++ b/internal/affinity/check.go
@@ -31,6 +31,7 @@
 	// either, or if it is not valid since no server has answered recently, a missing answer is attributed to this host's own
 	// link or processor.
 	Reference netip.AddrPort
+	StartedAt time.Duration
 }
 
 // CheckOutcome is the result of a check.
@@ -81,7 +82,7 @@
 		return CheckRequest{}, false
 	}
 	s.check = check{running: true, startedAt: now}
-	request := CheckRequest{ServerID: s.ID, Instance: i, Addr: s.Addr}
+	request := CheckRequest{ServerID: s.ID, Instance: i, Addr: s.Addr, StartedAt: now}
 	if reference := r.reference(s, now); reference != nil {
 		request.Reference = reference.Addr
 	}
@@ -153,10 +154,11 @@
 
 // HandleCheckResult ends a check and returns what its outcome says: Accepts if it got no answer but a caller's packet has
 // acknowledged an answer of the server since the check started, and Unchecked if it was refused nevertheless, as by a server
-// that has begun to drain, if this host was paused meanwhile, or if the server has gone, was restarted or drains.
-func (r *Router) HandleCheckResult(i Instance, outcome CheckOutcome, now time.Duration) CheckOutcome {
-	s := r.serverOf(i)
-	if s == nil || !s.check.running {
+// that has begun to drain, if this host was paused meanwhile, if a later check has been started, or if the server has gone, was
+// restarted or drains.
+func (r *Router) HandleCheckResult(request CheckRequest, outcome CheckOutcome) CheckOutcome {
+	s := r.serverOf(request.Instance)
+	if s == nil || !s.check.running || s.check.startedAt != request.StartedAt {
 		return Unchecked
 	}
 	s.check.running = false
--- a/internal/affinity/check_test.go
+++ b/internal/affinity/check_test.go
@@ -241,7 +241,7 @@
 				t.Fatal("the check was not started")
 			}
 			h.change(silent, tt.change)
-			if o := h.router.HandleCheckResult(check.Instance, Refuses, h.now); o != Unchecked {
+			if o := h.router.HandleCheckResult(check, Refuses); o != Unchecked {
 				t.Errorf("outcome %v, want unchecked", o)
 			}
 			h.change(silent, tt.undo)
--- a/internal/affinity/harness_test.go
+++ b/internal/affinity/harness_test.go
@@ -142,7 +142,7 @@
 
 // endCheck reports the outcome of a check. An unfavourable one counts as if another host had found the same.
 func (h *harness) endCheck(c CheckRequest, outcome CheckOutcome) {
-	if o := h.router.HandleCheckResult(c.Instance, outcome, h.now); o == Refuses || o == NoAnswer {
+	if o := h.router.HandleCheckResult(c, outcome); o == Refuses || o == NoAnswer {
 		h.silence(c.Instance, CauseOf(o))
 	}
 }
--- a/internal/entry/busy_test.go
+++ b/internal/entry/busy_test.go
@@ -84,7 +84,7 @@
 
 // check ends at once with an accepted connection, or at a late host at the time limit without an answer.
 func (f *busyFleet) check(host int, r affinity.CheckRequest) {
-	result := checkResult{instance: r.Instance, outcome: affinity.Accepts}
+	result := checkResult{request: r, outcome: affinity.Accepts}
 	at := f.now + simStep
 	if f.late[host] {
 		result.outcome = affinity.NoAnswer
--- a/internal/entry/checker.go
+++ b/internal/entry/checker.go
@@ -31,9 +31,9 @@
 
 // checkResult is the result of the check of a backend server.
 type checkResult struct {
-	instance affinity.Instance
-	outcome  affinity.CheckOutcome
-	took     time.Duration
+	request affinity.CheckRequest
+	outcome affinity.CheckOutcome
+	took    time.Duration
 }
 
 // checker checks whether backend servers accept connections. It sends no data on them.
@@ -58,7 +58,7 @@
 	select {
 	case c.running <- struct{}{}:
 	default:
-		c.add(checkResult{instance: request.Instance, outcome: affinity.Unchecked})
+		c.add(checkResult{request: request, outcome: affinity.Unchecked})
 		return
 	}
 	go func() {
@@ -66,7 +66,7 @@
 		outcome := c.connect.check(request)
 		took := time.Since(began)
 		<-c.running
-		c.add(checkResult{instance: request.Instance, outcome: outcome, took: took})
+		c.add(checkResult{request: request, outcome: outcome, took: took})
 		c.wake()
 	}()
 }
--- a/internal/entry/checker_test.go
+++ b/internal/entry/checker_test.go
@@ -148,7 +148,7 @@
 	case <-time.After(5 * time.Second):
 		t.Fatal("wake was not called")
 	}
-	if got := c.takeResults(); len(got) != 1 || got[0].outcome != affinity.Accepts || got[0].instance != request.Instance {
+	if got := c.takeResults(); len(got) != 1 || got[0].outcome != affinity.Accepts || got[0].request != request {
 		t.Fatalf("results %+v", got)
 	}
 	for range maxChecks {
--- a/internal/entry/healthchecks.go
+++ b/internal/entry/healthchecks.go
@@ -136,21 +136,23 @@
 	case ok:
 		h.start(request)
 	case !h.traffic.router.Checking(i, now):
-		h.report(i, affinity.Unchecked, 0, now)
+		h.report(affinity.CheckRequest{Instance: i}, affinity.Unchecked, 0, now)
 	}
 }
 
 // checked handles the result of a check by this host.
 func (h *healthChecks) checked(result checkResult, now time.Duration) {
-	outcome := h.traffic.router.HandleCheckResult(result.instance, result.outcome, now)
+	outcome := h.traffic.router.HandleCheckResult(result.request, result.outcome)
 	countCheck(outcome)
-	h.report(result.instance, outcome, result.took, now)
+	h.report(result.request, outcome, result.took, now)
 }
 
 // report records this host's finding, tells the hosts that asked for it, and queues an unfavourable one for the others. took is
 // the duration of the check.
-func (h *healthChecks) report(i affinity.Instance, outcome affinity.CheckOutcome, took, now time.Duration) {
-	finding, waiting := h.state.Checked(i, outcome, now)
+func (h *healthChecks) report(request affinity.CheckRequest, outcome affinity.CheckOutcome, took, now time.Duration) {
+	i := request.Instance
+	outcome, at := dated(request, outcome, now)
+	finding, waiting := h.state.Checked(i, outcome, at)
 	h.send(waiting, &healthcheck.Message{Findings: []healthcheck.Finding{finding}}, now)
 	probe := h.probes[i]
 	delete(h.probes, i)
@@ -165,6 +167,18 @@
 	h.learn(finding, now)
 }
 
+// dated returns the outcome of a check and the time from which on it is evidence. An unfavourable outcome that is outdated when
+// it is handled counts for nothing.
+func dated(request affinity.CheckRequest, outcome affinity.CheckOutcome, now time.Duration) (affinity.CheckOutcome, time.Duration) {
+	switch {
+	case outcome != affinity.Refuses && outcome != affinity.NoAnswer:
+		return outcome, now
+	case healthcheck.Expired(request.StartedAt, now):
+		return affinity.Unchecked, now
+	}
+	return outcome, request.StartedAt
+}
+
 // receive handles a message of another host.
 func (h *healthChecks) receive(m checkMessage, now time.Duration) {
 	if !h.state.IsPeer(m.from) {
@@ -240,9 +254,9 @@
 	}
 }
 
-// countContradiction counts a failed check of another host during which this host may have seen an answer of the server.
+// countContradiction counts a failed check of another host after whose start this host saw an answer of the server.
 func (h *healthChecks) countContradiction(f healthcheck.Finding, now time.Duration) {
-	if since := h.traffic.router.SinceAnswer(f.Instance, now); since >= 0 && since < now-f.At+checkTimeout {
+	if since := h.traffic.router.SinceAnswer(f.Instance, now); since >= 0 && since < now-f.At {
 		findingsContradicted.Inc()
 	}
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -24,7 +24,7 @@
 
 	checksAsked     = metrics.NewCounter(`nutmeglatch_healthcheck_requests_total`)
 	findingsDropped = metrics.NewCounter(`nutmeglatch_healthcheck_findings_dropped_total`)
-	// findingsContradicted counts failed checks of other hosts during which this host may have seen an answer of the server.
+	// findingsContradicted counts failed checks of other hosts after whose start this host saw an answer of the server.
 	findingsContradicted = metrics.NewCounter(`nutmeglatch_healthcheck_findings_contradicted_total`)
 	configVersion        = metrics.NewGauge(`nutmeglatch_entry_config_version`, nil)
 
--- a/internal/entry/restarts_test.go
+++ b/internal/entry/restarts_test.go
@@ -99,7 +99,7 @@
 	if f.servers[r.Instance.Identity-1].up(f.now) {
 		outcome = affinity.Accepts
 	}
-	f.later(func() { f.hosts[host].checker.add(checkResult{instance: r.Instance, outcome: outcome}) })
+	f.later(func() { f.hosts[host].checker.add(checkResult{request: r, outcome: outcome}) })
 }
 
 func (f *simFleet) transmit(from int, b []byte, to int) error {
--- a/internal/healthcheck/end.go
+++ b/internal/healthcheck/end.go
@@ -17,7 +17,10 @@
 }
 
 // Expired reports whether the finding is too old to be passed on. Receivers would refuse the whole datagram.
-func (f *Finding) Expired(now time.Duration) bool { return now-f.At >= evidenceLifetime }
+func (f *Finding) Expired(now time.Duration) bool { return Expired(f.At, now) }
+
+// Expired reports whether evidence from a time on is outdated.
+func Expired(at, now time.Duration) bool { return now-at >= evidenceLifetime }
 
 // addEnd records a refused check. An accepted one outweighs those before it.
 func (r *record) addEnd(f Finding) {
--- a/internal/healthcheck/state.go
+++ b/internal/healthcheck/state.go
@@ -47,7 +47,9 @@
 	Instance affinity.Instance
 	Outcome  affinity.CheckOutcome
 	Checker  uint32        // digest of the checker's address
-	At       time.Duration // when the check ended, on this host's clock
+	// At is the time, on this host's clock, from which on the finding is evidence: the start of a check that failed, since an
+	// answer after that contradicts it, and the end of one that was accepted.
+	At time.Duration
 }
 
 // unfavourable reports whether the finding speaks against the backend server.
@@ -149,7 +151,7 @@
 		r = &record{doubtedAt: never, askedFor: never, askedAt: never}
 		s.records[i] = r
 	}
-	r.touchedAt = now
+	r.touchedAt = max(r.touchedAt, now)
 	return r
 }
 
@@ -236,16 +238,16 @@
 	return nil, true
 }
 
-// Checked records the result of this host's own check. It returns the hosts that asked for it.
-func (s *State) Checked(i affinity.Instance, o affinity.CheckOutcome, now time.Duration) (Finding, []netip.AddrPort) {
-	f := Finding{Instance: i, Outcome: o, Checker: s.self.digest, At: now}
-	r := s.record(i, now)
+// Checked records the result of this host's own check, which is evidence from a time on. It returns the hosts that asked for it.
+func (s *State) Checked(i affinity.Instance, o affinity.CheckOutcome, at time.Duration) (Finding, []netip.AddrPort) {
+	f := Finding{Instance: i, Outcome: o, Checker: s.self.digest, At: at}
+	r := s.record(i, at)
 	if r == nil {
 		return f, nil
 	}
 	waiting := r.waiting
 	r.waiting = nil
-	if o == affinity.Unchecked && r.own != nil && now-r.own.At < reuseTime {
+	if o == affinity.Unchecked && r.own != nil && at-r.own.At < reuseTime {
 		return *r.own, waiting // a check so soon after the last one was not made, and must not hide what that one found
 	}
 	r.add(f)
