healthcheck: one host's check no longer resets the flows of other hosts' callers

One host's failed check was enough for all hosts of the data centre whose callers had repeated data. Repeated data was taken for a second, independent piece of evidence, but under load the callers of a sound backend server repeat data too, as it acknowledges a request only with its answer.

A backend server is now silent when the checks of two hosts failed and none has been accepted since the later of them began.

--- a/internal/healthcheck/end_test.go
+++ b/internal/healthcheck/end_test.go
@@ -28,6 +28,10 @@
 		{"refused another host, unanswered packets", func(s *State) {
 			s.Doubt(instance, now)
 			s.Receive(findingOf(1, refuses, now), now)
+		}, true, true, affinity.Suspect},
+		{"refused this host and another one", func(s *State) {
+			s.Checked(instance, refuses, now)
+			s.Receive(findingOf(1, refuses, now), now)
 		}, true, true, affinity.Silent},
 		{"refused two hosts of another data centre", func(s *State) {
 			s.Receive(findingOf(71, refuses, now), now)
