entry: the age of findings counts until they are sent

The age of a finding was computed with the time at which the host had taken up the event. A host that gets the processor late sends it later, so that the check seems to have begun later than it did, and an answer that a receiver saw in between does not count against it.

The clock is now read when a message is sent, and findings that are outdated by then are left out; receivers would refuse the whole message. TestFindingsOfALateSender fails with the clock reading of before (400 ms too young, and a message that receivers refuse).

--- a/internal/entry/busy_test.go
+++ b/internal/entry/busy_test.go
@@ -173,3 +173,44 @@
 		t.Fatal("host 0 saw no answer during the checks")
 	}
 }
+
+// Guards against findings that seem younger than they are because the host that passes them on runs late, so that receivers
+// prefer them to their own later observations, and against outdated ones that make a whole message invalid (incident 29).
+func TestFindingsOfALateSender(t *testing.T) {
+	const delay = 400 * time.Millisecond
+	for _, tt := range []struct {
+		name   string
+		age    time.Duration // of the finding when the sender takes it up
+		passed bool
+	}{
+		{"recent", 250 * time.Millisecond, true},
+		{"outdated when it is sent", 1900 * time.Millisecond, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newSimFleet(9, 1, 0, 0)
+			f.now = 5 * time.Second
+			sender, began := f.hosts[3], f.now-tt.age
+			var sent [][]byte
+			sender.transmit = func(b []byte, _ netip.AddrPort) error {
+				sent = append(sent, b)
+				return nil
+			}
+			sender.enqueue(findingAbout(f, 0, 6, affinity.NoAnswer, began))
+			takenUpAt := f.now
+			f.now += delay
+			sender.passOn(takenUpAt)
+			if (len(sent) > 0) != tt.passed {
+				t.Fatalf("%d messages, want some: %v", len(sent), tt.passed)
+			}
+			for _, b := range sent {
+				m, err := healthcheck.Decode(b, f.now)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got := m.Findings[0].At; got != began {
+					t.Errorf("the check seems to have begun %v after it did", got-began)
+				}
+			}
+		})
+	}
+}
--- a/internal/entry/healthchecks.go
+++ b/internal/entry/healthchecks.go
@@ -68,6 +68,7 @@
 	checker  *checker
 	start    func(affinity.CheckRequest)        // starts a check, whose result the checker returns
 	transmit func([]byte, netip.AddrPort) error // sends a datagram to a host
+	clock    func() time.Duration               // reads the time
 	pending  []healthcheck.Finding              // to be passed on
 	sentAt   time.Duration                      // when findings were last passed on
 	// news are the findings that show an end or a start which this host did not know, to be passed on to all data centres
@@ -91,6 +92,7 @@
 		traffic: t,
 		state:   healthcheck.New(t.host.config.Peer, random),
 		checker: newChecker(wake),
+		clock:   t.host.now,
 		probes:  map[affinity.Instance]bool{},
 	}
 	h.start = h.checker.start
@@ -124,7 +126,7 @@
 	}
 	if len(plan.Ask) > 0 {
 		checksAsked.Add(len(plan.Ask))
-		h.send(plan.Ask, &healthcheck.Message{Asks: []affinity.Instance{i}}, now)
+		h.send(plan.Ask, &healthcheck.Message{Asks: []affinity.Instance{i}})
 	}
 	h.decide(i, now)
 }
@@ -153,12 +155,12 @@
 	i := request.Instance
 	outcome, at := dated(request, outcome, now)
 	finding, waiting := h.state.Checked(i, outcome, at)
-	h.send(waiting, &healthcheck.Message{Findings: []healthcheck.Finding{finding}}, now)
+	h.send(waiting, &healthcheck.Message{Findings: []healthcheck.Finding{finding}})
 	probe := h.probes[i]
 	delete(h.probes, i)
 	if outcome == affinity.Refuses || outcome == affinity.NoAnswer {
 		h.log("check of a backend server failed", &finding, now, "took", took, "process_gap", h.traffic.host.gaps.recent(now),
-			"clock_read_ago", h.traffic.host.now()-now)
+			"clock_read_ago", h.clock()-now)
 		if !probe { // the others know already that it has ended
 			h.enqueue(finding)
 		}
@@ -188,7 +190,7 @@
 	for _, i := range m.message.Asks {
 		answer, check := h.state.Asked(m.from, i, now)
 		if answer != nil {
-			h.send([]netip.AddrPort{m.from}, &healthcheck.Message{Findings: []healthcheck.Finding{*answer}}, now)
+			h.send([]netip.AddrPort{m.from}, &healthcheck.Message{Findings: []healthcheck.Finding{*answer}})
 		}
 		if check {
 			h.check(i, now)
@@ -233,14 +235,21 @@
 		return
 	}
 	n := min(len(h.pending), healthcheck.MaxFindings)
-	h.send(h.state.SamplePeers(findingFanOut), &healthcheck.Message{Findings: h.pending[:n]}, now)
+	h.send(h.state.SamplePeers(findingFanOut), &healthcheck.Message{Findings: h.pending[:n]})
 	h.pending = append(h.pending[:0], h.pending[n:]...)
 }
 
-func (h *healthChecks) send(receivers []netip.AddrPort, m *healthcheck.Message, now time.Duration) {
+// send sends a message. It reads the clock, because on a host that gets the processor late much time may have passed since the
+// event was taken up, and receivers compare the age of findings with their own observations.
+func (h *healthChecks) send(receivers []netip.AddrPort, m *healthcheck.Message) {
 	if len(receivers) == 0 {
 		return
 	}
+	now := h.clock()
+	m.DropExpired(now)
+	if len(m.Asks)+len(m.Findings) == 0 {
+		return
+	}
 	b, err := healthcheck.Encode(m, now)
 	if err != nil {
 		level.Error(h.traffic.logger).Log("msg", "encoding a message about checks failed", "err", err)
--- a/internal/entry/restarts.go
+++ b/internal/entry/restarts.go
@@ -91,7 +91,7 @@
 	for _, item := range h.news[:n] {
 		m.Findings = append(m.Findings, item.finding)
 	}
-	h.send(h.newsReceivers(), m, now)
+	h.send(h.newsReceivers(), m)
 	for _, item := range h.news[:n] {
 		if item.sent++; item.sent < newsCopies && now-item.finding.At < newsLifetime {
 			h.news = append(h.news, item)
@@ -122,7 +122,7 @@
 	plan := h.state.Probe(i, h.isNear(dataCentre), now)
 	if len(plan.Ask) > 0 {
 		checksAsked.Add(len(plan.Ask))
-		h.send(plan.Ask, &healthcheck.Message{Asks: []affinity.Instance{i}}, now)
+		h.send(plan.Ask, &healthcheck.Message{Asks: []affinity.Instance{i}})
 	}
 	if !plan.CheckSelf {
 		return restart.InquiryInterval
--- a/internal/entry/restarts_test.go
+++ b/internal/entry/restarts_test.go
@@ -80,6 +80,7 @@
 		t := newTraffic(host, nil)
 		host.checkInbox.wake = func() {}
 		t.checks.start = func(r affinity.CheckRequest) { f.check(n, r) }
+		t.checks.clock = func() time.Duration { return f.now }
 		t.checks.transmit = func(b []byte, to netip.AddrPort) error { return f.transmit(n, b, f.index[to]) }
 		fleet := &affinity.Fleet{Self: all[n], Hosts: slices.Delete(slices.Clone(all), n, n+1), Size: hosts, ConfirmedAt: time.Second}
 		t.router.SetFleet(*fleet)
--- a/internal/healthcheck/message.go
+++ b/internal/healthcheck/message.go
@@ -1,6 +1,7 @@
 package healthcheck
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,11 @@
 	Findings []Finding
 }
 
+// DropExpired removes outdated findings, because of which receivers would refuse the whole message.
+func (m *Message) DropExpired(now time.Duration) {
+	m.Findings = slices.DeleteFunc(slices.Clone(m.Findings), func(f Finding) bool { return f.Expired(now) })
+}
+
 // wireMessage, wireInstance and wireFinding are the encoded forms, arrays without names.
 type wireMessage struct {
 	_        struct{} `cbor:",toarray"`
