entry: an accepted check that is handled late is no start of a backend server

A backend server ends and comes back without the store; hosts would give it more new flows than a cold one bears. An accepted check counted as an attempt made at most 250 ms before its result was handled. A host that gets the processor late handles it later, so that an answer of the old process seemed younger than the refused connection of another host, and was told to all hosts as a start.

A result that is accepted, but handled later than 250 ms after the start of the check, is now inconclusive; hosts that asked go on to the next checkers. An answer to a caller that stands in for the result of a check is dated when it was seen. TestLateAcceptIsNoStart failed before, with results handled 100 and 200 ms late.

--- a/internal/entry/healthchecks.go
+++ b/internal/entry/healthchecks.go
@@ -138,29 +138,46 @@
 	case ok:
 		h.start(request)
 	case !h.traffic.router.Checking(i, now):
-		h.report(affinity.CheckRequest{Instance: i}, affinity.Unchecked, 0, now)
+		h.report(i, affinity.Unchecked, now, now)
 	}
 }
 
 // checked handles the result of a check by this host.
 func (h *healthChecks) checked(result checkResult, now time.Duration) {
-	outcome := h.traffic.router.HandleCheckResult(result.request, result.outcome)
+	outcome, at := h.conclusion(result, now)
 	countCheck(outcome)
-	h.report(result.request, outcome, result.took, now)
+	h.report(result.request.Instance, outcome, at, now, "took", result.took)
 }
 
-// report records this host's finding, tells the hosts that asked for it, and queues an unfavourable one for the others. took is
-// the duration of the check.
-func (h *healthChecks) report(request affinity.CheckRequest, outcome affinity.CheckOutcome, took, now time.Duration) {
-	i := request.Instance
-	outcome, at := dated(request, outcome, now)
+// conclusion returns what the result of a check shows, and the time from which on it is evidence. A result that is handled too late
+// to be dated shows nothing.
+func (h *healthChecks) conclusion(result checkResult, now time.Duration) (outcome affinity.CheckOutcome, at time.Duration) {
+	i, startedAt := result.request.Instance, result.request.StartedAt
+	if result.outcome == affinity.Accepts && now-startedAt > checkTimeout {
+		result.outcome = affinity.Unchecked // learn assumes that the connection was made within checkTimeout
+	}
+	outcome = h.traffic.router.HandleCheckResult(result.request, result.outcome)
+	switch {
+	case outcome == affinity.Accepts && result.outcome == affinity.NoAnswer: // by an answer to a caller
+		return outcome, now - h.traffic.router.SinceAnswer(i, now)
+	case outcome != affinity.Refuses && outcome != affinity.NoAnswer:
+		return outcome, now
+	case healthcheck.Expired(startedAt, now):
+		return affinity.Unchecked, now
+	}
+	return outcome, startedAt
+}
+
+// report records this host's finding, which is evidence from a time on, tells the hosts that asked for it, and queues an
+// unfavourable one for the others. fields are added to the log line.
+func (h *healthChecks) report(i affinity.Instance, outcome affinity.CheckOutcome, at, now time.Duration, fields ...any) {
 	finding, waiting := h.state.Checked(i, outcome, at)
 	h.send(waiting, &healthcheck.Message{Findings: []healthcheck.Finding{finding}})
 	probe := h.probes[i]
 	delete(h.probes, i)
 	if outcome == affinity.Refuses || outcome == affinity.NoAnswer {
-		h.log("check of a backend server failed", &finding, now, "took", took, "process_gap", h.traffic.host.gaps.recent(now),
-			"clock_read_ago", h.clock()-now)
+		fields = append(fields, "process_gap", h.traffic.host.gaps.recent(now), "clock_read_ago", h.clock()-now)
+		h.log("check of a backend server failed", &finding, now, fields...)
 		if !probe { // the others know already that it has ended
 			h.enqueue(finding)
 		}
@@ -169,18 +186,6 @@
 	h.learn(finding, now)
 }
 
-// dated returns the outcome of a check and the time from which on it is evidence. An unfavourable outcome that is outdated when
-// it is handled counts for nothing.
-func dated(request affinity.CheckRequest, outcome affinity.CheckOutcome, now time.Duration) (affinity.CheckOutcome, time.Duration) {
-	switch {
-	case outcome != affinity.Refuses && outcome != affinity.NoAnswer:
-		return outcome, now
-	case healthcheck.Expired(request.StartedAt, now):
-		return affinity.Unchecked, now
-	}
-	return outcome, request.StartedAt
-}
-
 // receive handles a message of another host.
 func (h *healthChecks) receive(m checkMessage, now time.Duration) {
 	if !h.state.IsPeer(m.from) {
--- a/internal/entry/restarts_test.go
+++ b/internal/entry/restarts_test.go
@@ -231,3 +231,25 @@
 		})
 	}
 }
+
+// A host that runs late handles an accepted check late. Its connection was made before the process ended, which the refused
+// check of another host shows meanwhile. Guards against a start that is inferred from an answer of the old process and told to
+// all hosts: they would give the next process more new flows than a cold one bears.
+func TestLateAcceptIsNoStart(t *testing.T) {
+	for _, late := range []time.Duration{5 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond} {
+		f := newSimFleet(9, 6, 0, time.Second)
+		h, startedAt := f.hosts[0], time.Second
+		refused := findingAbout(f, 0, 3, affinity.Refuses, startedAt+50*time.Millisecond)
+		var request affinity.CheckRequest
+		h.start = func(r affinity.CheckRequest) { request = r }
+		h.check(refused.Instance, startedAt)
+		refuser := f.hosts[3].traffic.host.config.Peer
+		h.receive(checkMessage{from: refuser, message: &healthcheck.Message{Findings: []healthcheck.Finding{refused}}}, refused.At+simStep)
+		h.news = nil
+		h.checker.add(checkResult{request: request, outcome: affinity.Accepts})
+		h.run(startedAt + checkTimeout + late)
+		if _, ended := h.traffic.router.Ended(refused.Instance); !ended || len(h.news) > 0 {
+			t.Errorf("late by %v: ended %v, news %+v; the connection was made 50 ms before the refused one", late, ended, h.news)
+		}
+	}
+}
