affinity: the silence of a data centre counts from when this host waits for answers

What callers would see: the hosts of a data centre fail, the routers hand its callers to hosts of another one, and these reset open flows whose backend servers are well, if three requests take longer than 0.2 s.

Cause: cutOff takes a data centre for cut off when none of its servers has answered a caller for 0.4 s and three flows have repeated data. The 0.4 s counted from the last answer that this host saw, which is long ago, or never, for a host that has just been handed the flows. The first repeat of three flows (after 0.2 s) was enough. A slow host that handles a packet and its repeat in one go needed no time at all.

Change: the silence counts from when this host had forwarded the data of all three flows.

Evidence: TestSilenceBeginsWithTheFirstRequest, failed before in both cases ("got action 2 reason data_centre_cut_off, want action 1 reason known_flow" at the first repeat).

Why it works: data that this host has just forwarded can have no answer yet, whatever the time of the last one. Flows of a data centre that is cut off are reset as before once three flows have waited for 0.4 s; later ones at their first repeat.

--- a/internal/affinity/unreachable.go
+++ b/internal/affinity/unreachable.go
@@ -16,6 +16,7 @@
 	lastAnswerAt time.Duration
 	repeating    [minSilentFlows]FlowKey // flows that have repeated data since then
 	numRepeating int
+	awaitedSince time.Duration // when this host had forwarded the data of all of them
 }
 
 // silenceOf returns the evidence about a data centre.
@@ -31,26 +32,32 @@
 // answered records an answer of a backend server.
 func (d *dataCentreSilence) answered(now time.Duration) { d.lastAnswerAt, d.numRepeating = now, 0 }
 
-// repeated records that a flow has repeated data.
-func (d *dataCentreSilence) repeated(key FlowKey) {
+// repeated records that a flow has repeated data, which this host first forwarded at sentAt.
+func (d *dataCentreSilence) repeated(key FlowKey, sentAt time.Duration) {
 	for _, known := range d.repeating[:d.numRepeating] {
 		if known == key {
 			return
 		}
 	}
-	if d.numRepeating < minSilentFlows {
-		d.repeating[d.numRepeating] = key
-		d.numRepeating++
+	if d.numRepeating == minSilentFlows {
+		return
 	}
+	if d.numRepeating == 0 {
+		d.awaitedSince = sentAt
+	}
+	d.awaitedSince = max(d.awaitedSince, sentAt)
+	d.repeating[d.numRepeating] = key
+	d.numRepeating++
 }
 
 // cutOff reports whether a flow that repeats data is cut off from its backend server: this host receives no messages from the
-// hosts of the server's data centre, and none of its servers answers callers. A reset lets the caller try another server at
-// once, in place of repeating data until its deadline.
+// hosts of the server's data centre, and none of its servers answers callers. The silence counts from when this host had
+// answers to wait for: before that, it would have seen none. A reset lets the caller try another server at once, in place of
+// repeating data until its deadline.
 func (r *Router) cutOff(s *server, seen PacketEvidence, now time.Duration) bool {
 	if !seen.Repeated || !r.fleet.Unreachable[s.DataCentre] {
 		return false
 	}
 	d := r.silenceOf(s.DataCentre)
-	return d.numRepeating == minSilentFlows && now-max(d.lastAnswerAt, r.evidenceSince) >= minSilence
+	return d.numRepeating == minSilentFlows && now-max(d.lastAnswerAt, d.awaitedSince, r.evidenceSince) >= minSilence
 }
--- a/internal/affinity/unreachable_test.go
+++ b/internal/affinity/unreachable_test.go
@@ -88,3 +88,46 @@
 		}
 	})
 }
+
+// newArrivals returns the callers of six open flows to servers of data centre b that this host has not seen yet.
+func newArrivals(h *harness) []*caller {
+	var callers []*caller
+	for _, s := range h.view.Servers {
+		c := h.caller(meterAddr)
+		c.token = s.Token()
+		callers = append(callers, c)
+	}
+	return callers
+}
+
+// The hosts of a data centre have failed, and its callers' open flows move to this host, which has had no answer of its servers
+// for long. Guards against silence that counts from before this host had an answer to wait for: a request of 0.2 s would be
+// enough for a reset, or packets that waited in the socket's buffer of a slow host.
+func TestSilenceBeginsWithTheFirstRequest(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		repeats []time.Duration // after the first transmission; the last one is reset
+	}{
+		{"repeats in time", []time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond}},
+		{"first repeat handled with the first transmission", []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h, _ := newCutOffHost(t, false)
+			h.advance(5 * time.Second)
+			callers, startedAt := newArrivals(h), h.now
+			for _, c := range callers {
+				expect(t, c.request(), Forward, KnownFlow)
+			}
+			for n, after := range tt.repeats {
+				h.advance(startedAt + after - h.now)
+				for _, c := range callers {
+					if n < len(tt.repeats)-1 {
+						expect(t, c.request(), Forward, KnownFlow)
+					} else {
+						expect(t, c.request(), Reject, DataCentreCutOff)
+					}
+				}
+			}
+		})
+	}
+}
