affinity: the evidence that a data centre is cut off expires

What callers would see: a data centre whose hosts are down is back in reach after a cut, and another host resets flows to its well backend servers at the first repeat of data, after 0.2 s.

Cause: the three flows that have repeated data count until an answer of the data centre passes this host, however long ago they repeated it. A host that forwards few flows there decides by evidence that is many seconds old, and each reset keeps the answer away that would end it.

Change: after 2 s without any repeat (retransmitWindow, after which callers give up) the evidence begins anew.

Evidence: TestSilenceExpires, failed before (six flows reset 2.5 s after the last repeat).

--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -326,7 +326,7 @@
 	}
 	if end == f.next && f.sentAt != neverSent {
 		seen.Repeated = true
-		r.silenceOf(s.DataCentre).repeated(p.Key(), f.sentAt)
+		r.silenceOf(s.DataCentre).repeated(p.Key(), f.sentAt, now)
 	}
 	if end == f.next && f.sentAt >= max(s.provenAt(), r.evidenceSince, now-retransmitWindow) {
 		r.requestCheck(s, now)
--- a/internal/affinity/unreachable.go
+++ b/internal/affinity/unreachable.go
@@ -17,6 +17,7 @@
 	repeating    [minSilentFlows]FlowKey // flows that have repeated data since then
 	numRepeating int
 	awaitedSince time.Duration // when this host had forwarded the data of all of them
+	repeatedAt   time.Duration // last repeat of any flow
 }
 
 // silenceOf returns the evidence about a data centre.
@@ -32,8 +33,13 @@
 // answered records an answer of a backend server.
 func (d *dataCentreSilence) answered(now time.Duration) { d.lastAnswerAt, d.numRepeating = now, 0 }
 
-// repeated records that a flow has repeated data, which this host first forwarded at sentAt.
-func (d *dataCentreSilence) repeated(key FlowKey, sentAt time.Duration) {
+// repeated records that a flow has repeated data, which this host first forwarded at sentAt. Callers that wait for an answer
+// repeat their data more often than every retransmitWindow; after such a gap, the evidence begins anew.
+func (d *dataCentreSilence) repeated(key FlowKey, sentAt, now time.Duration) {
+	if now-d.repeatedAt > retransmitWindow {
+		d.numRepeating = 0
+	}
+	d.repeatedAt = now
 	for _, known := range d.repeating[:d.numRepeating] {
 		if known == key {
 			return
--- a/internal/affinity/unreachable_test.go
+++ b/internal/affinity/unreachable_test.go
@@ -131,3 +131,33 @@
 		})
 	}
 }
+
+// A data centre was cut off for a while, and its hosts are still down when its servers are back in reach. Guards against flows
+// that are reset at their first repeat by evidence from long before they were opened.
+func TestSilenceExpires(t *testing.T) {
+	for _, tt := range []struct {
+		quiet time.Duration // without packets to the data centre
+		want  Action
+	}{{time.Second, Reject}, {retransmitWindow + 500*time.Millisecond, Forward}} {
+		h, callers := newCutOffHost(t, false)
+		h.advance(5 * time.Second)
+		for range 4 {
+			for _, c := range callers {
+				expect(t, c.request(), Forward, KnownFlow)
+			}
+			h.advance(100 * time.Millisecond)
+		}
+		expect(t, callers[0].request(), Reject, DataCentreCutOff)
+		h.advance(tt.quiet)
+		callers = newArrivals(h)
+		for _, c := range callers {
+			expect(t, c.request(), Forward, KnownFlow)
+		}
+		h.advance(200 * time.Millisecond)
+		for _, c := range callers {
+			if v := c.request(); v.Action != tt.want {
+				t.Errorf("after %v without packets: first repeat %v %v, want action %v", tt.quiet, v.Action, v.Reason, tt.want)
+			}
+		}
+	}
+}
