follower: a watch answered with changes confirms only as of its start

What callers would see: flows to a backend server whose entry is missing for a while are reset up to 1.2 s before the 2.5 s are over that its entry has to return, by hosts that are well, because the reader of the store runs slowly.

Cause: confirmedAsOf took each watch that ended after its wait for one that had waited in full, and dated the confirmation at the end of the wait. A watch that the store answered early, with changes, but whose answer the reader got or handled after the wait (slowed, behind a full link, a large answer), was dated up to 1.2 s later than the store had these contents. The reader tells all other hosts the age of its confirmation, and they count the time since the removal of an entry by it.

Change: the result of a watch says whether the store answered with changes (Result.Changed, also if no item of them is known). Such a watch confirms as of its start.

Evidence: TestConfirmation, "change handled late by a slow host" (confirmed at 1.2s after the start, want 0s), and TestConfirmationOfALateWatch (other hosts are told that the contents were confirmed 200ms ago, want 1.2s at least), failed without the condition.

Why it works: the store ends the wait at the first change, so only an answer without changes shows that nothing changed until the end of the wait.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -220,7 +220,7 @@
 func (c *control) onCallEnd(e callEnd) {
 	now := c.host.now()
 	stale := !c.follower.Fresh(now)
-	c.follower.CallEnded(e.outcome, now)
+	c.follower.CallEnded(e.outcome, e.result.Changed, now)
 	c.publishConfirmed()
 	if stale && e.outcome == follower.Done {
 		c.gossipAt = now
--- a/internal/entry/peers_test.go
+++ b/internal/entry/peers_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/nutmeglatch/nutmeglatch/internal/follower"
 	"github.com/nutmeglatch/nutmeglatch/internal/gossip"
 	"github.com/nutmeglatch/nutmeglatch/internal/registry"
 )
@@ -48,6 +49,34 @@
 	}
 }
 
+// The reader of the store runs slowly and handles the answer to a watch after the wait, though the store answered early, with
+// changes. Guards against contents that count as confirmed later than they were, at the reader and at all hosts that take its
+// word: they reset flows of removed backend servers before these had their time to return.
+func TestConfirmationOfALateWatch(t *testing.T) {
+	const late = 200 * time.Millisecond
+	for _, changed := range []bool{false, true} {
+		c := idleControl()
+		c.conn = listenUDP(t)
+		c.state.Replace([]registry.Update{{Key: "config", Revision: 7, Config: &registry.Config{Version: 1}}}, 7, 0)
+		c.follower.CopyReceived()
+		wait := c.limits.Follower.WatchWait
+		startedAt := c.host.now() - wait - late
+		c.follower.Confirm(startedAt - time.Millisecond)
+		call := c.follower.Next(7, follower.Fleet{Reader: true}, startedAt)
+		c.onCallEnd(callEnd{call: call, result: follower.Result{Revision: 8, Changed: changed}, outcome: follower.Done})
+		want := startedAt
+		if !changed {
+			want += wait
+		}
+		if at, _ := c.follower.Confirmed(); at != want {
+			t.Errorf("changed %v: confirmed %v after the start of the watch, want %v", changed, at-startedAt, want-startedAt)
+		}
+		if age := time.Duration(c.stateMessage(0, nil).AgeMs) * time.Millisecond; changed && age < wait {
+			t.Errorf("other hosts are told that the contents were confirmed %v ago, want %v at least", age, wait)
+		}
+	}
+}
+
 // Guards against a host that was frozen and takes the confirmations in messages that have waited in its socket's buffer for
 // present ones, so that it decides by contents that are seconds old and does not ask the store.
 func TestConfirmationInAMessageFromBeforeAPause(t *testing.T) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -152,8 +152,8 @@
 	return Call{Kind: Watch, After: revision, Wait: wait, Timeout: wait + timeout}
 }
 
-// CallEnded records the outcome of the call in flight.
-func (f *Follower) CallEnded(outcome Outcome, now time.Duration) {
+// CallEnded records the outcome of the call in flight. changed states that it read changes, see Result.
+func (f *Follower) CallEnded(outcome Outcome, changed bool, now time.Duration) {
 	call := f.inFlight
 	f.inFlight = Call{}
 	if f.failures > 0 || outcome == Refused || outcome == Failed || outcome == Truncated {
@@ -162,7 +162,7 @@
 	switch outcome {
 	case Done:
 		f.failures = 0
-		f.Confirm(f.confirmedAsOf(call, now))
+		f.Confirm(f.confirmedAsOf(call, changed, now))
 		if call.Kind == Watch {
 			f.notBefore = f.startedAt + minWatchInterval
 			f.truncations = 0
@@ -203,9 +203,10 @@
 func (f *Follower) Interrupted(now time.Duration) { f.outageAt = now }
 
 // confirmedAsOf returns the latest time at which the store is certain to have had the contents that a completed call read:
-// the end of the wait for a watch that waited in full, else the start of the call.
-func (f *Follower) confirmedAsOf(call Call, now time.Duration) time.Duration {
-	if now-f.startedAt >= call.Wait {
+// the end of the wait for a watch that waited in full, else the start of the call. The store does not wait further once there
+// is a change, however late this host handles the answer.
+func (f *Follower) confirmedAsOf(call Call, changed bool, now time.Duration) time.Duration {
+	if !changed && now-f.startedAt >= call.Wait {
 		return f.startedAt + call.Wait
 	}
 	return f.startedAt
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -34,7 +34,7 @@
 	if c := f.Next(0, other, now); c.Kind != ReadAll {
 		t.Fatalf("first call %+v, want a full read", c)
 	}
-	f.CallEnded(Done, now+4*time.Millisecond)
+	f.CallEnded(Done, false, now+4*time.Millisecond)
 }
 
 // Guards against two concurrent calls, and against a host that starts a watch before a full read.
@@ -79,12 +79,15 @@
 // Guards against a confirmation later than the time at which the store is certain to have had the contents.
 func TestConfirmation(t *testing.T) {
 	for _, test := range []struct {
-		name  string
-		ended time.Duration // after the call's start
-		want  time.Duration // confirmed, after the call's start
+		name    string
+		changed bool
+		ended   time.Duration // after the call's start
+		want    time.Duration // confirmed, after the call's start
 	}{
-		{"change seen early", 700 * time.Millisecond, 0},
-		{"no change within the wait", 1210 * time.Millisecond, 1200 * time.Millisecond},
+		{"change seen early", true, 700 * time.Millisecond, 0},
+		{"change handled late by a slow host", true, 1400 * time.Millisecond, 0},
+		{"answered early without a change", false, 700 * time.Millisecond, 0},
+		{"no change within the wait", false, 1210 * time.Millisecond, 1200 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := newFollower()
@@ -92,7 +95,7 @@
 			start := 100 * time.Millisecond
 			f.Next(7, reader, start)
 			now := start + test.ended
-			f.CallEnded(Done, now)
+			f.CallEnded(Done, test.changed, now)
 			if at, ok := f.Confirmed(); !ok || at != start+test.want {
 				t.Fatalf("confirmed at %v after the start, want %v", at-start, test.want)
 			}
@@ -109,7 +112,7 @@
 		if c := f.Next(0, other, now); c.Kind != ReadAll {
 			t.Fatalf("attempt %d: %+v, want a full read", i, c)
 		}
-		f.CallEnded(Failed, now)
+		f.CallEnded(Failed, false, now)
 		last = f.notBefore - now
 		if last <= 0 || last > time.Second {
 			t.Fatalf("backoff %v after %d failures, want more than 0 and at most 1s", last, i+1)
@@ -123,9 +126,9 @@
 		t.Fatalf("backoff %v after 12 failures, want half a second or more", last)
 	}
 	f.Next(0, other, now)
-	f.CallEnded(Done, now)
+	f.CallEnded(Done, false, now)
 	f.Next(1, reader, now)
-	f.CallEnded(Refused, now)
+	f.CallEnded(Refused, false, now)
 	if backoff := f.notBefore - now; backoff > 100*time.Millisecond {
 		t.Fatalf("backoff %v after the first failure since a success, want at most 100ms", backoff)
 	}
@@ -136,7 +139,7 @@
 	f := newFollower()
 	readFull(t, f, 0)
 	f.Next(7, reader, 10*time.Millisecond)
-	f.CallEnded(HistoryLost, 20*time.Millisecond)
+	f.CallEnded(HistoryLost, false, 20*time.Millisecond)
 	if c := f.Next(7, reader, 20*time.Millisecond); c.Kind != ReadAll {
 		t.Fatalf("%+v, want a full read at once", c)
 	}
@@ -151,14 +154,14 @@
 		t.Fatal("a store that has answered each call counts as unavailable")
 	}
 	f.Next(7, reader, time.Second)
-	f.CallEnded(Failed, 2*time.Second)
+	f.CallEnded(Failed, false, 2*time.Second)
 	if at, ok := f.OutageAt(); !ok || at != 2*time.Second {
 		t.Fatalf("outage at %v, %v after a failed call, want 2s", at, ok)
 	}
 	f.Next(7, reader, 3*time.Second)
-	f.CallEnded(Done, 5*time.Second)
+	f.CallEnded(Done, false, 5*time.Second)
 	f.Next(7, reader, 5*time.Second)
-	f.CallEnded(Done, 6*time.Second)
+	f.CallEnded(Done, false, 6*time.Second)
 	if at, _ := f.OutageAt(); at != 5*time.Second {
 		t.Fatalf("outage until %v, want the first answer at 5s", at)
 	}
@@ -187,7 +190,7 @@
 func TestNoReadAfterCopyFromAnotherHost(t *testing.T) {
 	f := newFollower()
 	f.Next(0, other, 0)
-	f.CallEnded(Failed, 0)
+	f.CallEnded(Failed, false, 0)
 	f.CopyReceived()
 	f.Confirm(10 * time.Millisecond)
 	if c := f.Next(7, other, 500*time.Millisecond); c.Kind != None {
@@ -234,11 +237,11 @@
 		if c.Timeout != want*time.Millisecond {
 			t.Fatalf("timeout %v after %d failures, want %v", c.Timeout, i, want*time.Millisecond)
 		}
-		f.CallEnded(Failed, now)
+		f.CallEnded(Failed, false, now)
 		now = f.notBefore
 	}
 	f.Next(0, other, now)
-	f.CallEnded(Done, now)
+	f.CallEnded(Done, false, now)
 	if c := f.Next(1, reader, now); c.Timeout != c.Wait+500*time.Millisecond {
 		t.Fatalf("timeout %v after a success", c.Timeout)
 	}
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -16,6 +16,8 @@
 type Result struct {
 	Updates  []registry.Update
 	Revision uint64 // revision up to which the updates are complete
+	// Changed is set if a watch was answered with changes, of which Updates may lack unknown items.
+	Changed bool
 	// Interrupted is set if answers to a full read broke off and were continued: the store may have been unavailable.
 	Interrupted bool
 }
--- a/internal/follower/start_test.go
+++ b/internal/follower/start_test.go
@@ -62,7 +62,7 @@
 	if c := f.Next(0, reader, 0); !c.FirstPageOnly {
 		t.Fatalf("first call: %+v, want the first page only", c)
 	}
-	f.CallEnded(Incomplete, 0)
+	f.CallEnded(Incomplete, false, 0)
 	if c := f.Next(0, alone, time.Millisecond); c.Kind != None {
 		t.Fatalf("%+v while the host waits for a copy", c)
 	}
@@ -72,15 +72,15 @@
 	if c := f.Next(0, other, maxCopyWait); c.Kind != ReadAll || c.FirstPageOnly {
 		t.Fatalf("%+v, want all pages when no copy has arrived", c)
 	}
-	f.CallEnded(Done, maxCopyWait)
+	f.CallEnded(Done, false, maxCopyWait)
 	f.Next(7, other, 2*maxCopyWait)
-	f.CallEnded(HistoryLost, 2*maxCopyWait)
+	f.CallEnded(HistoryLost, false, 2*maxCopyWait)
 	if c := f.Next(7, reader, 2*maxCopyWait); c.Kind != ReadAll || c.FirstPageOnly {
 		t.Fatalf("%+v by the reader, want all pages", c)
 	}
 	copied := newFollower()
 	copied.Next(0, other, 0)
-	copied.CallEnded(Incomplete, 0)
+	copied.CallEnded(Incomplete, false, 0)
 	copied.CopyReceived()
 	if c := copied.Next(7, reader, time.Millisecond); c.Kind != Watch {
 		t.Fatalf("%+v after the copy has arrived, want a watch", c)
@@ -91,7 +91,7 @@
 func TestReadsAllPagesWhenAlone(t *testing.T) {
 	f := newFollower()
 	f.Next(0, alone, 0)
-	f.CallEnded(Incomplete, 0)
+	f.CallEnded(Incomplete, false, 0)
 	if c := f.Next(0, alone, copyWaitAlone); c.Kind != ReadAll || c.FirstPageOnly {
 		t.Fatalf("%+v of a host without a live peer, want all pages", c)
 	}
@@ -135,7 +135,7 @@
 							outcome = Incomplete
 						}
 						calls[i] = Call{}
-						f.CallEnded(outcome, now-started[i])
+						f.CallEnded(outcome, false, now-started[i])
 						if outcome == Done {
 							has[i], loaded = true, loaded+1
 						}
@@ -191,7 +191,7 @@
 		now = max(now, oldest) + answer
 		latest = max(latest, now-oldest)
 		read = min(changes, int(now/interval))
-		f.CallEnded(Done, now)
+		f.CallEnded(Done, false, now)
 	}
 	if limit := int(now/minWatchInterval) + 1; calls > limit {
 		t.Errorf("%d calls in %v, want at most %d", calls, now, limit)
@@ -200,7 +200,7 @@
 		t.Errorf("a change was read after %v, want %v at most", latest, limit)
 	}
 	f.Next(7, reader, now+minWatchInterval)
-	f.CallEnded(Done, now+time.Second)
+	f.CallEnded(Done, false, now+time.Second)
 	if c := f.Next(7, reader, now+time.Second); c.Kind != Watch {
 		t.Errorf("%+v after a watch that waited, want another one at once", c)
 	}
--- a/internal/follower/truncated_test.go
+++ b/internal/follower/truncated_test.go
@@ -18,7 +18,7 @@
 	confirmed, _ := f.Confirmed()
 	f.Next(7, reader, time.Second)
 	now := 1500 * time.Millisecond
-	f.CallEnded(Truncated, now)
+	f.CallEnded(Truncated, false, now)
 	if at, _ := f.Confirmed(); at != confirmed {
 		t.Errorf("confirmed as of %v by a truncated answer, want %v", at, confirmed)
 	}
@@ -29,11 +29,11 @@
 	if c.Kind != ReadAll || c.FirstPageOnly || c.Timeout != 2*time.Second {
 		t.Fatalf("%+v, want a read of all pages at once with the longest timeout", c)
 	}
-	f.CallEnded(Done, now)
+	f.CallEnded(Done, false, now)
 	if c := f.Next(9, reader, now); c.Kind != Watch || c.After != 9 {
 		t.Fatalf("%+v at a newer revision, want a watch", c)
 	}
-	f.CallEnded(Done, now)
+	f.CallEnded(Done, false, now)
 	if c := f.Next(7, reader, now+time.Second); c.Kind != Watch {
 		t.Fatalf("%+v after a watch that was answered in full, want a watch", c)
 	}
@@ -46,7 +46,7 @@
 	readFull(t, f, 0)
 	f.Next(7, reader, 10*time.Millisecond)
 	now := 20 * time.Millisecond
-	f.CallEnded(Truncated, now)
+	f.CallEnded(Truncated, false, now)
 	reads := 0
 	for ; now < 10*time.Second; now += 5 * time.Millisecond {
 		switch c := f.Next(7, reader, now); c.Kind {
@@ -54,7 +54,7 @@
 			t.Fatalf("%+v at %v, want full reads only", c, now)
 		case ReadAll:
 			reads++
-			f.CallEnded(Done, now)
+			f.CallEnded(Done, false, now)
 		}
 	}
 	if reads < 9 || reads > 11 {
@@ -79,10 +79,10 @@
 		calls[c.Kind]++
 		last = now
 		if c.Kind == Watch {
-			f.CallEnded(Truncated, now)
+			f.CallEnded(Truncated, false, now)
 			continue
 		}
-		f.CallEnded(Done, now)
+		f.CallEnded(Done, false, now)
 		revision++
 	}
 	if calls[Watch] > 45 || calls[ReadAll] > 45 || last < 18*time.Second {
