affinity: a flow that comes after its server left waits for a confirmation

What callers would see: a backend server comes back under its id after more than 2.5 s (or after it had drained). A host that knows opens a flow there; its next packets come to another host, as when the first one stops. That host is well and only a message or two behind, and resets the flow at once although its backend server is well.

Cause: canResetFlows judges the server: once the store had confirmed its absence for 2.5 s, or at once if it was draining, each packet with its token was rejected, also that of a flow which may be younger than the last confirmation.

Change: a flow that comes to this host after its server has left is reset only if the store has confirmed since that the entry is missing; until then its packets are dropped (unknown_token). Flows that this host knew before are reset as before.

Evidence: TestFlowOpenedAfterTheServerCameBack, ready and draining, failed before ("got action 2 reason backend_server_gone, want action 0 reason unknown_token").

Why it works: a flow cannot be opened at a server before its entry is there, so contents that the store confirms after the flow was seen, and that lack the entry, show that the server has gone again or never came back. Cost: callers of a server that is gone for good, whose flow comes to another host only then, wait for the next confirmation (up to the length of a watch and its way here) in place of an immediate reset, until their deadline if the flow table is full or the store is down.

--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -225,7 +225,7 @@
 		return verdict
 	}
 	if r.canResetFlows(s) {
-		return r.rejectLost(key, f, s, BackendServerGone, now)
+		return r.rejectGone(key, f, s, p, now)
 	}
 	f = r.trackFlow(key, f, s, p, now)
 	latency := f.openingLatency(now)
@@ -252,6 +252,21 @@
 	return Verdict{Action: Reject, Reason: reason, ServerID: s.ID}
 }
 
+// rejectGone returns the verdict for a packet of a flow whose backend server has gone: a reset, unless the server may be back.
+func (r *Router) rejectGone(key FlowKey, f *flow, s *server, p *Packet, now time.Duration) Verdict {
+	f = r.trackFlow(key, f, s, p, now)
+	if r.mayBeBack(f) {
+		return Verdict{Action: Drop, Reason: UnknownToken, ServerID: s.ID}
+	}
+	return r.rejectLost(key, f, s, BackendServerGone, now)
+}
+
+// mayBeBack reports whether another host may have opened the flow after the return of its backend server, which this host has not
+// heard of: the flow came here after the server had left, and the store has not confirmed since that the server is missing.
+func (r *Router) mayBeBack(f *flow) bool {
+	return f.openedAt > f.server.removedAt && f.openedAt >= r.fleet.ConfirmedAt
+}
+
 // resolveServer returns the backend server of a packet other than an opening one, or nil and the verdict if there is none.
 func (r *Router) resolveServer(p *Packet, f *flow, now time.Duration) (*server, Verdict) {
 	if p.Token == 0 {
@@ -355,7 +370,8 @@
 	}
 	for key, f := range r.table.flows {
 		s := f.server
-		if !s.resetsDue || f.closed || !f.open || s.resetReason == BackendServerSilent && r.mayBeRunning(key, f) {
+		if !s.resetsDue || f.closed || !f.open || s.resetReason == BackendServerSilent && r.mayBeRunning(key, f) ||
+			s.resetReason == BackendServerGone && r.mayBeBack(f) {
 			continue
 		}
 		r.resets = append(r.resets, FlowReset{Key: key, Seq: f.ack, Reason: s.resetReason, ServerID: s.ID})
@@ -381,7 +397,8 @@
 	r.table.sweep(now)
 	r.updateWork(now)
 	for _, s := range r.removed {
-		if s.flows > 0 && r.canResetFlows(s) {
+		if s.flows > 0 && r.canResetFlows(s) && s.resetAsOf != r.fleet.ConfirmedAt {
+			s.resetAsOf = r.fleet.ConfirmedAt
 			r.scheduleResets(s, BackendServerGone)
 		}
 		if r.fleet.confirmedSince(s.removedAt) > removedServerRetention {
--- a/internal/affinity/router_test.go
+++ b/internal/affinity/router_test.go
@@ -406,3 +406,54 @@
 	}
 	expect(t, present.request(), Forward, KnownFlow)
 }
+
+// A backend server whose entry was gone is registered again. Another host knows it already and opens a flow there, whose next
+// packets come to this host before it has heard of the server. Guards against resets by a host that is a message behind: what
+// the store confirmed before the flow was opened says nothing about its server.
+func TestFlowOpenedAfterTheServerCameBack(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		h := newHarness(t)
+		id := h.server("meter", "a")
+		h.server("meter", "a")
+		h.applyView()
+		known := h.caller(meterAddr)
+		for known.token != 1 {
+			known = h.caller(meterAddr)
+			known.connect()
+		}
+		h.change(id, func(s *registry.Server) { s.Draining = draining })
+		returned := h.view.Servers[0]
+		h.remove(id)
+		h.advance(removalGrace + 200*time.Millisecond)
+		expect(t, known.request(), Reject, BackendServerGone)
+		moved := h.caller(meterAddr)
+		moved.token = known.token
+		h.now += 50 * time.Millisecond // since the last confirmation
+		expect(t, moved.request(), Drop, UnknownToken)
+		h.now += 150 * time.Millisecond
+		h.router.Sweep(h.now)
+		if resets := h.router.TakeResets(); len(resets) > 0 {
+			t.Errorf("draining %v: flow %v reset by a confirmation from before it was opened", draining, resets[0].Key)
+		}
+		expect(t, moved.request(), Drop, UnknownToken)
+		returned.Draining = false
+		h.view.Servers = append(h.view.Servers, returned)
+		h.applyView()
+		expect(t, moved.request(), Forward, KnownFlow)
+	}
+}
+
+// Guards against flows that wait for a backend server that is gone for good, when they come to this host after it is gone.
+func TestFlowThatMovesAfterItsServerHasGone(t *testing.T) {
+	h := newHarness(t)
+	id := h.server("meter", "a")
+	h.applyView()
+	c := h.caller(meterAddr)
+	c.token = 1
+	h.remove(id)
+	h.advance(removalGrace + 200*time.Millisecond)
+	h.now += 50 * time.Millisecond
+	expect(t, c.request(), Drop, UnknownToken)
+	h.advance(100 * time.Millisecond)
+	expect(t, c.request(), Reject, BackendServerGone)
+}
--- a/internal/affinity/server.go
+++ b/internal/affinity/server.go
@@ -25,6 +25,9 @@
 	removedServerRetention = time.Minute
 )
 
+// neverReset is the resetAsOf of a server whose flows have not been reset.
+const neverReset = -time.Hour
+
 // server is the entry of a backend server together with what this host has observed of it. It is kept across views.
 type server struct {
 	registry.Server
@@ -47,6 +50,9 @@
 
 	resetsDue   bool // its flows are to be reset
 	resetReason Reason
+	// resetAsOf is the confirmation of the registry as of which flows were last reset since the server left the view. Flows that
+	// come later wait for another one.
+	resetAsOf time.Duration
 
 	// evidenceSince is when its start or address last changed; evidence from before is about another process.
 	evidenceSince time.Duration
@@ -91,7 +97,7 @@
 // markRemoved records that the server's entry has left the view.
 func (s *server) markRemoved(now time.Duration) {
 	s.markChanged()
-	s.present, s.removedAt, s.drained = false, now, s.Draining
+	s.present, s.removedAt, s.drained, s.resetAsOf = false, now, s.Draining, neverReset
 }
 
 // answered records an observed answer, which clears all evidence against the server.
--- a/internal/affinity/view.go
+++ b/internal/affinity/view.go
@@ -241,7 +241,7 @@
 		loser, winner = b, a
 	}
 	loser.markChanged()
-	loser.present, loser.removedAt, loser.drained = false, now, true
+	loser.present, loser.removedAt, loser.drained, loser.resetAsOf = false, now, true, neverReset
 	return winner
 }
 
