affinity: an unknown token of a new flow waits for a confirmation

Cause: only the token was timed.

Change: a flow with an unknown token is reset only if the store has also confirmed the registry since the first packet of this flow. Up to 8,192 such flows are remembered, for 10 s after their last packet.

Evidence: TestUnknownTokenOfANewFlow, failed before ("got action 2 reason token_never_listed, want action 0 reason unknown_token").

A flow that has waited since the token was first seen is reset as early as before. Flows beyond the 8,192 are dropped in silence until there is room.

--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"maps"
 	"net/netip"
 	"time"
 
@@ -18,6 +19,10 @@
 	unknownTokenGrace = 2500 * time.Millisecond
 	// maxUnknownTokens is the maximum number of unknown tokens kept, which bounds the memory that forged tokens can occupy.
 	maxUnknownTokens = 1024
+	// maxUnknownFlows is the maximum number of flows with unknown tokens kept, for the same reason.
+	maxUnknownFlows = 8192
+	// unknownFlowRetention is how long such a flow is kept after its last packet. Callers that wait repeat theirs sooner.
+	unknownFlowRetention = 10 * time.Second
 	// retransmitWindow is how long after its first transmission the retransmission of data is evidence that it was not
 	// answered. Callers give up after that time.
 	retransmitWindow = 2 * time.Second
@@ -48,6 +53,7 @@
 	byToken       map[uint32]*server
 	tokenUsers    map[uint32]int           // number of servers with a token, including removed ones
 	unknownTokens map[uint32]time.Duration // tokens that are in no view, and when they were first seen
+	unknownFlows  map[FlowKey]unknownFlow  // flows with such tokens
 	table         flowTable
 	admission     *overload.State
 	work          work.Tracker
@@ -87,6 +93,7 @@
 		byToken:       map[uint32]*server{},
 		tokenUsers:    map[uint32]int{},
 		unknownTokens: map[uint32]time.Duration{},
+		unknownFlows:  map[FlowKey]unknownFlow{},
 		silences:      map[string]*dataCentreSilence{},
 		reachableAt:   map[string]time.Duration{},
 		table:         flowTable{flows: map[FlowKey]*flow{}, limit: c.MaxFlows, idle: c.IdleTimeout, admission: admission},
@@ -279,16 +286,36 @@
 		return s, Verdict{}
 	}
 	first, seen := r.unknownTokens[p.Token]
+	confirmed := r.confirmedUnknown(p.Key(), now)
 	switch {
 	case r.view.UnreadableTokens[p.Token]:
 	case !seen && len(r.unknownTokens) < maxUnknownTokens:
 		r.unknownTokens[p.Token] = now
-	case seen && r.fleet.confirmedSince(first) >= unknownTokenGrace:
+	case seen && confirmed && r.fleet.confirmedSince(first) >= unknownTokenGrace:
+		delete(r.unknownFlows, p.Key())
 		return nil, Verdict{Action: Reject, Reason: TokenNeverListed}
 	}
 	return nil, Verdict{Action: Drop, Reason: UnknownToken}
 }
 
+// unknownFlow is a flow whose token is in no view.
+type unknownFlow struct{ firstAt, lastAt time.Duration } // its packets
+
+// confirmedUnknown reports whether the store has confirmed the registry since the first packet of a flow whose token is unknown.
+// Before that, another host may have opened the flow at a backend server that this one has not heard of, however long the token
+// has been unknown.
+func (r *Router) confirmedUnknown(key FlowKey, now time.Duration) bool {
+	f, seen := r.unknownFlows[key]
+	if !seen {
+		f.firstAt = now
+	}
+	f.lastAt = now
+	if seen || len(r.unknownFlows) < maxUnknownFlows {
+		r.unknownFlows[key] = f
+	}
+	return seen && f.firstAt < r.fleet.ConfirmedAt
+}
+
 // trackFlow returns the state of a flow. It creates the state if f is nil, or if f is another flow of the same caller's port:
 // an open flow stays on its server. It moves a flow that is being opened to s, the server of its token.
 func (r *Router) trackFlow(key FlowKey, f *flow, s *server, p *Packet, now time.Duration) *flow {
@@ -405,6 +432,7 @@
 			r.dropServer(s)
 		}
 	}
+	maps.DeleteFunc(r.unknownFlows, func(_ FlowKey, f unknownFlow) bool { return now-f.lastAt > unknownFlowRetention })
 	for token, first := range r.unknownTokens {
 		if r.fleet.confirmedSince(first) > removedServerRetention {
 			delete(r.unknownTokens, token)
--- a/internal/affinity/router_test.go
+++ b/internal/affinity/router_test.go
@@ -457,3 +457,45 @@
 	h.advance(100 * time.Millisecond)
 	expect(t, c.request(), Reject, BackendServerGone)
 }
+
+// This host started while a backend server was away, and callers' packets with its token came here. The server comes back, and
+// another host opens a flow there before this one has heard of it. Guards against resets of that flow by what the store confirmed
+// about the token before the flow was opened.
+func TestUnknownTokenOfANewFlow(t *testing.T) {
+	h := newHarness(t)
+	h.server("meter", "a")
+	h.applyView()
+	old, c := h.caller(meterAddr), h.caller(meterAddr)
+	old.token, c.token = 99, 99
+	expect(t, old.request(), Drop, UnknownToken)
+	h.advance(unknownTokenGrace + 200*time.Millisecond)
+	expect(t, old.request(), Reject, TokenNeverListed)
+	h.now += 50 * time.Millisecond // since the last confirmation
+	expect(t, c.request(), Drop, UnknownToken)
+	h.now += 150 * time.Millisecond
+	expect(t, c.request(), Drop, UnknownToken)
+	h.advance(100 * time.Millisecond)
+	expect(t, c.request(), Reject, TokenNeverListed) // the server is away still
+}
+
+// Guards against packets of forged flows that exhaust memory, or that keep flows of lost backend servers from being reset for
+// longer than they are remembered.
+func TestUnknownFlowsAreBounded(t *testing.T) {
+	h := newHarness(t)
+	h.server("meter", "a")
+	h.applyView()
+	for range maxUnknownFlows + 10 {
+		c := h.caller(meterAddr)
+		c.token = 99
+		c.request()
+	}
+	if n := len(h.router.unknownFlows); n > maxUnknownFlows {
+		t.Fatalf("%d flows of unknown tokens are kept, allowed %d", n, maxUnknownFlows)
+	}
+	h.advance(unknownFlowRetention + time.Second)
+	c := h.caller(meterAddr)
+	c.token = 99
+	c.request()
+	h.advance(100 * time.Millisecond)
+	expect(t, c.request(), Reject, TokenNeverListed)
+}
