--- a/internal/affinity/router_test.go
+++ b/internal/affinity/router_test.go
@@ -406,3 +406,96 @@
 	}
 	expect(t, present.request(), Forward, KnownFlow)
 }
+
+// A backend server whose entry was gone is registered again. Another host knows it already and opens a flow there, whose next
+// packets come to this host before it has heard of the server. Guards against resets by a host that is a message behind: what
+// the store confirmed before the flow was opened says nothing about its server.
+func TestFlowOpenedAfterTheServerCameBack(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		h := newHarness(t)
+		id := h.server("meter", "a")
+		h.server("meter", "a")
+		h.applyView()
+		known := h.caller(meterAddr)
+		for known.token != 1 {
+			known = h.caller(meterAddr)
+			known.connect()
+		}
+		h.change(id, func(s *registry.Server) { s.Draining = draining })
+		returned := h.view.Servers[0]
+		h.remove(id)
+		h.advance(removalGrace + 200*time.Millisecond)
+		expect(t, known.request(), Reject, BackendServerGone)
+		moved := h.caller(meterAddr)
+		moved.token = known.token
+		h.now += 50 * time.Millisecond // since the last confirmation
+		expect(t, moved.request(), Drop, UnknownToken)
+		h.now += 150 * time.Millisecond
+		h.router.Sweep(h.now)
+		if resets := h.router.TakeResets(); len(resets) > 0 {
+			t.Errorf("draining %v: flow %v reset by a confirmation from before it was opened", draining, resets[0].Key)
+		}
+		expect(t, moved.request(), Drop, UnknownToken)
+		returned.Draining = false
+		h.view.Servers = append(h.view.Servers, returned)
+		h.applyView()
+		expect(t, moved.request(), Forward, KnownFlow)
+	}
+}
+
+// Guards against flows that wait for a backend server that is gone for good, when they come to this host after it is gone.
+func TestFlowThatMovesAfterItsServerHasGone(t *testing.T) {
+	h := newHarness(t)
+	id := h.server("meter", "a")
+	h.applyView()
+	c := h.caller(meterAddr)
+	c.token = 1
+	h.remove(id)
+	h.advance(removalGrace + 200*time.Millisecond)
+	h.now += 50 * time.Millisecond
+	expect(t, c.request(), Drop, UnknownToken)
+	h.advance(100 * time.Millisecond)
+	expect(t, c.request(), Reject, BackendServerGone)
+}
+
+// This host started while a backend server was away, and callers' packets with its token came here. The server comes back, and
+// another host opens a flow there before this one has heard of it. Guards against resets of that flow by what the store confirmed
+// about the token before the flow was opened.
+func TestUnknownTokenOfANewFlow(t *testing.T) {
+	h := newHarness(t)
+	h.server("meter", "a")
+	h.applyView()
+	old, c := h.caller(meterAddr), h.caller(meterAddr)
+	old.token, c.token = 99, 99
+	expect(t, old.request(), Drop, UnknownToken)
+	h.advance(unknownTokenGrace + 200*time.Millisecond)
+	expect(t, old.request(), Reject, TokenNeverListed)
+	h.now += 50 * time.Millisecond // since the last confirmation
+	expect(t, c.request(), Drop, UnknownToken)
+	h.now += 150 * time.Millisecond
+	expect(t, c.request(), Drop, UnknownToken)
+	h.advance(100 * time.Millisecond)
+	expect(t, c.request(), Reject, TokenNeverListed) // the server is away still
+}
+
+// Guards against packets of forged flows that exhaust memory, or that keep flows of lost backend servers from being reset for
+// longer than they are remembered.
+func TestUnknownFlowsAreBounded(t *testing.T) {
+	h := newHarness(t)
+	h.server("meter", "a")
+	h.applyView()
+	for range maxUnknownFlows + 10 {
+		c := h.caller(meterAddr)
+		c.token = 99
+		c.request()
+	}
+	if n := len(h.router.unknownFlows); n > maxUnknownFlows {
+		t.Fatalf("%d flows of unknown tokens are kept, allowed %d", n, maxUnknownFlows)
+	}
+	h.advance(unknownFlowRetention + time.Second)
+	c := h.caller(meterAddr)
+	c.token = 99
+	c.request()
+	h.advance(100 * time.Millisecond)
+	expect(t, c.request(), Reject, TokenNeverListed)
+}
