entry: findings do not become younger at hosts that run late

A finding is passed on with its age, and the receiver dated it at the time at which it read the message. At a host that gets the processor late the message waits in the socket's buffer before that, so that the finding became younger with each such host and went on circulating.

A message is now dated as if it had waited for the longest recent time in which this process did not run. Dated too early, a finding only counts less.

--- a/internal/entry/pause.go
+++ b/internal/entry/pause.go
@@ -34,7 +34,8 @@
 	return d.pause
 }
 
-// gapWindow is how long a gapRecorder remembers a gap.
+// gapWindow is how long a gapRecorder remembers a gap. A process that gets little processor time has a backlog of messages for some
+// time after a gap.
 const gapWindow = time.Second
 
 // gapRecorder keeps the longest recent time during which the control goroutine did not run. On a host that gets the processor
@@ -55,6 +56,11 @@
 	return max(now-time.Duration(g.ranAt.Load()), g.remembered(now))
 }
 
+// mayHaveWaited returns how long a message that is handled now may have waited for this process.
+func (g *gapRecorder) mayHaveWaited(now time.Duration) time.Duration {
+	return max(g.recent(now)-tickInterval, 0)
+}
+
 func (g *gapRecorder) remembered(now time.Duration) time.Duration {
 	if now-time.Duration(g.endedAt.Load()) >= gapWindow {
 		return 0
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -98,7 +98,8 @@
 // receiveCheckMessage hands a message about checks over to the traffic goroutine. It drops malformed messages, and all
 // messages while the inbox is full.
 func (c *control) receiveCheckMessage(b []byte, from netip.AddrPort) {
-	m, err := healthcheck.Decode(b, c.host.now())
+	now := c.host.now()
+	m, err := healthcheck.Decode(b, now-c.host.gaps.mayHaveWaited(now))
 	if err != nil {
 		peerMalformed.Inc()
 		level.Debug(c.logger).Log("msg", "malformed message about checks dropped", "from", from, "err", err)
