healthcheck, entry: a host that runs late dates only what is safe to date, and passes nothing on

A message that may have waited for more than 100 ms, which is shorter than a check without an answer, now loses such checks; its other findings keep their date, count at this host only, and a refused check shows an end but no silence. Below 100 ms, checks without an answer are dated back as before. TestFindingsPassedOnByAPausedHost, the reset that follows from findings which a paused host passes on, failed before and passes.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -26,7 +26,9 @@
 	findingsDropped = metrics.NewCounter(`nutmeglatch_healthcheck_findings_dropped_total`)
 	// findingsContradicted counts failed checks of other hosts after whose start this host saw an answer of the server.
 	findingsContradicted = metrics.NewCounter(`nutmeglatch_healthcheck_findings_contradicted_total`)
-	configVersion        = metrics.NewGauge(`nutmeglatch_entry_config_version`, nil)
+	// findingsOutdated counts failed checks of other hosts that may have waited too long at this host to be dated.
+	findingsOutdated = metrics.NewCounter(`nutmeglatch_healthcheck_findings_outdated_total`)
+	configVersion    = metrics.NewGauge(`nutmeglatch_entry_config_version`, nil)
 
 	withdrawnGauge = metrics.NewGauge(`nutmeglatch_withdrawal_withdrawn`, nil)
 	returns        = metrics.NewCounter(`nutmeglatch_withdrawal_returns_total`)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -99,12 +99,13 @@
 // messages while the inbox is full.
 func (c *control) receiveCheckMessage(b []byte, from netip.AddrPort) {
 	now := c.host.now()
-	m, err := healthcheck.Decode(b, now-c.host.gaps.mayHaveWaited(now))
+	m, err := healthcheck.Decode(b, now)
 	if err != nil {
 		peerMalformed.Inc()
 		level.Debug(c.logger).Log("msg", "malformed message about checks dropped", "from", from, "err", err)
 		return
 	}
+	findingsOutdated.Add(m.HandledAfter(c.host.gaps.mayHaveWaited(now)))
 	if !c.host.checkInbox.put(checkMessage{from: from, message: m}) {
 		eventsDropped.Inc()
 	}
--- a/internal/entry/restarts.go
+++ b/internal/entry/restarts.go
@@ -42,9 +42,11 @@
 	if _, ended := h.traffic.router.Ended(f.Instance); ended {
 		h.ended.Add(f.Instance, now)
 	}
-	if isNews && len(h.news) < maxPendingFindings {
+	switch {
+	case !isNews || f.Late: // hosts that run on time pass it on
+	case len(h.news) < maxPendingFindings:
 		h.addNews(f)
-	} else if isNews {
+	default:
 		findingsDropped.Inc()
 	}
 }
--- /dev/null
+++ b/internal/entry/verdict_test.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/affinity"
+	"github.com/nutmeglatch/nutmeglatch/internal/healthcheck"
+	"github.com/nutmeglatch/nutmeglatch/internal/registry"
+)
+
+// openFlow is an open flow to backend server 0 of a simFleet, at one host.
+type openFlow struct {
+	f      *simFleet
+	host   int
+	packet affinity.Packet
+}
+
+func newOpenFlow(f *simFleet, host int) *openFlow {
+	token := (&registry.BackendServer{Identity: 1}).Token()
+	flow := &openFlow{f: f, host: host, packet: affinity.Packet{
+		Caller: netip.MustParseAddrPort("100.64.0.7:1025"), Service: simService, Token: token, Seq: 1000, Ack: 5000,
+	}}
+	flow.decide()
+	return flow
+}
+
+func (o *openFlow) decide() affinity.Action {
+	return o.f.hosts[o.host].traffic.router.Decide(&o.packet, o.f.now).Action
+}
+
+// answered sends a packet that acknowledges an answer of the backend server.
+func (o *openFlow) answered() affinity.Action {
+	o.packet.Ack += 500
+	return o.decide()
+}
+
+func (o *openFlow) resets() int { return len(o.f.hosts[o.host].traffic.router.TakeResets()) }
+
+// pass lets time pass in steps that no host takes for a pause.
+func pass(f *simFleet, d time.Duration) {
+	for end := f.now + d; f.now < end; {
+		f.run(simStep, 0)
+		for _, h := range f.hosts {
+			h.traffic.router.Sweep(f.now)
+		}
+	}
+}
+
+// tell delivers findings of one host to another.
+func tell(f *simFleet, from, to int, findings ...healthcheck.Finding) {
+	f.hosts[to].receive(checkMessage{from: f.hosts[from].traffic.host.config.Peer, message: &healthcheck.Message{Findings: findings}}, f.now)
+}
+
+// Guards against findings that get younger while they wait in the socket's buffer of a host that passes them on, so that a host
+// that is well resets open flows although it has seen answers since (incident 29).
+func TestFindingsPassedOnByAPausedHost(t *testing.T) {
+	f := newSimFleet(12, 3, 0, 0)
+	for _, s := range f.servers {
+		s.endAt = time.Hour
+	}
+	f.now = 5 * time.Second
+	flow := newOpenFlow(f, 0)
+	began, sentAt := f.now+100*time.Millisecond, f.now+360*time.Millisecond
+	message, err := healthcheck.Encode(&healthcheck.Message{Findings: []healthcheck.Finding{
+		findingAbout(f, 0, 3, affinity.NoAnswer, began), findingAbout(f, 0, 6, affinity.NoAnswer, began),
+	}}, sentAt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	relay := f.hosts[9].traffic.host
+	relay.started = time.Now().Add(tickInterval - sentAt)
+	relay.control.detectPause()
+
+	pass(f, sentAt+800*time.Millisecond-f.now)
+	answerAt := f.now
+	flow.answered() // the backend server serves again
+
+	pass(f, sentAt+1500*time.Millisecond-f.now) // the host resumes
+	relay.started = time.Now().Add(-f.now)
+	relay.control.detectPause()
+	relay.control.receiveCheckMessage(message, f.hosts[3].traffic.host.config.Peer)
+	f.run(50*time.Millisecond, 0)
+	if n := flow.resets(); n != 0 {
+		t.Errorf("%d open flows are reset for checks that began %v before an answer that the host saw", n, answerAt-began)
+	}
+	if flow.decide() != affinity.Forward {
+		t.Error("a packet of the open flow is not forwarded")
+	}
+}
+
+// Guards against findings that get younger at a host that runs now and then, but too little to empty the buffer of its socket:
+// the longest gap is shorter than the time that a message waits.
+func TestFindingsWaitLongerThanTheLongestGap(t *testing.T) {
+	f := newSimFleet(9, 3, 0, 0)
+	relay := f.hosts[3].traffic.host
+	sentAt := 5 * time.Second
+	began := sentAt - 260*time.Millisecond
+	message, err := healthcheck.Encode(&healthcheck.Message{Findings: []healthcheck.Finding{findingAbout(f, 0, 6, affinity.NoAnswer, began)}}, sentAt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const gap, gaps = 400 * time.Millisecond, 3
+	for n := range gaps + 1 {
+		f.now = sentAt + time.Duration(n)*gap
+		relay.started = time.Now().Add(-f.now)
+		relay.control.detectPause()
+	}
+	relay.control.receiveCheckMessage(message, f.hosts[6].traffic.host.config.Peer)
+	for _, m := range relay.checkInbox.take() {
+		for _, finding := range m.message.Findings {
+			if younger := finding.At - began; younger > tickInterval {
+				t.Errorf("a check that began %v ago seems %v younger", f.now-began, younger)
+			}
+		}
+	}
+}
+
+// Guards against the end of a backend server that a host which runs late takes for a start, because it dates the refused connection
+// before the last answer that it saw.
+func TestEndHeardByALateHostIsNoStart(t *testing.T) {
+	for _, gap := range []time.Duration{tickInterval, 800 * time.Millisecond} {
+		f := newSimFleet(9, 12, 5, time.Second)
+		for _, s := range f.servers {
+			s.endAt = time.Hour
+		}
+		f.now = 5 * time.Second
+		h := f.hosts[0]
+		host := h.traffic.host
+		p := affinity.Packet{Caller: netip.MustParseAddrPort("100.64.0.9:2000"), Service: simService, Opening: true, Seq: 1}
+		v := h.traffic.router.Decide(&p, f.now)
+		if v.Action != affinity.Forward {
+			t.Fatal("no flow was opened")
+		}
+		pass(f, 10*time.Millisecond)
+		p.Opening, p.Seq, p.Ack, p.Token = false, 2, 2, v.Token
+		h.traffic.router.Decide(&p, f.now) // the backend server has answered
+		h.traffic.handleHealthChanges(f.now)
+		pass(f, 200*time.Millisecond)
+		began := f.now // the backend server has ended, and a check of another host is refused
+		pass(f, 10*time.Millisecond)
+		message, err := healthcheck.Encode(&healthcheck.Message{Findings: []healthcheck.Finding{findingAbout(f, int(v.Identity-1), 3, affinity.Refuses, began)}}, f.now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		host.started = time.Now().Add(gap - f.now) // an earlier gap ends now; the message arrives just then
+		host.control.detectPause()
+		host.started = time.Now().Add(-f.now)
+		host.control.detectPause()
+		host.control.receiveCheckMessage(message, f.hosts[3].traffic.host.config.Peer)
+		h.run(f.now)
+		if _, ended := h.traffic.router.Ended(affinity.Instance{Identity: v.Identity, StartedMs: 9}); !ended {
+			t.Errorf("gap %v: the backend server does not count as ended", gap)
+		}
+		for _, c := range h.traffic.router.TakeHealthChanges() {
+			if c.Health == affinity.Restarted {
+				t.Errorf("gap %v: the end of the backend server counts as a start", gap)
+			}
+		}
+	}
+}
+
+// Guards against an accepted check that does not outweigh earlier failed ones because a host that runs late dates it too early.
+func TestAcceptHeardByALateHostCounts(t *testing.T) {
+	for _, gap := range []time.Duration{tickInterval, 800 * time.Millisecond} {
+		f := newSimFleet(12, 3, 0, 0)
+		f.now = 5 * time.Second
+		h := f.hosts[0]
+		host := h.traffic.host
+		flow := newOpenFlow(f, 0)
+		pass(f, 100*time.Millisecond)
+		began := f.now // of two failed checks
+		pass(f, 260*time.Millisecond)
+		tell(f, 3, 0, findingAbout(f, 0, 3, affinity.NoAnswer, began))
+		pass(f, 100*time.Millisecond)
+		message, err := healthcheck.Encode(&healthcheck.Message{Findings: []healthcheck.Finding{findingAbout(f, 0, 9, affinity.Accepts, f.now)}}, f.now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		host.started = time.Now().Add(gap - f.now)
+		host.control.detectPause()
+		host.started = time.Now().Add(-f.now)
+		host.control.detectPause()
+		host.control.receiveCheckMessage(message, f.hosts[9].traffic.host.config.Peer)
+		h.run(f.now)
+		tell(f, 6, 0, findingAbout(f, 0, 6, affinity.NoAnswer, began)) // of a slow sender
+		if flow.decide() != affinity.Forward {
+			t.Errorf("gap %v: the flow is reset although a later check was accepted", gap)
+		}
+	}
+}
