healthcheck: a refuted finding no longer protects a failed backend server

Callers would wait at a backend server that has failed: an answer seen before it failed, but after an older failed check that an accepted one had refuted, outweighed two fresh failed checks, because the assessment dated from the oldest of all findings. It now dates from the oldest of those that count. TestRefutedFindingDoesNotProtectAFailedServer failed before.

--- a/internal/entry/verdict_test.go
+++ b/internal/entry/verdict_test.go
@@ -90,6 +90,31 @@
 	}
 }
 
+// Guards against a failed backend server whose flows are kept because an older finding, which an accepted check and an answer
+// have refuted, counts towards the time after which answers outweigh the assessment.
+func TestRefutedFindingDoesNotProtectAFailedServer(t *testing.T) {
+	for _, refuted := range []bool{false, true} {
+		f := newSimFleet(12, 3, 0, 0)
+		f.now = 5 * time.Second
+		flow := newOpenFlow(f, 0)
+		if refuted {
+			tell(f, 9, 0, findingAbout(f, 0, 9, affinity.NoAnswer, f.now)) // of a late host
+			f.now += 10 * time.Millisecond
+			tell(f, 6, 0, findingAbout(f, 0, 6, affinity.Accepts, f.now))
+		}
+		pass(f, 100*time.Millisecond)
+		flow.answered() // the last answer before the backend server fails
+		began := f.now + 100*time.Millisecond
+		pass(f, began+checkTimeout-f.now)
+		tell(f, 3, 0, findingAbout(f, 0, 3, affinity.NoAnswer, began))
+		tell(f, 6, 0, findingAbout(f, 0, 6, affinity.NoAnswer, began))
+		f.run(simStep, 0)
+		if flow.decide() != affinity.Reject {
+			t.Errorf("refuted finding %v: the flow is kept after two checks that began after the last answer failed", refuted)
+		}
+	}
+}
+
 // Guards against findings that get younger at a host that runs now and then, but too little to empty the buffer of its socket:
 // the longest gap is shorter than the time that a message waits.
 func TestFindingsWaitLongerThanTheLongestGap(t *testing.T) {
--- a/internal/healthcheck/state.go
+++ b/internal/healthcheck/state.go
@@ -328,6 +328,7 @@
 		return a
 	}
 	own, failed := false, false
+	standing := now // start of the first failed check since the latest accepted one
 	for n := range r.unfavourable {
 		f := &r.unfavourable[n]
 		if f.Expired(now) {
@@ -337,12 +338,15 @@
 		own = own || f.Checker == s.self.digest && f.At > r.acceptedAt
 		a.Since, a.Latest = min(a.Since, f.At), max(a.Latest, f.At)
 		a.Cause = affinity.CauseOf(f.Outcome)
+		if f.At > r.acceptedAt {
+			standing = min(standing, f.At)
+		}
 	}
 	a.OwnEvidence = own || now-r.doubtedAt < evidenceLifetime
 	alone := len(s.hosts) == 1 || r.attempts >= maxAttempts
 	switch {
 	case r.failedChecks(now) >= decisiveChecks, own && alone:
-		a.Health = affinity.Silent
+		a.Health, a.Since = affinity.Silent, standing
 	case failed:
 		a.Health = affinity.Suspect
 	}
