entry: the result of an earlier check no longer answers those who asked for the running one

Hosts that asked for a check got 'unchecked' and never the result, when the result of an earlier check of the same backend server, which was no longer awaited, was handled while the next one ran. They then went on to further checkers and could come to decide alone. Such a result is now counted and dropped. TestResultOfAnEarlierCheckKeepsThoseWhoAsked failed before.

--- a/internal/entry/healthchecks.go
+++ b/internal/entry/healthchecks.go
@@ -146,6 +146,9 @@
 func (h *healthChecks) checked(result checkResult, now time.Duration) {
 	outcome, at := h.conclusion(result, now)
 	countCheck(outcome)
+	if outcome == affinity.Unchecked && h.traffic.router.Checking(result.request.Instance, now) {
+		return // the result of an earlier check; hosts wait for that of the running one
+	}
 	h.report(result.request.Instance, outcome, at, now, "took", result.took)
 }
 
--- a/internal/entry/verdict_test.go
+++ b/internal/entry/verdict_test.go
@@ -115,6 +115,48 @@
 	}
 }
 
+// Guards against hosts that never get the result of a check because an earlier one, which was no longer awaited, ended meanwhile.
+func TestResultOfAnEarlierCheckKeepsThoseWhoAsked(t *testing.T) {
+	f := newSimFleet(9, 3, 0, 0)
+	f.now = 5 * time.Second
+	instance := affinity.Instance{Identity: 1, StartedMs: 9}
+	h, asker := f.hosts[3], f.hosts[0].traffic.host.config.Peer
+	var requests []affinity.CheckRequest
+	h.start = func(r affinity.CheckRequest) { requests = append(requests, r) }
+	var outcomes []affinity.CheckOutcome
+	h.transmit = func(b []byte, to netip.AddrPort) error {
+		m, err := healthcheck.Decode(b, f.now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, finding := range m.Findings {
+			if to == asker {
+				outcomes = append(outcomes, finding.Outcome)
+			}
+		}
+		return nil
+	}
+	ask := func() {
+		h.receive(checkMessage{from: asker, message: &healthcheck.Message{Asks: []affinity.Instance{instance}}}, f.now)
+	}
+	ask()
+	f.now += 2100 * time.Millisecond // the host was paused
+	ask()
+	if len(requests) != 2 {
+		t.Fatalf("%d checks were started, want 2", len(requests))
+	}
+	f.now += simStep
+	h.checked(checkResult{request: requests[0], outcome: affinity.NoAnswer}, f.now)
+	f.now += simStep
+	h.checked(checkResult{request: requests[1], outcome: affinity.Accepts}, f.now)
+	for _, o := range outcomes {
+		if o == affinity.Accepts {
+			return
+		}
+	}
+	t.Errorf("the host that asked got %v, want the accepted check too", outcomes)
+}
+
 // Guards against findings that get younger at a host that runs now and then, but too little to empty the buffer of its socket:
 // the longest gap is shorter than the time that a message waits.
 func TestFindingsWaitLongerThanTheLongestGap(t *testing.T) {
