healthcheck: a host that decides alone needs a check made since

A host whose checkers twice came to no conclusion decides by its own check. It also took one that it had made before, at the moment when it began the deciding one: flows of a sound backend server would be reset by one check of a host that ran late. Its check must now have begun after the last one that it asked others for. TestDecisionAloneNeedsACheckMadeAlone failed before.

--- a/internal/entry/verdict_test.go
+++ b/internal/entry/verdict_test.go
@@ -157,6 +157,30 @@
 	t.Errorf("the host that asked got %v, want the accepted check too", outcomes)
 }
 
+// Guards against a host that gives a backend server up alone by a check that it made before it was alone, at the moment when it
+// begins the one that is to decide.
+func TestDecisionAloneNeedsACheckMadeAlone(t *testing.T) {
+	f := newSimFleet(9, 3, 0, 0)
+	f.now = 5 * time.Second
+	h := f.hosts[0]
+	h.start = func(affinity.CheckRequest) {} // still running
+	h.transmit = func([]byte, netip.AddrPort) error { return nil }
+	instance := affinity.Instance{Identity: 1, StartedMs: 9}
+	flow := newOpenFlow(f, 0)
+	pass(f, 10*time.Millisecond)
+	h.doubt(instance, f.now)
+	began := f.now
+	pass(f, checkTimeout)
+	h.report(instance, affinity.NoAnswer, began, f.now)
+	for range 2 { // the other hosts leave it without a conclusion
+		pass(f, 500*time.Millisecond)
+		h.doubt(instance, f.now)
+	}
+	if flow.resets() != 0 || flow.decide() != affinity.Forward {
+		t.Error("the flow is reset before the deciding check has ended")
+	}
+}
+
 // Guards against findings that get younger at a host that runs now and then, but too little to empty the buffer of its socket:
 // the longest gap is shorter than the time that a message waits.
 func TestFindingsWaitLongerThanTheLongestGap(t *testing.T) {
--- a/internal/healthcheck/state.go
+++ b/internal/healthcheck/state.go
@@ -278,8 +278,8 @@
 	return f, waiting
 }
 
-// Receive records a finding of another host. It reports whether the finding is new evidence of the own data centre, so that it
-// is to be passed on there.
+// Receive records a finding of another host. It reports whether the finding is new evidence of the own data centre and is to be
+// passed on there.
 func (s *State) Receive(f Finding, now time.Duration) bool {
 	if f.Checker == s.self.digest || now-f.At >= evidenceLifetime {
 		return false
@@ -319,36 +319,35 @@
 }
 
 // Assess returns what the evidence about an instance amounts to. A backend server is silent if the checks of decisiveChecks hosts
-// failed and none has been accepted since; the check of a single host makes it suspect. A host that has no other one to ask decides
-// alone. Unanswered packets of callers do not count, because the callers of a busy backend server repeat their data too.
+// failed and none has been accepted since; the check of a single host makes it suspect. A host that has no other one to ask, or got
+// no conclusion from them, decides alone, by a check made since. Unanswered packets of callers do not count, because the callers of
+// a busy backend server repeat their data too.
 func (s *State) Assess(i affinity.Instance, now time.Duration) affinity.Assessment {
 	a := affinity.Assessment{Since: now}
 	r := s.records[i]
 	if r == nil {
 		return a
 	}
-	own, failed := false, false
-	standing := now // start of the first failed check since the latest accepted one
+	own, standing := never, now // starts of this host's and of the first failed check since the latest accepted one
 	for n := range r.unfavourable {
 		f := &r.unfavourable[n]
 		if f.Expired(now) {
 			continue
 		}
-		failed = true
-		own = own || f.Checker == s.self.digest && f.At > r.acceptedAt
+		a.Health, a.Cause = affinity.Suspect, affinity.CauseOf(f.Outcome)
 		a.Since, a.Latest = min(a.Since, f.At), max(a.Latest, f.At)
-		a.Cause = affinity.CauseOf(f.Outcome)
-		if f.At > r.acceptedAt {
-			standing = min(standing, f.At)
+		if f.At <= r.acceptedAt {
+			continue
+		}
+		standing = min(standing, f.At)
+		if f.Checker == s.self.digest {
+			own = f.At
 		}
 	}
-	a.OwnEvidence = own || now-r.doubtedAt < evidenceLifetime
-	alone := len(s.hosts) == 1 || r.attempts >= maxAttempts
-	switch {
-	case r.failedChecks(now) >= decisiveChecks, own && alone:
+	a.OwnEvidence = own != never || now-r.doubtedAt < evidenceLifetime
+	alone := len(s.hosts) == 1 || r.attempts >= maxAttempts && own >= r.askedAt
+	if r.failedChecks(now) >= decisiveChecks || own != never && alone {
 		a.Health, a.Since = affinity.Silent, standing
-	case failed:
-		a.Health = affinity.Suspect
 	}
 	return a
 }
