healthcheck, affinity: an accepted check ends the silence of a backend server

Nothing but an answer seen by the host itself ended the verdict, and a host that resets the flows sees none.

A check that was accepted after the evidence for the silence now ends it. Hosts tell each other of an accepted check that refutes failed ones, as they told each other of these. TestAcceptedCheckWithdrawsSilence failed before, for the host's own check and for others'.

--- a/internal/affinity/check.go
+++ b/internal/affinity/check.go
@@ -189,14 +189,25 @@
 	Latest time.Duration // time of the latest evidence, from which the state lasts
 	// OwnEvidence is set if this host's callers or its own check contributed. Otherwise only other hosts did.
 	OwnEvidence bool
+	// AcceptedAt is the end of the latest accepted check by a host of the own data centre.
+	AcceptedAt time.Duration
 }
 
 // SetHealth puts an assessment in force: Suspect, or Silent, which also resets the server's flows. Draining servers are left
-// alone, and without evidence of this host's own so is a server once too many of its service are avoided. It reports whether
-// the state has changed.
+// alone, and without evidence of this host's own so is a server once too many of its service are avoided. An accepted check ends
+// a silence with older evidence. It reports whether the state has changed.
 func (r *Router) SetHealth(i Instance, a Assessment, now time.Duration) bool {
 	s := r.serverOf(i)
-	if s == nil || s.Draining || s.provenAt() >= a.Since || a.Health == Answers {
+	if s == nil || s.Draining {
+		return false
+	}
+	if a.Health != Silent && s.silentUntil > now && a.AcceptedAt > s.silentUntil-silentPeriod {
+		s.markChanged()
+		s.silentUntil = 0
+		r.healthChanges.add(s, Answers, ConnectionAccepted, now, 0)
+		return true
+	}
+	if s.provenAt() >= a.Since || a.Health == Answers {
 		return false
 	}
 	if !a.OwnEvidence && !s.suspectOrSilent(now) && r.tooMany(s.Service, (*server).suspectOrSilent, now) {
--- a/internal/entry/healthchecks.go
+++ b/internal/entry/healthchecks.go
@@ -174,6 +174,7 @@
 // report records this host's finding, which is evidence from a time on, tells the hosts that asked for it, and queues an
 // unfavourable one for the others. fields are added to the log line.
 func (h *healthChecks) report(i affinity.Instance, outcome affinity.CheckOutcome, at, now time.Duration, fields ...any) {
+	refutes := h.state.Refutes(healthcheck.Finding{Instance: i, Outcome: outcome, At: at}, now)
 	finding, waiting := h.state.Checked(i, outcome, at)
 	h.send(waiting, &healthcheck.Message{Findings: []healthcheck.Finding{finding}})
 	probe := h.probes[i]
@@ -185,6 +186,9 @@
 			h.enqueue(finding)
 		}
 	}
+	if refutes {
+		h.enqueue(finding)
+	}
 	h.decide(i, now)
 	h.learn(finding, now)
 }
@@ -206,9 +210,8 @@
 	}
 	for _, f := range m.message.Findings {
 		if h.state.Receive(f, now) {
-			h.countContradiction(f, now)
-			h.log("another host's check of a backend server failed", &f, now, "since_answer", h.traffic.router.SinceAnswer(f.Instance, now))
 			h.enqueue(f)
+			h.recordFailure(f, now)
 		}
 		h.decide(f.Instance, now)
 		h.learn(f, now)
@@ -271,11 +274,16 @@
 	}
 }
 
-// countContradiction counts a failed check of another host after whose start this host saw an answer of the server.
-func (h *healthChecks) countContradiction(f healthcheck.Finding, now time.Duration) {
-	if since := h.traffic.router.SinceAnswer(f.Instance, now); since >= 0 && since < now-f.At {
+// recordFailure logs a failed check of another host, and counts it if this host saw an answer of the server after its start.
+func (h *healthChecks) recordFailure(f healthcheck.Finding, now time.Duration) {
+	if f.Outcome != affinity.Refuses && f.Outcome != affinity.NoAnswer {
+		return
+	}
+	since := h.traffic.router.SinceAnswer(f.Instance, now)
+	if since >= 0 && since < now-f.At {
 		findingsContradicted.Inc()
 	}
+	h.log("another host's check of a backend server failed", &f, now, "since_answer", since)
 }
 
 // log logs a finding together with further fields.
--- a/internal/entry/verdict_test.go
+++ b/internal/entry/verdict_test.go
@@ -53,6 +53,7 @@
 	f.hosts[to].receive(checkMessage{from: f.hosts[from].traffic.host.config.Peer, message: &healthcheck.Message{Findings: findings}}, f.now)
 }
 
+// A backend server leaves checks of two hosts unanswered and serves again. A host that was paused passes their findings on.
 // Guards against findings that get younger while they wait in the socket's buffer of a host that passes them on, so that a host
 // that is well resets open flows although it has seen answers since (incident 29).
 func TestFindingsPassedOnByAPausedHost(t *testing.T) {
@@ -90,6 +91,38 @@
 	}
 }
 
+// Guards against a verdict that stands although a later check was accepted: flows that reach the host later are reset for up to
+// 3 s (incident 29, 17.632 s).
+func TestAcceptedCheckWithdrawsSilence(t *testing.T) {
+	for _, own := range []bool{true, false} {
+		f := newSimFleet(9, 3, 0, 0)
+		f.now = 5 * time.Second
+		failed := func(checker int) healthcheck.Finding {
+			return findingAbout(f, 0, checker, affinity.NoAnswer, f.now-250*time.Millisecond)
+		}
+		tell(f, 3, 0, failed(3))
+		tell(f, 6, 0, failed(6))
+		pass(f, 600*time.Millisecond)
+		instance := affinity.Instance{Identity: 1, StartedMs: 9}
+		if own {
+			h := f.hosts[0]
+			request, ok := h.traffic.router.StartCheck(instance, f.now)
+			if !ok {
+				t.Fatal("no check was started")
+			}
+			f.now += simStep
+			h.checked(checkResult{request: request, outcome: affinity.Accepts}, f.now)
+		} else {
+			tell(f, 3, 0, findingAbout(f, 0, 3, affinity.Accepts, f.now))
+			tell(f, 6, 0, findingAbout(f, 0, 6, affinity.Accepts, f.now))
+		}
+		pass(f, 100*time.Millisecond)
+		if flow := newOpenFlow(f, 0); flow.decide() != affinity.Forward { // the routers have moved it here
+			t.Errorf("own check %v: a packet of an open flow is answered by a reset although the latest checks were accepted", own)
+		}
+	}
+}
+
 // Guards against a failed backend server whose flows are kept because an older finding, which an accepted check and an answer
 // have refuted, counts towards the time after which answers outweigh the assessment.
 func TestRefutedFindingDoesNotProtectAFailedServer(t *testing.T) {
--- a/internal/healthcheck/state.go
+++ b/internal/healthcheck/state.go
@@ -278,6 +278,18 @@
 	return f, waiting
 }
 
+// Refutes reports whether an accepted check contradicts failed ones that this host knows and that no other check has contradicted.
+// It is then to be passed on, as those were.
+func (s *State) Refutes(f Finding, now time.Duration) bool {
+	r := s.records[f.Instance]
+	if r == nil || f.Outcome != affinity.Accepts {
+		return false
+	}
+	return slices.ContainsFunc(r.unfavourable, func(o Finding) bool {
+		return !o.Expired(now) && o.At > r.acceptedAt && o.At <= f.At
+	})
+}
+
 // Receive records a finding of another host. It reports whether the finding is new evidence of the own data centre and is to be
 // passed on there.
 func (s *State) Receive(f Finding, now time.Duration) bool {
@@ -292,7 +304,9 @@
 	if f.Outcome == affinity.Refuses && f.Late || f.ReachesAll() && !s.isLocal(f.Checker) {
 		return false // the links of another data centre say nothing about those of this one
 	}
-	return r.add(f) && f.unfavourable() && !f.Late
+	refutes := s.Refutes(f, now)
+	isNew := r.add(f) && f.unfavourable()
+	return (isNew || refutes) && !f.Late
 }
 
 // add stores a finding in place of an earlier one of the same checker. It reports whether it says something new.
@@ -344,6 +358,7 @@
 			own = f.At
 		}
 	}
+	a.AcceptedAt = r.acceptedAt
 	a.OwnEvidence = own != never || now-r.doubtedAt < evidenceLifetime
 	alone := len(s.hosts) == 1 || r.attempts >= maxAttempts && own >= r.askedAt
 	if r.failedChecks(now) >= decisiveChecks || own != never && alone {
