healthcheck, entry: tests of mechanisms that no test noticed

TestFailedServerWithoutItsFirstCheckers also plays checkers that run late and callers that repeat their data at 0.2, 0.6, 1.4 and 3.0 s only.

--- a/internal/entry/verdict_test.go
+++ b/internal/entry/verdict_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -182,12 +183,38 @@
 	h.checked(checkResult{request: requests[0], outcome: affinity.NoAnswer}, f.now)
 	f.now += simStep
 	h.checked(checkResult{request: requests[1], outcome: affinity.Accepts}, f.now)
-	for _, o := range outcomes {
-		if o == affinity.Accepts {
-			return
+	if !slices.Equal(outcomes, []affinity.CheckOutcome{affinity.Accepts}) {
+		t.Errorf("the host that asked got %v, want the accepted check only", outcomes)
+	}
+}
+
+// Guards against hosts that are left without an answer by a check whose result is outdated when it is handled, and against that
+// result as evidence.
+func TestOutdatedResultIsInconclusive(t *testing.T) {
+	f := newSimFleet(9, 3, 0, 0)
+	f.now = 5 * time.Second
+	instance := affinity.Instance{Identity: 1, StartedMs: 9}
+	h := f.hosts[3]
+	var request affinity.CheckRequest
+	h.start = func(r affinity.CheckRequest) { request = r }
+	var outcomes []affinity.CheckOutcome
+	h.transmit = func(b []byte, _ netip.AddrPort) error {
+		m, err := healthcheck.Decode(b, f.now)
+		if err != nil {
+			t.Fatal(err)
 		}
+		for _, finding := range m.Findings {
+			outcomes = append(outcomes, finding.Outcome)
+		}
+		return nil
+	}
+	h.receive(checkMessage{from: f.hosts[0].traffic.host.config.Peer, message: &healthcheck.Message{Asks: []affinity.Instance{instance}}}, f.now)
+	pass(f, 2100*time.Millisecond)
+	h.checked(checkResult{request: request, outcome: affinity.NoAnswer}, f.now)
+	pass(f, time.Second)
+	if !slices.Equal(outcomes, []affinity.CheckOutcome{affinity.Unchecked}) {
+		t.Errorf("other hosts got %v, want that the check came to no conclusion", outcomes)
 	}
-	t.Errorf("the host that asked got %v, want the accepted check too", outcomes)
 }
 
 // Guards against a host that gives a backend server up alone by a check that it made before it was alone, at the moment when it
--- a/internal/healthcheck/sharing_test.go
+++ b/internal/healthcheck/sharing_test.go
@@ -64,6 +64,7 @@
 	avoidedFirst  time.Duration // 0: never
 	silentFirst   time.Duration // 0: never
 	dead          bool          // does nothing
+	late          bool          // its checks are inconclusive, and it has no callers
 	silentVerdict int
 }
 
@@ -115,7 +116,7 @@
 
 // open opens a flow at a host, which has a doubt if the opening packet goes unanswered.
 func (s *simulation) open(i int) {
-	if s.hosts[i].dead || s.hosts[i].avoidUntil > s.now || !s.down() {
+	if s.hosts[i].dead || s.hosts[i].late || s.hosts[i].avoidUntil > s.now || !s.down() {
 		return
 	}
 	s.lostTries++
@@ -169,6 +170,9 @@
 		if lost && (s.down() || i == s.slowHost) {
 			outcome = affinity.NoAnswer
 		}
+		if h.late {
+			outcome = affinity.Unchecked
+		}
 		s.checked(i, outcome)
 	})
 }
@@ -369,34 +373,66 @@
 }
 
 // Guards against flows that wait for their callers' deadlines at a failed backend server because hosts that rank first as its
-// checkers are down themselves: the hosts that rank next have to be asked.
+// checkers are down or come to no conclusion: the hosts that rank next have to be asked.
 func TestFailedServerWithoutItsFirstCheckers(t *testing.T) {
-	for _, size := range fleets {
-		for dead := range 4 {
-			s := newSimulation(rankedCheckers, size.inDataCentre, time.Hour)
-			dead = min(dead, size.inDataCentre-1)
-			for _, h := range s.hosts[0].state.ranked(instance, dead) {
-				s.hosts[s.index[h.addr]].dead = true
-			}
-			for i, h := range s.hosts {
-				for at := simFailedAt + simOpeningWait; at < simFailedAt+simObserved && !h.dead; at += simCheckSpacing {
-					heap.Push(&s.queue, event{at: at, do: func() { s.doubt(i) }}) // its callers repeat their data
-				}
-			}
-			s.run()
-			last := time.Duration(0)
-			for i, h := range s.hosts {
-				if h.silentFirst == 0 && !h.dead {
-					t.Fatalf("%d hosts, %d dead: host %d never resets the flows of the failed backend server", size.inDataCentre, dead, i)
+	everyCheck := make([]time.Duration, int(simObserved/simCheckSpacing))
+	for n := range everyCheck {
+		everyCheck[n] = simOpeningWait + time.Duration(n)*simCheckSpacing
+	}
+	for _, tt := range []struct {
+		name   string
+		late   bool            // the first checkers run late, so that their checks are inconclusive
+		doubts []time.Duration // of each host, after the failure
+		again  []time.Duration // doubts after which the checkers that rank next are asked
+	}{
+		{"down, many callers", false, everyCheck, everyCheck},
+		{"late, many callers", true, everyCheck, everyCheck},
+		{"down, one caller", false, callerRepeats, []time.Duration{callerRepeats[0], callerRepeats[2], callerRepeats[3]}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, size := range fleets {
+				for n := range min(4, size.inDataCentre) {
+					last := silentWithoutCheckers(t, size.inDataCentre, n, tt.late, tt.doubts)
+					t.Logf("%d hosts, %d of the first checkers fail: all others reset flows after %v", size.inDataCentre, n, last)
+					attempts := (n + checkersPerServer - 1) / checkersPerServer // without a conclusion
+					const rounds, messages = 2 * 250 * time.Millisecond, 4 * simDelay
+					if limit := tt.again[attempts] + simCheckTime + rounds + messages; last > limit {
+						t.Errorf("%d hosts, %d fail: flows are reset after %v, want at most %v", size.inDataCentre, n, last, limit)
+					}
 				}
-				last = max(last, h.silentFirst-simFailedAt)
 			}
-			t.Logf("%d hosts, %d dead: all others reset flows after %v", size.inDataCentre, dead, last)
-			attempts := time.Duration(dead+checkersPerServer-1) / checkersPerServer // without a conclusion
-			const rounds, messages = 2 * 250 * time.Millisecond, 4 * simDelay
-			if limit := simOpeningWait + attempts*simCheckSpacing + simCheckTime + rounds + messages; last > limit {
-				t.Errorf("%d hosts, %d dead: flows are reset after %v, want at most %v", size.inDataCentre, dead, last, limit)
+		})
+	}
+}
+
+// callerRepeats are the times after a failure at which a caller that has just sent a request repeats it.
+var callerRepeats = []time.Duration{200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond, 3000 * time.Millisecond}
+
+// silentWithoutCheckers returns the time from the failure of a backend server until all hosts but its first n checkers, which are
+// down or late, have found it silent.
+func silentWithoutCheckers(t *testing.T, hosts, n int, late bool, doubts []time.Duration) time.Duration {
+	t.Helper()
+	s := newSimulation(rankedCheckers, hosts, time.Hour)
+	for _, h := range s.hosts[0].state.ranked(instance, n) {
+		failing := s.hosts[s.index[h.addr]]
+		failing.dead, failing.late = !late, late
+	}
+	for i, h := range s.hosts {
+		for _, after := range doubts {
+			if !h.dead && !h.late {
+				heap.Push(&s.queue, event{at: simFailedAt + after, do: func() { s.doubt(i) }})
 			}
 		}
 	}
+	s.run()
+	last := time.Duration(0)
+	for i, h := range s.hosts {
+		if h.silentFirst == 0 && !h.dead && !h.late {
+			t.Fatalf("%d hosts, %d fail: host %d never resets the flows of the failed backend server", hosts, n, i)
+		}
+		if !h.dead && !h.late {
+			last = max(last, h.silentFirst-simFailedAt)
+		}
+	}
+	return last
 }
--- a/internal/healthcheck/state_test.go
+++ b/internal/healthcheck/state_test.go
@@ -36,6 +36,14 @@
 	return Finding{Instance: instance, Outcome: o, Checker: Digest(addr(i)), At: at}
 }
 
+// doubtsWithoutConclusion has a host check the backend server itself because its checkers came to no conclusion.
+func doubtsWithoutConclusion(s *State) {
+	for n := maxAttempts; n >= 0; n-- {
+		s.Doubt(instance, now-100*time.Millisecond-time.Duration(n)*answerTimeout)
+	}
+	s.Checked(instance, affinity.NoAnswer, now-100*time.Millisecond)
+}
+
 // Guards against a backend server that is given up on the check of one host, whose own link may be bad or whose process may run
 // late, even if callers of other hosts repeat their data, and against one that is kept although several hosts agree.
 func TestAssess(t *testing.T) {
@@ -106,6 +114,16 @@
 			s.Doubt(instance, now)
 			s.Receive(earlier, now)
 		}, affinity.Answers},
+		{"own check after one attempt without a conclusion", 3, func(s *State) {
+			s.Doubt(instance, now-500*time.Millisecond)
+			s.Doubt(instance, now-100*time.Millisecond)
+			s.Checked(instance, noAnswer, now-100*time.Millisecond)
+		}, affinity.Suspect},
+		{"own check after two attempts without a conclusion", 3, doubtsWithoutConclusion, affinity.Silent},
+		{"the same, then another one's check is accepted", 3, func(s *State) {
+			doubtsWithoutConclusion(s)
+			s.Receive(findingOf(1, affinity.Accepts, now), now)
+		}, affinity.Suspect},
 		{"only host of its data centre", 1, func(s *State) { s.Doubt(instance, now); s.Checked(instance, noAnswer, now) }, affinity.Silent},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
