--- a/internal/healthcheck/state.go
+++ b/internal/healthcheck/state.go
@@ -4,7 +4,7 @@
 // A host whose callers' packets go unanswered asks the checkers of the backend server: two hosts of its own data centre that
 // rank first for it. Their findings spread within the data centre. So the number of connections to a backend server in doubt
 // does not grow with the fleet, and no host gives a backend server up by its own evidence alone, unless it has no other host
-// to ask. What findings say about silence stays in their data centre, because other data centres reach the backend server over
+// to ask or got no conclusion from those that it asked. What findings say about silence stays in their data centre, because other data centres reach the backend server over
 // other links. A refused connection shows over any link that the process has ended, so those findings go to all data centres.
 package healthcheck
 
@@ -26,7 +26,8 @@
 	// decisiveChecks is the number of hosts whose checks must fail for a backend server to be silent. The fault may be that of one
 	// host or of its link.
 	decisiveChecks = 2
-	// answerTimeout is the time that checkers have to answer: the longest check, and the way there and back.
+	// answerTimeout is the time that checkers have to answer: a check without an answer whose reference accepts connections at once,
+	// and the way there and back.
 	answerTimeout = 400 * time.Millisecond
 	// reuseTime is how long the result of a check answers further hosts that ask for one.
 	reuseTime = 500 * time.Millisecond
