registry: a host passes on the configuration in force when its item is gone

When the item of the configuration can't be read, a full read does not contain it, and a host recorded its removal. The configuration stayed in force there, but a copy no longer contained it: a host that started then had no routes and did not become ready, while the others served. A removal of the item no longer replaces it; a newer configuration does.

--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -140,8 +140,8 @@
 // apply applies an update if its revision is newer than that of the item. It reports whether it did.
 func (s *State) apply(u Update, now time.Duration) bool {
 	old := s.items[u.Key]
-	if old != nil && !old.replacedBy(&u) {
-		return false
+	if old != nil && (!old.replacedBy(&u) || u.Removed && old.update.Config != nil) {
+		return false // a removed configuration stays in force, and other hosts get it from here
 	}
 	next := &item{update: u, receivedAt: now}
 	if u.Server != nil && u.Server.ColdFor > 0 {
--- a/internal/registry/state_test.go
+++ b/internal/registry/state_test.go
@@ -66,6 +66,27 @@
 	}
 }
 
+// Guards against a host that starts and gets no configuration, because the item of the one in force can't be read at present or is
+// gone: the hosts that know it must pass it on.
+func TestConfigurationInForceIsPassedOn(t *testing.T) {
+	for name, lose := range map[string]func(*State){
+		"full read without it": func(s *State) { s.Replace([]Update{serverUpdate("s1", 6)}, 14, 0) },
+		"removal":              func(s *State) { s.Apply([]Update{removal("config", 14)}, 10, 14, 0) },
+	} {
+		s, started := loaded(), NewState()
+		lose(s)
+		all, full := s.Since(0)
+		started.Replace(all, s.Revision(), 0)
+		if !full || !started.Loaded() || started.ConfigVersion() != 3 {
+			t.Errorf("%s: full copy %v, loaded %v, configuration %d; want 3", name, full, started.Loaded(), started.ConfigVersion())
+		}
+		s.Apply([]Update{configUpdate(9, 15)}, 14, 15, 0)
+		if v := s.View().Config.Version; v != 9 {
+			t.Errorf("%s: configuration %d in force after a newer one, want 9", name, v)
+		}
+	}
+}
+
 // Guards against late updates of an item that replace newer ones.
 func TestOlderUpdatesAreIgnored(t *testing.T) {
 	s := loaded()
