gossip: an age that overflows makes a message or copy malformed

Ages are sent in milliseconds and were bounded from below only. One of 13e12 or more overflows a duration and becomes a time in the future: a host then took its contents for confirmed and would no longer read the store itself, or took the store for unavailable, so that all removals counted as lapses. Only a faulty host or a forged message sends one. Ages of more than 139 years are refused now.

TestMalformedMessages failed before for the six cases added, and TestFetchValidatesTheAge for three of six ages.

--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -33,6 +33,9 @@
 	maxVotes = 32
 	// maxDataCentres is the maximum number of data centres in a message.
 	maxDataCentres = 64
+	// maxAgeMs is the maximum age in a message or copy, 139 years. A time.Duration holds 292 years; a time in the future would
+	// make a copy count as confirmed for ever.
+	maxAgeMs = 1 << 42
 	// NeverConfirmed is the age of a copy that the store has never confirmed.
 	NeverConfirmed = -1
 	// NoRecentOutage is the OutageAgeMs of a sender for which the store has not been unavailable recently.
@@ -155,18 +158,18 @@
 	if err := mode.Unmarshal(b[1:], &m); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "decode message"), ErrMalformed)
 	}
-	if m.AgeMs < NeverConfirmed || m.OutageAgeMs < NoRecentOutage || m.ReaderAgeMs < 0 || m.NumKnown < 0 || m.NumKnown > maxMembers+1 || !m.From.Addr.IsValid() || m.From.DataCentre == "" || len(m.Hosts) > maxHosts || len(m.LastContact) > maxDataCentres || len(m.Loads) > maxLoads ||
+	if !validAge(m.AgeMs, NeverConfirmed) || !validAge(m.OutageAgeMs, NoRecentOutage) || !validAge(m.ReaderAgeMs, 0) || m.NumKnown < 0 || m.NumKnown > maxMembers+1 || !m.From.Addr.IsValid() || m.From.DataCentre == "" || len(m.Hosts) > maxHosts || len(m.LastContact) > maxDataCentres || len(m.Loads) > maxLoads ||
 		len(m.SecondHand) > maxDataCentres || len(m.Demand) > maxDemands || len(m.Servers) > maxServerLoads || len(m.Votes) > maxVotes {
 		return nil, errors.Wrap(ErrMalformed, "invalid sender, age, host count or list length")
 	}
 	for _, h := range slices.Concat(m.LastContact, m.SecondHand) {
-		if h.AgeMs < 0 {
-			return nil, errors.Wrap(ErrMalformed, "negative contact age of a data centre")
+		if !validAge(h.AgeMs, 0) {
+			return nil, errors.Wrap(ErrMalformed, "invalid contact age of a data centre")
 		}
 	}
 	for _, v := range m.Votes {
-		if v.AgeMs < 0 {
-			return nil, errors.Wrap(ErrMalformed, "negative age of a vote")
+		if !validAge(v.AgeMs, 0) {
+			return nil, errors.Wrap(ErrMalformed, "invalid age of a vote")
 		}
 	}
 	for _, d := range m.Demand {
@@ -187,6 +190,9 @@
 	return &m, nil
 }
 
+// validAge reports whether an age in milliseconds is from lowest to maxAgeMs.
+func validAge(ms, lowest int64) bool { return ms >= lowest && ms <= maxAgeMs }
+
 func validateUpdate(u *registry.Update) error {
 	if u.Key == "" || u.Revision == 0 {
 		return errors.Wrap(ErrMalformed, "change without key or revision")
--- a/internal/gossip/message_test.go
+++ b/internal/gossip/message_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math"
 	"net/netip"
 	"reflect"
 	"slices"
@@ -76,6 +77,12 @@
 		"no sender":                  func(m *Message) { m.From = Host{} },
 		"sender without data centre": func(m *Message) { m.From.DataCentre = "" },
 		"negative age":               func(m *Message) { m.AgeMs = NeverConfirmed - 1 },
+		"age that overflows":         func(m *Message) { m.AgeMs = 13e12 },
+		"outage that overflows":      func(m *Message) { m.OutageAgeMs = math.MaxInt64 },
+		"reader's age overflows":     func(m *Message) { m.ReaderAgeMs = math.MaxInt64 },
+		"contact age that overflows": func(m *Message) { m.LastContact = []LastContact{{AgeMs: 13e12}} },
+		"reported age overflows":     func(m *Message) { m.SecondHand = []LastContact{{AgeMs: 13e12}} },
+		"vote's age overflows":       func(m *Message) { m.Votes = []HostVote{{AgeMs: 13e12}} },
 		"too many known hosts":       func(m *Message) { m.NumKnown = maxMembers + 2 },
 		"negative contact age":       func(m *Message) { m.LastContact = []LastContact{{AgeMs: -1}} },
 		"negative age of a vote":     func(m *Message) { m.Votes = []HostVote{{AgeMs: -1}} },
--- a/internal/gossip/transfer.go
+++ b/internal/gossip/transfer.go
@@ -109,6 +109,9 @@
 		if n == 0 && (part.NumParts < 1 || part.NumParts > maxParts) {
 			return nil, errors.Wrapf(ErrMalformed, "copy of %d parts", part.NumParts)
 		}
+		if !validAge(part.AgeMs, NeverConfirmed) {
+			return nil, errors.Wrapf(ErrMalformed, "copy of age %d ms", part.AgeMs)
+		}
 		parts = append(parts, &part)
 		if first := parts[0]; part.Revision != first.Revision || part.Full != first.Full || part.NumParts != first.NumParts {
 			return nil, errors.Wrapf(ErrMalformed, "part %d belongs to another copy", n)
--- a/internal/gossip/transfer_test.go
+++ b/internal/gossip/transfer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -51,6 +52,17 @@
 	}
 }
 
+// Guards against a copy whose age overflows, so that it counts as confirmed for ever.
+func TestFetchValidatesTheAge(t *testing.T) {
+	for age, valid := range map[int64]bool{NeverConfirmed: true, 0: true, 3_600_000: true, NeverConfirmed - 1: false, 13e12: false, math.MaxInt64: false} {
+		l, addr := listen(t)
+		go Serve(t.Context(), l, func(context.Context, Query) (*Copy, error) { return &Copy{Loaded: true, Revision: 9, AgeMs: age}, nil })
+		if c, err := Fetch(t.Context(), addr, Query{}); (err == nil) != valid {
+			t.Errorf("age %d: %+v, %v; want valid %v", age, c, err, valid)
+		}
+	}
+}
+
 // Guards against a fetch that never ends when the other host accepts the connection but does not answer.
 func TestFetchFromSilentHost(t *testing.T) {
 	_, addr := listen(t) // connections stay in the accept queue of the kernel and get no answer
