affinity: the reference of a check is in the data centre of the checked backend server

While the way between two data centres is cut or loses packets, the references in the own data centre answer, so that two hosts find sound backend servers of the other one silent, all hosts reset their flows there, and go on for up to 3 s after the way is back.

A reference in the same data centre that has answered within 5 s is preferred; without one, the one that answered last serves as before. That a whole data centre is out of reach is decided from hosts' messages and callers' packets (data_centre_cut_off). TestReferenceIsInTheSameDataCentre failed before.

--- a/internal/affinity/check.go
+++ b/internal/affinity/check.go
@@ -122,9 +122,11 @@
 	return s
 }
 
-// reference returns a server other than s that has answered recently, or nil.
+// reference returns a server other than s that has answered recently, or nil. It prefers one of the same data centre: the way to
+// another one may be the fault.
 func (r *Router) reference(s *server, now time.Duration) *server {
-	for _, other := range r.lastAnswering {
+	near := r.silenceOf(s.DataCentre).answering
+	for _, other := range []*server{near[0], near[1], r.lastAnswering[0], r.lastAnswering[1]} {
 		if other != nil && other != s && other.present && now-other.lastAnswerAt <= maxReferenceAge {
 			return other
 		}
@@ -132,15 +134,23 @@
 	return nil
 }
 
-// recordAnswer records an observed answer. It keeps the two servers that answered most recently, so that a check of one of
-// them has a reference.
+// recordAnswer records an observed answer. It keeps the two servers that answered most recently, also of each data centre, so
+// that a check of one of them has a reference.
 func (r *Router) recordAnswer(s *server, now time.Duration) {
 	if now < r.evidenceSince {
 		return
 	}
 	s.answered(now)
-	if r.lastAnswering[0] != s {
-		r.lastAnswering[0], r.lastAnswering[1] = s, r.lastAnswering[0]
+	r.lastAnswering.add(s)
+	r.silenceOf(s.DataCentre).answering.add(s)
+}
+
+// lastAnswering holds the two servers that answered most recently, the latest first.
+type lastAnswering [2]*server
+
+func (l *lastAnswering) add(s *server) {
+	if l[0] != s {
+		l[0], l[1] = s, l[0]
 	}
 }
 
--- a/internal/affinity/check_test.go
+++ b/internal/affinity/check_test.go
@@ -131,6 +131,32 @@
 	}
 }
 
+// Guards against a reference that is reached over other links than the checked server: the way to another data centre, which all
+// checkers share, may lose packets while the servers of the own data centre answer at once, so that two hosts find a sound server
+// silent.
+func TestReferenceIsInTheSameDataCentre(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		age  time.Duration // of the last answer from the checked server's data centre
+		want string        // data centre of the reference
+	}{{"answered recently", time.Second, "b"}, {"has not answered for long", maxReferenceAge + time.Second, "a"}} {
+		h := newHarness(t)
+		checked, near, far := h.server("meter", "b"), h.server("meter", "b"), h.server("meter", "a")
+		h.applyView()
+		h.router.recordAnswer(h.router.servers[near], h.now)
+		h.advance(tt.age)
+		h.router.recordAnswer(h.router.servers[far], h.now)
+		request, ok := h.router.StartCheck(h.router.servers[checked].instance(), h.now)
+		if !ok {
+			t.Fatal("no check was started")
+		}
+		want := h.router.servers[map[string]string{"a": far, "b": near}[tt.want]].Addr
+		if request.Reference != want {
+			t.Errorf("%s: reference %v, want %v, in data centre %s", tt.name, request.Reference, want, tt.want)
+		}
+	}
+}
+
 // Guards against checks of draining servers, which may refuse new connections while they still serve their flows.
 func TestDrainingServerIsNotChecked(t *testing.T) {
 	h, onSilent, silent := newSilentHarness(t)
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -60,7 +60,7 @@
 	openings      openings
 	healthChanges healthChanges
 	checks        []Instance // backend servers that are to be checked
-	lastAnswering [2]*server // the two servers that answered most recently, the latest first
+	lastAnswering lastAnswering
 	seed          maphash.Seed
 	silences      map[string]*dataCentreSilence // by data centre
 	reachableAt   map[string]time.Duration      // when a data centre was last known to be unreachable
