--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"maps"
 	"net/netip"
 	"time"
 
@@ -18,6 +19,10 @@
 	unknownTokenGrace = 2500 * time.Millisecond
 	// maxUnknownTokens is the maximum number of unknown tokens kept, which bounds the memory that forged tokens can occupy.
 	maxUnknownTokens = 1024
+	// maxUnknownFlows is the maximum number of flows with unknown tokens kept, for the same reason.
+	maxUnknownFlows = 8192
+	// unknownFlowRetention is how long such a flow is kept after its last packet. Callers that wait repeat theirs sooner.
+	unknownFlowRetention = 10 * time.Second
 	// retransmitWindow is how long after its first transmission the retransmission of data is evidence that it was not
 	// answered. Callers give up after that time.
 	retransmitWindow = 2 * time.Second
@@ -48,6 +53,7 @@
 	byToken       map[uint32]*server
 	tokenUsers    map[uint32]int           // number of servers with a token, including removed ones
 	unknownTokens map[uint32]time.Duration // tokens that are in no view, and when they were first seen
+	unknownFlows  map[FlowKey]unknownFlow  // flows with such tokens
 	table         flowTable
 	admission     *overload.State
 	work          work.Tracker
@@ -87,6 +93,7 @@
 		byToken:       map[uint32]*server{},
 		tokenUsers:    map[uint32]int{},
 		unknownTokens: map[uint32]time.Duration{},
+		unknownFlows:  map[FlowKey]unknownFlow{},
 		silences:      map[string]*dataCentreSilence{},
 		reachableAt:   map[string]time.Duration{},
 		table:         flowTable{flows: map[FlowKey]*flow{}, limit: c.MaxFlows, idle: c.IdleTimeout, admission: admission},
@@ -225,7 +232,7 @@
 		return verdict
 	}
 	if r.canResetFlows(s) {
-		return r.rejectLost(key, f, s, BackendServerGone, now)
+		return r.rejectGone(key, f, s, p, now)
 	}
 	f = r.trackFlow(key, f, s, p, now)
 	latency := f.openingLatency(now)
@@ -252,6 +259,21 @@
 	return Verdict{Action: Reject, Reason: reason, ServerID: s.ID}
 }
 
+// rejectGone returns the verdict for a packet of a flow whose backend server has gone: a reset, unless the server may be back.
+func (r *Router) rejectGone(key FlowKey, f *flow, s *server, p *Packet, now time.Duration) Verdict {
+	f = r.trackFlow(key, f, s, p, now)
+	if r.mayBeBack(f) {
+		return Verdict{Action: Drop, Reason: UnknownToken, ServerID: s.ID}
+	}
+	return r.rejectLost(key, f, s, BackendServerGone, now)
+}
+
+// mayBeBack reports whether another host may have opened the flow after the return of its backend server, which this host has not
+// heard of: the flow came here after the server had left, and the store has not confirmed since that the server is missing.
+func (r *Router) mayBeBack(f *flow) bool {
+	return f.openedAt > f.server.removedAt && f.openedAt >= r.fleet.ConfirmedAt
+}
+
 // resolveServer returns the backend server of a packet other than an opening one, or nil and the verdict if there is none.
 func (r *Router) resolveServer(p *Packet, f *flow, now time.Duration) (*server, Verdict) {
 	if p.Token == 0 {
@@ -264,16 +286,36 @@
 		return s, Verdict{}
 	}
 	first, seen := r.unknownTokens[p.Token]
+	confirmed := r.confirmedUnknown(p.Key(), now)
 	switch {
 	case r.view.UnreadableTokens[p.Token]:
 	case !seen && len(r.unknownTokens) < maxUnknownTokens:
 		r.unknownTokens[p.Token] = now
-	case seen && r.fleet.confirmedSince(first) >= unknownTokenGrace:
+	case seen && confirmed && r.fleet.confirmedSince(first) >= unknownTokenGrace:
+		delete(r.unknownFlows, p.Key())
 		return nil, Verdict{Action: Reject, Reason: TokenNeverListed}
 	}
 	return nil, Verdict{Action: Drop, Reason: UnknownToken}
 }
 
+// unknownFlow is a flow whose token is in no view.
+type unknownFlow struct{ firstAt, lastAt time.Duration } // its packets
+
+// confirmedUnknown reports whether the store has confirmed the registry since the first packet of a flow whose token is unknown.
+// Before that, another host may have opened the flow at a backend server that this one has not heard of, however long the token
+// has been unknown.
+func (r *Router) confirmedUnknown(key FlowKey, now time.Duration) bool {
+	f, seen := r.unknownFlows[key]
+	if !seen {
+		f.firstAt = now
+	}
+	f.lastAt = now
+	if seen || len(r.unknownFlows) < maxUnknownFlows {
+		r.unknownFlows[key] = f
+	}
+	return seen && f.firstAt < r.fleet.ConfirmedAt
+}
+
 // trackFlow returns the state of a flow. It creates the state if f is nil, or if f is another flow of the same caller's port:
 // an open flow stays on its server. It moves a flow that is being opened to s, the server of its token.
 func (r *Router) trackFlow(key FlowKey, f *flow, s *server, p *Packet, now time.Duration) *flow {
@@ -326,7 +368,7 @@
 	}
 	if end == f.next && f.sentAt != neverSent {
 		seen.Repeated = true
-		r.silenceOf(s.DataCentre).repeated(p.Key())
+		r.silenceOf(s.DataCentre).repeated(p.Key(), f.sentAt, now)
 	}
 	if end == f.next && f.sentAt >= max(s.provenAt(), r.evidenceSince, now-retransmitWindow) {
 		r.requestCheck(s, now)
@@ -355,7 +397,8 @@
 	}
 	for key, f := range r.table.flows {
 		s := f.server
-		if !s.resetsDue || f.closed || !f.open || s.resetReason == BackendServerSilent && r.mayBeRunning(key, f) {
+		if !s.resetsDue || f.closed || !f.open || s.resetReason == BackendServerSilent && r.mayBeRunning(key, f) ||
+			s.resetReason == BackendServerGone && r.mayBeBack(f) {
 			continue
 		}
 		r.resets = append(r.resets, FlowReset{Key: key, Seq: f.ack, Reason: s.resetReason, ServerID: s.ID})
@@ -381,13 +424,15 @@
 	r.table.sweep(now)
 	r.updateWork(now)
 	for _, s := range r.removed {
-		if s.flows > 0 && r.canResetFlows(s) {
+		if s.flows > 0 && r.canResetFlows(s) && s.resetAsOf != r.fleet.ConfirmedAt {
+			s.resetAsOf = r.fleet.ConfirmedAt
 			r.scheduleResets(s, BackendServerGone)
 		}
 		if r.fleet.confirmedSince(s.removedAt) > removedServerRetention {
 			r.dropServer(s)
 		}
 	}
+	maps.DeleteFunc(r.unknownFlows, func(_ FlowKey, f unknownFlow) bool { return now-f.lastAt > unknownFlowRetention })
 	for token, first := range r.unknownTokens {
 		if r.fleet.confirmedSince(first) > removedServerRetention {
 			delete(r.unknownTokens, token)
--- a/internal/entry/healthchecks.go
+++ b/internal/entry/healthchecks.go
@@ -68,6 +68,7 @@
 	checker  *checker
 	start    func(affinity.CheckRequest)        // starts a check, whose result the checker returns
 	transmit func([]byte, netip.AddrPort) error // sends a datagram to a host
+	clock    func() time.Duration               // reads the time
 	pending  []healthcheck.Finding              // to be passed on
 	sentAt   time.Duration                      // when findings were last passed on
 	// news are the findings that show an end or a start which this host did not know, to be passed on to all data centres
@@ -91,6 +92,7 @@
 		traffic: t,
 		state:   healthcheck.New(t.host.config.Peer, random),
 		checker: newChecker(wake),
+		clock:   t.host.now,
 		probes:  map[affinity.Instance]bool{},
 	}
 	h.start = h.checker.start
@@ -124,7 +126,7 @@
 	}
 	if len(plan.Ask) > 0 {
 		checksAsked.Add(len(plan.Ask))
-		h.send(plan.Ask, &healthcheck.Message{Asks: []affinity.Instance{i}}, now)
+		h.send(plan.Ask, &healthcheck.Message{Asks: []affinity.Instance{i}})
 	}
 	h.decide(i, now)
 }
@@ -136,29 +138,46 @@
 	case ok:
 		h.start(request)
 	case !h.traffic.router.Checking(i, now):
-		h.report(affinity.CheckRequest{Instance: i}, affinity.Unchecked, 0, now)
+		h.report(i, affinity.Unchecked, now, now)
 	}
 }
 
 // checked handles the result of a check by this host.
 func (h *healthChecks) checked(result checkResult, now time.Duration) {
-	outcome := h.traffic.router.HandleCheckResult(result.request, result.outcome)
+	outcome, at := h.conclusion(result, now)
 	countCheck(outcome)
-	h.report(result.request, outcome, result.took, now)
+	h.report(result.request.Instance, outcome, at, now, "took", result.took)
 }
 
-// report records this host's finding, tells the hosts that asked for it, and queues an unfavourable one for the others. took is
-// the duration of the check.
-func (h *healthChecks) report(request affinity.CheckRequest, outcome affinity.CheckOutcome, took, now time.Duration) {
-	i := request.Instance
-	outcome, at := dated(request, outcome, now)
+// conclusion returns what the result of a check shows, and the time from which on it is evidence. A result that is handled too late
+// to be dated shows nothing.
+func (h *healthChecks) conclusion(result checkResult, now time.Duration) (outcome affinity.CheckOutcome, at time.Duration) {
+	i, startedAt := result.request.Instance, result.request.StartedAt
+	if result.outcome == affinity.Accepts && now-startedAt > checkTimeout {
+		result.outcome = affinity.Unchecked // learn assumes that the connection was made within checkTimeout
+	}
+	outcome = h.traffic.router.HandleCheckResult(result.request, result.outcome)
+	switch {
+	case outcome == affinity.Accepts && result.outcome == affinity.NoAnswer: // by an answer to a caller
+		return outcome, now - h.traffic.router.SinceAnswer(i, now)
+	case outcome != affinity.Refuses && outcome != affinity.NoAnswer:
+		return outcome, now
+	case healthcheck.Expired(startedAt, now):
+		return affinity.Unchecked, now
+	}
+	return outcome, startedAt
+}
+
+// report records this host's finding, which is evidence from a time on, tells the hosts that asked for it, and queues an
+// unfavourable one for the others. fields are added to the log line.
+func (h *healthChecks) report(i affinity.Instance, outcome affinity.CheckOutcome, at, now time.Duration, fields ...any) {
 	finding, waiting := h.state.Checked(i, outcome, at)
-	h.send(waiting, &healthcheck.Message{Findings: []healthcheck.Finding{finding}}, now)
+	h.send(waiting, &healthcheck.Message{Findings: []healthcheck.Finding{finding}})
 	probe := h.probes[i]
 	delete(h.probes, i)
 	if outcome == affinity.Refuses || outcome == affinity.NoAnswer {
-		h.log("check of a backend server failed", &finding, now, "took", took, "process_gap", h.traffic.host.gaps.recent(now),
-			"clock_read_ago", h.traffic.host.now()-now)
+		fields = append(fields, "process_gap", h.traffic.host.gaps.recent(now), "clock_read_ago", h.clock()-now)
+		h.log("check of a backend server failed", &finding, now, fields...)
 		if !probe { // the others know already that it has ended
 			h.enqueue(finding)
 		}
@@ -167,18 +186,6 @@
 	h.learn(finding, now)
 }
 
-// dated returns the outcome of a check and the time from which on it is evidence. An unfavourable outcome that is outdated when
-// it is handled counts for nothing.
-func dated(request affinity.CheckRequest, outcome affinity.CheckOutcome, now time.Duration) (affinity.CheckOutcome, time.Duration) {
-	switch {
-	case outcome != affinity.Refuses && outcome != affinity.NoAnswer:
-		return outcome, now
-	case healthcheck.Expired(request.StartedAt, now):
-		return affinity.Unchecked, now
-	}
-	return outcome, request.StartedAt
-}
-
 // receive handles a message of another host.
 func (h *healthChecks) receive(m checkMessage, now time.Duration) {
 	if !h.state.IsPeer(m.from) {
@@ -188,7 +195,7 @@
 	for _, i := range m.message.Asks {
 		answer, check := h.state.Asked(m.from, i, now)
 		if answer != nil {
-			h.send([]netip.AddrPort{m.from}, &healthcheck.Message{Findings: []healthcheck.Finding{*answer}}, now)
+			h.send([]netip.AddrPort{m.from}, &healthcheck.Message{Findings: []healthcheck.Finding{*answer}})
 		}
 		if check {
 			h.check(i, now)
@@ -233,14 +240,21 @@
 		return
 	}
 	n := min(len(h.pending), healthcheck.MaxFindings)
-	h.send(h.state.SamplePeers(findingFanOut), &healthcheck.Message{Findings: h.pending[:n]}, now)
+	h.send(h.state.SamplePeers(findingFanOut), &healthcheck.Message{Findings: h.pending[:n]})
 	h.pending = append(h.pending[:0], h.pending[n:]...)
 }
 
-func (h *healthChecks) send(receivers []netip.AddrPort, m *healthcheck.Message, now time.Duration) {
+// send sends a message. It reads the clock, because on a host that gets the processor late much time may have passed since the
+// event was taken up, and receivers compare the age of findings with their own observations.
+func (h *healthChecks) send(receivers []netip.AddrPort, m *healthcheck.Message) {
 	if len(receivers) == 0 {
 		return
 	}
+	now := h.clock()
+	m.DropExpired(now)
+	if len(m.Asks)+len(m.Findings) == 0 {
+		return
+	}
 	b, err := healthcheck.Encode(m, now)
 	if err != nil {
 		level.Error(h.traffic.logger).Log("msg", "encoding a message about checks failed", "err", err)
