--- a/internal/healthcheck/state.go
+++ b/internal/healthcheck/state.go
@@ -53,6 +53,9 @@
 	// At is the time, on this host's clock, from which on the finding is evidence: the start of a check that failed, since an
 	// answer after that contradicts it, and the end of one that was accepted.
 	At time.Duration
+	// Late is set if the finding may be older than it seems here. It is not passed on, and a refused check shows an end, but not that
+	// the backend server is silent at present.
+	Late bool
 }
 
 // unfavourable reports whether the finding speaks against the backend server.
@@ -153,7 +156,7 @@
 		r = &record{doubtedAt: never, askedAt: never, acceptedAt: never}
 		s.records[i] = r
 	}
-	r.touchedAt = max(r.touchedAt, now)
+	r.touchedAt = now
 	return r
 }
 
@@ -275,8 +278,20 @@
 	return f, waiting
 }
 
-// Receive records a finding of another host. It reports whether the finding is new evidence of the own data centre, so that it
-// is to be passed on there.
+// Refutes reports whether an accepted check contradicts failed ones that this host knows and that no other check has contradicted.
+// It is then to be passed on, as those were.
+func (s *State) Refutes(f Finding, now time.Duration) bool {
+	r := s.records[f.Instance]
+	if r == nil || f.Outcome != affinity.Accepts {
+		return false
+	}
+	return slices.ContainsFunc(r.unfavourable, func(o Finding) bool {
+		return !o.Expired(now) && o.At > r.acceptedAt && o.At <= f.At
+	})
+}
+
+// Receive records a finding of another host. It reports whether the finding is new evidence of the own data centre and is to be
+// passed on there.
 func (s *State) Receive(f Finding, now time.Duration) bool {
 	if f.Checker == s.self.digest || now-f.At >= evidenceLifetime {
 		return false
@@ -286,10 +301,12 @@
 		return false
 	}
 	r.addEnd(f)
-	if f.ReachesAll() && !s.isLocal(f.Checker) {
-		return false // of another data centre, whose links say nothing about those of this one
+	if f.Outcome == affinity.Refuses && f.Late || f.ReachesAll() && !s.isLocal(f.Checker) {
+		return false // the links of another data centre say nothing about those of this one
 	}
-	return r.add(f) && f.unfavourable()
+	refutes := s.Refutes(f, now)
+	isNew := r.add(f) && f.unfavourable()
+	return (isNew || refutes) && !f.Late
 }
 
 // add stores a finding in place of an earlier one of the same checker. It reports whether it says something new.
@@ -316,32 +333,36 @@
 }
 
 // Assess returns what the evidence about an instance amounts to. A backend server is silent if the checks of decisiveChecks hosts
-// failed and none has been accepted since; the check of a single host makes it suspect. A host that has no other one to ask decides
-// alone. Unanswered packets of callers do not count, because the callers of a busy backend server repeat their data too.
+// failed and none has been accepted since; the check of a single host makes it suspect. A host that has no other one to ask, or got
+// no conclusion from them, decides alone, by a check made since. Unanswered packets of callers do not count, because the callers of
+// a busy backend server repeat their data too.
 func (s *State) Assess(i affinity.Instance, now time.Duration) affinity.Assessment {
 	a := affinity.Assessment{Since: now}
 	r := s.records[i]
 	if r == nil {
 		return a
 	}
-	own, failed := false, false
+	own, standing := never, now // starts of this host's and of the first failed check since the latest accepted one
 	for n := range r.unfavourable {
 		f := &r.unfavourable[n]
 		if f.Expired(now) {
 			continue
 		}
-		failed = true
-		own = own || f.Checker == s.self.digest && f.At > r.acceptedAt
+		a.Health, a.Cause = affinity.Suspect, affinity.CauseOf(f.Outcome)
 		a.Since, a.Latest = min(a.Since, f.At), max(a.Latest, f.At)
-		a.Cause = affinity.CauseOf(f.Outcome)
+		if f.At <= r.acceptedAt {
+			continue
+		}
+		standing = min(standing, f.At)
+		if f.Checker == s.self.digest {
+			own = f.At
+		}
 	}
-	a.OwnEvidence = own || now-r.doubtedAt < evidenceLifetime
-	alone := len(s.hosts) == 1 || r.attempts >= maxAttempts
-	switch {
-	case r.failedChecks(now) >= decisiveChecks, own && alone:
-		a.Health = affinity.Silent
-	case failed:
-		a.Health = affinity.Suspect
+	a.AcceptedAt = r.acceptedAt
+	a.OwnEvidence = own != never || now-r.doubtedAt < evidenceLifetime
+	alone := len(s.hosts) == 1 || r.attempts >= maxAttempts && own >= r.askedAt
+	if r.failedChecks(now) >= decisiveChecks || own != never && alone {
+		a.Health, a.Since = affinity.Silent, standing
 	}
 	return a
 }
