gossip: a sign of life of the reader counts once

What callers would see: the reader of the store fails while some hosts run slowly. No host takes over for as long as they are slow, so that hosts that are well get no configuration, no draining and no evacuation from it, and take the backend servers of then for present ones.

Cause: each message tells how long ago its sender last knew the reader to be alive, and the receiver subtracts this age from the time at which it handles the message. The time that the message took, or waited in the socket's buffer of a slow host, makes the sign younger each time, and the receiver passes it on: it circulates, and its age never reaches the timeout.

Change: a message gives the number of the sign by the clock of the reader (two bytes, modulo 2^16). A sign counts once at each host, by the first message that tells of it, or if the reader itself sent it. A process that has started again continues after the signs of the one before it of which others still tell. Format version 4.

Why it works: an error of the age is that of one way through the fleet and no longer grows.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -212,6 +212,7 @@
 		After:       after,
 		Changes:     changes,
 		Withdraw:    c.withdrawal.last.Vote,
+		ReaderSign:  c.members.ReaderSign(now),
 	}
 }
 
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -140,7 +140,7 @@
 
 func (f *fleet) message(i int) *Message {
 	_, reader, age := f.members[i].Reader(f.now)
-	return &Message{From: f.hosts[i], Reader: reader, ReaderAgeMs: age.Milliseconds(), NumKnown: f.members[i].NumKnown()}
+	return &Message{From: f.hosts[i], Reader: reader, ReaderAgeMs: age.Milliseconds(), NumKnown: f.members[i].NumKnown(), ReaderSign: f.members[i].ReaderSign(f.now)}
 }
 
 // send delivers a message. The receiver answers a sender that is new or knows few hosts.
@@ -192,6 +192,66 @@
 	}
 }
 
+// The reader fails while a third of the hosts runs slowly, so that messages wait in their sockets' buffers. Guards against a sign of
+// life that gets younger with each host that passes it on: the fleet would have no reader for as long as the hosts are slow.
+func TestReaderFailsBesideSlowHosts(t *testing.T) {
+	const (
+		step  = 10 * time.Millisecond // also the time that messages take without delay
+		bound = readerTimeout + time.Second
+	)
+	type delayed struct {
+		at       time.Duration
+		from, to int
+		message  *Message
+	}
+	for _, n := range []int{12, 90} {
+		for _, late := range []time.Duration{0, 50 * time.Millisecond, 250 * time.Millisecond} {
+			f := newFleet(n)
+			f.connectAll()
+			f.run(4 * time.Second)
+			var inTransit []delayed
+			run := func(d time.Duration, until func() bool) time.Duration {
+				start := f.now
+				for ; f.now < start+d && !until(); f.now += step {
+					for i, m := range f.members {
+						if f.down[i] || f.now%(250*time.Millisecond) != time.Duration(i%25)*step {
+							continue
+						}
+						local, remote := m.Receivers(f.now)
+						for _, to := range append(local, remote...) {
+							d := delayed{f.now + step, i, f.index[to], f.message(i)}
+							if d.to%3 == 0 {
+								d.at += late
+							}
+							inTransit = append(inTransit, d)
+						}
+					}
+					inTransit = slices.DeleteFunc(inTransit, func(d delayed) bool {
+						if d.at <= f.now {
+							f.send(d.from, d.to, d.message)
+						}
+						return d.at <= f.now
+					})
+				}
+				return f.now - start
+			}
+			run(3*time.Second, func() bool { return false })
+			readers := f.readers()
+			if len(readers) != 1 {
+				t.Fatalf("%d hosts, a third late by %v: readers %v, want one", n, late, readers)
+			}
+			f.down[readers[0]] = true
+			if took := run(2*bound, func() bool { return len(f.readers()) > 0 }); took > bound {
+				t.Errorf("%d hosts, a third late by %v: no reader for %v after the last one failed, want %v at most", n, late, took, bound)
+			}
+			run(3*time.Second, func() bool { return false })
+			if readers := f.readers(); len(readers) != 1 {
+				t.Errorf("%d hosts, a third late by %v: readers %v, want one", n, late, readers)
+			}
+		}
+	}
+}
+
 // Guards against a partition of the fleet that has no reader, and against several readers after it has healed.
 func TestEachPartitionHasAReader(t *testing.T) {
 	f := newFleet(12)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -107,6 +107,7 @@
 	Servers     []ServerLoad    // backend servers that differ most from the rest
 	Ask         bool            // the receiver should answer if it has news, see Members.ShouldAnswer
 	Votes       []HostVote      // only while a host of the sender's data centre votes to withdraw
+	ReaderSign  uint16          // of life of the reader, by its own clock, modulo 2^16; see readerSigns
 }
 
 // Confirmed reports whether the sender's copy has ever been confirmed.
@@ -117,7 +118,7 @@
 
 // formatVersion is the first byte of a datagram. Hosts that use another version drop the datagram and read the store
 // themselves.
-const formatVersion = 3
+const formatVersion = 4
 
 // maxElements bounds the length of each array in a message or copy. A copy lists up to 40,000 backend servers.
 const maxElements = 128 << 10
