strictyaml: a fault shortens the names of fields

A fault quoted at most 80 bytes of a value, but the whole name of an unknown field: one document of 1 MB with a long key gave a fault, and a log line, of 1 MB. Names are shortened as values are.

TestFaultsOfLongFieldsAreShort failed before in three of four cases.

--- a/internal/document/parse_test.go
+++ b/internal/document/parse_test.go
@@ -257,3 +257,20 @@
 		})
 	}
 }
+
+// Guards against faults as large as the input: each is logged and kept with the refused value.
+func TestFaultsOfLongFieldsAreShort(t *testing.T) {
+	const limit = 1 << 10
+	long := strings.Repeat("k", MaxValueBytes/2)
+	for name, text := range map[string]string{
+		"unknown field":           long + ": 1",
+		"unknown field, nested":   "service: {" + long + ": 1}",
+		"field with a long value": long + ": " + long[:MaxValueBytes/2-2],
+		"text of colons":          strings.Repeat(":", MaxValueBytes),
+	} {
+		_, err := ParseHostList([]byte(text))
+		if err == nil || len(err.Error()) > limit {
+			t.Errorf("%s: error of %d bytes, want one of at most %d", name, len(fmt.Sprint(err)), limit)
+		}
+	}
+}
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -309,7 +309,9 @@
 	}
 }
 
+// join returns the path of a field. A long name is shortened, because the writer of the input may choose it.
 func join(parent, name string) string {
+	name = Abbreviate(name)
 	if parent == "" {
 		return name
 	}
