--- a/internal/entry/truncated_test.go
+++ b/internal/entry/truncated_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -56,3 +57,37 @@
 		t.Error("no outage reported")
 	}
 }
+
+// Another host could not read the store for a while, and passes on what it has read since. Guards against flows of a draining
+// backend server that are reset at once because its entry has lapsed meanwhile, by a host that did not have to call the store.
+func TestDrainingServerLapsesInAReportedOutage(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		outageAgeMs int64
+		draining    bool
+		kept        bool
+	}{
+		{"draining, recent outage", 300, true, true},
+		{"draining, no outage", gossip.NoRecentOutage, true, false},
+		{"ready, recent outage", 300, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := idleControl()
+			c.conn = listenUDP(t)
+			server := &registry.BackendServer{ID: "i-1", Identity: 1, Service: "meter", Draining: tt.draining}
+			c.state.Replace([]registry.Update{
+				{Key: "config", Revision: 7, Config: &registry.Config{Version: 1}},
+				{Key: "i-1", Revision: 6, Server: server},
+			}, 7, 0)
+			sender := listenUDP(t).LocalAddr().(*net.UDPAddr).AddrPort()
+			c.onMessage(t.Context(), &gossip.Message{
+				From: gossip.Host{Addr: sender, DataCentre: "a"}, Revision: 8, After: 7, OutageAgeMs: tt.outageAgeMs,
+				Changes: []registry.Update{{Key: "i-1", Revision: 8, Removed: true}},
+			})
+			servers := c.state.View().Servers
+			if kept := len(servers) == 1 && servers[0].Lapsed && servers[0].Draining; kept != tt.kept {
+				t.Errorf("backend servers %+v, want the entry kept as lapsed: %v", servers, tt.kept)
+			}
+		})
+	}
+}
--- a/internal/work/peers_test.go
+++ b/internal/work/peers_test.go
@@ -81,6 +81,46 @@
 	}
 }
 
+// Guards against a host that runs slowly, handles all answers late, and reports servers as slow for it: the others would give them
+// fewer flows. What a host sees at most servers alike is not reported; what it sees at one or a few is.
+func TestOwnSlownessIsNotReported(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		servers int
+		slow    int // of them
+		want    int // reported as slow
+	}{
+		{"all slow", 12, 12, 0},
+		{"most slow", 12, 11, 0},
+		{"one slow", 12, 1, 1},
+		{"a quarter slow", 12, 3, 3},
+		{"the only one", 1, 1, 1},
+	} {
+		x := newFixture()
+		servers := make([]Server, tt.servers)
+		for i := range servers {
+			servers[i].SetService(x.tracker.Service("bill"), token(i+2))
+			ratio := 1.0
+			if i < tt.slow {
+				ratio = 4
+			}
+			for caller := range 8 {
+				servers[i].addSample(uint32(caller), ratio, x.now)
+			}
+		}
+		x.tracker.Update(x.now)
+		slow := 0
+		for _, r := range x.tracker.Reports() {
+			if r.Log > 0 {
+				slow++
+			}
+		}
+		if slow != tt.want {
+			t.Errorf("%s: %d servers reported as slow, want %d", tt.name, slow, tt.want)
+		}
+	}
+}
+
 // Guards against a remote speed that outweighs the many hosts that report no difference.
 func TestSilentHostsAreEvidence(t *testing.T) {
 	x := newFixture()
