--- a/internal/entry/checker.go
+++ b/internal/entry/checker.go
@@ -88,7 +88,8 @@
 
 // check checks a backend server. The outcome NoAnswer requires that a reference server accepts a connection within
 // referenceTimeout at the beginning of the check and closingConnections after its time limit. Otherwise the fault may be this
-// host's, and the outcome is Unchecked.
+// host's, and the outcome is Unchecked. An answer of the server that is only handled then is Accepts; that it came late is this
+// host's fault, too.
 func (connect connectFunc) check(request affinity.CheckRequest) affinity.CheckOutcome {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/healthcheck/state.go
+++ b/internal/healthcheck/state.go
@@ -23,9 +23,6 @@
 const (
 	// checkersPerServer is the number of hosts of a data centre that check a backend server.
 	checkersPerServer = 2
-	// decisiveChecks is the number of hosts whose checks must fail for a backend server to be silent. The fault may be that of one
-	// host or of its link.
-	decisiveChecks = 2
 	// answerTimeout is the time that checkers have to answer: a check without an answer whose reference accepts connections at once,
 	// and the way there and back.
 	answerTimeout = 400 * time.Millisecond
@@ -34,8 +31,6 @@
 	// maxAttempts is the number of times that checkers may leave a host without a conclusion before it checks a backend server
 	// itself. Each time it asks the hosts that rank next.
 	maxAttempts = 2
-	// evidenceLifetime is how long findings and other evidence count.
-	evidenceLifetime = 2 * time.Second
 	// recordRetention is how long a backend server is remembered after the last event.
 	recordRetention = 2 * evidenceLifetime
 	// maxRecords is the maximum number of backend servers remembered.
@@ -70,19 +65,6 @@
 	Ask       []netip.AddrPort // hosts to ask for a check
 }
 
-// record is the evidence about an instance of a backend server.
-type record struct {
-	doubtedAt    time.Duration // last unanswered packets of this host's callers
-	askedAt      time.Duration // last time this host had it checked
-	attempts     int           // number of times in a row that the checkers left this host without a conclusion
-	acceptedAt   time.Duration // end of the latest accepted check of any host
-	waiting      []netip.AddrPort
-	unfavourable []Finding // the latest of each checker
-	own          *Finding  // the last result of this host's own checks; nil: none
-	refused      []Finding // the latest refused check of each checker of any data centre
-	touchedAt    time.Duration
-}
-
 // State is the evidence that a host has about backend servers. It does no I/O and must be used by one goroutine only.
 type State struct {
 	self    host
@@ -189,23 +171,6 @@
 	return s.plan(i, r.attempts)
 }
 
-// concluded reports whether the checks that this host asked for show whether the backend server answers.
-func (r *record) concluded(now time.Duration) bool {
-	return r.acceptedAt >= r.askedAt || r.failedChecks(now) >= decisiveChecks
-}
-
-// failedChecks returns the number of hosts whose latest check failed, is not outdated, and began after the end of the latest
-// accepted check of any host.
-func (r *record) failedChecks(now time.Duration) int {
-	n := 0
-	for k := range r.unfavourable {
-		if f := &r.unfavourable[k]; !f.Expired(now) && f.At > r.acceptedAt {
-			n++
-		}
-	}
-	return n
-}
-
 // plan returns the checkers to ask after a number of attempts without a conclusion.
 func (s *State) plan(i affinity.Instance, attempts int) Plan {
 	if len(s.hosts) == 1 || attempts >= maxAttempts {
@@ -279,18 +244,6 @@
 	return f, waiting
 }
 
-// Refutes reports whether an accepted check contradicts failed ones that this host knows and that no other check has contradicted.
-// It is then to be passed on, as those were.
-func (s *State) Refutes(f Finding, now time.Duration) bool {
-	r := s.records[f.Instance]
-	if r == nil || f.Outcome != affinity.Accepts {
-		return false
-	}
-	return slices.ContainsFunc(r.unfavourable, func(o Finding) bool {
-		return !o.Expired(now) && o.At > r.acceptedAt && o.At <= f.At
-	})
-}
-
 // Receive records a finding of another host. It reports whether the finding is new evidence of the own data centre and is to be
 // passed on there.
 func (s *State) Receive(f Finding, now time.Duration) bool {
@@ -309,61 +262,3 @@
 	isNew := r.add(f) && f.unfavourable()
 	return (isNew || refutes) && !f.Late
 }
-
-// add stores a finding in place of an earlier one of the same checker. It reports whether it says something new.
-func (r *record) add(f Finding) bool {
-	at := slices.IndexFunc(r.unfavourable, func(o Finding) bool { return o.Checker == f.Checker })
-	switch {
-	case f.Outcome == affinity.Unchecked:
-		return false
-	case !f.unfavourable():
-		r.acceptedAt = max(r.acceptedAt, f.At)
-		if at >= 0 {
-			r.unfavourable = slices.Delete(r.unfavourable, at, at+1)
-		}
-		return at >= 0
-	case at < 0:
-		r.unfavourable = append(r.unfavourable, f)
-		return true
-	}
-	isNew := f.At-r.unfavourable[at].At >= answerTimeout
-	if f.At > r.unfavourable[at].At {
-		r.unfavourable[at] = f
-	}
-	return isNew
-}
-
-// Assess returns what the evidence about an instance amounts to. A backend server is silent if the checks of decisiveChecks hosts
-// failed and none has been accepted since; the check of a single host makes it suspect. A host that has no other one to ask, or got
-// no conclusion from them, decides alone, by a check made since. Unanswered packets of callers do not count, because the callers of
-// a busy backend server repeat their data too.
-func (s *State) Assess(i affinity.Instance, now time.Duration) affinity.Assessment {
-	a := affinity.Assessment{Since: now}
-	r := s.records[i]
-	if r == nil {
-		return a
-	}
-	own, standing := never, now // starts of this host's and of the first failed check since the latest accepted one
-	for n := range r.unfavourable {
-		f := &r.unfavourable[n]
-		if f.Expired(now) {
-			continue
-		}
-		a.Health, a.Cause = affinity.Suspect, affinity.CauseOf(f.Outcome)
-		a.Since, a.Latest = min(a.Since, f.At), max(a.Latest, f.At)
-		if f.At <= r.acceptedAt {
-			continue
-		}
-		standing = min(standing, f.At)
-		if f.Checker == s.self.digest {
-			own = f.At
-		}
-	}
-	a.AcceptedAt = r.acceptedAt
-	a.OwnEvidence = own != never || now-r.doubtedAt < evidenceLifetime
-	alone := len(s.hosts) == 1 || r.attempts >= maxAttempts && own >= r.askedAt
-	if r.failedChecks(now) >= decisiveChecks || own != never && alone {
-		a.Health, a.Since = affinity.Silent, standing
-	}
-	return a
-}
