registry: contents of one era, merged by rules after a restore

Callers would have been sent to draining and departed servers, or had their flows reset, after the store had come back from an older copy: updates were ordered by revisions that the store gives out again.

registry.Version is the pair of era and revision. State.Restore begins a registry for a newer era and keeps, for olderRetention, what was known before where the copy is older. Full copies contain what is kept.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -85,6 +85,7 @@
 	Unreadable   bool   `json:"unreadable,omitempty"`
 	Identity     uint64 `json:"identity,omitempty"`      // of the backend server; set if Unreadable is
 	ReadRevision uint64 `json:"read_revision,omitempty"` // of the last readable entry; set if Unreadable and Server are
+	Older        *Older `json:"older,omitempty"`         // only in full copies of other hosts
 }
 
 // Server is a backend server in a View. The embedded BackendServer is shared between views and never modified.
@@ -100,6 +101,7 @@
 
 // View is an immutable snapshot of the registry, or the changes since the previous one.
 type View struct {
+	Era      uint64
 	Revision uint64
 	Config   *Config // nil until a configuration is known
 	// Partial marks a view that has the same configuration as the previous one and contains only the servers that have
--- /dev/null
+++ b/internal/registry/restore_test.go
@@ -0,0 +1,333 @@
+package registry
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+const restoredAt = time.Hour // time of the restores in these tests
+
+// known returns a registry of era 1 with updates at a revision.
+func known(revision uint64, updates ...Update) *State {
+	s := NewState()
+	s.Restore(updates, Version{1, revision}, revision, 0)
+	s.Sweep(time.Minute)
+	return s
+}
+
+// restore restores a registry to era 2 from a copy at a revision.
+func restore(t *testing.T, s *State, revision uint64, copied ...Update) Restored {
+	t.Helper()
+	r, ok := s.Restore(copied, Version{2, revision}, revision, restoredAt)
+	if !ok || s.Version() != (Version{2, revision}) {
+		t.Fatalf("restored %v to %v", ok, s.Version())
+	}
+	return r
+}
+
+// inView returns the server of a key in a view, or nil.
+func inView(s *State, id string) *Server {
+	for _, server := range s.View().Servers {
+		if server.ID == id {
+			return &server
+		}
+	}
+	return nil
+}
+
+// instance returns the update of a backend server that started at a time, with a change.
+func instance(key string, revision uint64, startedMs int64, change func(*BackendServer)) Update {
+	u := serverUpdate(key, revision)
+	u.Created, u.Server.StartedMs = revision, startedMs
+	if change != nil {
+		change(u.Server)
+	}
+	return u
+}
+
+func drain(b *BackendServer) { b.Draining = true }
+
+// Guards against each row of the table in docs/design/store-eras.md going wrong: what is used of a backend server after a
+// restore, until its entry is written again, and after olderRetention.
+func TestRestoredServers(t *testing.T) {
+	const id = "a"
+	addr := instance(id, 5, 100, nil).Server.Addr
+	moved := func(b *BackendServer) { b.Addr = netip.MustParseAddrPort("10.9.9.9:80") }
+	type want struct {
+		there, draining, lapsed bool
+		startedMs               int64
+	}
+	for _, tt := range []struct {
+		name   string
+		before []Update // known in era 1, at revision 20
+		after  []Update // then applied in era 1, up to revision 20
+		copied []Update // at revision 10
+		during want
+		ends   want
+	}{
+		{"unchanged", []Update{instance(id, 5, 100, nil)}, nil, []Update{instance(id, 5, 100, nil)}, want{there: true, startedMs: 100}, want{there: true, startedMs: 100}},
+		{"entry missing", []Update{instance(id, 15, 100, nil)}, nil, nil, want{there: true, lapsed: true, startedMs: 100}, want{}},
+		{"draining entry missing", []Update{instance(id, 15, 100, drain)}, nil, nil, want{there: true, draining: true, lapsed: true, startedMs: 100}, want{}},
+		{"draining became ready", []Update{instance(id, 15, 100, drain)}, nil, []Update{instance(id, 5, 100, nil)}, want{there: true, draining: true, startedMs: 100}, want{there: true, startedMs: 100}},
+		{"draining in the copy only", []Update{instance(id, 15, 100, nil)}, nil, []Update{instance(id, 9, 100, drain)}, want{there: true, draining: true, startedMs: 100}, want{there: true, draining: true, startedMs: 100}},
+		{"older start", []Update{instance(id, 15, 200, nil)}, nil, []Update{instance(id, 5, 100, drain)}, want{there: true, startedMs: 200}, want{there: true, draining: true, startedMs: 100}},
+		{"later start", []Update{instance(id, 15, 100, drain)}, nil, []Update{instance(id, 9, 300, nil)}, want{there: true, startedMs: 300}, want{there: true, startedMs: 300}},
+		{"back after it had left", []Update{instance(id, 5, 100, nil)}, []Update{removal(id, 15)}, []Update{instance(id, 5, 100, nil)}, want{}, want{there: true, startedMs: 100}},
+		{"back, not known before", nil, nil, []Update{instance(id, 5, 100, nil)}, want{}, want{there: true, startedMs: 100}},
+		{"left, then started again", []Update{instance(id, 5, 100, nil)}, []Update{removal(id, 15)}, []Update{instance(id, 9, 300, nil)}, want{there: true, startedMs: 300}, want{there: true, startedMs: 300}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := known(14, tt.before...)
+			s.Apply(tt.after, 14, 20, time.Minute)
+			restore(t, s, 10, tt.copied...)
+			check := func(when string, w want) {
+				t.Helper()
+				got := inView(s, id)
+				if (got != nil) != w.there {
+					t.Fatalf("%s: server %+v, want it there: %v", when, got, w.there)
+				}
+				if got != nil && (got.Draining != w.draining || got.Lapsed != w.lapsed || got.StartedMs != w.startedMs || got.Addr != addr) {
+					t.Errorf("%s: %+v of start %d at %v, draining %v, lapsed %v; want %+v", when, got, got.StartedMs, got.Addr, got.Draining, got.Lapsed, w)
+				}
+			}
+			check("after the restore", tt.during)
+			s.Sweep(restoredAt + olderRetention - 1)
+			check("until the end of the retention", tt.during)
+			s.Sweep(restoredAt + olderRetention)
+			check("after the retention", tt.ends)
+
+			s = known(14, tt.before...)
+			s.Apply(tt.after, 14, 20, time.Minute)
+			restore(t, s, 10, tt.copied...)
+			again := instance(id, 11, 400, moved)
+			s.Apply([]Update{again}, 10, 11, restoredAt)
+			if got := inView(s, id); got == nil || got.Addr != again.Server.Addr || got.Lapsed || got.Draining {
+				t.Errorf("%+v after the entry was written again, want %+v", got, again.Server)
+			}
+			s.Apply([]Update{removal(id, 12)}, 11, 12, restoredAt+storeFailureWindow)
+			if got := inView(s, id); got != nil {
+				t.Errorf("%+v after the entry was removed in the new era", got)
+			}
+		})
+	}
+}
+
+// Guards against flows of a server being reset whose entry is not used although it exists: another host may use it.
+func TestFlowsOfUnusedEntriesAreNotReset(t *testing.T) {
+	s := known(20)
+	u := instance("a", 5, 100, nil)
+	if r := restore(t, s, 10, u); r.Returned != 1 {
+		t.Errorf("%+v, want one entry that is not used", r)
+	}
+	if !s.View().UnreadableTokens[u.Server.Token()] {
+		t.Error("the token counts as unknown")
+	}
+	s.RecordStoreFailure(restoredAt)
+	s.Apply([]Update{removal("a", 11)}, 10, 11, restoredAt)
+	if v := s.View(); len(v.Servers) > 0 || len(v.UnreadableTokens) > 0 {
+		t.Errorf("%+v after the entry was removed", v)
+	}
+}
+
+// Guards against a flow to an address whose owner the copy has wrong: its former owner is in the copy, its present one is not.
+func TestAddressOfAFormerOwner(t *testing.T) {
+	former, present := instance("a", 5, 100, nil), instance("b", 16, 200, nil)
+	present.Server.Addr = former.Server.Addr
+	s := known(14, former)
+	s.Apply([]Update{removal("a", 15), present}, 14, 20, time.Minute)
+	restore(t, s, 10, former)
+	if v := s.View(); len(v.Servers) != 1 || v.Servers[0].ID != "b" || !v.Servers[0].Lapsed || v.Servers[0].Created != 0 {
+		t.Errorf("servers %+v, want the present owner of the address only", v.Servers)
+	}
+}
+
+// Guards against a cold period that the copy does not tell.
+func TestColdPeriodAfterARestore(t *testing.T) {
+	s := known(14, instance("a", 5, 100, nil))
+	cold := instance("a", 15, 100, func(b *BackendServer) { b.ColdFor = time.Minute })
+	s.Apply([]Update{cold}, 14, 15, restoredAt-time.Second)
+	restore(t, s, 10, instance("a", 5, 100, nil))
+	if got := inView(s, "a"); got == nil || got.ColdUntil != restoredAt-time.Second+time.Minute {
+		t.Errorf("%+v, want the cold period as known before", got)
+	}
+}
+
+// Guards against a data centre that gets flows although it is taken out, and against one that stays out for ever.
+func TestDataCentresAfterARestore(t *testing.T) {
+	mark := Update{Key: "out/x", Revision: 5, OutDataCentre: "x"}
+	for _, tt := range []struct {
+		name   string
+		before []Update
+		after  []Update
+		copied []Update
+		ends   bool // out after the retention
+	}{
+		{"mark missing", nil, []Update{{Key: "out/x", Revision: 15, OutDataCentre: "x"}}, nil, false},
+		{"mark is back", []Update{mark}, []Update{removal("out/x", 15)}, []Update{mark}, true},
+		{"mark in both", []Update{mark}, nil, []Update{mark}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := known(14, tt.before...)
+			s.Apply(tt.after, 14, 20, time.Minute)
+			restore(t, s, 10, tt.copied...)
+			s.Sweep(restoredAt + olderRetention - 1)
+			if !s.View().OutDataCentres["x"] {
+				t.Error("not out after the restore")
+			}
+			s.Sweep(restoredAt + olderRetention)
+			v := s.View()
+			if v.OutDataCentres["x"] != tt.ends {
+				t.Errorf("out %v after the retention, want %v", v.OutDataCentres["x"], tt.ends)
+			}
+			if _, cold := v.RestoredColdUntil["x"]; cold == tt.ends {
+				t.Errorf("cold after it was taken back into use: %v", cold)
+			}
+			s.Apply([]Update{{Key: "out/x", Revision: 11, OutDataCentre: "x"}}, 10, 11, restoredAt)
+			s.Apply([]Update{removal("out/x", 12)}, 11, 12, restoredAt)
+			if s.View().OutDataCentres["x"] {
+				t.Error("out after the mark was taken away in the new era")
+			}
+		})
+	}
+}
+
+// Guards against the loss of a cold period of a data centre that was brought back into use before the restore.
+func TestRestoredDataCentreStaysCold(t *testing.T) {
+	s := known(14, Update{Key: "config", Revision: 1, Config: &Config{Version: 1, Services: []Service{{Name: "m", ColdPeriod: time.Minute}}}},
+		Update{Key: "out/x", Revision: 5, OutDataCentre: "x"})
+	s.Apply([]Update{removal("out/x", 15)}, 14, 20, restoredAt-time.Second)
+	before := s.View().RestoredColdUntil["x"]
+	restore(t, s, 16, Update{Key: "config", Revision: 1, Config: s.config})
+	if got := s.View().RestoredColdUntil["x"]; got != before || got == 0 {
+		t.Errorf("cold until %v, before the restore until %v", got, before)
+	}
+}
+
+func config(revision, version uint64) Update {
+	return Update{Key: "config", Revision: revision, Config: &Config{Version: version}}
+}
+
+// Guards against a host that goes back to an older configuration, and against a delta whose base is of another era.
+func TestConfigurationAfterARestore(t *testing.T) {
+	s := known(14, config(5, 7))
+	s.Apply([]Update{config(15, 9)}, 14, 15, time.Minute)
+	restore(t, s, 10, config(5, 7))
+	if v := s.ConfigVersion(); v != 9 {
+		t.Fatalf("version %d, want 9", v)
+	}
+	if updates, full := s.Since(0); !full || len(updates) != 1 || updates[0].Older == nil || updates[0].Older.Config.Version != 9 {
+		t.Errorf("copy %+v within the retention, want version 9", updates)
+	}
+	if s.configVersion(9) != nil || s.configVersion(7) != nil {
+		t.Error("a configuration of the older era is the base of a delta")
+	}
+	s.Sweep(restoredAt + olderRetention)
+	if updates, _ := s.Since(0); updates[0].Config.Version != 7 || updates[0].Older != nil || s.ConfigVersion() != 9 {
+		t.Errorf("copy %+v, in force %d after the retention; want 7 and 9", updates[0].Config, s.ConfigVersion())
+	}
+	s.Apply([]Update{config(11, 9)}, 10, 11, restoredAt)
+	s.Apply([]Update{config(12, 8)}, 11, 12, restoredAt)
+	if v := s.ConfigVersion(); v != 9 {
+		t.Errorf("version %d, want 9", v)
+	}
+	s.Apply([]Update{config(13, 10)}, 12, 13, restoredAt)
+	if v := s.ConfigVersion(); v != 10 {
+		t.Errorf("version %d, want 10", v)
+	}
+}
+
+// Guards against a host without a configuration after a restore from a copy that has none.
+func TestCopyWithoutConfiguration(t *testing.T) {
+	s := known(14, config(5, 7))
+	restore(t, s, 3)
+	if updates, full := s.Since(0); s.ConfigVersion() != 7 || !full || len(updates) != 1 || updates[0].Config == nil {
+		t.Errorf("version %d, copy %+v", s.ConfigVersion(), updates)
+	}
+}
+
+// Guards against contents of an older era that replace newer ones, however high their revision.
+func TestOlderEraNeverWins(t *testing.T) {
+	s := known(14, config(5, 7))
+	restore(t, s, 3, config(2, 6))
+	for _, at := range []Version{{1, 1 << 40}, {2, 1 << 40}, {0, 1 << 40}} {
+		if _, ok := s.Restore([]Update{instance("a", 5, 1, nil)}, at, at.Revision, restoredAt); ok || inView(s, "a") != nil {
+			t.Errorf("contents of version %v replace those of %v", at, s.Version())
+		}
+	}
+}
+
+// Guards against a host that learns late of a restore and prefers what it knew to what was written in the new era meanwhile.
+func TestItemsWrittenInTheNewEra(t *testing.T) {
+	s := known(20, instance("a", 15, 100, drain))
+	s.Restore([]Update{instance("a", 12, 100, nil), instance("b", 13, 100, nil)}, Version{2, 14}, 10, restoredAt)
+	if a, b := inView(s, "a"), inView(s, "b"); a == nil || a.Draining || b == nil {
+		t.Errorf("%+v, %+v; want what was written after the restore", a, b)
+	}
+}
+
+// Guards against a second restore that discards what is still kept after the first one, and keeps it no longer than it should.
+func TestTwoRestores(t *testing.T) {
+	s := known(14, instance("a", 5, 100, drain), instance("b", 6, 100, nil), instance("c", 4, 100, nil))
+	s.Apply([]Update{removal("c", 15)}, 14, 15, time.Minute)
+	restore(t, s, 10, instance("a", 3, 100, nil), instance("c", 4, 100, nil))
+	second := restoredAt + olderRetention/2
+	if _, ok := s.Restore([]Update{instance("a", 3, 100, nil), instance("c", 4, 100, nil)}, Version{4, 9}, 9, second); !ok {
+		t.Fatal("the second restore has no effect")
+	}
+	s.Sweep(second + olderRetention - 1)
+	a, b := inView(s, "a"), inView(s, "b")
+	if a == nil || !a.Draining || b == nil || !b.Lapsed || inView(s, "c") != nil {
+		t.Errorf("%+v, %+v, %+v", a, b, inView(s, "c"))
+	}
+	s.Sweep(second + olderRetention)
+	if a := inView(s, "a"); a == nil || a.Draining || inView(s, "b") != nil || inView(s, "c") == nil || s.Holding() {
+		t.Errorf("%+v is kept after the retention", a)
+	}
+}
+
+// Guards against a host that starts shortly after a restore, takes a copy of another host, and knows less than that host; and
+// against knowledge that is passed on from host to host for ever.
+func TestStartedHostTakesOlderKnowledge(t *testing.T) {
+	sender := known(14, config(5, 9), instance("a", 5, 100, drain), instance("b", 6, 100, nil), instance("c", 4, 100, nil), Update{Key: "out/x", Revision: 7, OutDataCentre: "x"})
+	sender.Apply([]Update{removal("c", 15)}, 14, 15, time.Minute)
+	contents := []Update{config(2, 7), instance("a", 3, 100, nil), instance("c", 4, 100, nil)}
+	restore(t, sender, 10, contents...)
+	sender.Sweep(restoredAt + olderRetention - time.Second)
+	copied, full := sender.Since(0)
+	if !full || !sender.Holding() {
+		t.Fatalf("full %v, holding %v", full, sender.Holding())
+	}
+	check := func(how string, s *State, start time.Duration) {
+		t.Helper()
+		a, b := inView(s, "a"), inView(s, "b")
+		if a == nil || !a.Draining || b == nil || !b.Lapsed || inView(s, "c") != nil || !s.View().OutDataCentres["x"] || s.ConfigVersion() != 9 {
+			t.Errorf("%s: %+v, %+v, %+v, %v, configuration %d", how, a, b, inView(s, "c"), s.View().OutDataCentres, s.ConfigVersion())
+		}
+		s.Sweep(start + time.Second)
+		if s.Holding() {
+			t.Errorf("%s: kept longer than at the sender", how)
+		}
+	}
+	fromCopy := NewState()
+	fromCopy.Restore(copied, Version{2, 10}, 10, 5*time.Second)
+	check("from a copy", fromCopy, 5*time.Second)
+	fromStore := NewState()
+	fromStore.Restore(contents, Version{2, 10}, 10, 5*time.Second)
+	if !fromStore.LacksOlder(5*time.Second) || inView(fromStore, "c") == nil {
+		t.Error("a host that has just started knows more than the copy of the store")
+	}
+	if !fromStore.AdoptOlder(copied, 5*time.Second) || fromStore.LacksOlder(5*time.Second) {
+		t.Error("knowledge of an older era was not taken over")
+	}
+	check("from the store", fromStore, 5*time.Second)
+}
+
+// Guards against the last readable entry of a backend server being lost when the copy has one that can't be read.
+func TestUnreadableEntryInTheCopy(t *testing.T) {
+	s := known(14, instance("a", 5, 100, nil))
+	restore(t, s, 10, Update{Key: "a", Revision: 4, Unreadable: true, Identity: 7})
+	if got := inView(s, "a"); got == nil || !got.Unreadable || got.StartedMs != 100 {
+		t.Errorf("%+v, want the entry as read before, for open flows only", got)
+	}
+}
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -25,6 +25,9 @@
 	previous    *Server       // the backend server that the update removed, or nil
 	lapsedUntil time.Duration // until when the removed server counts as lapsed; 0: it does not
 	coldUntil   time.Duration // of the backend server, on this host's clock; 0: it is not cold
+	olderUntil  time.Duration // until when older or olderOut is used in place of the update; 0: neither is
+	older       *Server       // backend server as known from an older era; nil: the entry is not used
+	olderOut    string        // data centre that was taken out in an older era
 }
 
 // State is the mutable registry of a host. It must be used by the control goroutine only.
@@ -34,8 +37,16 @@
 	unreadable        map[string]bool  // keys of the unreadable items of which no readable entry is known
 	out               map[string]bool  // data centres taken out
 	config            *Config
-	history           []*Config // the latest versions, the newest last
+	configEra         uint64           // in which config came into force
+	history           []*Config        // the latest versions, the newest last
+	configKey         string           // key of the configuration; "": none is known
+	configOlderUntil  time.Duration    // until when copies contain a configuration that the store no longer has; 0: they don't
+	older             map[string]*item // the subset of items of which knowledge of an older era is in use
+	era               uint64
+	began             uint64        // revision after which items have been written in this era
+	fromCopyUntil     time.Duration // see LacksOlder
 	revision          uint64
+	clock             time.Duration // time of the last change or sweep
 	loaded            bool
 	storeFailedAt     time.Duration // last failure of a call to the store; negative: none
 	restoredColdUntil map[string]time.Duration
@@ -45,7 +56,7 @@
 
 // NewState returns an empty registry.
 func NewState() *State {
-	return &State{items: map[string]*item{}, removed: map[string]*item{}, unreadable: map[string]bool{}, out: map[string]bool{}, storeFailedAt: -time.Hour, restoredColdUntil: map[string]time.Duration{}, changes: newChanges()}
+	return &State{items: map[string]*item{}, removed: map[string]*item{}, older: map[string]*item{}, unreadable: map[string]bool{}, out: map[string]bool{}, storeFailedAt: -time.Hour, restoredColdUntil: map[string]time.Duration{}, changes: newChanges()}
 }
 
 // Loaded reports whether the registry has applied a full read and has a configuration.
@@ -83,6 +94,9 @@
 	var changed []Update
 	late := s.loaded && revision < s.revision
 	for _, u := range all {
+		if u.Removed {
+			continue // it is not there: the sender of a copy uses what it knows of an older era
+		}
 		named[u.Key] = true
 		if u.Delta != nil {
 			continue // a full read contains no deltas
@@ -144,6 +158,7 @@
 		return false // a removed configuration stays in force, and other hosts get it from here
 	}
 	next := &item{update: u, receivedAt: now}
+	s.clock = now
 	if u.Server != nil && u.Server.ColdFor > 0 {
 		next.coldUntil = now + u.Server.ColdFor
 	}
@@ -151,17 +166,18 @@
 	case u.Unreadable:
 		next.keepReadable(old)
 	case u.Config != nil:
+		s.configKey = u.Key
 		s.acceptConfig(u.Config)
 	case u.Removed && old != nil && old.update.Server != nil:
 		next.previous = old.viewServer()
-		if s.StoreFailedRecently(now) {
+		if next.previous != nil && s.StoreFailedRecently(now) {
 			next.lapsedUntil = now + lapseGrace
 		}
-	case u.Removed && old != nil && old.update.OutDataCentre != "":
-		s.restoredColdUntil[old.update.OutDataCentre] = now + s.longestColdPeriod() + restoreColdMargin
+	case u.Removed && old != nil && old.outDataCentre() != "":
+		s.bringBack(old.outDataCentre(), now)
 	}
-	if old != nil && old.update.OutDataCentre != "" {
-		delete(s.out, old.update.OutDataCentre)
+	if old != nil {
+		delete(s.out, old.outDataCentre())
 	}
 	if u.OutDataCentre != "" {
 		s.out[u.OutDataCentre] = true
@@ -171,8 +187,9 @@
 	if u.Removed {
 		s.removed[u.Key] = next
 	}
+	delete(s.older, u.Key)
 	delete(s.unreadable, u.Key)
-	if u.Unreadable && next.update.Server == nil {
+	if next.hidden() {
 		s.unreadable[u.Key] = true
 	}
 	s.changes.record(u.Key, old.viewServer(), next.viewServer())
@@ -205,6 +222,9 @@
 
 // readRevision returns the revision of the entry that describes the item's backend server.
 func (it *item) readRevision() uint64 {
+	if it == nil {
+		return 0
+	}
 	if it.update.Unreadable {
 		return it.update.ReadRevision
 	}
@@ -213,8 +233,8 @@
 
 // acceptConfig puts c in force if its version is newer: the configuration never reverts during the lifetime of a process.
 func (s *State) acceptConfig(c *Config) {
-	if s.config == nil || c.Version > s.config.Version {
-		s.config = c
+	if s.config == nil || c.Version > s.config.Version || c.Version == s.config.Version && s.configEra < s.era {
+		s.config, s.configEra = c, s.era
 		s.history = append(s.history, c)
 		if len(s.history) > configHistory {
 			s.history = slices.Delete(s.history, 0, 1)
@@ -252,10 +272,12 @@
 func (s *State) Since(after uint64) (updates []Update, full bool) {
 	full = s.Compacted(after)
 	for _, it := range s.items {
-		if full && it.update.Removed {
+		if full && it.update.Removed && it.olderUntil == 0 {
 			continue
 		}
-		if full || it.update.Revision > after {
+		if full {
+			updates = append(updates, s.withOlder(it, s.clock))
+		} else if it.update.Revision > after {
 			updates = append(updates, it.update)
 		}
 	}
@@ -276,7 +298,8 @@
 // Sweep discards old removals. It reports whether a view taken now differs from an earlier one because the grace period of
 // a lapsed server has ended.
 func (s *State) Sweep(now time.Duration) bool {
-	changed := false
+	s.clock = now
+	changed := s.sweepOlder(now)
 	for key, it := range s.removed {
 		if it.lapsedUntil != 0 && now >= it.lapsedUntil {
 			before := it.viewServer()
@@ -284,7 +307,7 @@
 			s.changes.record(key, before, nil)
 			changed = true
 		}
-		if now-it.receivedAt > tombstoneRetention {
+		if it.olderUntil == 0 && now-it.receivedAt > tombstoneRetention {
 			s.compactedRevision = max(s.compactedRevision, it.update.Revision)
 			delete(s.items, key)
 			delete(s.removed, key)
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -14,6 +14,8 @@
 	switch {
 	case it == nil:
 		return nil
+	case it.olderUntil != 0:
+		return it.older
 	case it.update.Server != nil:
 		return &Server{
 			BackendServer: it.update.Server, Created: it.update.Created, ColdUntil: it.coldUntil, Unreadable: it.update.Unreadable,
@@ -105,7 +107,7 @@
 
 // newView returns a view without servers.
 func (s *State) newView() *View {
-	v := &View{Revision: s.revision, Config: s.config, OutDataCentres: map[string]bool{}, RestoredColdUntil: maps.Clone(s.restoredColdUntil)}
+	v := &View{Era: s.era, Revision: s.revision, Config: s.config, OutDataCentres: map[string]bool{}, RestoredColdUntil: maps.Clone(s.restoredColdUntil)}
 	for dataCentre := range s.out {
 		v.OutDataCentres[dataCentre] = true
 	}
@@ -113,7 +115,7 @@
 		v.UnreadableTokens = make(map[uint32]bool, len(s.unreadable))
 	}
 	for key := range s.unreadable {
-		v.UnreadableTokens[tokenOf(s.items[key].update.Identity)] = true
+		v.UnreadableTokens[tokenOf(s.items[key].identity())] = true
 	}
 	return v
 }
