follower, platform, gossip, entry: hosts follow the store from era to era

After a restore of the store hosts would have kept what they had and passed over what was written again until the revisions had caught up; a watch from a revision that exists again looked healthy.

The header is read in every answer. A newer era starts a full read, a read with pages of two eras begins anew, and contents of an older one count as failed. Messages and copies state the era; hosts that don't reach the store fetch a copy. Those that have just started fetch what others know of the era before. Messages without an era are unchanged to the byte; with one they are 3 to 11 bytes longer, and hosts of releases before drop them and read the store.

--- a/internal/admin/token.go
+++ b/internal/admin/token.go
@@ -8,6 +8,7 @@
 	DataCentre    string           `json:"data_centre"`
 	UptimeMS      int64            `json:"uptime_ms"`
 	Ready         bool             `json:"ready"`
+	Era           uint64           `json:"era"` // number of times that the store came back from an older copy; 0: not stated
 	Revision      uint64           `json:"revision"`
 	RevisionFrom  string           `json:"revision_from"` // "store", or the address of the host that sent the revision
 	ConfigVersion uint64           `json:"config_version"`
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -155,7 +155,7 @@
 		return
 	}
 	c.members.Resumed(pause)
-	level.Info(c.logger).Log("msg", "host was paused", "for", pause, "revision", c.state.Revision())
+	level.Info(c.logger).Log("msg", "host was paused", "for", pause, "era", c.state.Version().Era, "revision", c.state.Revision())
 }
 
 // onReload applies the seeds and limits of e if they have changed.
@@ -201,7 +201,7 @@
 		level.Info(c.logger).Log("msg", "role as reader of the store for the other hosts changed", "reader", reader)
 	}
 	fleet := follower.Fleet{Reader: reader, PeerAlive: c.members.PeerAlive(now)}
-	call := c.follower.Next(c.state.Revision(), fleet, now)
+	call := c.follower.Next(c.state.Version(), fleet, now)
 	if call.Kind == follower.None {
 		return
 	}
@@ -223,6 +223,7 @@
 
 func (c *control) onCallEnd(e callEnd) {
 	now := c.host.now()
+	c.checkEra(&e)
 	stale := !c.follower.Fresh(now)
 	c.follower.CallEnded(e.outcome, e.result.Changed, now)
 	c.publishConfirmed()
@@ -232,6 +233,8 @@
 	countOutcome(e.outcome)
 	switch e.outcome {
 	case follower.Done:
+	case follower.EraChanged:
+		return
 	case follower.Incomplete:
 		level.Info(c.logger).Log("msg", "store has more than one page; read only the first, waiting for a copy from another host")
 		return
@@ -251,9 +254,13 @@
 	}
 	before := c.state.Revision()
 	var changed []registry.Update
-	if e.call.Kind == follower.ReadAll {
+	switch {
+	case e.result.Era > c.state.Version().Era:
+		c.restore(e.result.Updates, e.result.Version(), e.result.Revision, netip.AddrPort{}, now)
+		return
+	case e.call.Kind == follower.ReadAll:
 		changed = c.state.Replace(e.result.Updates, e.result.Revision, now)
-	} else {
+	default:
 		changed, _ = c.state.Apply(e.result.Updates, e.call.After, e.result.Revision, now)
 	}
 	c.propagateChanges(changed, before, netip.AddrPort{})
@@ -266,7 +273,7 @@
 	if !c.storeDown || e.outcome == follower.HistoryLost {
 		c.storeDown = e.outcome != follower.HistoryLost
 		level.Warn(c.logger).Log("msg", "call to the store failed", "outcome", e.outcome, "err", e.err,
-			"revision", c.state.Revision())
+			"era", c.state.Version().Era, "revision", c.state.Revision())
 	}
 }
 
@@ -304,7 +311,7 @@
 				c.loggedUnreadable[changed[i].Key] = true
 			}
 		}
-		level.Info(c.logger).Log("msg", "registry loaded", "items", len(changed), "unreadable", len(c.loggedUnreadable),
+		level.Info(c.logger).Log("msg", "registry loaded", "era", c.state.Version().Era, "items", len(changed), "unreadable", len(c.loggedUnreadable),
 			"config_version", c.version, "revision", c.state.Revision(), "from", from)
 		return
 	}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -95,6 +95,7 @@
 		DataCentre:    c.host.config.DataCentre,
 		UptimeMS:      now.Milliseconds(),
 		Ready:         c.host.takesPackets(),
+		Era:           c.state.Version().Era,
 		Revision:      c.state.Revision(),
 		RevisionFrom:  c.origin,
 		ConfigVersion: c.version,
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -125,17 +125,17 @@
 	if m.OutageAgeMs != gossip.NoRecentOutage {
 		c.reportedOutageAt = max(c.reportedOutageAt, now-time.Duration(m.OutageAgeMs)*time.Millisecond)
 	}
-	if len(m.Changes) > 0 && m.Revision > c.state.Revision() {
+	if len(m.Changes) > 0 && m.Era == c.state.Version().Era && m.Revision > c.state.Revision() {
 		before := c.state.Revision()
 		if changed, ok := c.state.Apply(m.Changes, m.After, m.Revision, now); ok {
 			c.propagateChanges(changed, before, m.From.Addr)
 		}
 	}
-	if m.Revision > c.state.Revision() {
+	if c.state.Version().Before(m.Version()) || m.Holding && m.Era == c.state.Version().Era && c.state.LacksOlder(now) {
 		c.fetch(ctx, m, now)
 		return
 	}
-	if m.Confirmed() && m.Revision == c.state.Revision() {
+	if m.Confirmed() && m.Version() == c.state.Version() {
 		c.confirm(now - c.pauses.waited(now) - time.Duration(m.AgeMs)*time.Millisecond)
 	}
 }
@@ -214,6 +214,8 @@
 		After:       after,
 		Changes:     changes,
 		Withdraw:    c.withdrawal.last.Vote,
+		Era:         c.state.Version().Era,
+		Holding:     c.state.Holding(),
 	}
 }
 
@@ -243,7 +245,10 @@
 		return
 	}
 	c.fetching = true
-	query := gossip.Query{After: c.state.Revision(), ConfigVersion: c.state.ConfigVersion()}
+	query := gossip.Query{Era: c.state.Version().Era, After: c.state.Revision(), ConfigVersion: c.state.ConfigVersion()}
+	if c.state.LacksOlder(now) {
+		query = gossip.Query{} // only a full copy contains knowledge of an older era
+	}
 	go func() {
 		answer, err := gossip.Fetch(ctx, from.Addr, query)
 		c.post(ctx, fetchEnd{from: from.Addr, startedAt: now, copy: answer, err: err})
@@ -267,25 +272,37 @@
 		return
 	}
 	before := c.state.Revision()
-	if !e.copy.Loaded || e.copy.Revision <= before {
+	c.adoptOlder(e.copy, now)
+	if !e.copy.Loaded || !c.state.Version().Before(e.copy.Version()) {
 		return
 	}
 	var changed []registry.Update
-	if e.copy.Full {
+	switch {
+	case e.copy.Era != c.state.Version().Era:
+		if e.copy.Full {
+			c.restoreFromCopy(e, now)
+		}
+		return
+	case e.copy.Full:
 		changed = c.state.Replace(e.copy.Updates, e.copy.Revision, now)
-	} else {
+	default:
 		var ok bool
 		if changed, ok = c.state.Apply(e.copy.Updates, e.copy.After, e.copy.Revision, now); !ok {
 			c.fetchBackoff.failed(e.from, now)
 			return
 		}
 	}
+	c.copyApplied(e)
+	c.propagateChanges(changed, before, e.from)
+}
+
+// copyApplied records that the copy of a fetch has been applied.
+func (c *control) copyApplied(e fetchEnd) {
 	c.fetchBackoff.succeeded(e.from)
 	c.follower.CopyReceived()
 	if e.copy.AgeMs > gossip.NeverConfirmed {
 		c.confirm(e.startedAt - time.Duration(e.copy.AgeMs)*time.Millisecond)
 	}
-	c.propagateChanges(changed, before, e.from)
 }
 
 // answer answers another host's query for the changes that it lacks.
@@ -302,10 +319,17 @@
 
 // copySince returns the changes after the revision of a query, or all contents if those changes have been compacted.
 func (c *control) copySince(q gossip.Query) *gossip.Copy {
-	answer := &gossip.Copy{Loaded: c.state.Complete(), Revision: c.state.Revision(), AgeMs: c.host.ageMs(c.host.now()), After: q.After}
+	at := c.state.Version()
+	answer := &gossip.Copy{
+		Loaded: c.state.Complete(), Era: at.Era, Revision: at.Revision, Began: c.state.Began(),
+		AgeMs: c.host.ageMs(c.host.now()), After: q.After, Holding: c.state.Holding(),
+	}
+	if q.Era != at.Era {
+		q.After = 0
+	}
 	switch {
 	case !answer.Loaded:
-	case c.state.Compacted(q.After) && answer.Revision == q.CachedRevision:
+	case c.state.Compacted(q.After) && at == q.Cached && !answer.Holding:
 		answer.Full, answer.Cached = true, true
 	default:
 		answer.Updates, answer.Full = c.state.Since(q.After)
--- a/internal/entry/peers_test.go
+++ b/internal/entry/peers_test.go
@@ -62,7 +62,7 @@
 		wait := c.limits.Follower.WatchWait
 		startedAt := c.host.now() - wait - late
 		c.follower.Confirm(startedAt - time.Millisecond)
-		call := c.follower.Next(7, follower.Fleet{Reader: true}, startedAt)
+		call := c.follower.Next(registry.Version{Revision: 7}, follower.Fleet{Reader: true}, startedAt)
 		c.onCallEnd(callEnd{call: call, result: follower.Result{Revision: 8, Changed: changed}, outcome: follower.Done})
 		want := startedAt
 		if !changed {
--- a/internal/entry/truncated.go
+++ b/internal/entry/truncated.go
@@ -12,7 +12,7 @@
 func (c *control) onCallTruncated(e callEnd, now time.Duration) {
 	c.state.RecordStoreFailure(now)
 	c.storeDown = true
-	level.Warn(c.logger).Log("msg", "watch of the store not answered in full; reading all contents", "after", e.call.After,
+	level.Warn(c.logger).Log("msg", "watch of the store not answered in full; reading all contents", "era", e.call.Era, "after", e.call.After,
 		"changes_read", len(e.result.Updates), "up_to", e.result.Revision, "err", e.err)
 	before := c.state.Revision()
 	changed, _ := c.state.Apply(e.result.Updates, e.call.After, e.result.Revision, now)
--- a/internal/entry/truncated_test.go
+++ b/internal/entry/truncated_test.go
@@ -21,7 +21,7 @@
 		{Key: "i-1", Revision: 6, Server: server},
 	}, 7, 0)
 	c.propagateChanges(nil, 7, c.host.config.Peer)
-	call := c.follower.Next(7, follower.Fleet{Reader: true}, c.host.now())
+	call := c.follower.Next(registry.Version{Revision: 7}, follower.Fleet{Reader: true}, c.host.now())
 	changes := []registry.Update{{Key: "config", Revision: 9, Config: &registry.Config{Version: 2}}}
 	c.onCallEnd(callEnd{call: call, result: follower.Result{Updates: changes, Revision: 8}, outcome: follower.Truncated, err: errors.New("cut")})
 	if c.state.Revision() != 8 || c.version != 2 {
@@ -33,7 +33,7 @@
 	if !c.state.StoreFailedRecently(c.host.now()) {
 		t.Error("a truncated answer counts as no failure of the store")
 	}
-	call = c.follower.Next(8, follower.Fleet{Reader: true}, c.host.now())
+	call = c.follower.Next(registry.Version{Revision: 8}, follower.Fleet{Reader: true}, c.host.now())
 	if call.Kind != follower.ReadAll {
 		t.Fatalf("next call %+v, want a full read", call)
 	}
@@ -50,7 +50,7 @@
 func TestDisturbedReadIsReported(t *testing.T) {
 	c := idleControl()
 	c.conn = listenUDP(t)
-	call := c.follower.Next(0, follower.Fleet{Reader: true}, c.host.now())
+	call := c.follower.Next(registry.Version{}, follower.Fleet{Reader: true}, c.host.now())
 	c.onCallEnd(callEnd{call: call, result: follower.Result{Revision: 9, Interrupted: true}, outcome: follower.Done})
 	if age := c.outageAgeMs(c.host.now()); age == gossip.NoRecentOutage {
 		t.Error("no outage reported")
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -9,6 +9,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/registry"
 )
 
 // Kind is the kind of a call to the store.
@@ -24,6 +26,7 @@
 // Call describes a call to the store.
 type Call struct {
 	Kind    Kind
+	Era     uint64        // newest era that this host knows
 	After   uint64        // revision after which a Watch reads changes
 	Wait    time.Duration // time for which the store may wait for a change
 	Timeout time.Duration // for the call, or for each page of a full read
@@ -42,9 +45,10 @@
 	Failed              // no answer or an invalid one
 	Incomplete          // FirstPageOnly was set and there are more pages
 	Truncated           // the answer to a watch broke off or is invalid
+	EraChanged          // the answer to a watch is of a newer era, in which its revision means other contents
 )
 
-var outcomeNames = [...]string{"done", "history_lost", "refused", "failed", "incomplete", "truncated"}
+var outcomeNames = [...]string{"done", "history_lost", "refused", "failed", "incomplete", "truncated", "era_changed"}
 
 // String returns the name of the outcome in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -86,17 +90,17 @@
 	config       Config
 	isSeed       bool // read all pages at once, without waiting for a copy
 	inFlight     Call
-	startedAt    time.Duration // start of the call in flight, or of the last one
-	confirmedAt  time.Duration // time at which the copy last matched the store; negative: never
-	notBefore    time.Duration // earliest time of the next call
-	failures     int           // consecutive failed or refused calls
-	outageAt     time.Duration // end of the last call that failed or was the first answered after a failure; negative: never
-	gapEndedAt   time.Duration // end of the last gap between confirmations, see Confirm; negative: never
-	needFullRead bool          // the next call is a full read
-	copyAwaited  bool          // a copy is or was awaited, so the next full read reads all pages
-	copyDeadline time.Duration // end of the wait for a copy while a peer is alive
-	truncations  int           // truncated watches since the last one that was answered in full
-	truncatedAt  uint64        // revision after which the last truncated watch read, if truncations > 0
+	startedAt    time.Duration    // start of the call in flight, or of the last one
+	confirmedAt  time.Duration    // time at which the copy last matched the store; negative: never
+	notBefore    time.Duration    // earliest time of the next call
+	failures     int              // consecutive failed or refused calls
+	outageAt     time.Duration    // end of the last call that failed or was the first answered after a failure; negative: never
+	gapEndedAt   time.Duration    // end of the last gap between confirmations, see Confirm; negative: never
+	needFullRead bool             // the next call is a full read
+	copyAwaited  bool             // a copy is or was awaited, so the next full read reads all pages
+	copyDeadline time.Duration    // end of the wait for a copy while a peer is alive
+	truncations  int              // truncated watches since the last one that was answered in full
+	truncatedAt  registry.Version // after which the last truncated watch read, if truncations > 0
 	random       *rand.Rand
 }
 
@@ -116,9 +120,9 @@
 }
 
 // Next returns the call that is due, if any, and records it as in flight.
-func (f *Follower) Next(revision uint64, fleet Fleet, now time.Duration) Call {
+func (f *Follower) Next(at registry.Version, fleet Fleet, now time.Duration) Call {
 	// A watch that was truncated is not repeated with the same revision. Until that rises, full reads take its place.
-	repeats := !f.needFullRead && f.truncations > 0 && revision <= f.truncatedAt
+	repeats := !f.needFullRead && f.truncations > 0 && !f.truncatedAt.Before(at)
 	switch {
 	case f.inFlight.Kind != None || now < f.notBefore:
 		return Call{}
@@ -131,7 +135,7 @@
 	}
 	f.needFullRead = f.needFullRead || repeats
 	f.startedAt = now
-	f.inFlight = f.nextCall(revision, fleet.Reader, now)
+	f.inFlight = f.nextCall(at, fleet.Reader, now)
 	return f.inFlight
 }
 
@@ -139,17 +143,17 @@
 // a slow store.
 const maxTimeoutDoublings = 2
 
-func (f *Follower) nextCall(revision uint64, reader bool, now time.Duration) Call {
+func (f *Follower) nextCall(at registry.Version, reader bool, now time.Duration) Call {
 	timeout := f.config.CallTimeout << min(f.failures, maxTimeoutDoublings)
 	if f.needFullRead {
 		all := f.isSeed || f.copyAwaited || reader && f.confirmedAt >= 0
-		return Call{Kind: ReadAll, Timeout: timeout, FirstPageOnly: !all}
+		return Call{Kind: ReadAll, Era: at.Era, Timeout: timeout, FirstPageOnly: !all}
 	}
 	wait := f.config.WatchWait
 	if !reader || !f.Fresh(now) {
 		wait = 0
 	}
-	return Call{Kind: Watch, After: revision, Wait: wait, Timeout: wait + timeout}
+	return Call{Kind: Watch, Era: at.Era, After: at.Revision, Wait: wait, Timeout: wait + timeout}
 }
 
 // CallEnded records the outcome of the call in flight. changed states that it read changes, see Result.
@@ -175,7 +179,7 @@
 		f.failures, f.copyAwaited = 0, true
 		f.notBefore, f.copyDeadline = now+copyWaitAlone, now+f.copyWait()
 		return
-	case HistoryLost:
+	case HistoryLost, EraChanged:
 		f.failures, f.needFullRead = 0, true
 		return
 	case Truncated:
@@ -186,13 +190,16 @@
 	f.notBefore = now + f.backoff(f.failures)
 }
 
+// EraChanged records that the store has entered a newer era than that of the contents. The next call is a full read.
+func (f *Follower) EraChanged() { f.needFullRead, f.truncations = true, 0 }
+
 // truncated schedules a full read after a truncated watch. The first one follows at once. Its pages get the longest timeout,
 // because what cannot be read in one answer is large or arrives slowly.
 func (f *Follower) truncated(call Call, now time.Duration) {
 	f.failures = max(f.failures+1, maxTimeoutDoublings)
 	f.needFullRead = true
 	f.truncations++
-	f.truncatedAt = call.After
+	f.truncatedAt = registry.Version{Era: call.Era, Revision: call.After}
 	f.notBefore = now
 	if f.truncations > 1 {
 		f.notBefore += f.backoff(f.truncations)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/registry"
 )
 
 func testConfig() Config {
@@ -26,12 +28,15 @@
 	alone  = Fleet{Reader: true}
 )
 
+// at returns a version of a store that states no era.
+func at(revision uint64) registry.Version { return registry.Version{Revision: revision} }
+
 func newFollower() *Follower { return New(testConfig(), false, rand.New(rand.NewPCG(1, 2))) }
 
 // readFull makes the first full read.
 func readFull(t *testing.T, f *Follower, now time.Duration) {
 	t.Helper()
-	if c := f.Next(0, other, now); c.Kind != ReadAll {
+	if c := f.Next(at(0), other, now); c.Kind != ReadAll {
 		t.Fatalf("first call %+v, want a full read", c)
 	}
 	f.CallEnded(Done, false, now+4*time.Millisecond)
@@ -40,10 +45,10 @@
 // Guards against two concurrent calls, and against a host that starts a watch before a full read.
 func TestFirstCall(t *testing.T) {
 	f := newFollower()
-	if c := f.Next(0, reader, 0); c.Kind != ReadAll || c.Timeout <= 0 {
+	if c := f.Next(at(0), reader, 0); c.Kind != ReadAll || c.Timeout <= 0 {
 		t.Fatalf("first call %+v", c)
 	}
-	if c := f.Next(0, reader, time.Second); c.Kind != None {
+	if c := f.Next(at(0), reader, time.Second); c.Kind != None {
 		t.Fatalf("%+v started while a call is in flight", c)
 	}
 }
@@ -52,7 +57,7 @@
 func TestWatchTimeout(t *testing.T) {
 	f := newFollower()
 	readFull(t, f, 0)
-	c := f.Next(7, reader, 10*time.Millisecond)
+	c := f.Next(at(7), reader, 10*time.Millisecond)
 	if c.Kind != Watch || c.After != 7 || c.Wait != 1200*time.Millisecond || c.Timeout != 1700*time.Millisecond {
 		t.Fatalf("call of a reader: %+v", c)
 	}
@@ -63,14 +68,14 @@
 func TestOtherHostsReadOnlyWhenStale(t *testing.T) {
 	f := newFollower()
 	readFull(t, f, 0)
-	if c := f.Next(7, other, time.Second); c.Kind != None {
+	if c := f.Next(at(7), other, time.Second); c.Kind != None {
 		t.Fatalf("%+v although the copy is fresh", c)
 	}
 	f.Confirm(1500 * time.Millisecond)
-	if c := f.Next(7, other, 3*time.Second); c.Kind != None {
+	if c := f.Next(at(7), other, 3*time.Second); c.Kind != None {
 		t.Fatalf("%+v although another host has confirmed the copy", c)
 	}
-	c := f.Next(7, other, 3600*time.Millisecond)
+	c := f.Next(at(7), other, 3600*time.Millisecond)
 	if c.Kind != Watch || c.Wait != 0 {
 		t.Fatalf("call for a stale copy: %+v, want a watch without a wait", c)
 	}
@@ -93,7 +98,7 @@
 			f := newFollower()
 			readFull(t, f, 0)
 			start := 100 * time.Millisecond
-			f.Next(7, reader, start)
+			f.Next(at(7), reader, start)
 			now := start + test.ended
 			f.CallEnded(Done, test.changed, now)
 			if at, ok := f.Confirmed(); !ok || at != start+test.want {
@@ -109,7 +114,7 @@
 	now := time.Duration(0)
 	var last time.Duration
 	for i := range 12 {
-		if c := f.Next(0, other, now); c.Kind != ReadAll {
+		if c := f.Next(at(0), other, now); c.Kind != ReadAll {
 			t.Fatalf("attempt %d: %+v, want a full read", i, c)
 		}
 		f.CallEnded(Failed, false, now)
@@ -117,7 +122,7 @@
 		if last <= 0 || last > time.Second {
 			t.Fatalf("backoff %v after %d failures, want more than 0 and at most 1s", last, i+1)
 		}
-		if c := f.Next(0, other, now+last-time.Millisecond); c.Kind != None {
+		if c := f.Next(at(0), other, now+last-time.Millisecond); c.Kind != None {
 			t.Fatal("a call started before the backoff was over")
 		}
 		now += last
@@ -125,9 +130,9 @@
 	if last < 500*time.Millisecond {
 		t.Fatalf("backoff %v after 12 failures, want half a second or more", last)
 	}
-	f.Next(0, other, now)
+	f.Next(at(0), other, now)
 	f.CallEnded(Done, false, now)
-	f.Next(1, reader, now)
+	f.Next(at(1), reader, now)
 	f.CallEnded(Refused, false, now)
 	if backoff := f.notBefore - now; backoff > 100*time.Millisecond {
 		t.Fatalf("backoff %v after the first failure since a success, want at most 100ms", backoff)
@@ -138,9 +143,9 @@
 func TestHistoryLost(t *testing.T) {
 	f := newFollower()
 	readFull(t, f, 0)
-	f.Next(7, reader, 10*time.Millisecond)
+	f.Next(at(7), reader, 10*time.Millisecond)
 	f.CallEnded(HistoryLost, false, 20*time.Millisecond)
-	if c := f.Next(7, reader, 20*time.Millisecond); c.Kind != ReadAll {
+	if c := f.Next(at(7), reader, 20*time.Millisecond); c.Kind != ReadAll {
 		t.Fatalf("%+v, want a full read at once", c)
 	}
 }
@@ -153,14 +158,14 @@
 	if _, ok := f.OutageAt(); ok {
 		t.Fatal("a store that has answered each call counts as unavailable")
 	}
-	f.Next(7, reader, time.Second)
+	f.Next(at(7), reader, time.Second)
 	f.CallEnded(Failed, false, 2*time.Second)
 	if at, ok := f.OutageAt(); !ok || at != 2*time.Second {
 		t.Fatalf("outage at %v, %v after a failed call, want 2s", at, ok)
 	}
-	f.Next(7, reader, 3*time.Second)
+	f.Next(at(7), reader, 3*time.Second)
 	f.CallEnded(Done, false, 5*time.Second)
-	f.Next(7, reader, 5*time.Second)
+	f.Next(at(7), reader, 5*time.Second)
 	f.CallEnded(Done, false, 6*time.Second)
 	if at, _ := f.OutageAt(); at != 5*time.Second {
 		t.Fatalf("outage until %v, want the first answer at 5s", at)
@@ -189,11 +194,11 @@
 // Guards against a full read by a host that has received a complete copy from another host.
 func TestNoReadAfterCopyFromAnotherHost(t *testing.T) {
 	f := newFollower()
-	f.Next(0, other, 0)
+	f.Next(at(0), other, 0)
 	f.CallEnded(Failed, false, 0)
 	f.CopyReceived()
 	f.Confirm(10 * time.Millisecond)
-	if c := f.Next(7, other, 500*time.Millisecond); c.Kind != None {
+	if c := f.Next(at(7), other, 500*time.Millisecond); c.Kind != None {
 		t.Fatalf("%+v although the copy is complete and fresh", c)
 	}
 }
@@ -233,16 +238,16 @@
 	f := newFollower()
 	now := time.Duration(0)
 	for i, want := range []time.Duration{500, 1000, 2000, 2000} {
-		c := f.Next(0, other, now)
+		c := f.Next(at(0), other, now)
 		if c.Timeout != want*time.Millisecond {
 			t.Fatalf("timeout %v after %d failures, want %v", c.Timeout, i, want*time.Millisecond)
 		}
 		f.CallEnded(Failed, false, now)
 		now = f.notBefore
 	}
-	f.Next(0, other, now)
+	f.Next(at(0), other, now)
 	f.CallEnded(Done, false, now)
-	if c := f.Next(1, reader, now); c.Timeout != c.Wait+500*time.Millisecond {
+	if c := f.Next(at(1), reader, now); c.Timeout != c.Wait+500*time.Millisecond {
 		t.Fatalf("timeout %v after a success", c.Timeout)
 	}
 }
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -16,16 +16,25 @@
 type Result struct {
 	Updates  []registry.Update
 	Revision uint64 // revision up to which the updates are complete
+	// Era is the era of the store, also of an answer that ends the call as failed; 0: the store states none, or there was no
+	// answer.
+	Era uint64
 	// Changed is set if a watch was answered with changes, of which Updates may lack unknown items.
 	Changed bool
 	// Interrupted is set if answers to a full read broke off and were continued: the store may have been unavailable.
 	Interrupted bool
 }
 
+// Version returns the version up to which the updates are complete.
+func (r *Result) Version() registry.Version {
+	return registry.Version{Era: r.Era, Revision: r.Revision}
+}
+
 // Page is a part of the full contents.
 type Page struct {
 	Updates   []registry.Update
 	Revision  uint64 // of the store when the page was read
+	Era       uint64 // of the store, also if the page could not be read
 	Next      string // start of the next page; "" after the last one
 	Truncated error  // the answer broke off; the page ends before the fault, and Revision may be lower than the store's
 }
@@ -43,10 +52,12 @@
 var (
 	ErrHistoryLost = errors.New("the store no longer keeps the changes after this revision")
 	ErrRefused     = errors.New("the store refused the call")
+	ErrStaleEra    = errors.New("the answer of the store is of an older era")
 	ErrTruncated   = errors.New("the answer of the store broke off or is invalid")
 )
 
-// Do makes a call. The result is empty unless the outcome is Done, or Truncated: then it has the changes that are complete.
+// Do makes a call. The result has only the era unless the outcome is Done, or Truncated: then it has the changes that are
+// complete.
 func Do(ctx context.Context, source Source, c Call) (Result, Outcome, error) {
 	if c.Kind == ReadAll {
 		return readAll(ctx, source, c)
@@ -54,30 +65,57 @@
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	result, err := source.Watch(ctx, c.After, c.Wait)
-	if errors.Is(err, ErrTruncated) {
+	truncated := errors.Is(err, ErrTruncated)
+	switch {
+	case err != nil && !truncated:
+		return Result{Era: result.Era}, outcomeOf(err), err
+	case result.Era > c.Era:
+		return Result{Era: result.Era}, EraChanged, err
+	case result.Era < c.Era:
+		return Result{Era: result.Era}, Failed, errors.Wrapf(ErrStaleEra, "watch of era %d in era %d", result.Era, c.Era)
+	case truncated:
 		return result, Truncated, err
 	}
-	if err != nil {
-		return Result{}, outcomeOf(err), err
-	}
 	return result, Done, nil
 }
 
-// readAll reads all pages, each with a timeout of its own, because the contents of a large deployment have many pages. The
-// pages are not a consistent snapshot, so the result is complete only up to the revision of the first page.
+// maxEraRestarts is the number of times that a full read begins anew because the store has entered a newer era.
+const maxEraRestarts = 3
+
+// readAll reads all pages. It begins anew when a page is of a newer era than those before.
 func readAll(ctx context.Context, source Source, c Call) (Result, Outcome, error) {
-	var result Result
+	era := c.Era
+	for range maxEraRestarts {
+		result, outcome, err := readEra(ctx, source, c, era)
+		if outcome != EraChanged {
+			return result, outcome, err
+		}
+		era = result.Era
+	}
+	return Result{Era: era}, Failed, errors.Newf("the store entered new eras during %d full reads", maxEraRestarts)
+}
+
+// readEra reads all pages, each with a timeout of its own, because the contents of a large deployment have many pages. The
+// pages are not a consistent snapshot, so the result is complete only up to the revision of the first page. era is the newest
+// that is known. The read ends as EraChanged when a page after the first one is of a newer era than those before.
+func readEra(ctx context.Context, source Source, c Call, era uint64) (Result, Outcome, error) {
+	result := Result{Era: era}
 	from := ""
 	for n := 0; ; n++ {
 		if n >= maxPages {
-			return Result{}, Failed, errors.Newf("store returned more than %d pages", maxPages)
+			return Result{Era: result.Era}, Failed, errors.Newf("store returned more than %d pages", maxPages)
 		}
 		page, err := readPage(ctx, source, from, c.Timeout)
-		if err != nil {
-			return Result{}, outcomeOf(err), err
+		switch {
+		case n > 0 && page.Era > result.Era:
+			return Result{Era: page.Era}, EraChanged, nil
+		case err != nil:
+			return Result{Era: max(result.Era, page.Era)}, outcomeOf(err), err
+		case page.Era < result.Era:
+			return Result{Era: result.Era}, Failed, errors.Wrapf(ErrStaleEra, "page of era %d in era %d", page.Era, result.Era)
 		}
 		if n == 0 {
-			result.Revision = page.Revision
+			result.Era, result.Revision = page.Era, page.Revision
 		}
 		result.Updates = append(result.Updates, page.Updates...)
 		result.Interrupted = result.Interrupted || page.Truncated != nil
@@ -85,7 +123,7 @@
 			return result, Done, nil
 		}
 		if c.FirstPageOnly {
-			return Result{}, Incomplete, nil
+			return Result{Era: result.Era}, Incomplete, nil
 		}
 		from = page.Next
 	}
--- a/internal/follower/start_test.go
+++ b/internal/follower/start_test.go
@@ -59,30 +59,30 @@
 // a copy that reads only the first page.
 func TestWaitsForCopyOnce(t *testing.T) {
 	f := newFollower()
-	if c := f.Next(0, reader, 0); !c.FirstPageOnly {
+	if c := f.Next(at(0), reader, 0); !c.FirstPageOnly {
 		t.Fatalf("first call: %+v, want the first page only", c)
 	}
 	f.CallEnded(Incomplete, false, 0)
-	if c := f.Next(0, alone, time.Millisecond); c.Kind != None {
+	if c := f.Next(at(0), alone, time.Millisecond); c.Kind != None {
 		t.Fatalf("%+v while the host waits for a copy", c)
 	}
-	if c := f.Next(0, other, maxCopyWait/8); c.Kind != None {
+	if c := f.Next(at(0), other, maxCopyWait/8); c.Kind != None {
 		t.Fatalf("%+v while another host may send its copy", c)
 	}
-	if c := f.Next(0, other, maxCopyWait); c.Kind != ReadAll || c.FirstPageOnly {
+	if c := f.Next(at(0), other, maxCopyWait); c.Kind != ReadAll || c.FirstPageOnly {
 		t.Fatalf("%+v, want all pages when no copy has arrived", c)
 	}
 	f.CallEnded(Done, false, maxCopyWait)
-	f.Next(7, other, 2*maxCopyWait)
+	f.Next(at(7), other, 2*maxCopyWait)
 	f.CallEnded(HistoryLost, false, 2*maxCopyWait)
-	if c := f.Next(7, reader, 2*maxCopyWait); c.Kind != ReadAll || c.FirstPageOnly {
+	if c := f.Next(at(7), reader, 2*maxCopyWait); c.Kind != ReadAll || c.FirstPageOnly {
 		t.Fatalf("%+v by the reader, want all pages", c)
 	}
 	copied := newFollower()
-	copied.Next(0, other, 0)
+	copied.Next(at(0), other, 0)
 	copied.CallEnded(Incomplete, false, 0)
 	copied.CopyReceived()
-	if c := copied.Next(7, reader, time.Millisecond); c.Kind != Watch {
+	if c := copied.Next(at(7), reader, time.Millisecond); c.Kind != Watch {
 		t.Fatalf("%+v after the copy has arrived, want a watch", c)
 	}
 }
@@ -90,9 +90,9 @@
 // Guards against a host that waits the maximum time for a copy although no other host can send one.
 func TestReadsAllPagesWhenAlone(t *testing.T) {
 	f := newFollower()
-	f.Next(0, alone, 0)
+	f.Next(at(0), alone, 0)
 	f.CallEnded(Incomplete, false, 0)
-	if c := f.Next(0, alone, copyWaitAlone); c.Kind != ReadAll || c.FirstPageOnly {
+	if c := f.Next(at(0), alone, copyWaitAlone); c.Kind != ReadAll || c.FirstPageOnly {
 		t.Fatalf("%+v of a host without a live peer, want all pages", c)
 	}
 }
@@ -144,7 +144,7 @@
 						f.CopyReceived()
 						has[i], loaded = true, loaded+1
 					case calls[i].Kind == None:
-						if calls[i] = f.Next(0, other, now-started[i]); calls[i].Kind != ReadAll {
+						if calls[i] = f.Next(at(0), other, now-started[i]); calls[i].Kind != ReadAll {
 							continue
 						}
 						n := pages
@@ -181,7 +181,7 @@
 	now, calls, read := time.Duration(0), 0, 0
 	var latest time.Duration // from a change to the answer that contains it
 	for read < changes {
-		c := f.Next(7, reader, now)
+		c := f.Next(at(7), reader, now)
 		if c.Kind == None {
 			now += time.Millisecond
 			continue
@@ -199,9 +199,9 @@
 	if limit := minWatchInterval + 2*answer; latest > limit {
 		t.Errorf("a change was read after %v, want %v at most", latest, limit)
 	}
-	f.Next(7, reader, now+minWatchInterval)
+	f.Next(at(7), reader, now+minWatchInterval)
 	f.CallEnded(Done, false, now+time.Second)
-	if c := f.Next(7, reader, now+time.Second); c.Kind != Watch {
+	if c := f.Next(at(7), reader, now+time.Second); c.Kind != Watch {
 		t.Errorf("%+v after a watch that waited, want another one at once", c)
 	}
 }
--- a/internal/follower/truncated_test.go
+++ b/internal/follower/truncated_test.go
@@ -16,7 +16,7 @@
 	f := newFollower()
 	readFull(t, f, 0)
 	confirmed, _ := f.Confirmed()
-	f.Next(7, reader, time.Second)
+	f.Next(at(7), reader, time.Second)
 	now := 1500 * time.Millisecond
 	f.CallEnded(Truncated, false, now)
 	if at, _ := f.Confirmed(); at != confirmed {
@@ -25,16 +25,16 @@
 	if at, ok := f.OutageAt(); !ok || at != now {
 		t.Errorf("outage at %v, %v; want %v", at, ok, now)
 	}
-	c := f.Next(9, reader, now)
+	c := f.Next(at(9), reader, now)
 	if c.Kind != ReadAll || c.FirstPageOnly || c.Timeout != 2*time.Second {
 		t.Fatalf("%+v, want a read of all pages at once with the longest timeout", c)
 	}
 	f.CallEnded(Done, false, now)
-	if c := f.Next(9, reader, now); c.Kind != Watch || c.After != 9 {
+	if c := f.Next(at(9), reader, now); c.Kind != Watch || c.After != 9 {
 		t.Fatalf("%+v at a newer revision, want a watch", c)
 	}
 	f.CallEnded(Done, false, now)
-	if c := f.Next(7, reader, now+time.Second); c.Kind != Watch {
+	if c := f.Next(at(7), reader, now+time.Second); c.Kind != Watch {
 		t.Fatalf("%+v after a watch that was answered in full, want a watch", c)
 	}
 }
@@ -44,12 +44,12 @@
 func TestTruncatedWatchIsNotRepeated(t *testing.T) {
 	f := newFollower()
 	readFull(t, f, 0)
-	f.Next(7, reader, 10*time.Millisecond)
+	f.Next(at(7), reader, 10*time.Millisecond)
 	now := 20 * time.Millisecond
 	f.CallEnded(Truncated, false, now)
 	reads := 0
 	for ; now < 10*time.Second; now += 5 * time.Millisecond {
-		switch c := f.Next(7, reader, now); c.Kind {
+		switch c := f.Next(at(7), reader, now); c.Kind {
 		case Watch:
 			t.Fatalf("%+v at %v, want full reads only", c, now)
 		case ReadAll:
@@ -60,7 +60,7 @@
 	if reads < 9 || reads > 11 {
 		t.Errorf("%d full reads in 10s, want one a second", reads)
 	}
-	if c := f.Next(8, reader, now); c.Kind != Watch || c.After != 8 {
+	if c := f.Next(at(8), reader, now); c.Kind != Watch || c.After != 8 {
 		t.Errorf("%+v at a newer revision, want a watch", c)
 	}
 }
@@ -72,7 +72,7 @@
 	calls, last := map[Kind]int{}, time.Duration(0)
 	revision := uint64(7)
 	for now := time.Duration(0); now < 20*time.Second; now += 5 * time.Millisecond {
-		c := f.Next(revision, reader, now)
+		c := f.Next(at(revision), reader, now)
 		if c.Kind == None {
 			continue
 		}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -110,6 +110,21 @@
 	Servers     []ServerLoad    // backend servers that differ most from the rest
 	Ask         bool            // the receiver should answer if it has news, see Members.ShouldAnswer
 	Votes       []HostVote      // only while a host of the sender's data centre votes to withdraw
+	Era         uint64          `cbor:"-"` // of Revision, After and Changes; follows the array unless it is 0
+	Holding     bool            `cbor:"-"` // the sender uses knowledge of an older era, which its full copies contain
+}
+
+// Version returns the version up to which the sender has all updates.
+func (m *Message) Version() registry.Version {
+	return registry.Version{Era: m.Era, Revision: m.Revision}
+}
+
+// eraFields follow the array of a message if the store has an era. Hosts of releases that know no eras drop the message as
+// malformed and read the store themselves.
+type eraFields struct {
+	_       struct{} `cbor:",toarray"`
+	Era     uint64
+	Holding bool
 }
 
 // Confirmed reports whether the sender's copy has ever been confirmed.
@@ -137,6 +152,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode message")
 	}
+	if m.Era > 0 {
+		era, err := cbor.Marshal(eraFields{Era: m.Era, Holding: m.Holding})
+		if err != nil {
+			return nil, errors.Wrap(err, "encode era")
+		}
+		body = append(body, era...)
+	}
 	if len(body) < MaxDatagram || len(m.Changes) == 0 {
 		return append([]byte{formatVersion}, body...), nil
 	}
@@ -155,9 +177,17 @@
 		return nil, errors.Wrap(err, "create CBOR decoder")
 	}
 	var m Message
-	if err := mode.Unmarshal(b[1:], &m); err != nil {
+	rest, err := mode.UnmarshalFirst(b[1:], &m)
+	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "decode message"), ErrMalformed)
 	}
+	if len(rest) > 0 {
+		var era eraFields
+		if err := mode.Unmarshal(rest, &era); err != nil || era.Era == 0 {
+			return nil, errors.Wrapf(ErrMalformed, "era %d of a message: %v", era.Era, err)
+		}
+		m.Era, m.Holding = era.Era, era.Holding
+	}
 	if !validAge(m.AgeMs, NeverConfirmed) || !validAge(m.OutageAgeMs, NoRecentOutage) || !validAge(m.ReaderAgeMs, 0) || m.NumKnown < 0 || m.NumKnown > maxMembers+1 || !m.From.Addr.IsValid() || m.From.DataCentre == "" || len(m.Hosts) > maxHosts || len(m.LastContact) > maxDataCentres || len(m.Loads) > maxLoads ||
 		len(m.SecondHand) > maxDataCentres || len(m.Demand) > maxDemands || len(m.Servers) > maxServerLoads || len(m.Votes) > maxVotes {
 		return nil, errors.Wrap(ErrMalformed, "invalid sender, age, host count or list length")
@@ -200,6 +230,9 @@
 	if s := u.Server; s != nil && (s.Identity == 0 || !s.Addr.IsValid() || s.Slots <= 0 || s.Service == "") {
 		return errors.Wrap(ErrMalformed, "incomplete backend server")
 	}
+	if o := u.Older; o != nil && o.Server != nil && (o.Server.Identity == 0 || !o.Server.Addr.IsValid() || o.Server.Slots <= 0 || o.Server.Service == "") {
+		return errors.Wrap(ErrMalformed, "incomplete backend server of an older era")
+	}
 	if u.Unreadable && (u.Identity == 0 || u.Removed || u.ReadRevision >= u.Revision || u.Server != nil && u.Server.Identity != u.Identity) {
 		return errors.Wrap(ErrMalformed, "unreadable entry without identity, of another backend server, or read later than written")
 	}
--- a/internal/gossip/pack.go
+++ b/internal/gossip/pack.go
@@ -67,32 +67,32 @@
 // packer keeps the parts of the last full copy, because many hosts request one at the same time after they have restarted
 // together.
 type packer struct {
-	mu       sync.Mutex
-	revision uint64 // of the cached copy; 0: none
-	cached   *parts
+	mu      sync.Mutex
+	version registry.Version // of the cached copy; zero: none
+	cached  *parts
 }
 
 // partsOf returns the parts of a copy.
 func (p *packer) partsOf(c *Copy) (*parts, error) {
-	if !c.Full {
+	if !c.Full || c.Holding {
 		return newParts(c.Updates), nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.Cached && p.revision != c.Revision {
-		return nil, errors.Newf("the copy of revision %d is no longer at hand", c.Revision)
+	if c.Cached && p.version != c.Version() {
+		return nil, errors.Newf("the copy of version %v is no longer at hand", c.Version())
 	}
-	if !c.Cached && p.revision != c.Revision {
-		p.cached, p.revision = newParts(c.Updates), c.Revision
+	if !c.Cached && p.version != c.Version() {
+		p.cached, p.version = newParts(c.Updates), c.Version()
 	}
 	return p.cached, nil
 }
 
-// cachedRevision returns the revision of the cached copy, or 0 if there is none.
-func (p *packer) cachedRevision() uint64 {
+// cachedVersion returns the version of the cached copy, or zero if there is none.
+func (p *packer) cachedVersion() registry.Version {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.revision
+	return p.version
 }
 
 func pack(updates []registry.Update) ([]byte, error) {
--- a/internal/gossip/transfer.go
+++ b/internal/gossip/transfer.go
@@ -33,22 +33,31 @@
 
 // Query requests the updates after a revision.
 type Query struct {
+	Era           uint64 `json:"era,omitempty"` // of After
 	After         uint64 `json:"after"`
 	ConfigVersion uint64 `json:"config_version"` // of the requesting host's configuration; 0: none
-	// CachedRevision is the revision of the full copy that the answering host has cached in packed form; 0: none. If it is
+	// Cached is the version of the full copy that the answering host has cached in packed form; zero: none. If it is
 	// current, the answer need not list the updates again.
-	CachedRevision uint64 `json:"-"`
+	Cached registry.Version `json:"-"`
 }
 
 // Copy is the answer to a Query: the updates after a revision, or the full contents.
 type Copy struct {
 	After    uint64            `json:"after"`
 	Revision uint64            `json:"rev"`
-	AgeMs    int64             `json:"age"`    // time since the sender's copy was confirmed; NeverConfirmed: never
-	Full     bool              `json:"full"`   // Updates are the full contents, not just the updates after a revision
-	Cached   bool              `json:"-"`      // Updates is empty; the cached packed copy of the query's CachedRevision is sent
-	Updates  []registry.Update `json:"-"`      // sent in packed parts, see copyPart
-	Loaded   bool              `json:"loaded"` // false: the sender has no complete contents yet
+	Era      uint64            `json:"era,omitempty"`
+	Began    uint64            `json:"began,omitempty"` // see registry.State.Began
+	AgeMs    int64             `json:"age"`             // time since the sender's copy was confirmed; NeverConfirmed: never
+	Full     bool              `json:"full"`            // Updates are the full contents, not just the updates after a revision
+	Cached   bool              `json:"-"`               // Updates is empty; the cached packed copy of the query's Cached is sent
+	Updates  []registry.Update `json:"-"`               // sent in packed parts, see copyPart
+	Loaded   bool              `json:"loaded"`          // false: the sender has no complete contents yet
+	Holding  bool              `json:"-"`               // Updates contain knowledge of an older era, so the copy must not be cached
+}
+
+// Version returns the version up to which the copy is complete.
+func (c *Copy) Version() registry.Version {
+	return registry.Version{Era: c.Era, Revision: c.Revision}
 }
 
 // partQuery is the wire form of a Query. Part 0 requests a new copy; the other parts belong to the copy that was requested
@@ -113,7 +122,7 @@
 			return nil, errors.Wrapf(ErrMalformed, "copy of age %d ms", part.AgeMs)
 		}
 		parts = append(parts, &part)
-		if first := parts[0]; part.Revision != first.Revision || part.Full != first.Full || part.NumParts != first.NumParts {
+		if first := parts[0]; part.Version() != first.Version() || part.Full != first.Full || part.NumParts != first.NumParts {
 			return nil, errors.Wrapf(ErrMalformed, "part %d belongs to another copy", n)
 		}
 	}
@@ -209,7 +218,7 @@
 
 // begin takes the copy that answers a query, to be sent in parts.
 func (t *transfer) begin(ctx context.Context, q Query) error {
-	q.CachedRevision = t.packer.cachedRevision()
+	q.Cached = t.packer.cachedVersion()
 	c, err := t.answer(ctx, q)
 	if err != nil {
 		return err
--- a/internal/gossip/transfer_test.go
+++ b/internal/gossip/transfer_test.go
@@ -118,7 +118,7 @@
 	l, addr := listen(t)
 	var listed atomic.Int32
 	go Serve(t.Context(), l, func(_ context.Context, q Query) (*Copy, error) {
-		c := &Copy{Loaded: true, Revision: 9, Full: true, Cached: q.CachedRevision == 9}
+		c := &Copy{Loaded: true, Revision: 9, Full: true, Cached: q.Cached == registry.Version{Revision: 9}}
 		if !c.Cached {
 			listed.Add(1)
 			c.Updates = manyServers(100)
