follower: no first page after an era change whose contents have many

Hosts other than the reader that found a newer era read one page each, only to learn that there are more, and then waited for a copy.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -99,6 +99,8 @@
 	needFullRead bool             // the next call is a full read
 	copyAwaited  bool             // a copy is or was awaited, so the next full read reads all pages
 	copyDeadline time.Duration    // end of the wait for a copy while a peer is alive
+	manyPages    bool             // the contents had more than one page when this host last read the first
+	eraChanged   bool             // the next full read is due because of a newer era
 	truncations  int              // truncated watches since the last one that was answered in full
 	truncatedAt  registry.Version // after which the last truncated watch read, if truncations > 0
 	random       *rand.Rand
@@ -134,6 +136,10 @@
 		return Call{}
 	}
 	f.needFullRead = f.needFullRead || repeats
+	if f.needFullRead && f.eraChanged && f.manyPages && !f.copyAwaited && !fleet.Reader && !f.isSeed && fleet.PeerAlive {
+		f.awaitCopy(now) // the first page would tell nothing new
+		return Call{}
+	}
 	f.startedAt = now
 	f.inFlight = f.nextCall(at, fleet.Reader, now)
 	return f.inFlight
@@ -172,14 +178,18 @@
 			f.truncations = 0
 		}
 		if call.Kind == ReadAll {
-			f.needFullRead, f.copyAwaited = false, false
+			f.needFullRead, f.copyAwaited, f.eraChanged = false, false, false
 		}
 		return
 	case Incomplete:
-		f.failures, f.copyAwaited = 0, true
-		f.notBefore, f.copyDeadline = now+copyWaitAlone, now+f.copyWait()
+		f.failures, f.manyPages = 0, true
+		f.awaitCopy(now)
+		return
+	case EraChanged:
+		f.failures = 0
+		f.EraChanged()
 		return
-	case HistoryLost, EraChanged:
+	case HistoryLost:
 		f.failures, f.needFullRead = 0, true
 		return
 	case Truncated:
@@ -191,7 +201,13 @@
 }
 
 // EraChanged records that the store has entered a newer era than that of the contents. The next call is a full read.
-func (f *Follower) EraChanged() { f.needFullRead, f.truncations = true, 0 }
+func (f *Follower) EraChanged() { f.needFullRead, f.eraChanged, f.truncations = true, true, 0 }
+
+// awaitCopy makes the next full read wait for a copy of another host.
+func (f *Follower) awaitCopy(now time.Duration) {
+	f.copyAwaited = true
+	f.notBefore, f.copyDeadline = now+copyWaitAlone, now+f.copyWait()
+}
 
 // truncated schedules a full read after a truncated watch. The first one follows at once. Its pages get the longest timeout,
 // because what cannot be read in one answer is large or arrives slowly.
@@ -248,7 +264,7 @@
 	if f.copyAwaited {
 		f.notBefore = 0
 	}
-	f.needFullRead, f.copyAwaited = false, false
+	f.needFullRead, f.copyAwaited, f.eraChanged = false, false, false
 }
 
 // Confirmed returns the time at which the copy was last confirmed, and false if it never was.
