entry, gossip: what others know of an older era counts from hosts that keep something

Two hosts that started together shortly after a restore read the store, and one of them had fetched the copy of the other: it took that for what others know and used the older configuration and a draining server (planned restart of two hosts, TestRestoreWithOtherFaults). Copies now say whether their sender keeps something.

Log lines and the status state versions as era/revision; without an era they are as before.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/nutmeglatch/nutmeglatch/internal/admin"
+	"github.com/nutmeglatch/nutmeglatch/internal/registry"
 )
 
 // hostStatus is the status of a host that keeps flows by owners or by token.
@@ -55,7 +56,7 @@
 	if st.AgeMS >= 0 {
 		age = "confirmed " + milliseconds(st.AgeMS) + " ago"
 	}
-	fmt.Fprintf(w, "revision %d from %s, %s; store answers %t\n", st.Revision, st.RevisionFrom, age, st.StoreAnswers)
+	fmt.Fprintf(w, "revision %v from %s, %s; store answers %t\n", registry.Version{Era: st.Era, Revision: st.Revision}, st.RevisionFrom, age, st.StoreAnswers)
 	reader := "this host"
 	if !st.Reader {
 		reader = fmt.Sprintf("%s, last contact %s ago", st.ReaderHost, milliseconds(st.ReaderAgeMS))
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -155,7 +155,7 @@
 		return
 	}
 	c.members.Resumed(pause)
-	level.Info(c.logger).Log("msg", "host was paused", "for", pause, "era", c.state.Version().Era, "revision", c.state.Revision())
+	level.Info(c.logger).Log("msg", "host was paused", "for", pause, "revision", c.state.Version())
 }
 
 // onReload applies the seeds and limits of e if they have changed.
@@ -250,7 +250,7 @@
 	}
 	if c.storeDown {
 		c.storeDown = false
-		level.Info(c.logger).Log("msg", "store answers again", "revision", e.result.Revision)
+		level.Info(c.logger).Log("msg", "store answers again", "revision", e.result.Version())
 	}
 	before := c.state.Revision()
 	var changed []registry.Update
@@ -273,7 +273,7 @@
 	if !c.storeDown || e.outcome == follower.HistoryLost {
 		c.storeDown = e.outcome != follower.HistoryLost
 		level.Warn(c.logger).Log("msg", "call to the store failed", "outcome", e.outcome, "err", e.err,
-			"era", c.state.Version().Era, "revision", c.state.Revision())
+			"revision", c.state.Version())
 	}
 }
 
@@ -296,7 +296,7 @@
 		c.sendChanges(origin, before, c.state.EncodeDeltas(c.state.UpdatesAfter(before), version))
 	}
 	if c.state.Loaded() && !c.host.ready.Swap(true) {
-		level.Info(c.logger).Log("msg", "ready", "revision", c.state.Revision(), "from", source,
+		level.Info(c.logger).Log("msg", "ready", "revision", c.state.Version(), "from", source,
 			"ms_since_start", c.host.now().Milliseconds())
 		c.publish(pendingUpdate{admission: &c.limits.Admission})
 	}
@@ -311,8 +311,8 @@
 				c.loggedUnreadable[changed[i].Key] = true
 			}
 		}
-		level.Info(c.logger).Log("msg", "registry loaded", "era", c.state.Version().Era, "items", len(changed), "unreadable", len(c.loggedUnreadable),
-			"config_version", c.version, "revision", c.state.Revision(), "from", from)
+		level.Info(c.logger).Log("msg", "registry loaded", "items", len(changed), "unreadable", len(c.loggedUnreadable),
+			"config_version", c.version, "revision", c.state.Version(), "from", from)
 		return
 	}
 	for i := range changed {
@@ -333,18 +333,18 @@
 	case u.Unreadable && logged:
 	case u.Unreadable:
 		level.Warn(c.logger).Log("msg", "entry of a backend server can't be read, no new flows to it", "key", u.Key,
-			"read_revision", u.ReadRevision, "revision", u.Revision, "from", from)
+			"read_revision", u.ReadRevision, "revision", c.state.VersionOf(u), "from", from)
 	case u.Server != nil:
 		s := u.Server
 		level.Info(c.logger).Log("msg", "backend server", "server", s.ID, "service", s.Service, "addr", s.Addr,
-			"data_centre", s.DataCentre, "draining", s.Draining, "cold_for", s.ColdFor, "revision", u.Revision, "from", from)
+			"data_centre", s.DataCentre, "draining", s.Draining, "cold_for", s.ColdFor, "revision", c.state.VersionOf(u), "from", from)
 	case u.Config != nil:
 		level.Info(c.logger).Log("msg", "configuration", "version", u.Config.Version, "routes", len(u.Config.Routes),
-			"revision", u.Revision, "from", from)
+			"revision", c.state.VersionOf(u), "from", from)
 	case u.OutDataCentre != "":
-		level.Info(c.logger).Log("msg", "data centre taken out", "data_centre", u.OutDataCentre, "revision", u.Revision, "from", from)
+		level.Info(c.logger).Log("msg", "data centre taken out", "data_centre", u.OutDataCentre, "revision", c.state.VersionOf(u), "from", from)
 	default:
-		level.Info(c.logger).Log("msg", "item removed", "key", u.Key, "revision", u.Revision, "from", from,
+		level.Info(c.logger).Log("msg", "item removed", "key", u.Key, "revision", c.state.VersionOf(u), "from", from,
 			"store_disturbed", c.state.StoreFailedRecently(c.host.now()))
 	}
 }
--- a/internal/entry/eras.go
+++ b/internal/entry/eras.go
@@ -28,8 +28,8 @@
 	known := c.state.Version().Era
 	switch {
 	case e.result.Era > known && e.outcome != follower.Done && e.outcome != follower.Incomplete:
-		level.Warn(c.logger).Log("msg", "store has entered a newer era; reading all contents", "era", known, "store_era", e.result.Era,
-			"revision", c.state.Revision(), "outcome", e.outcome)
+		level.Warn(c.logger).Log("msg", "store has entered a newer era; reading all contents", "store_era", e.result.Era,
+			"revision", c.state.Version(), "outcome", e.outcome)
 		c.follower.EraChanged()
 	case e.result.Era < known && (e.outcome == follower.Done || e.outcome == follower.Truncated):
 		e.outcome, e.err, e.result = follower.Failed, errors.Wrapf(errEraPassed, "answer of era %d in era %d", e.result.Era, known), follower.Result{}
@@ -58,8 +58,7 @@
 	if origin.IsValid() {
 		c.origin = origin.String()
 	}
-	level.Warn(c.logger).Log("msg", "era of the store changed", "from_era", r.From.Era, "era", to.Era, "from_revision", r.From.Revision,
-		"revision", to.Revision, "kept", r.Kept, "not_used", r.Returned, "config_version", c.state.ConfigVersion(), "from", c.origin)
+	level.Warn(c.logger).Log("msg", "era of the store changed", "before", r.From, "revision", to, "kept", r.Kept, "not_used", r.Returned, "config_version", c.state.ConfigVersion(), "from", c.origin)
 	c.publishView()
 	c.sendChanges(origin, 0, nil)
 }
@@ -68,13 +67,13 @@
 func (c *control) restoreFromCopy(e fetchEnd, now time.Duration) {
 	c.copyApplied(e)
 	c.restore(e.copy.Updates, e.copy.Version(), e.copy.Began, e.from, now)
-	c.state.AdoptOlder(nil, now)
+	c.adoptOlder(e.copy, now)
 }
 
-// adoptOlder takes over what another host knows of an older era, after this host has read the present one shortly after its
-// start.
+// adoptOlder takes over what another host knows of an older era, after this host has learned of the present one shortly after
+// its start. A host that has just started as well knows nothing more.
 func (c *control) adoptOlder(copied *gossip.Copy, now time.Duration) {
-	if !copied.Loaded || !copied.Full || copied.Era != c.state.Version().Era || !c.state.LacksOlder(now) {
+	if !copied.Loaded || !copied.Full || !copied.Holding || copied.Era != c.state.Version().Era || !c.state.LacksOlder(now) {
 		return
 	}
 	if c.state.AdoptOlder(copied.Updates, now) {
--- a/internal/entry/eras_test.go
+++ b/internal/entry/eras_test.go
@@ -165,7 +165,7 @@
 	if c.state.Version().Era != 1 || c.state.ConfigVersion() != 9 {
 		t.Fatalf("version %v, configuration %d after a difference", c.state.Version(), c.state.ConfigVersion())
 	}
-	end.copy.Full = true
+	end.copy.Full, end.copy.Holding = true, true
 	end.copy.Updates = append(end.copy.Updates, eraServer(12, false))
 	c.onFetchEnd(end)
 	if v := c.state.View(); c.state.Version() != (registry.Version{Era: 2, Revision: 12}) || v.Config.Version != 10 || v.Servers[0].Draining {
@@ -195,10 +195,15 @@
 	if !c.fetching {
 		t.Fatal("no copy is fetched")
 	}
-	older := &registry.Older{Config: eraConfig(1, 12).Config, Remaining: time.Minute}
 	update := eraConfig(15, 9)
-	update.Older = older
-	c.onFetchEnd(fetchEnd{from: hostOf(other).Addr, startedAt: c.host.now(), copy: &gossip.Copy{Loaded: true, Full: true, Era: 1, Revision: 20, Updates: []registry.Update{update}}})
+	copied := &gossip.Copy{Loaded: true, Full: true, Era: 1, Revision: 20, Updates: []registry.Update{update}}
+	c.onFetchEnd(fetchEnd{from: hostOf(other).Addr, startedAt: c.host.now(), copy: copied})
+	if !c.state.LacksOlder(c.host.now()) {
+		t.Fatal("the copy of a host that keeps nothing counts")
+	}
+	update.Older = &registry.Older{Config: eraConfig(1, 12).Config, Remaining: time.Minute}
+	copied.Holding, copied.Updates = true, []registry.Update{update}
+	c.onFetchEnd(fetchEnd{from: hostOf(other).Addr, startedAt: c.host.now(), copy: copied})
 	if c.state.ConfigVersion() != 12 || c.version != 12 {
 		t.Errorf("configuration %d, published %d, want 12", c.state.ConfigVersion(), c.version)
 	}
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -260,7 +260,7 @@
 		countReset(r)
 		t.logLimited(func() {
 			level.Info(t.logger).Log("msg", "flow reset", "caller", r.Key.Caller, "service_address", r.Key.Service,
-				"reason", r.Reason, "server", r.ServerID, "revision", t.view.Revision, "age_ms", t.host.ageMs(now))
+				"reason", r.Reason, "server", r.ServerID, "revision", t.view.Version(), "age_ms", t.host.ageMs(now))
 		})
 	}
 }
@@ -283,7 +283,7 @@
 	p := &t.packet
 	t.logLimited(func() {
 		fields := []any{"msg", actionText[v.Action], "caller", p.Caller, "service_address", p.Service, "seq", p.Seq,
-			"reason", v.Reason, "server", v.ServerID, "config_version", t.view.Config.Version, "revision", t.view.Revision,
+			"reason", v.Reason, "server", v.ServerID, "config_version", t.view.Config.Version, "revision", t.view.Version(),
 			"age_ms", t.host.ageMs(now)}
 		if p.Opening {
 			fields = append(fields, "copy", p.Copy)
--- a/internal/gossip/era_test.go
+++ b/internal/gossip/era_test.go
@@ -71,7 +71,7 @@
 		return &Copy{Loaded: true, Full: true, Revision: 9, Era: q.Era, Began: 5, Holding: true, Updates: []registry.Update{sent}}, nil
 	})
 	c, err := Fetch(t.Context(), addr, Query{Era: 3})
-	if err != nil || c.Era != 3 || c.Began != 5 || len(c.Updates) != 1 {
+	if err != nil || c.Era != 3 || c.Began != 5 || !c.Holding || len(c.Updates) != 1 {
 		t.Fatalf("%+v, %v", c, err)
 	}
 	if o := c.Updates[0].Older; o == nil || *o.Server != *sent.Older.Server || o.Remaining != time.Second || !o.Lapsed || o.ColdFor != time.Minute {
--- a/internal/gossip/transfer.go
+++ b/internal/gossip/transfer.go
@@ -46,13 +46,13 @@
 	After    uint64            `json:"after"`
 	Revision uint64            `json:"rev"`
 	Era      uint64            `json:"era,omitempty"`
-	Began    uint64            `json:"began,omitempty"` // see registry.State.Began
-	AgeMs    int64             `json:"age"`             // time since the sender's copy was confirmed; NeverConfirmed: never
-	Full     bool              `json:"full"`            // Updates are the full contents, not just the updates after a revision
-	Cached   bool              `json:"-"`               // Updates is empty; the cached packed copy of the query's Cached is sent
-	Updates  []registry.Update `json:"-"`               // sent in packed parts, see copyPart
-	Loaded   bool              `json:"loaded"`          // false: the sender has no complete contents yet
-	Holding  bool              `json:"-"`               // Updates contain knowledge of an older era, so the copy must not be cached
+	Began    uint64            `json:"began,omitempty"`   // see registry.State.Began
+	AgeMs    int64             `json:"age"`               // time since the sender's copy was confirmed; NeverConfirmed: never
+	Full     bool              `json:"full"`              // Updates are the full contents, not just the updates after a revision
+	Cached   bool              `json:"-"`                 // Updates is empty; the cached packed copy of the query's Cached is sent
+	Updates  []registry.Update `json:"-"`                 // sent in packed parts, see copyPart
+	Loaded   bool              `json:"loaded"`            // false: the sender has no complete contents yet
+	Holding  bool              `json:"holding,omitempty"` // Updates contain knowledge of an older era, so the copy must not be cached
 }
 
 // Version returns the version up to which the copy is complete.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -99,6 +99,9 @@
 	Unreadable bool
 }
 
+// Version returns the version up to which the view has all updates.
+func (v *View) Version() Version { return Version{v.Era, v.Revision} }
+
 // View is an immutable snapshot of the registry, or the changes since the previous one.
 type View struct {
 	Era      uint64
--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -28,6 +28,9 @@
 // Version returns the version up to which the registry has all updates.
 func (s *State) Version() Version { return Version{s.era, s.revision} }
 
+// VersionOf returns the version of an update of the present era.
+func (s *State) VersionOf(u *Update) Version { return Version{s.era, u.Revision} }
+
 // Began returns the revision after which items are known to have been written in the present era.
 func (s *State) Began() uint64 { return s.began }
 
--- a/internal/registry/version.go
+++ b/internal/registry/version.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"strconv"
 )
 
 // Version identifies contents of the store. The store counts its restores from older copies as eras. After one it gives
@@ -23,5 +24,10 @@
 // Before reports whether v is older than other.
 func (v Version) Before(other Version) bool { return v.Compare(other) < 0 }
 
-// String returns the version as in logs: the era and the revision.
-func (v Version) String() string { return fmt.Sprintf("%d/%d", v.Era, v.Revision) }
+// String returns the version as in logs: the era and the revision, or the revision alone in era 0.
+func (v Version) String() string {
+	if v.Era == 0 {
+		return strconv.FormatUint(v.Revision, 10)
+	}
+	return fmt.Sprintf("%d/%d", v.Era, v.Revision)
+}
