registry: restores over several hosts, entries after what a host knows, cold periods

An entry that the copy lacks was lost at the third of three hosts that took copies from each other, so that its flows would have been reset. A host that was behind withheld entries that were written after what it knew. A warm server counted as cold again for the time that an entry from its start told. Found by reading; each has a test that fails without the change.

--- a/internal/registry/bench_test.go
+++ b/internal/registry/bench_test.go
@@ -23,3 +23,19 @@
 		})
 	}
 }
+
+// BenchmarkRestore measures a restore of the store at the size of the largest deployment, with a tenth of the entries missing
+// from the copy.
+func BenchmarkRestore(b *testing.B) {
+	const servers = 40000
+	updates := []Update{configUpdate(1, 1)}
+	for i := range servers {
+		updates = append(updates, serverUpdate(fmt.Sprintf("s%d", i), uint64(i+2)))
+	}
+	s := NewState()
+	s.Replace(updates, servers+2, 0)
+	b.ReportAllocs()
+	for era := uint64(1); b.Loop(); era++ {
+		s.Restore(updates[:servers*9/10], Version{era, servers + 1}, servers+1, 0)
+	}
+}
--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -88,7 +88,7 @@
 			continue // a full read contains no deltas
 		}
 		it := s.written(u, now)
-		if u.Revision <= began {
+		if u.Revision <= began || u.Removed {
 			s.compare(it, u.Older, old, wasLoaded && u.Revision <= result.From.Revision, now)
 		}
 		s.put(u.Key, it, old.viewServer())
@@ -176,6 +176,9 @@
 	case u.Server != nil && left(old, u, wasComplete):
 		it.hold(nil, now+olderRetention)
 	case u.Server != nil:
+		if old != nil && old.update.Server != nil && old.update.Revision == u.Revision && *old.update.Server == *u.Server {
+			it.coldUntil = old.coldUntil // the same report
+		}
 		it.merge(old.viewServer(), old.readRevision() > u.Revision, now+olderRetention)
 	}
 	it.adopt(sender, now)
@@ -192,12 +195,12 @@
 	case old != nil && old.previous != nil && u.Server.StartedMs > old.previous.StartedMs:
 		return false
 	}
-	return old != nil || wasComplete
+	return wasComplete
 }
 
 // missing returns the item for a key that the copy lacks, or nil if nothing is to be kept of it.
 func (s *State) missing(key string, old *item, now time.Duration) *item {
-	it := &item{update: Update{Key: key, Revision: max(s.revision, 1), Removed: true}, receivedAt: now}
+	it := &item{update: Update{Key: key, Revision: max(s.began, 1), Removed: true}, receivedAt: now}
 	if server := old.viewServer(); server != nil {
 		lapsed := *server
 		lapsed.Lapsed, lapsed.Created = true, 0 // registered before all of this era
@@ -244,7 +247,7 @@
 }
 
 // merge completes an item of a newer era with what was known of its backend server before: the later start, the later
-// revision unless the copy is older, draining if either says so, and the longer cold period. It keeps nothing if the update
+// revision, draining if either says so, and the longer cold period unless the copy is older. It keeps nothing if the update
 // says the same.
 func (it *item) merge(known *Server, copyIsOlder bool, until time.Duration) {
 	if known == nil || it.update.Server == nil || it.withheld() {
@@ -259,7 +262,9 @@
 		merged.BackendServer, merged.ColdUntil = known.BackendServer, known.ColdUntil
 	}
 	if known.StartedMs == current.StartedMs {
-		merged.ColdUntil = max(known.ColdUntil, current.ColdUntil)
+		if !copyIsOlder {
+			merged.ColdUntil = max(known.ColdUntil, current.ColdUntil)
+		}
 		if known.Draining != current.Draining {
 			draining := *merged.BackendServer
 			draining.Draining = true
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -153,6 +153,47 @@
 	}
 }
 
+// Guards against servers that count as cold once more, for the time that an entry from before told.
+func TestColdPeriodIsNotRepeated(t *testing.T) {
+	cold := func(b *BackendServer) { b.ColdFor = time.Minute }
+	s := known(14, instance("a", 5, 100, cold), instance("b", 6, 100, cold))
+	s.Apply([]Update{instance("b", 15, 100, nil)}, 14, 15, time.Minute)
+	restore(t, s, 10, instance("a", 5, 100, cold), instance("b", 6, 100, cold))
+	for _, id := range []string{"a", "b"} {
+		if got := inView(s, id); got == nil || got.ColdUntil > time.Minute {
+			t.Errorf("%+v, want it cold no longer than before the restore", got)
+		}
+	}
+}
+
+// Guards against a host that is behind and does not use an entry that was written after what it knows.
+func TestEntryOfARevisionAfterTheHosts(t *testing.T) {
+	s := known(14, instance("a", 5, 100, nil))
+	s.Apply([]Update{removal("a", 15)}, 14, 15, time.Minute)
+	restore(t, s, 30, instance("a", 20, 100, nil), instance("b", 21, 100, nil))
+	if inView(s, "a") == nil || inView(s, "b") == nil {
+		t.Errorf("servers %+v, want both", s.View().Servers)
+	}
+}
+
+// Guards against an entry that the copy of the store lacks, and that is lost on the way over several hosts, some of which were
+// at a later revision.
+func TestMissingEntriesInCopiesOfCopies(t *testing.T) {
+	contents := []Update{instance("a", 15, 100, nil), {Key: "out/x", Revision: 16, OutDataCentre: "x"}}
+	first, second, third, started := known(20, contents...), known(20, contents...), known(20, contents...), NewState()
+	restore(t, first, 10)
+	first.Apply([]Update{instance("b", 12, 100, nil)}, 10, 12, restoredAt)
+	for n, pair := range [][2]*State{{first, second}, {second, third}, {third, started}} {
+		from, to := pair[0], pair[1]
+		from.Sweep(restoredAt + time.Duration(n)*time.Second)
+		copied, _ := from.Since(0)
+		to.Restore(copied, from.Version(), from.Began(), restoredAt+time.Duration(n)*time.Second)
+		if a := inView(to, "a"); a == nil || !a.Lapsed || inView(to, "b") == nil || !to.View().OutDataCentres["x"] {
+			t.Errorf("host %d: %+v, out %v", n+2, a, to.View().OutDataCentres)
+		}
+	}
+}
+
 // Guards against a data centre that gets flows although it is taken out, and against one that stays out for ever.
 func TestDataCentresAfterARestore(t *testing.T) {
 	mark := Update{Key: "out/x", Revision: 5, OutDataCentre: "x"}
