gossip: copies after a restore are packed once

After a restore each full copy was listed, sorted and packed again for every host that fetched it, since it contains times that are left. In a fleet of thousands the copies would have spread too late. They are packed once for a version, as before, and say how long ago: that time is taken off by the receiver.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -329,7 +329,7 @@
 	}
 	switch {
 	case !answer.Loaded:
-	case c.state.Compacted(q.After) && at == q.Cached && !answer.Holding:
+	case c.state.Compacted(q.After) && at == q.Cached && answer.Holding == q.CachedHolding:
 		answer.Full, answer.Cached = true, true
 	default:
 		answer.Updates, answer.Full = c.state.Since(q.After)
--- a/internal/gossip/pack.go
+++ b/internal/gossip/pack.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -67,32 +68,39 @@
 // packer keeps the parts of the last full copy, because many hosts request one at the same time after they have restarted
 // together.
 type packer struct {
-	mu      sync.Mutex
-	version registry.Version // of the cached copy; zero: none
-	cached  *parts
+	mu       sync.Mutex
+	version  registry.Version // of the cached copy; zero: none
+	holding  bool             // see Copy.Holding
+	packedAt time.Time
+	cached   *parts
 }
 
 // partsOf returns the parts of a copy.
 func (p *packer) partsOf(c *Copy) (*parts, error) {
-	if !c.Full || c.Holding {
+	if !c.Full {
 		return newParts(c.Updates), nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.Cached && p.version != c.Version() {
+	current := p.version == c.Version() && p.holding == c.Holding
+	if c.Cached && !current {
 		return nil, errors.Newf("the copy of version %v is no longer at hand", c.Version())
 	}
-	if !c.Cached && p.version != c.Version() {
-		p.cached, p.version = newParts(c.Updates), c.Version()
+	if !current {
+		p.cached, p.version, p.holding, p.packedAt = newParts(c.Updates), c.Version(), c.Holding, time.Now()
+	}
+	if c.Holding {
+		c.PackedMs = time.Since(p.packedAt).Milliseconds()
 	}
 	return p.cached, nil
 }
 
-// cachedVersion returns the version of the cached copy, or zero if there is none.
-func (p *packer) cachedVersion() registry.Version {
+// cachedVersion returns the version of the cached copy, or zero if there is none, and whether it contains knowledge of an older
+// era.
+func (p *packer) cachedVersion() (registry.Version, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.version
+	return p.version, p.holding
 }
 
 func pack(updates []registry.Update) ([]byte, error) {
--- a/internal/gossip/transfer.go
+++ b/internal/gossip/transfer.go
@@ -39,6 +39,8 @@
 	// Cached is the version of the full copy that the answering host has cached in packed form; zero: none. If it is
 	// current, the answer need not list the updates again.
 	Cached registry.Version `json:"-"`
+	// CachedHolding states whether that copy contains knowledge of an older era.
+	CachedHolding bool `json:"-"`
 }
 
 // Copy is the answer to a Query: the updates after a revision, or the full contents.
@@ -52,7 +54,8 @@
 	Cached   bool              `json:"-"`                 // Updates is empty; the cached packed copy of the query's Cached is sent
 	Updates  []registry.Update `json:"-"`                 // sent in packed parts, see copyPart
 	Loaded   bool              `json:"loaded"`            // false: the sender has no complete contents yet
-	Holding  bool              `json:"holding,omitempty"` // Updates contain knowledge of an older era, so the copy must not be cached
+	Holding  bool              `json:"holding,omitempty"` // Updates contain knowledge of an older era
+	PackedMs int64             `json:"packed,omitempty"`  // of a copy with such knowledge: time since it was packed
 }
 
 // Version returns the version up to which the copy is complete.
@@ -102,6 +105,11 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "unpack part %d", n)
 		}
+		for i := range updates {
+			if o := updates[i].Older; o != nil {
+				o.Remaining -= time.Duration(c.PackedMs) * time.Millisecond
+			}
+		}
 		c.Updates = append(c.Updates, updates...)
 	}
 	return &c, nil
@@ -118,7 +126,7 @@
 		if n == 0 && (part.NumParts < 1 || part.NumParts > maxParts) {
 			return nil, errors.Wrapf(ErrMalformed, "copy of %d parts", part.NumParts)
 		}
-		if !validAge(part.AgeMs, NeverConfirmed) {
+		if !validAge(part.AgeMs, NeverConfirmed) || !validAge(part.PackedMs, 0) {
 			return nil, errors.Wrapf(ErrMalformed, "copy of age %d ms", part.AgeMs)
 		}
 		parts = append(parts, &part)
@@ -218,7 +226,7 @@
 
 // begin takes the copy that answers a query, to be sent in parts.
 func (t *transfer) begin(ctx context.Context, q Query) error {
-	q.Cached = t.packer.cachedVersion()
+	q.Cached, q.CachedHolding = t.packer.cachedVersion()
 	c, err := t.answer(ctx, q)
 	if err != nil {
 		return err
