--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -155,7 +155,7 @@
 		return
 	}
 	c.members.Resumed(pause)
-	level.Info(c.logger).Log("msg", "host was paused", "for", pause, "revision", c.state.Revision())
+	level.Info(c.logger).Log("msg", "host was paused", "for", pause, "revision", c.state.Version())
 }
 
 // onReload applies the seeds and limits of e if they have changed.
@@ -201,7 +201,7 @@
 		level.Info(c.logger).Log("msg", "role as reader of the store for the other hosts changed", "reader", reader)
 	}
 	fleet := follower.Fleet{Reader: reader, PeerAlive: c.members.PeerAlive(now)}
-	call := c.follower.Next(c.state.Revision(), fleet, now)
+	call := c.follower.Next(c.state.Version(), fleet, now)
 	if call.Kind == follower.None {
 		return
 	}
@@ -223,6 +223,7 @@
 
 func (c *control) onCallEnd(e callEnd) {
 	now := c.host.now()
+	c.checkEra(&e)
 	stale := !c.follower.Fresh(now)
 	c.follower.CallEnded(e.outcome, e.result.Changed, now)
 	c.publishConfirmed()
@@ -232,6 +233,8 @@
 	countOutcome(e.outcome)
 	switch e.outcome {
 	case follower.Done:
+	case follower.EraChanged:
+		return
 	case follower.Incomplete:
 		level.Info(c.logger).Log("msg", "store has more than one page; read only the first, waiting for a copy from another host")
 		return
@@ -247,13 +250,17 @@
 	}
 	if c.storeDown {
 		c.storeDown = false
-		level.Info(c.logger).Log("msg", "store answers again", "revision", e.result.Revision)
+		level.Info(c.logger).Log("msg", "store answers again", "revision", e.result.Version())
 	}
 	before := c.state.Revision()
 	var changed []registry.Update
-	if e.call.Kind == follower.ReadAll {
+	switch {
+	case e.result.Era > c.state.Version().Era:
+		c.restore(e.result.Updates, e.result.Version(), e.result.Revision, netip.AddrPort{}, now)
+		return
+	case e.call.Kind == follower.ReadAll:
 		changed = c.state.Replace(e.result.Updates, e.result.Revision, now)
-	} else {
+	default:
 		changed, _ = c.state.Apply(e.result.Updates, e.call.After, e.result.Revision, now)
 	}
 	c.propagateChanges(changed, before, netip.AddrPort{})
@@ -266,7 +273,7 @@
 	if !c.storeDown || e.outcome == follower.HistoryLost {
 		c.storeDown = e.outcome != follower.HistoryLost
 		level.Warn(c.logger).Log("msg", "call to the store failed", "outcome", e.outcome, "err", e.err,
-			"revision", c.state.Revision())
+			"revision", c.state.Version())
 	}
 }
 
@@ -289,7 +296,7 @@
 		c.sendChanges(origin, before, c.state.EncodeDeltas(c.state.UpdatesAfter(before), version))
 	}
 	if c.state.Loaded() && !c.host.ready.Swap(true) {
-		level.Info(c.logger).Log("msg", "ready", "revision", c.state.Revision(), "from", source,
+		level.Info(c.logger).Log("msg", "ready", "revision", c.state.Version(), "from", source,
 			"ms_since_start", c.host.now().Milliseconds())
 		c.publish(pendingUpdate{admission: &c.limits.Admission})
 	}
@@ -305,7 +312,7 @@
 			}
 		}
 		level.Info(c.logger).Log("msg", "registry loaded", "items", len(changed), "unreadable", len(c.loggedUnreadable),
-			"config_version", c.version, "revision", c.state.Revision(), "from", from)
+			"config_version", c.version, "revision", c.state.Version(), "from", from)
 		return
 	}
 	for i := range changed {
@@ -326,18 +333,18 @@
 	case u.Unreadable && logged:
 	case u.Unreadable:
 		level.Warn(c.logger).Log("msg", "entry of a backend server can't be read, no new flows to it", "key", u.Key,
-			"read_revision", u.ReadRevision, "revision", u.Revision, "from", from)
+			"read_revision", u.ReadRevision, "revision", c.state.VersionOf(u), "from", from)
 	case u.Server != nil:
 		s := u.Server
 		level.Info(c.logger).Log("msg", "backend server", "server", s.ID, "service", s.Service, "addr", s.Addr,
-			"data_centre", s.DataCentre, "draining", s.Draining, "cold_for", s.ColdFor, "revision", u.Revision, "from", from)
+			"data_centre", s.DataCentre, "draining", s.Draining, "cold_for", s.ColdFor, "revision", c.state.VersionOf(u), "from", from)
 	case u.Config != nil:
 		level.Info(c.logger).Log("msg", "configuration", "version", u.Config.Version, "routes", len(u.Config.Routes),
-			"revision", u.Revision, "from", from)
+			"revision", c.state.VersionOf(u), "from", from)
 	case u.OutDataCentre != "":
-		level.Info(c.logger).Log("msg", "data centre taken out", "data_centre", u.OutDataCentre, "revision", u.Revision, "from", from)
+		level.Info(c.logger).Log("msg", "data centre taken out", "data_centre", u.OutDataCentre, "revision", c.state.VersionOf(u), "from", from)
 	default:
-		level.Info(c.logger).Log("msg", "item removed", "key", u.Key, "revision", u.Revision, "from", from,
+		level.Info(c.logger).Log("msg", "item removed", "key", u.Key, "revision", c.state.VersionOf(u), "from", from,
 			"store_disturbed", c.state.StoreFailedRecently(c.host.now()))
 	}
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -9,6 +9,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/nutmeglatch/nutmeglatch/internal/registry"
 )
 
 // Kind is the kind of a call to the store.
@@ -24,6 +26,7 @@
 // Call describes a call to the store.
 type Call struct {
 	Kind    Kind
+	Era     uint64        // newest era that this host knows
 	After   uint64        // revision after which a Watch reads changes
 	Wait    time.Duration // time for which the store may wait for a change
 	Timeout time.Duration // for the call, or for each page of a full read
@@ -42,9 +45,10 @@
 	Failed              // no answer or an invalid one
 	Incomplete          // FirstPageOnly was set and there are more pages
 	Truncated           // the answer to a watch broke off or is invalid
+	EraChanged          // the answer to a watch is of a newer era, in which its revision means other contents
 )
 
-var outcomeNames = [...]string{"done", "history_lost", "refused", "failed", "incomplete", "truncated"}
+var outcomeNames = [...]string{"done", "history_lost", "refused", "failed", "incomplete", "truncated", "era_changed"}
 
 // String returns the name of the outcome in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -86,17 +90,19 @@
 	config       Config
 	isSeed       bool // read all pages at once, without waiting for a copy
 	inFlight     Call
-	startedAt    time.Duration // start of the call in flight, or of the last one
-	confirmedAt  time.Duration // time at which the copy last matched the store; negative: never
-	notBefore    time.Duration // earliest time of the next call
-	failures     int           // consecutive failed or refused calls
-	outageAt     time.Duration // end of the last call that failed or was the first answered after a failure; negative: never
-	gapEndedAt   time.Duration // end of the last gap between confirmations, see Confirm; negative: never
-	needFullRead bool          // the next call is a full read
-	copyAwaited  bool          // a copy is or was awaited, so the next full read reads all pages
-	copyDeadline time.Duration // end of the wait for a copy while a peer is alive
-	truncations  int           // truncated watches since the last one that was answered in full
-	truncatedAt  uint64        // revision after which the last truncated watch read, if truncations > 0
+	startedAt    time.Duration    // start of the call in flight, or of the last one
+	confirmedAt  time.Duration    // time at which the copy last matched the store; negative: never
+	notBefore    time.Duration    // earliest time of the next call
+	failures     int              // consecutive failed or refused calls
+	outageAt     time.Duration    // end of the last call that failed or was the first answered after a failure; negative: never
+	gapEndedAt   time.Duration    // end of the last gap between confirmations, see Confirm; negative: never
+	needFullRead bool             // the next call is a full read
+	copyAwaited  bool             // a copy is or was awaited, so the next full read reads all pages
+	copyDeadline time.Duration    // end of the wait for a copy while a peer is alive
+	manyPages    bool             // the contents had more than one page when this host last read the first
+	eraChanged   bool             // the next full read is due because of a newer era
+	truncations  int              // truncated watches since the last one that was answered in full
+	truncatedAt  registry.Version // after which the last truncated watch read, if truncations > 0
 	random       *rand.Rand
 }
 
@@ -116,9 +122,9 @@
 }
 
 // Next returns the call that is due, if any, and records it as in flight.
-func (f *Follower) Next(revision uint64, fleet Fleet, now time.Duration) Call {
+func (f *Follower) Next(at registry.Version, fleet Fleet, now time.Duration) Call {
 	// A watch that was truncated is not repeated with the same revision. Until that rises, full reads take its place.
-	repeats := !f.needFullRead && f.truncations > 0 && revision <= f.truncatedAt
+	repeats := !f.needFullRead && f.truncations > 0 && !f.truncatedAt.Before(at)
 	switch {
 	case f.inFlight.Kind != None || now < f.notBefore:
 		return Call{}
@@ -130,8 +136,12 @@
 		return Call{}
 	}
 	f.needFullRead = f.needFullRead || repeats
+	if f.needFullRead && f.eraChanged && f.manyPages && !f.copyAwaited && !fleet.Reader && !f.isSeed && fleet.PeerAlive {
+		f.awaitCopy(now) // the first page would tell nothing new
+		return Call{}
+	}
 	f.startedAt = now
-	f.inFlight = f.nextCall(revision, fleet.Reader, now)
+	f.inFlight = f.nextCall(at, fleet.Reader, now)
 	return f.inFlight
 }
 
@@ -139,17 +149,17 @@
 // a slow store.
 const maxTimeoutDoublings = 2
 
-func (f *Follower) nextCall(revision uint64, reader bool, now time.Duration) Call {
+func (f *Follower) nextCall(at registry.Version, reader bool, now time.Duration) Call {
 	timeout := f.config.CallTimeout << min(f.failures, maxTimeoutDoublings)
 	if f.needFullRead {
 		all := f.isSeed || f.copyAwaited || reader && f.confirmedAt >= 0
-		return Call{Kind: ReadAll, Timeout: timeout, FirstPageOnly: !all}
+		return Call{Kind: ReadAll, Era: at.Era, Timeout: timeout, FirstPageOnly: !all}
 	}
 	wait := f.config.WatchWait
 	if !reader || !f.Fresh(now) {
 		wait = 0
 	}
-	return Call{Kind: Watch, After: revision, Wait: wait, Timeout: wait + timeout}
+	return Call{Kind: Watch, Era: at.Era, After: at.Revision, Wait: wait, Timeout: wait + timeout}
 }
 
 // CallEnded records the outcome of the call in flight. changed states that it read changes, see Result.
@@ -168,12 +178,16 @@
 			f.truncations = 0
 		}
 		if call.Kind == ReadAll {
-			f.needFullRead, f.copyAwaited = false, false
+			f.needFullRead, f.copyAwaited, f.eraChanged = false, false, false
 		}
 		return
 	case Incomplete:
-		f.failures, f.copyAwaited = 0, true
-		f.notBefore, f.copyDeadline = now+copyWaitAlone, now+f.copyWait()
+		f.failures, f.manyPages = 0, true
+		f.awaitCopy(now)
+		return
+	case EraChanged:
+		f.failures = 0
+		f.EraChanged()
 		return
 	case HistoryLost:
 		f.failures, f.needFullRead = 0, true
@@ -186,13 +200,22 @@
 	f.notBefore = now + f.backoff(f.failures)
 }
 
+// EraChanged records that the store has entered a newer era than that of the contents. The next call is a full read.
+func (f *Follower) EraChanged() { f.needFullRead, f.eraChanged, f.truncations = true, true, 0 }
+
+// awaitCopy makes the next full read wait for a copy of another host.
+func (f *Follower) awaitCopy(now time.Duration) {
+	f.copyAwaited = true
+	f.notBefore, f.copyDeadline = now+copyWaitAlone, now+f.copyWait()
+}
+
 // truncated schedules a full read after a truncated watch. The first one follows at once. Its pages get the longest timeout,
 // because what cannot be read in one answer is large or arrives slowly.
 func (f *Follower) truncated(call Call, now time.Duration) {
 	f.failures = max(f.failures+1, maxTimeoutDoublings)
 	f.needFullRead = true
 	f.truncations++
-	f.truncatedAt = call.After
+	f.truncatedAt = registry.Version{Era: call.Era, Revision: call.After}
 	f.notBefore = now
 	if f.truncations > 1 {
 		f.notBefore += f.backoff(f.truncations)
@@ -241,7 +264,7 @@
 	if f.copyAwaited {
 		f.notBefore = 0
 	}
-	f.needFullRead, f.copyAwaited = false, false
+	f.needFullRead, f.copyAwaited, f.eraChanged = false, false, false
 }
 
 // Confirmed returns the time at which the copy was last confirmed, and false if it never was.
--- a/internal/gossip/pack.go
+++ b/internal/gossip/pack.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -68,7 +69,9 @@
 // together.
 type packer struct {
 	mu       sync.Mutex
-	revision uint64 // of the cached copy; 0: none
+	version  registry.Version // of the cached copy; zero: none
+	holding  bool             // see Copy.Holding
+	packedAt time.Time
 	cached   *parts
 }
 
@@ -79,20 +82,25 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.Cached && p.revision != c.Revision {
-		return nil, errors.Newf("the copy of revision %d is no longer at hand", c.Revision)
+	current := p.version == c.Version() && p.holding == c.Holding
+	if c.Cached && !current {
+		return nil, errors.Newf("the copy of version %v is no longer at hand", c.Version())
 	}
-	if !c.Cached && p.revision != c.Revision {
-		p.cached, p.revision = newParts(c.Updates), c.Revision
+	if !current {
+		p.cached, p.version, p.holding, p.packedAt = newParts(c.Updates), c.Version(), c.Holding, time.Now()
+	}
+	if c.Holding {
+		c.PackedMs = time.Since(p.packedAt).Milliseconds()
 	}
 	return p.cached, nil
 }
 
-// cachedRevision returns the revision of the cached copy, or 0 if there is none.
-func (p *packer) cachedRevision() uint64 {
+// cachedVersion returns the version of the cached copy, or zero if there is none, and whether it contains knowledge of an older
+// era.
+func (p *packer) cachedVersion() (registry.Version, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.revision
+	return p.version, p.holding
 }
 
 func pack(updates []registry.Update) ([]byte, error) {
