--- a/internal/affinity/check.go
+++ b/internal/affinity/check.go
@@ -31,7 +31,7 @@
 	// either, or if it is not valid since no server has answered recently, a missing answer is attributed to this host's own
 	// link or processor.
 	Reference netip.AddrPort
-	StartedAt time.Duration
+	StartedAt time.Duration // identifies the check among those of the server
 }
 
 // CheckOutcome is the result of a check.
@@ -95,13 +95,12 @@
 	return s != nil && s.check.awaited(now)
 }
 
-// SinceAnswer returns the time since the last answer of an instance that this host has observed, or a negative value if there
-// is none.
-func (r *Router) SinceAnswer(i Instance, now time.Duration) time.Duration {
+// SinceAnswer returns the time since the last answer of an instance that this host has observed, if there is one.
+func (r *Router) SinceAnswer(i Instance, now time.Duration) (time.Duration, bool) {
 	if s := r.serverOf(i); s != nil && s.lastAnswerAt > 0 {
-		return now - s.lastAnswerAt
+		return now - s.lastAnswerAt, true
 	}
-	return -1
+	return 0, false
 }
 
 // ServerID returns the ID of a backend server for logs, or "" if it is unknown.
@@ -125,8 +124,8 @@
 // reference returns a server other than s that has answered recently, or nil. It prefers one of the same data centre: the way to
 // another one may be the fault.
 func (r *Router) reference(s *server, now time.Duration) *server {
-	near := r.silenceOf(s.DataCentre).answering
-	for _, other := range []*server{near[0], near[1], r.lastAnswering[0], r.lastAnswering[1]} {
+	sameDataCentre := r.silenceOf(s.DataCentre).answerers
+	for _, other := range []*server{sameDataCentre[0], sameDataCentre[1], r.recentAnswerers[0], r.recentAnswerers[1]} {
 		if other != nil && other != s && other.present && now-other.lastAnswerAt <= maxReferenceAge {
 			return other
 		}
@@ -141,14 +140,14 @@
 		return
 	}
 	s.answered(now)
-	r.lastAnswering.add(s)
-	r.silenceOf(s.DataCentre).answering.add(s)
+	r.recentAnswerers.add(s)
+	r.silenceOf(s.DataCentre).answerers.add(s)
 }
 
-// lastAnswering holds the two servers that answered most recently, the latest first.
-type lastAnswering [2]*server
+// recentAnswerers holds the two servers that answered most recently, the latest first.
+type recentAnswerers [2]*server
 
-func (l *lastAnswering) add(s *server) {
+func (l *recentAnswerers) add(s *server) {
 	if l[0] != s {
 		l[0], l[1] = s, l[0]
 	}
--- a/internal/affinity/gone.go
+++ b/internal/affinity/gone.go
@@ -26,7 +26,7 @@
 		return s, Verdict{}
 	}
 	first, seen := r.unknownTokens[p.Token]
-	confirmed := r.confirmedUnknown(p.Key(), now)
+	confirmed := r.recordUnknownFlow(p.Key(), now)
 	switch {
 	case r.view.UnreadableTokens[p.Token]:
 	case !seen && len(r.unknownTokens) < maxUnknownTokens:
@@ -41,10 +41,10 @@
 // unknownFlow is a flow whose token is in no view.
 type unknownFlow struct{ firstAt, lastAt time.Duration } // its packets
 
-// confirmedUnknown reports whether the store has confirmed the registry since the first packet of a flow whose token is unknown.
-// Before that, another host may have opened the flow at a backend server that this one has not heard of, however long the token
-// has been unknown.
-func (r *Router) confirmedUnknown(key FlowKey, now time.Duration) bool {
+// recordUnknownFlow records a packet of a flow whose token is unknown. It reports whether the store has confirmed the registry
+// since the first one. Before that, another host may have opened the flow at a backend server that this one has not heard of,
+// however long the token has been unknown.
+func (r *Router) recordUnknownFlow(key FlowKey, now time.Duration) bool {
 	f, seen := r.unknownFlows[key]
 	if !seen {
 		f.firstAt = now
@@ -56,18 +56,19 @@
 	return seen && f.firstAt < r.fleet.ConfirmedAt
 }
 
-// rejectGone returns the verdict for a packet of a flow whose backend server has gone: a reset, unless the server may be back.
-func (r *Router) rejectGone(key FlowKey, f *flow, s *server, p *Packet, now time.Duration) Verdict {
+// verdictOfGone returns the verdict for a packet of a flow whose backend server has gone: a reset, unless the server may be back.
+func (r *Router) verdictOfGone(key FlowKey, f *flow, s *server, p *Packet, now time.Duration) Verdict {
 	f = r.trackFlow(key, f, s, p, now)
-	if r.mayBeBack(f) {
+	if r.openedSinceConfirmation(f) {
 		return Verdict{Action: Drop, Reason: UnknownToken, ServerID: s.ID}
 	}
 	return r.rejectLost(key, f, s, BackendServerGone, now)
 }
 
-// mayBeBack reports whether another host may have opened the flow after the return of its backend server, which this host has not
-// heard of: the flow came here after the server had left, and the store has not confirmed since that the server is missing.
-func (r *Router) mayBeBack(f *flow) bool {
+// openedSinceConfirmation reports whether another host may have opened the flow after the return of its backend server, which
+// this host has not heard of: the flow came here after the server had left, and the store has not confirmed since that the server
+// is missing.
+func (r *Router) openedSinceConfirmation(f *flow) bool {
 	return f.openedAt > f.server.removedAt && f.openedAt >= r.fleet.ConfirmedAt
 }
 
--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -34,34 +34,34 @@
 
 // Router decides what to do with callers' packets. It does no I/O and must be used by one goroutine only.
 type Router struct {
-	config        Config
-	fleet         Fleet
-	view          *registry.View
-	routes        map[netip.AddrPort]*route
-	services      map[string]*service
-	servers       map[string]*server
-	removed       map[string]*server // the subset of servers that has left the view
-	byToken       map[uint32]*server
-	tokenUsers    map[uint32]int           // number of servers with a token, including removed ones
-	unknownTokens map[uint32]time.Duration // tokens that are in no view, and when they were first seen
-	unknownFlows  map[FlowKey]unknownFlow  // flows with such tokens
-	table         flowTable
-	admission     *overload.State
-	work          work.Tracker
-	openings      openings
-	healthChanges healthChanges
-	checks        []Instance // backend servers that are to be checked
-	lastAnswering lastAnswering
-	seed          maphash.Seed
-	silences      map[string]*dataCentreSilence // by data centre
-	reachableAt   map[string]time.Duration      // when a data centre was last known to be unreachable
-	turns         uint64                        // number of choices so far, above all initial turns of servers
-	advancedAt    time.Duration                 // last call of advance
-	evidenceSince time.Duration                 // packets that were handled earlier are no evidence, because this host was paused
-	lostServers   []*server                     // servers whose flows are to be reset
-	resets        []FlowReset
-	loads         []Load
-	loadsLimiter  scanLimiter
+	config          Config
+	fleet           Fleet
+	view            *registry.View
+	routes          map[netip.AddrPort]*route
+	services        map[string]*service
+	servers         map[string]*server
+	removed         map[string]*server // the subset of servers that has left the view
+	byToken         map[uint32]*server
+	tokenUsers      map[uint32]int           // number of servers with a token, including removed ones
+	unknownTokens   map[uint32]time.Duration // tokens that are in no view, and when they were first seen
+	unknownFlows    map[FlowKey]unknownFlow  // flows with such tokens
+	table           flowTable
+	admission       *overload.State
+	work            work.Tracker
+	openings        openings
+	healthChanges   healthChanges
+	checks          []Instance // backend servers that are to be checked
+	recentAnswerers recentAnswerers
+	seed            maphash.Seed
+	silences        map[string]*dataCentreSilence // by data centre
+	reachableAt     map[string]time.Duration      // when a data centre was last known to be unreachable
+	turns           uint64                        // number of choices so far, above all initial turns of servers
+	advancedAt      time.Duration                 // last call of advance
+	evidenceSince   time.Duration                 // packets that were handled earlier are no evidence, because this host was paused
+	lostServers     []*server                     // servers whose flows are to be reset
+	resets          []FlowReset
+	loads           []Load
+	loadsLimiter    scanLimiter
 	// availability is the last result of Availability, which scanned availabilityScan entries.
 	availability        []withdrawal.Place
 	availabilityScan    int
@@ -223,7 +223,7 @@
 		return verdict
 	}
 	if r.canResetFlows(s) {
-		return r.rejectGone(key, f, s, p, now)
+		return r.verdictOfGone(key, f, s, p, now)
 	}
 	f = r.trackFlow(key, f, s, p, now)
 	latency := f.openingLatency(now)
@@ -332,7 +332,7 @@
 	for key, f := range r.table.flows {
 		s := f.server
 		if !s.resetsDue || f.closed || !f.open || s.resetReason == BackendServerSilent && r.mayBeRunning(key, f) ||
-			s.resetReason == BackendServerGone && r.mayBeBack(f) {
+			s.resetReason == BackendServerGone && r.openedSinceConfirmation(f) {
 			continue
 		}
 		r.resets = append(r.resets, FlowReset{Key: key, Seq: f.ack, Reason: s.resetReason, ServerID: s.ID})
--- a/internal/affinity/server.go
+++ b/internal/affinity/server.go
@@ -94,10 +94,11 @@
 	}
 }
 
-// markRemoved records that the server's entry has left the view.
-func (s *server) markRemoved(now time.Duration) {
+// markRemoved records that the server's entry has left the view, or that another server has taken over its address. drained states
+// that its flows can be reset at once.
+func (s *server) markRemoved(drained bool, now time.Duration) {
 	s.markChanged()
-	s.present, s.removedAt, s.drained, s.resetAsOf = false, now, s.Draining, neverReset
+	s.present, s.removedAt, s.drained, s.resetAsOf = false, now, drained, neverReset
 }
 
 // answered records an observed answer, which clears all evidence against the server.
--- a/internal/affinity/unreachable.go
+++ b/internal/affinity/unreachable.go
@@ -14,7 +14,7 @@
 // dataCentreSilence is the evidence of callers' packets that the backend servers of a data centre are out of reach.
 type dataCentreSilence struct {
 	lastAnswerAt time.Duration
-	answering    lastAnswering
+	answerers    recentAnswerers         // of the data centre
 	repeating    [minSilentFlows]FlowKey // flows that have repeated data since then
 	numRepeating int
 	awaitedSince time.Duration // when this host had forwarded the data of all of them
--- a/internal/affinity/view.go
+++ b/internal/affinity/view.go
@@ -134,7 +134,7 @@
 	if !s.present {
 		return
 	}
-	s.markRemoved(now)
+	s.markRemoved(s.Draining, now)
 	if s.pool != nil {
 		s.pool.remove(s)
 	}
@@ -158,7 +158,7 @@
 func (r *Router) setServers(v *registry.View, now time.Duration) {
 	for _, s := range r.servers {
 		if s.present {
-			s.markRemoved(now)
+			s.markRemoved(s.Draining, now)
 		}
 	}
 	byAddr := make(map[netip.AddrPort]*server, len(v.Servers))
@@ -240,8 +240,7 @@
 	if a.StartedMs > b.StartedMs || a.StartedMs == b.StartedMs && a.Created > b.Created {
 		loser, winner = b, a
 	}
-	loser.markChanged()
-	loser.present, loser.removedAt, loser.drained, loser.resetAsOf = false, now, true, neverReset
+	loser.markRemoved(true, now)
 	return winner
 }
 
--- a/internal/entry/checker.go
+++ b/internal/entry/checker.go
@@ -16,10 +16,10 @@
 const (
 	// checkTimeout is how long a check waits for the backend server.
 	checkTimeout = 250 * time.Millisecond
-	// closingConnections is the number of connections to the reference server, one after the other, that must be accepted after
+	// finalReferenceChecks is the number of connections to the reference server, one after the other, that must be accepted after
 	// checkTimeout. A process that has handled them has also handled what arrived before, even if it gets the processor late:
 	// the first one may be handled together with the server's answer, the second one only after it.
-	closingConnections = 2
+	finalReferenceChecks = 2
 	// referenceTimeout limits the time to connect to the reference server. If it takes longer, this host's own link or
 	// processor may cause the delay, and a server that does not answer is reported as Unchecked.
 	referenceTimeout = 100 * time.Millisecond
@@ -87,7 +87,7 @@
 }
 
 // check checks a backend server. The outcome NoAnswer requires that a reference server accepts a connection within
-// referenceTimeout at the beginning of the check and closingConnections after its time limit. Otherwise the fault may be this
+// referenceTimeout at the beginning of the check and finalReferenceChecks after its time limit. Otherwise the fault may be this
 // host's, and the outcome is Unchecked. An answer of the server that is only handled then is Accepts; that it came late is this
 // host's fault, too.
 func (connect connectFunc) check(request affinity.CheckRequest) affinity.CheckOutcome {
@@ -110,7 +110,7 @@
 	if !request.Reference.IsValid() || <-reference != affinity.Accepts {
 		return affinity.Unchecked
 	}
-	for range closingConnections {
+	for range finalReferenceChecks {
 		if connect.connectPromptly(request.Reference) != affinity.Accepts {
 			return affinity.Unchecked
 		}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"reflect"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log"
@@ -296,15 +297,21 @@
 	c.logChanges(changed, before == 0, source)
 }
 
+// maxLoggedKeys is the maximum number of keys in a log line.
+const maxLoggedKeys = 16
+
 // logChanges logs each change, or a single line when the registry is loaded for the first time.
 func (c *control) logChanges(changed []registry.Update, first bool, from string) {
 	if first {
+		var unreadable []string
 		for i := range changed {
-			if changed[i].Unreadable {
-				c.loggedUnreadable[changed[i].Key] = true
+			if key := changed[i].Key; changed[i].Unreadable {
+				c.loggedUnreadable[key] = true
+				unreadable = append(unreadable, key)
 			}
 		}
-		level.Info(c.logger).Log("msg", "registry loaded", "items", len(changed), "unreadable", len(c.loggedUnreadable),
+		level.Info(c.logger).Log("msg", "registry loaded", "items", len(changed), "unreadable", len(unreadable),
+			"unreadable_keys", strings.Join(unreadable[:min(len(unreadable), maxLoggedKeys)], " "),
 			"config_version", c.version, "revision", c.state.Revision(), "from", from)
 		return
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,7 +74,7 @@
 	pendingUpdate atomic.Bool        // an update has been sent since the traffic goroutine last took one
 	control       *control
 	checkInbox    checkInbox
-	gaps          gapRecorder                         // of the control goroutine, for log lines about checks
+	gaps          gapRecorder                         // of the control goroutine; decide whether findings that arrive can be dated
 	loads         atomic.Pointer[[]affinity.Load]     // open flows of this host, reported to other hosts
 	served        atomic.Pointer[withdrawal.Snapshot] // demand of this host's callers, and what of it can be served
 	demand        atomic.Pointer[demand]              // requests of this host's callers, reported to other hosts
--- a/internal/entry/healthchecks.go
+++ b/internal/entry/healthchecks.go
@@ -68,7 +68,7 @@
 	checker  *checker
 	start    func(affinity.CheckRequest)        // starts a check, whose result the checker returns
 	transmit func([]byte, netip.AddrPort) error // sends a datagram to a host
-	clock    func() time.Duration               // reads the time
+	clock    func() time.Duration               // reads the present time; it is later than the time of an event that has waited
 	pending  []healthcheck.Finding              // to be passed on
 	sentAt   time.Duration                      // when findings were last passed on
 	// news are the findings that show an end or a start which this host did not know, to be passed on to all data centres
@@ -162,7 +162,8 @@
 	outcome = h.traffic.router.HandleCheckResult(result.request, result.outcome)
 	switch {
 	case outcome == affinity.Accepts && result.outcome == affinity.NoAnswer: // by an answer to a caller
-		return outcome, now - h.traffic.router.SinceAnswer(i, now)
+		since, _ := h.traffic.router.SinceAnswer(i, now)
+		return outcome, now - since
 	case outcome != affinity.Refuses && outcome != affinity.NoAnswer:
 		return outcome, now
 	case healthcheck.Expired(startedAt, now):
@@ -180,8 +181,7 @@
 	probe := h.probes[i]
 	delete(h.probes, i)
 	if outcome == affinity.Refuses || outcome == affinity.NoAnswer {
-		fields = append(fields, "process_gap", h.traffic.host.gaps.recent(now), "clock_read_ago", h.clock()-now)
-		h.log("check of a backend server failed", &finding, now, fields...)
+		h.log("check of a backend server failed", &finding, now, append(fields, "process_gap", h.traffic.host.gaps.recent(now))...)
 		if !probe { // the others know already that it has ended
 			h.enqueue(finding)
 		}
@@ -250,7 +250,7 @@
 	h.pending = append(h.pending[:0], h.pending[n:]...)
 }
 
-// send sends a message. It reads the clock, because on a host that gets the processor late much time may have passed since the
+// send sends a message, without outdated findings. It reads the clock, because on a host that gets the processor late much time may have passed since the
 // event was taken up, and receivers compare the age of findings with their own observations.
 func (h *healthChecks) send(receivers []netip.AddrPort, m *healthcheck.Message) {
 	if len(receivers) == 0 {
@@ -279,11 +279,14 @@
 	if f.Outcome != affinity.Refuses && f.Outcome != affinity.NoAnswer {
 		return
 	}
-	since := h.traffic.router.SinceAnswer(f.Instance, now)
-	if since >= 0 && since < now-f.At {
-		findingsContradicted.Inc()
+	var fields []any
+	if since, ok := h.traffic.router.SinceAnswer(f.Instance, now); ok {
+		fields = append(fields, "since_answer", since)
+		if since < now-f.At {
+			findingsContradicted.Inc()
+		}
 	}
-	h.log("another host's check of a backend server failed", &f, now, "since_answer", since)
+	h.log("another host's check of a backend server failed", &f, now, fields...)
 }
 
 // log logs a finding together with further fields.
--- a/internal/entry/pause.go
+++ b/internal/entry/pause.go
@@ -56,8 +56,8 @@
 	return max(now-time.Duration(g.ranAt.Load()), g.remembered(now))
 }
 
-// mayHaveWaited returns how long a message that is handled now may have waited for this process.
-func (g *gapRecorder) mayHaveWaited(now time.Duration) time.Duration {
+// maxDelay returns how long a message that is handled now may have waited for this process.
+func (g *gapRecorder) maxDelay(now time.Duration) time.Duration {
 	return max(g.recent(now)-tickInterval, 0)
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -105,7 +105,7 @@
 		level.Debug(c.logger).Log("msg", "malformed message about checks dropped", "from", from, "err", err)
 		return
 	}
-	findingsOutdated.Add(m.HandledAfter(c.host.gaps.mayHaveWaited(now)))
+	findingsOutdated.Add(m.AdjustForDelay(c.host.gaps.maxDelay(now)))
 	if !c.host.checkInbox.put(checkMessage{from: from, message: m}) {
 		eventsDropped.Inc()
 	}
@@ -203,18 +203,18 @@
 	now := c.host.now()
 	_, reader, readerAge := c.members.Reader(now)
 	return &gossip.Message{
-		From:        gossip.Host{Addr: c.host.config.Peer, DataCentre: c.host.config.DataCentre},
-		Revision:    c.state.Revision(),
-		AgeMs:       c.host.ageMs(now),
-		OutageAgeMs: c.outageAgeMs(now),
-		Leaving:     c.host.leaving.Load(),
-		Reader:      reader,
-		ReaderAgeMs: readerAge.Milliseconds(),
-		NumKnown:    c.members.NumKnown(),
-		After:       after,
-		Changes:     changes,
-		Withdraw:    c.withdrawal.last.Vote,
-		ReaderSign:  c.members.ReaderSign(now),
+		From:            gossip.Host{Addr: c.host.config.Peer, DataCentre: c.host.config.DataCentre},
+		Revision:        c.state.Revision(),
+		AgeMs:           c.host.ageMs(now),
+		OutageAgeMs:     c.outageAgeMs(now),
+		Leaving:         c.host.leaving.Load(),
+		Reader:          reader,
+		ReaderAgeMs:     readerAge.Milliseconds(),
+		NumKnown:        c.members.NumKnown(),
+		After:           after,
+		Changes:         changes,
+		Withdraw:        c.withdrawal.last.Vote,
+		ReaderHeartbeat: c.members.ReaderHeartbeat(now),
 	}
 }
 
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -52,8 +52,8 @@
 	askedAt           time.Duration            // last time at which AskForContacts returned true
 	reader            netip.AddrPort           // host that currently reads the store, as far as this host knows
 	readerSeenAt      time.Duration            // time of the reader's last message to this host or to one that reported it
-	readerSigns       readerSigns
-	signBase          uint16        // added to the signs of this host, see ownSign
+	readerHeartbeats  readerHeartbeats
+	heartbeatOffset   uint16        // added to the numbers of this host, see ownHeartbeat
 	known             [2]int        // largest NumKnown of received messages in the current and the previous window
 	knownSince        time.Duration // start of the current window
 	random            *rand.Rand
@@ -82,7 +82,7 @@
 	return &Members{
 		self: self, seeds: seeds, members: map[netip.AddrPort]*member{},
 		lastContact: map[string]time.Duration{}, firstHandContact: map[uint32]time.Duration{},
-		secondHandContact: map[uint32]time.Duration{}, readerSigns: readerSigns{},
+		secondHandContact: map[uint32]time.Duration{}, readerHeartbeats: readerHeartbeats{},
 		random: random, readerSeenAt: -readerTimeout, lastPeerMessageAt: -aliveTimeout,
 	}
 }
@@ -140,7 +140,7 @@
 	}
 	m.sweptAt = now
 	retention := max(memberRetention, time.Duration(len(m.members))*memberRetentionPerHost)
-	maps.DeleteFunc(m.readerSigns, func(_ netip.AddrPort, s readerSign) bool { return now-s.heardAt > memberRetention })
+	maps.DeleteFunc(m.readerHeartbeats, func(_ netip.AddrPort, s readerHeartbeat) bool { return now-s.heardAt > memberRetention })
 	for addr, h := range m.members {
 		if now-max(h.lastMessageAt, h.addedAt) > retention {
 			delete(m.members, addr)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -90,27 +90,27 @@
 
 // Message is the content of a datagram. It is encoded as an array, so the order of its fields is part of the format.
 type Message struct {
-	_           struct{} `cbor:",toarray"`
-	From        Host
-	Revision    uint64
-	AgeMs       int64 // time since the sender's copy was confirmed to be current; NeverConfirmed: never
-	OutageAgeMs int64 // time since the store was last unavailable to the sender; NoRecentOutage: not recently
-	Leaving     bool
-	Reader      netip.AddrPort // address of the host that reads the store for the sender
-	ReaderAgeMs int64          // time since the reader's last message to the sender or to a host that reported it
-	NumKnown    int            // number of hosts known to the sender, including itself
-	LastContact []LastContact  // only in messages to hosts of the own data centre of a large fleet
-	Hosts       []Host
-	Loads       []Load
-	After       uint64 // revision to which the changes apply
-	Changes     []registry.Update
-	Withdraw    bool            // vote: the hosts of the sender's data centre should withdraw from the routers
-	SecondHand  []LastContact   // contact ages that other hosts of the sender's data centre reported to it
-	Demand      []ServiceDemand // by service, the largest first; without Hosts only of full services
-	Servers     []ServerLoad    // backend servers that differ most from the rest
-	Ask         bool            // the receiver should answer if it has news, see Members.ShouldAnswer
-	Votes       []HostVote      // only while a host of the sender's data centre votes to withdraw
-	ReaderSign  uint16          // of life of the reader, by its own clock, modulo 2^16; see readerSigns
+	_               struct{} `cbor:",toarray"`
+	From            Host
+	Revision        uint64
+	AgeMs           int64 // time since the sender's copy was confirmed to be current; NeverConfirmed: never
+	OutageAgeMs     int64 // time since the store was last unavailable to the sender; NoRecentOutage: not recently
+	Leaving         bool
+	Reader          netip.AddrPort // address of the host that reads the store for the sender
+	ReaderAgeMs     int64          // time since the reader's last message to the sender or to a host that reported it
+	NumKnown        int            // number of hosts known to the sender, including itself
+	LastContact     []LastContact  // only in messages to hosts of the own data centre of a large fleet
+	Hosts           []Host
+	Loads           []Load
+	After           uint64 // revision to which the changes apply
+	Changes         []registry.Update
+	Withdraw        bool            // vote: the hosts of the sender's data centre should withdraw from the routers
+	SecondHand      []LastContact   // contact ages that other hosts of the sender's data centre reported to it
+	Demand          []ServiceDemand // by service, the largest first; without Hosts only of full services
+	Servers         []ServerLoad    // backend servers that differ most from the rest
+	Ask             bool            // the receiver should answer if it has news, see Members.ShouldAnswer
+	Votes           []HostVote      // only while a host of the sender's data centre votes to withdraw
+	ReaderHeartbeat uint16          // of life of the reader, by its own clock, modulo 2^16; see readerHeartbeats
 }
 
 // Confirmed reports whether the sender's copy has ever been confirmed.
--- a/internal/gossip/reader.go
+++ b/internal/gossip/reader.go
@@ -11,43 +11,46 @@
 const readerTimeout = 2 * time.Second
 
 const (
-	// signInterval is the time from one sign of life of the reader to the next.
-	signInterval = 250 * time.Millisecond
-	// signRetention is how long after it was first heard a sign is not counted again. Later, its age exceeds readerTimeout. A
-	// reader that has started again, whose signs are lower, is believed then also if only others tell of it.
-	signRetention = 2 * readerTimeout
+	// heartbeatInterval is the time from one heartbeat of the reader to the next.
+	heartbeatInterval = 250 * time.Millisecond
+	// heartbeatRetention is how long after it was first heard a heartbeat is not counted again. Later, its age exceeds
+	// readerTimeout. A reader that has started again, whose numbers are lower, is believed then also if only others tell of it.
+	heartbeatRetention = 2 * readerTimeout
 )
 
-// readerSigns holds the latest sign of life of each host that was named as the reader. The age of a sign gets too low by the time
-// that each message takes, which no host knows. So each counts once, by the first message that tells of it: it would get ever
-// younger on its way round the hosts, and a reader that has failed would not be replaced.
-type readerSigns map[netip.AddrPort]readerSign
+// readerHeartbeats holds the latest heartbeat of each host that was named as the reader. The age of a heartbeat gets too low by the
+// time that each message takes, which no host knows. So each counts once, by the first message that tells of it: it would get
+// ever younger on its way round the hosts, and a reader that has failed would not be replaced.
+type readerHeartbeats map[netip.AddrPort]readerHeartbeat
 
-type readerSign struct {
-	sign    uint16
+type readerHeartbeat struct {
+	number  uint16        // by the reader's clock, modulo 2^16
 	heardAt time.Duration // when it was first heard
 }
 
-// isNew records the sign that a message tells of, and reports whether it is new. What the reader itself sends is always new.
-func (s readerSigns) isNew(msg *Message, now time.Duration) bool {
+// isNew records the heartbeat that a message tells of, and reports whether it is new. What the reader itself sends is always new.
+func (s readerHeartbeats) isNew(msg *Message, now time.Duration) bool {
 	known, ok := s[msg.Reader]
-	if ok && msg.Reader != msg.From.Addr && int16(msg.ReaderSign-known.sign) <= 0 && now-known.heardAt < signRetention {
+	if ok && msg.Reader != msg.From.Addr && int16(msg.ReaderHeartbeat-known.number) <= 0 && now-known.heardAt < heartbeatRetention {
 		return false
 	}
-	s[msg.Reader] = readerSign{msg.ReaderSign, now}
+	s[msg.Reader] = readerHeartbeat{msg.ReaderHeartbeat, now}
 	return true
 }
 
-// ReaderSign returns the latest sign of life of the reader that Reader returns.
-func (m *Members) ReaderSign(now time.Duration) uint16 {
+// ReaderHeartbeat returns the number of the latest heartbeat of the reader that Reader returns.
+func (m *Members) ReaderHeartbeat(now time.Duration) uint16 {
 	if m.reader == m.self.Addr {
-		return m.ownSign(now)
+		return m.ownHeartbeat(now)
 	}
-	return m.readerSigns[m.reader].sign
+	return m.readerHeartbeats[m.reader].number
 }
 
-// ownSign returns the sign of life of this host. It follows those of an earlier process of this host that others still tell of.
-func (m *Members) ownSign(now time.Duration) uint16 { return m.signBase + uint16(now/signInterval) }
+// ownHeartbeat returns the number of this host's present heartbeat. It follows those of an earlier process of this host that others
+// still tell of.
+func (m *Members) ownHeartbeat(now time.Duration) uint16 {
+	return m.heartbeatOffset + uint16(now/heartbeatInterval)
+}
 
 // Reader returns the host that reads the store for the others, whether it is this host, and the time since its last
 // message. The live host with the lowest rank is the reader. Messages carry its address, so that there is a single reader
@@ -70,10 +73,10 @@
 	if named := m.members[msg.Reader]; !msg.Reader.IsValid() || named != nil && named.leaving {
 		return
 	}
-	if ahead := int16(msg.ReaderSign - m.ownSign(now)); msg.Reader == m.self.Addr && ahead > 0 {
-		m.signBase += uint16(ahead) + 1
+	if ahead := int16(msg.ReaderHeartbeat - m.ownHeartbeat(now)); msg.Reader == m.self.Addr && ahead > 0 {
+		m.heartbeatOffset += uint16(ahead) + 1
 	}
-	if !m.readerSigns.isNew(msg, now) {
+	if !m.readerHeartbeats.isNew(msg, now) {
 		return
 	}
 	at := now - time.Duration(msg.ReaderAgeMs)*time.Millisecond
--- a/internal/healthcheck/message.go
+++ b/internal/healthcheck/message.go
@@ -31,15 +31,15 @@
 	Findings []Finding
 }
 
-// maxWait is the longest time that a message may have waited at its receiver for its findings to be dated: it is shorter than the
-// time after which a check without an answer ends.
-const maxWait = 100 * time.Millisecond
+// maxDatableDelay is the longest time that a message may have waited at its receiver for its findings to be dated: it is shorter
+// than the time after which a check without an answer ends.
+const maxDatableDelay = 100 * time.Millisecond
 
-// HandledAfter adjusts the findings of a message that may have waited for a time before it was decoded, because of which they seem
-// younger than they are. It removes checks without an answer if they can't be dated any more, and returns their number.
-func (m *Message) HandledAfter(waited time.Duration) (removed int) {
+// AdjustForDelay adjusts the findings of a message that may have waited for a time before it was decoded, because of which they
+// seem younger than they are. It removes checks without an answer if they can't be dated any more, and returns their number.
+func (m *Message) AdjustForDelay(waited time.Duration) (removed int) {
 	found := len(m.Findings)
-	late := waited > maxWait
+	late := waited > maxDatableDelay
 	m.Findings = slices.DeleteFunc(m.Findings, func(f Finding) bool { return late && f.Outcome == affinity.NoAnswer })
 	for i := range m.Findings {
 		f := &m.Findings[i]
@@ -51,7 +51,8 @@
 	return found - len(m.Findings)
 }
 
-// DropExpired removes outdated findings, because of which receivers would refuse the whole message.
+// DropExpired removes outdated findings, because of which receivers would refuse the whole message. It leaves the slice that the
+// message was made from as it is.
 func (m *Message) DropExpired(now time.Duration) {
 	m.Findings = slices.DeleteFunc(slices.Clone(m.Findings), func(f Finding) bool { return f.Expired(now) })
 }
