registry: order of registration of entries that are kept after a restore

They keep their order now: after the copy, before what is written since. An entry that had lapsed before the restore lapses no longer than before.

--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -11,6 +11,7 @@
 type Older struct {
 	// Server is the backend server as it was known before; nil: it had left, and its entry is not used.
 	Server        *BackendServer `json:"server,omitempty"`
+	Created       uint64         `json:"created,omitempty"`         // of Server
 	Lapsed        bool           `json:"lapsed,omitempty"`          // the store has no such entry
 	Config        *Config        `json:"config,omitempty"`          // newer than that of the store
 	OutDataCentre string         `json:"out_data_centre,omitempty"` // taken out before; the store has no such mark
@@ -203,8 +204,13 @@
 	it := &item{update: Update{Key: key, Revision: max(s.began, 1), Removed: true}, receivedAt: now}
 	if server := old.viewServer(); server != nil {
 		lapsed := *server
-		lapsed.Lapsed, lapsed.Created = true, 0 // registered before all of this era
-		it.hold(&lapsed, now+olderRetention)
+		lapsed.Lapsed = true
+		lapsed.Created = min(lapsed.Created, s.began) // registered after the copy, and before all that is written since
+		until := now + olderRetention
+		if old.lapsedUntil != 0 {
+			until = old.lapsedUntil // it was missing before the restore as well
+		}
+		it.hold(&lapsed, until)
 		return it
 	}
 	if old.update.Config != nil {
@@ -290,7 +296,7 @@
 	case o.Server == nil && it.update.Server != nil:
 		it.hold(nil, until)
 	case o.Server != nil:
-		server := &Server{BackendServer: o.Server, Lapsed: o.Lapsed, ColdUntil: coldUntil(o.ColdFor, now)}
+		server := &Server{BackendServer: o.Server, Lapsed: o.Lapsed, ColdUntil: coldUntil(o.ColdFor, now), Created: o.Created}
 		if it.update.Removed && it.olderUntil == 0 {
 			it.hold(server, until)
 		}
@@ -351,7 +357,8 @@
 	}
 	u.Older = &Older{OutDataCentre: it.olderOut, Remaining: it.olderUntil - now}
 	if it.older != nil {
-		u.Older.Server, u.Older.Lapsed, u.Older.ColdFor = it.older.BackendServer, it.older.Lapsed, max(it.older.ColdUntil-now, 0)
+		u.Older.Server, u.Older.Created, u.Older.Lapsed = it.older.BackendServer, it.older.Created, it.older.Lapsed
+		u.Older.ColdFor = max(it.older.ColdUntil-now, 0)
 	}
 	return u
 }
