registry: entries that are not used after a restore keep their open flows

Such entries are in the view now as ones that can't be read: no new flows, open ones go on, and the receiver's number in each packet keeps a new owner of the address from taking them.

--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -139,7 +139,7 @@
 	if it.olderUntil != 0 {
 		s.older[key] = it
 	}
-	if it.hidden() {
+	if it.update.Unreadable && it.update.Server == nil {
 		s.unreadable[key] = true
 	}
 	for _, dataCentre := range []string{it.update.OutDataCentre, it.olderOut} {
@@ -175,7 +175,7 @@
 	case u.Unreadable:
 		it.keepOlderReadable(old)
 	case u.Server != nil && left(old, u, wasComplete):
-		it.hold(nil, now+olderRetention)
+		it.withhold(now + olderRetention)
 	case u.Server != nil:
 		if old != nil && old.update.Server != nil && old.update.Revision == u.Revision && *old.update.Server == *u.Server {
 			it.coldUntil = old.coldUntil // the same report
@@ -189,10 +189,10 @@
 // later start than that of the one that left shows a new process.
 func left(old *item, u *Update, wasComplete bool) bool {
 	switch {
-	case old.viewServer() != nil || old != nil && !old.update.Removed && !old.withheld():
-		return false
 	case old != nil && old.withheld():
 		return u.Server.StartedMs <= old.update.Server.StartedMs
+	case old.viewServer() != nil || old != nil && !old.update.Removed:
+		return false
 	case old != nil && old.previous != nil && u.Server.StartedMs > old.previous.StartedMs:
 		return false
 	}
@@ -202,6 +202,9 @@
 // missing returns the item for a key that the copy lacks, or nil if nothing is to be kept of it.
 func (s *State) missing(key string, old *item, now time.Duration) *item {
 	it := &item{update: Update{Key: key, Revision: max(s.began, 1), Removed: true}, receivedAt: now}
+	if old.withheld() {
+		return nil
+	}
 	if server := old.viewServer(); server != nil {
 		lapsed := *server
 		lapsed.Lapsed = true
@@ -231,25 +234,19 @@
 	return it.update.OutDataCentre
 }
 
-// hold sets the backend server that is used in place of the item's update; nil: none is.
+// hold sets the backend server that is used in place of the item's update.
 func (it *item) hold(server *Server, until time.Duration) { it.older, it.olderUntil = server, until }
 
-// withheld reports whether the item's entry exists but is not used, since its backend server had left in an older era.
-func (it *item) withheld() bool {
-	return it.olderUntil != 0 && it.older == nil && it.update.Server != nil
+// withhold makes the item's entry unused, as its backend server had left in an older era: it counts as one that can't be read.
+// The entry may have been written again before this host saw the new era, so that open flows must not be reset.
+func (it *item) withhold(until time.Duration) {
+	it.hold(&Server{BackendServer: it.update.Server, Created: it.update.Created, ColdUntil: it.coldUntil, Unreadable: true}, until)
+	it.unused = true
 }
 
-// hidden reports whether the item's backend server exists, but is not in a view, so that its flows must not be reset.
-func (it *item) hidden() bool {
-	return it.update.Unreadable && it.update.Server == nil || it.withheld()
-}
-
-// identity returns the identity of the item's backend server.
-func (it *item) identity() uint64 {
-	if it.update.Server != nil {
-		return it.update.Server.Identity
-	}
-	return it.update.Identity
+// withheld reports whether the item's entry exists but is not used, since its backend server had left in an older era.
+func (it *item) withheld() bool {
+	return it.olderUntil != 0 && it.unused
 }
 
 // merge completes an item of a newer era with what was known of its backend server before: the later start, the later
@@ -294,7 +291,7 @@
 	case o.OutDataCentre != "":
 		it.olderOut, it.olderUntil = o.OutDataCentre, until
 	case o.Server == nil && it.update.Server != nil:
-		it.hold(nil, until)
+		it.withhold(until)
 	case o.Server != nil:
 		server := &Server{BackendServer: o.Server, Lapsed: o.Lapsed, ColdUntil: coldUntil(o.ColdFor, now), Created: o.Created}
 		if it.update.Removed && it.olderUntil == 0 {
@@ -356,7 +353,7 @@
 		return u
 	}
 	u.Older = &Older{OutDataCentre: it.olderOut, Remaining: it.olderUntil - now}
-	if it.older != nil {
+	if it.older != nil && !it.unused {
 		u.Older.Server, u.Older.Created, u.Older.Lapsed = it.older.BackendServer, it.older.Created, it.older.Lapsed
 		u.Older.ColdFor = max(it.older.ColdUntil-now, 0)
 	}
@@ -377,11 +374,8 @@
 		if it.olderOut != "" {
 			s.bringBack(it.olderOut, now)
 		}
-		it.older, it.olderUntil, it.olderOut = nil, 0, ""
+		it.older, it.olderUntil, it.olderOut, it.unused = nil, 0, "", false
 		delete(s.older, key)
-		if !it.hidden() {
-			delete(s.unreadable, key)
-		}
 		s.changes.record(key, before, it.viewServer())
 		changed = true
 	}
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -36,6 +36,14 @@
 	return nil
 }
 
+// used returns the server of a key in a view, or nil if there is none that gets new flows.
+func used(s *State, id string) *Server {
+	if server := inView(s, id); server != nil && !server.Unreadable {
+		return server
+	}
+	return nil
+}
+
 // instance returns the update of a backend server that started at a time, with a change.
 func instance(key string, revision uint64, startedMs int64, change func(*BackendServer)) Update {
 	u := serverUpdate(key, revision)
@@ -83,7 +91,7 @@
 			restore(t, s, 10, tt.copied...)
 			check := func(when string, w want) {
 				t.Helper()
-				got := inView(s, id)
+				got := used(s, id)
 				if (got != nil) != w.there {
 					t.Fatalf("%s: server %+v, want it there: %v", when, got, w.there)
 				}
@@ -120,13 +128,12 @@
 	if r := restore(t, s, 10, u); r.Returned != 1 {
 		t.Errorf("%+v, want one entry that is not used", r)
 	}
-	if !s.View().UnreadableTokens[u.Server.Token()] {
-		t.Error("the token counts as unknown")
+	if got := inView(s, "a"); got == nil || !got.Unreadable || got.Lapsed {
+		t.Errorf("%+v, want it in the view for its open flows only", got)
 	}
-	s.RecordStoreFailure(restoredAt)
 	s.Apply([]Update{removal("a", 11)}, 10, 11, restoredAt)
-	if v := s.View(); len(v.Servers) > 0 || len(v.UnreadableTokens) > 0 {
-		t.Errorf("%+v after the entry was removed", v)
+	if got := inView(s, "a"); got != nil {
+		t.Errorf("%+v after the entry was removed", got)
 	}
 }
 
@@ -137,7 +144,7 @@
 	s := known(14, former)
 	s.Apply([]Update{removal("a", 15), present}, 14, 20, time.Minute)
 	restore(t, s, 10, former)
-	if v := s.View(); len(v.Servers) != 1 || v.Servers[0].ID != "b" || !v.Servers[0].Lapsed || v.Servers[0].Created != 10 {
+	if v := s.View(); used(s, "a") != nil || inView(s, "a").Created >= 10 || used(s, "b") == nil || !used(s, "b").Lapsed || used(s, "b").Created != 10 {
 		t.Errorf("servers %+v, want the present owner of the address only", v.Servers)
 	}
 }
@@ -367,15 +374,25 @@
 	}
 	s.Sweep(second + olderRetention - 1)
 	a, b := inView(s, "a"), inView(s, "b")
-	if a == nil || !a.Draining || b == nil || !b.Lapsed || inView(s, "c") != nil {
+	if a == nil || !a.Draining || b == nil || !b.Lapsed || used(s, "c") != nil {
 		t.Errorf("%+v, %+v, %+v", a, b, inView(s, "c"))
 	}
 	s.Sweep(second + olderRetention)
-	if a := inView(s, "a"); a == nil || a.Draining || inView(s, "b") != nil || inView(s, "c") == nil || s.Holding() {
+	if a := inView(s, "a"); a == nil || a.Draining || inView(s, "b") != nil || used(s, "c") == nil || s.Holding() {
 		t.Errorf("%+v is kept after the retention", a)
 	}
 }
 
+// Guards against an entry that is not used after a restore and counts as lapsed, with new flows, when a second copy lacks it.
+func TestUnusedEntryMissingFromASecondCopy(t *testing.T) {
+	s := known(20)
+	restore(t, s, 10, instance("a", 5, 100, nil))
+	s.Restore(nil, Version{3, 4}, 4, restoredAt)
+	if got := inView(s, "a"); got != nil {
+		t.Errorf("%+v, want none", got)
+	}
+}
+
 // Guards against a host that starts shortly after a restore, takes a copy of another host, and knows less than that host; and
 // against knowledge that is passed on from host to host for ever.
 func TestStartedHostTakesOlderKnowledge(t *testing.T) {
@@ -391,7 +408,7 @@
 	check := func(how string, s *State, start time.Duration) {
 		t.Helper()
 		a, b := inView(s, "a"), inView(s, "b")
-		if a == nil || !a.Draining || b == nil || !b.Lapsed || inView(s, "c") != nil || !s.View().OutDataCentres["x"] || s.ConfigVersion() != 9 {
+		if a == nil || !a.Draining || b == nil || !b.Lapsed || used(s, "c") != nil || !s.View().OutDataCentres["x"] || s.ConfigVersion() != 9 {
 			t.Errorf("%s: %+v, %+v, %+v, %v, configuration %d", how, a, b, inView(s, "c"), s.View().OutDataCentres, s.ConfigVersion())
 		}
 		s.Sweep(start + time.Second)
@@ -404,7 +421,7 @@
 	check("from a copy", fromCopy, 5*time.Second)
 	fromStore := NewState()
 	fromStore.Restore(contents, Version{2, 10}, 10, 5*time.Second)
-	if !fromStore.LacksOlder(5*time.Second) || inView(fromStore, "c") == nil {
+	if !fromStore.LacksOlder(5*time.Second) || used(fromStore, "c") == nil {
 		t.Error("a host that has just started knows more than the copy of the store")
 	}
 	if !fromStore.AdoptOlder(copied, 5*time.Second) || fromStore.LacksOlder(5*time.Second) {
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -26,7 +26,8 @@
 	lapsedUntil time.Duration // until when the removed server counts as lapsed; 0: it does not
 	coldUntil   time.Duration // of the backend server, on this host's clock; 0: it is not cold
 	olderUntil  time.Duration // until when older or olderOut is used in place of the update; 0: neither is
-	older       *Server       // backend server as known from an older era; nil: the entry is not used
+	older       *Server       // backend server as known from an older era
+	unused      bool          // older is the item's entry, which is not used: its server had left in an older era
 	olderOut    string        // data centre that was taken out in an older era
 }
 
@@ -189,7 +190,7 @@
 	}
 	delete(s.older, u.Key)
 	delete(s.unreadable, u.Key)
-	if next.hidden() {
+	if u.Unreadable && next.update.Server == nil {
 		s.unreadable[u.Key] = true
 	}
 	s.changes.record(u.Key, old.viewServer(), next.viewServer())
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -115,7 +115,7 @@
 		v.UnreadableTokens = make(map[uint32]bool, len(s.unreadable))
 	}
 	for key := range s.unreadable {
-		v.UnreadableTokens[tokenOf(s.items[key].identity())] = true
+		v.UnreadableTokens[tokenOf(s.items[key].update.Identity)] = true
 	}
 	return v
 }
