--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -110,7 +110,7 @@
 	Servers         []ServerLoad    // backend servers that differ most from the rest
 	Ask             bool            // the receiver should answer if it has news, see Members.ShouldAnswer
 	Votes           []HostVote      // only while a host of the sender's data centre votes to withdraw
-	ReaderHeartbeat uint16          // of life of the reader, by its own clock, modulo 2^16; see readerHeartbeats
+	ReaderHeartbeat uint16          // number of the latest heartbeat of the reader; see readerHeartbeats
 }
 
 // Confirmed reports whether the sender's copy has ever been confirmed.
