follower: pages of an older era than a watch has stated count as failed

While parts of the store disagree about the era, a watch of the newer one and a full read of the older one alternated without a pause, 1,000 calls in 10 s, and the old contents counted as confirmed. TestPartsOfTheStoreDisagreeAboutTheEra failed before.

--- a/internal/entry/eras.go
+++ b/internal/entry/eras.go
@@ -30,7 +30,7 @@
 	case e.result.Era > known && e.outcome != follower.Done && e.outcome != follower.Incomplete:
 		level.Warn(c.logger).Log("msg", "store has entered a newer era; reading all contents", "store_era", e.result.Era,
 			"revision", c.state.Version(), "outcome", e.outcome)
-		c.follower.EraChanged()
+		c.follower.EraChanged(e.result.Era)
 	case e.result.Era < known && (e.outcome == follower.Done || e.outcome == follower.Truncated):
 		e.outcome, e.err, e.result = follower.Failed, errors.Wrapf(errEraPassed, "answer of era %d in era %d", e.result.Era, known), follower.Result{}
 		staleAnswers.Inc()
--- a/internal/follower/era_test.go
+++ b/internal/follower/era_test.go
@@ -132,7 +132,7 @@
 	readFull(t, f, 0)
 	f.Next(registry.Version{Era: 1, Revision: 7}, reader, time.Second)
 	f.CallEnded(Refused, false, time.Second)
-	f.EraChanged()
+	f.EraChanged(2)
 	if c := f.Next(registry.Version{Era: 1, Revision: 7}, reader, time.Second); c.Kind != None {
 		t.Errorf("%+v at once after a refusal", c)
 	}
@@ -140,3 +140,47 @@
 		t.Errorf("%+v, want a full read", c)
 	}
 }
+
+// disagreeingSource is a store of which the part that answers watches is ahead of the one that answers reads.
+type disagreeingSource struct {
+	calls    int
+	watchErr error
+}
+
+func (s *disagreeingSource) ReadPage(context.Context, string) (Page, error) {
+	s.calls++
+	return Page{Era: 1, Revision: 20}, nil
+}
+
+func (s *disagreeingSource) Watch(context.Context, uint64, time.Duration) (Result, error) {
+	s.calls++
+	return Result{Era: 2, Revision: 10}, s.watchErr
+}
+
+// Guards against calls without a pause, and contents of an older era that count as confirmed, while parts of the store disagree
+// about the era.
+func TestPartsOfTheStoreDisagreeAboutTheEra(t *testing.T) {
+	for _, watchErr := range []error{nil, ErrHistoryLost} {
+		f, s := newFollower(), &disagreeingSource{watchErr: watchErr}
+		readFull(t, f, 0)
+		confirmed, _ := f.Confirmed()
+		at := registry.Version{Era: 1, Revision: 20}
+		for now := time.Second; now < 11*time.Second; now += 10 * time.Millisecond {
+			c := f.Next(at, reader, now)
+			if c.Kind == None {
+				continue
+			}
+			result, outcome, _ := Do(t.Context(), s, c)
+			if result.Era > at.Era && outcome != Done {
+				f.EraChanged(result.Era)
+			}
+			f.CallEnded(outcome, result.Changed, now)
+		}
+		if s.calls > 40 {
+			t.Errorf("%v: %d calls in 10 s", watchErr, s.calls)
+		}
+		if at, _ := f.Confirmed(); at != confirmed {
+			t.Errorf("%v: confirmed as of %v by reads of an older era, before %v", watchErr, at, confirmed)
+		}
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -101,6 +101,7 @@
 	copyDeadline time.Duration    // end of the wait for a copy while a peer is alive
 	manyPages    bool             // the contents had more than one page when this host last read the first
 	eraChanged   bool             // the next full read is due because of a newer era
+	newestEra    uint64           // that an answer has stated
 	truncations  int              // truncated watches since the last one that was answered in full
 	truncatedAt  registry.Version // after which the last truncated watch read, if truncations > 0
 	random       *rand.Rand
@@ -153,7 +154,7 @@
 	timeout := f.config.CallTimeout << min(f.failures, maxTimeoutDoublings)
 	if f.needFullRead {
 		all := f.isSeed || f.copyAwaited || reader && f.confirmedAt >= 0
-		return Call{Kind: ReadAll, Era: at.Era, Timeout: timeout, FirstPageOnly: !all}
+		return Call{Kind: ReadAll, Era: max(at.Era, f.newestEra), Timeout: timeout, FirstPageOnly: !all}
 	}
 	wait := f.config.WatchWait
 	if !reader || !f.Fresh(now) {
@@ -187,7 +188,7 @@
 		return
 	case EraChanged:
 		f.failures = 0
-		f.EraChanged()
+		f.EraChanged(f.newestEra)
 		return
 	case HistoryLost:
 		f.failures, f.needFullRead = 0, true
@@ -200,8 +201,12 @@
 	f.notBefore = now + f.backoff(f.failures)
 }
 
-// EraChanged records that the store has entered a newer era than that of the contents. The next call is a full read.
-func (f *Follower) EraChanged() { f.needFullRead, f.eraChanged, f.truncations = true, true, 0 }
+// EraChanged records that the store has entered a newer era than that of the contents. The next call is a full read, of which
+// pages of an older era count as failed.
+func (f *Follower) EraChanged(era uint64) {
+	f.needFullRead, f.eraChanged, f.truncations = true, true, 0
+	f.newestEra = max(f.newestEra, era)
+}
 
 // awaitCopy makes the next full read wait for a copy of another host.
 func (f *Follower) awaitCopy(now time.Duration) {
