--- a/internal/entry/eras.go
+++ b/internal/entry/eras.go
@@ -61,6 +61,7 @@
 	level.Warn(c.logger).Log("msg", "era of the store changed", "before", r.From, "revision", to, "kept", r.Kept, "not_used", r.Returned, "config_version", c.state.ConfigVersion(), "from", c.origin)
 	c.publishView()
 	c.sendChanges(origin, 0, nil)
+	c.propagateChanges(nil, to.Revision, origin) // the host may be ready only now
 }
 
 // restoreFromCopy applies another host's full copy of a newer era.
--- a/internal/entry/eras_test.go
+++ b/internal/entry/eras_test.go
@@ -213,3 +213,21 @@
 		t.Error("a second copy is fetched")
 	}
 }
+
+// Guards against a host that gets its first configuration by a restore of the store and does not become ready.
+func TestReadyAfterARestore(t *testing.T) {
+	c := idleControl()
+	c.conn = listenUDP(t)
+	read := func(era uint64, updates ...registry.Update) {
+		c.follower.Next(c.state.Version(), follower.Fleet{Reader: true}, c.host.now())
+		c.onCallEnd(callEnd{
+			call: follower.Call{Kind: follower.ReadAll, Era: c.state.Version().Era}, outcome: follower.Done,
+			result: follower.Result{Era: era, Revision: 20, Updates: updates},
+		})
+	}
+	read(1, eraServer(16, false))
+	read(2, eraServer(16, false), eraConfig(17, 3))
+	if !c.state.Loaded() || !c.host.ready.Load() {
+		t.Errorf("loaded %v, ready %v after the first configuration", c.state.Loaded(), c.host.ready.Load())
+	}
+}
