registry: knowledge of an older era does not replace what has been written again

What another host's copy says of an older era was put over entries that had been written again since, for up to 10 s: a new process got no flows, or flows went to the address of the process before (ROUTE). And after a second restore within 10 s, the address of the older copy was used. TestOlderKnowledgeDoesNotReplaceRewrittenEntries and TestSecondRestoreKeepsTheLaterAddress failed before.

--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -59,7 +59,7 @@
 	if it == nil && u.Removed {
 		it = &item{update: Update{Key: u.Key, Revision: max(s.began, 1), Removed: true}, receivedAt: now}
 	}
-	if it == nil || it.olderUntil != 0 || it.update.Revision > s.began {
+	if it == nil || it.olderUntil != 0 || it.update.Revision > s.began || !it.update.sameItem(&u) {
 		return false
 	}
 	before := it.viewServer()
@@ -68,6 +68,12 @@
 	return it.olderUntil != 0
 }
 
+// sameItem reports whether two updates of a key are the same state of its item: what another host knows about one of them does not
+// apply if the item has been written again.
+func (u *Update) sameItem(other *Update) bool {
+	return u.Removed == other.Removed && (u.Removed || u.Revision == other.Revision)
+}
+
 // Holding reports whether knowledge of an older era is in use that ends by itself.
 func (s *State) Holding() bool { return len(s.older) > 0 || s.configOlderUntil > 0 }
 
@@ -180,7 +186,8 @@
 		if old != nil && old.update.Server != nil && old.update.Revision == u.Revision && *old.update.Server == *u.Server {
 			it.coldUntil = old.coldUntil // the same report
 		}
-		it.merge(old.viewServer(), old.readRevision() > u.Revision, now+olderRetention)
+		heldOver := old != nil && old.older != nil && u.Revision <= old.update.Revision // since an earlier restore, and not written again
+		it.merge(old.viewServer(), heldOver || old.readRevision() > u.Revision, now+olderRetention)
 	}
 	it.adopt(sender, now)
 }
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -438,3 +438,43 @@
 		t.Errorf("%+v, want the entry as read before, for open flows only", got)
 	}
 }
+
+// Guards against what another host knows of an older era replacing an entry that has been written again since: a new process would
+// get no flows, or flows would go to the address of the process before.
+func TestOlderKnowledgeDoesNotReplaceRewrittenEntries(t *testing.T) {
+	former, present := netip.MustParseAddrPort("10.9.9.9:80"), netip.MustParseAddrPort("10.8.8.8:80")
+	at := func(addr netip.AddrPort) func(*BackendServer) { return func(b *BackendServer) { b.Addr = addr } }
+	left := known(14, instance("a", 8, 100, nil))
+	left.Apply([]Update{removal("a", 15)}, 14, 20, time.Minute)
+	restore(t, left, 10, instance("a", 8, 100, nil))
+	moved := known(20, instance("a", 15, 100, at(former)))
+	restore(t, moved, 10)
+	for name, tt := range map[string]struct {
+		sender    *State
+		rewritten Update
+	}{
+		"new process of a server that had left": {left, instance("a", 11, 300, at(present))},
+		"another address, same start":           {moved, instance("a", 11, 100, at(present))},
+	} {
+		full, _ := tt.sender.Since(0)
+		h := NewState()
+		h.Restore([]Update{tt.rewritten}, Version{2, 12}, 12, restoredAt)
+		h.AdoptOlder(full, restoredAt+time.Second)
+		if got := inView(h, "a"); got == nil || got.Addr != present {
+			t.Errorf("%s: %+v, want the entry written in the new era", name, got)
+		}
+	}
+}
+
+// Guards against the address of the older copy in use after a second restore, within the time for which the later one is kept.
+func TestSecondRestoreKeepsTheLaterAddress(t *testing.T) {
+	former := netip.MustParseAddrPort("10.9.9.9:80")
+	s := known(20, instance("a", 15, 100, nil))
+	want := inView(s, "a").Addr
+	older := instance("a", 5, 100, func(b *BackendServer) { b.Addr = former })
+	restore(t, s, 10, older)
+	s.Restore([]Update{older}, Version{3, 10}, 10, restoredAt+olderRetention/2)
+	if got := inView(s, "a").Addr; got != want {
+		t.Errorf("address %v after a second restore, want %v", got, want)
+	}
+}
