--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -79,7 +79,7 @@
 	return result, Done, nil
 }
 
-// maxEraRestarts is the number of times that a full read begins anew because the store has entered a newer era.
+// maxEraRestarts is the number of attempts at a full read that the store interrupts by entering a newer era.
 const maxEraRestarts = 3
 
 // readAll reads all pages. It begins anew when a page is of a newer era than those before.
