--- a/internal/affinity/router.go
+++ b/internal/affinity/router.go
@@ -14,15 +14,6 @@
 )
 
 const (
-	// unknownTokenGrace is how long a token that is in no view may belong to a backend server that has just been registered,
-	// or to one whose entry the store has lost for a while. Only time during which the store confirms the registry counts.
-	unknownTokenGrace = 2500 * time.Millisecond
-	// maxUnknownTokens is the maximum number of unknown tokens kept, which bounds the memory that forged tokens can occupy.
-	maxUnknownTokens = 1024
-	// maxUnknownFlows is the maximum number of flows with unknown tokens kept, for the same reason.
-	maxUnknownFlows = 8192
-	// unknownFlowRetention is how long such a flow is kept after its last packet. Callers that wait repeat theirs sooner.
-	unknownFlowRetention = 10 * time.Second
 	// retransmitWindow is how long after its first transmission the retransmission of data is evidence that it was not
 	// answered. Callers give up after that time.
 	retransmitWindow = 2 * time.Second
@@ -43,34 +34,34 @@
 
 // Router decides what to do with callers' packets. It does no I/O and must be used by one goroutine only.
 type Router struct {
-	config        Config
-	fleet         Fleet
-	view          *registry.View
-	routes        map[netip.AddrPort]*route
-	services      map[string]*service
-	servers       map[string]*server
-	removed       map[string]*server // the subset of servers that has left the view
-	byToken       map[uint32]*server
-	tokenUsers    map[uint32]int           // number of servers with a token, including removed ones
-	unknownTokens map[uint32]time.Duration // tokens that are in no view, and when they were first seen
-	unknownFlows  map[FlowKey]unknownFlow  // flows with such tokens
-	table         flowTable
-	admission     *overload.State
-	work          work.Tracker
-	openings      openings
-	healthChanges healthChanges
-	checks        []Instance // backend servers that are to be checked
-	lastAnswering lastAnswering
-	seed          maphash.Seed
-	silences      map[string]*dataCentreSilence // by data centre
-	reachableAt   map[string]time.Duration      // when a data centre was last known to be unreachable
-	turns         uint64                        // number of choices so far, above all initial turns of servers
-	advancedAt    time.Duration                 // last call of advance
-	evidenceSince time.Duration                 // packets that were handled earlier are no evidence, because this host was paused
-	lostServers   []*server                     // servers whose flows are to be reset
-	resets        []FlowReset
-	loads         []Load
-	loadsLimiter  scanLimiter
+	config          Config
+	fleet           Fleet
+	view            *registry.View
+	routes          map[netip.AddrPort]*route
+	services        map[string]*service
+	servers         map[string]*server
+	removed         map[string]*server // the subset of servers that has left the view
+	byToken         map[uint32]*server
+	tokenUsers      map[uint32]int           // number of servers with a token, including removed ones
+	unknownTokens   map[uint32]time.Duration // tokens that are in no view, and when they were first seen
+	unknownFlows    map[FlowKey]unknownFlow  // flows with such tokens
+	table           flowTable
+	admission       *overload.State
+	work            work.Tracker
+	openings        openings
+	healthChanges   healthChanges
+	checks          []Instance // backend servers that are to be checked
+	recentAnswerers recentAnswerers
+	seed            maphash.Seed
+	silences        map[string]*dataCentreSilence // by data centre
+	reachableAt     map[string]time.Duration      // when a data centre was last known to be unreachable
+	turns           uint64                        // number of choices so far, above all initial turns of servers
+	advancedAt      time.Duration                 // last call of advance
+	evidenceSince   time.Duration                 // packets that were handled earlier are no evidence, because this host was paused
+	lostServers     []*server                     // servers whose flows are to be reset
+	resets          []FlowReset
+	loads           []Load
+	loadsLimiter    scanLimiter
 	// availability is the last result of Availability, which scanned availabilityScan entries.
 	availability        []withdrawal.Place
 	availabilityScan    int
@@ -232,7 +223,7 @@
 		return verdict
 	}
 	if r.canResetFlows(s) {
-		return r.rejectGone(key, f, s, p, now)
+		return r.verdictOfGone(key, f, s, p, now)
 	}
 	f = r.trackFlow(key, f, s, p, now)
 	latency := f.openingLatency(now)
@@ -259,63 +250,6 @@
 	return Verdict{Action: Reject, Reason: reason, ServerID: s.ID}
 }
 
-// rejectGone returns the verdict for a packet of a flow whose backend server has gone: a reset, unless the server may be back.
-func (r *Router) rejectGone(key FlowKey, f *flow, s *server, p *Packet, now time.Duration) Verdict {
-	f = r.trackFlow(key, f, s, p, now)
-	if r.mayBeBack(f) {
-		return Verdict{Action: Drop, Reason: UnknownToken, ServerID: s.ID}
-	}
-	return r.rejectLost(key, f, s, BackendServerGone, now)
-}
-
-// mayBeBack reports whether another host may have opened the flow after the return of its backend server, which this host has not
-// heard of: the flow came here after the server had left, and the store has not confirmed since that the server is missing.
-func (r *Router) mayBeBack(f *flow) bool {
-	return f.openedAt > f.server.removedAt && f.openedAt >= r.fleet.ConfirmedAt
-}
-
-// resolveServer returns the backend server of a packet other than an opening one, or nil and the verdict if there is none.
-func (r *Router) resolveServer(p *Packet, f *flow, now time.Duration) (*server, Verdict) {
-	if p.Token == 0 {
-		if f != nil {
-			return f.server, Verdict{}
-		}
-		return nil, Verdict{Action: Drop, Reason: NoToken}
-	}
-	if s := r.byToken[p.Token]; s != nil {
-		return s, Verdict{}
-	}
-	first, seen := r.unknownTokens[p.Token]
-	confirmed := r.confirmedUnknown(p.Key(), now)
-	switch {
-	case r.view.UnreadableTokens[p.Token]:
-	case !seen && len(r.unknownTokens) < maxUnknownTokens:
-		r.unknownTokens[p.Token] = now
-	case seen && confirmed && r.fleet.confirmedSince(first) >= unknownTokenGrace:
-		delete(r.unknownFlows, p.Key())
-		return nil, Verdict{Action: Reject, Reason: TokenNeverListed}
-	}
-	return nil, Verdict{Action: Drop, Reason: UnknownToken}
-}
-
-// unknownFlow is a flow whose token is in no view.
-type unknownFlow struct{ firstAt, lastAt time.Duration } // its packets
-
-// confirmedUnknown reports whether the store has confirmed the registry since the first packet of a flow whose token is unknown.
-// Before that, another host may have opened the flow at a backend server that this one has not heard of, however long the token
-// has been unknown.
-func (r *Router) confirmedUnknown(key FlowKey, now time.Duration) bool {
-	f, seen := r.unknownFlows[key]
-	if !seen {
-		f.firstAt = now
-	}
-	f.lastAt = now
-	if seen || len(r.unknownFlows) < maxUnknownFlows {
-		r.unknownFlows[key] = f
-	}
-	return seen && f.firstAt < r.fleet.ConfirmedAt
-}
-
 // trackFlow returns the state of a flow. It creates the state if f is nil, or if f is another flow of the same caller's port:
 // an open flow stays on its server. It moves a flow that is being opened to s, the server of its token.
 func (r *Router) trackFlow(key FlowKey, f *flow, s *server, p *Packet, now time.Duration) *flow {
@@ -398,7 +332,7 @@
 	for key, f := range r.table.flows {
 		s := f.server
 		if !s.resetsDue || f.closed || !f.open || s.resetReason == BackendServerSilent && r.mayBeRunning(key, f) ||
-			s.resetReason == BackendServerGone && r.mayBeBack(f) {
+			s.resetReason == BackendServerGone && r.openedSinceConfirmation(f) {
 			continue
 		}
 		r.resets = append(r.resets, FlowReset{Key: key, Seq: f.ack, Reason: s.resetReason, ServerID: s.ID})
@@ -440,24 +374,6 @@
 	}
 }
 
-// canResetFlows reports whether a server left the view for good, so that its flows can be reset.
-func (r *Router) canResetFlows(s *server) bool {
-	return !s.present && (s.drained || r.fleet.confirmedSince(s.removedAt) >= removalGrace)
-}
-
-// dropServer deletes a server whose retention has ended.
-func (r *Router) dropServer(s *server) {
-	s.work.SetService(nil, nil)
-	delete(r.removed, s.ID)
-	delete(r.servers, s.ID)
-	if r.tokenUsers[s.token]--; r.tokenUsers[s.token] == 0 {
-		delete(r.tokenUsers, s.token)
-	}
-	if r.byToken[s.token] == s {
-		delete(r.byToken, s.token)
-	}
-}
-
 // forward returns the verdict that forwards a packet to a server.
 func forward(s *server, reason Reason) Verdict {
 	return Verdict{
