--- a/internal/entry/circulation_test.go
+++ b/internal/entry/circulation_test.go
@@ -79,7 +79,7 @@
 func (f *gossipFleet) read(n int) {
 	c := f.hosts[n]
 	c.host.started = time.Now().Add(-f.now)
-	call := c.follower.Next(7, follower.Fleet{}, f.now)
+	call := c.follower.Next(registry.Version{Revision: 7}, follower.Fleet{}, f.now)
 	c.onCallEnd(callEnd{call: call, result: follower.Result{Revision: 7}, outcome: follower.Done})
 }
 
