entry: tests of late findings and of refuting checks that are passed on

Four were noticed by no test: a late refused check shows an end only, late findings and news are not passed on, and a check that refutes failed ones is. Both tests fail without them, one by one.

--- a/internal/entry/verdict_test.go
+++ b/internal/entry/verdict_test.go
@@ -341,3 +341,51 @@
 		}
 	}
 }
+
+// Guards against findings that a host which runs late can't date, and yet passes on to others or takes for silence at present: two
+// refused checks may be of before the start of the process that answers now.
+func TestLateFindingsStayAtTheirReceiver(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		f := newSimFleet(12, 3, 0, 0)
+		f.now = 5 * time.Second
+		flow, h := newOpenFlow(f, 0), f.hosts[0]
+		pass(f, 100*time.Millisecond)
+		for _, checker := range []int{3, 6} {
+			finding := findingAbout(f, 0, checker, affinity.Refuses, f.now)
+			finding.Late = late
+			tell(f, checker, 0, finding)
+		}
+		if passed := len(h.pending) > 0 || len(h.news) > 0; passed == late {
+			t.Errorf("late %v: %d findings and %d news to pass on", late, len(h.pending), len(h.news))
+		}
+		if got := flow.decide(); (got == affinity.Forward) != late {
+			t.Errorf("late %v: action %d for a packet of an open flow", late, got)
+		}
+	}
+}
+
+// Guards against a refuting check that only its own checker knows: the hosts that heard of the failed checks go on resetting flows.
+func TestRefutingCheckIsPassedOn(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		f := newSimFleet(12, 3, 0, 0)
+		f.now = 5 * time.Second
+		h := f.hosts[0]
+		tell(f, 3, 0, findingAbout(f, 0, 3, affinity.NoAnswer, f.now-250*time.Millisecond))
+		h.pending = nil
+		accepted := findingAbout(f, 0, 6, affinity.Accepts, f.now)
+		accepted.Late = late
+		tell(f, 6, 0, accepted)
+		if passed := len(h.pending) > 0; passed == late {
+			t.Errorf("late %v: %d findings to pass on after an accepted check of another host", late, len(h.pending))
+		}
+	}
+	f := newSimFleet(12, 3, 0, 0)
+	f.now = 5 * time.Second
+	h := f.hosts[0]
+	tell(f, 3, 0, findingAbout(f, 0, 3, affinity.NoAnswer, f.now-250*time.Millisecond))
+	h.pending = nil
+	h.report(affinity.Instance{Identity: 1, StartedMs: 9}, affinity.Accepts, f.now, f.now)
+	if len(h.pending) != 1 {
+		t.Errorf("%d findings to pass on after this host's accepted check, want 1", len(h.pending))
+	}
+}
