--- a/review/.world-2/world.go
+++ b/review/.world-2/world.go
@@ -16,6 +16,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -251,8 +252,9 @@
 	return strings.Join(lines, "\n")
 }
 
-// keep starts a host and starts it again after each end.
+// keep starts a host and starts it again after each end. The host ends with this process, however that ends.
 func (w *world) keep(h *host) {
+	runtime.LockOSThread() // the kernel ends the host when this thread has ended
 	for {
 		w.mu.Lock()
 		ending := w.ending
@@ -267,6 +269,7 @@
 		cmd := exec.Command("target/nutmeglatchd", "entry", "--metrics-port", "9464")
 		cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "NUTMEGLATCH_BOOT=" + h.conf}
 		cmd.Stdout, cmd.Stderr = out, out
+		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		h.mu.Lock()
 		err = cmd.Start()
 		h.cmd = cmd
