--- a/review/.world-2/cases.go
+++ b/review/.world-2/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"syscall"
 	"time"
 )
 
@@ -15,6 +16,7 @@
 	cases["dark-restart"] = darkRestart
 	cases["same-token"] = sameToken
 	cases["foreign-entry"] = foreignEntry
+	cases["store-moves"] = storeMoves
 }
 
 // coldPerS is the rate that the configuration states for a cold backend server.
@@ -219,3 +221,51 @@
 	w.mu.Unlock()
 	w.result()
 }
+
+// applyWithin is bounds.configApplyMs.
+const applyWithin = 3 * time.Second
+
+// storeMoves: the platform's store gets another address. The settings files name it, and a host gets SIGHUP. Later the configuration
+// moves the route to another service.
+func storeMoves(record string, trouble bool) {
+	w := newWorld(record, trouble, []string{"zone-a"}, 4)
+	services := []string{"sheet", "archive"}
+	w.store.put("op/config", configOf(3, coldPerS, services, routeOf("r-sheet", sheets, "sheet", "download", 3000, 500)))
+	for n, id := range []string{"i-3f21aa0710", "i-90bc1245d7", "i-c1774e02ab", "i-e5a0916c33"} {
+		w.addServer(id, services[n/2], 0, n, 5*time.Millisecond, time.Duration(n)*290*time.Millisecond)
+	}
+	var callers []*caller
+	for n := range 20 {
+		callers = append(callers, w.addCaller(0, n))
+	}
+	w.begin()
+	go w.shortFlows(callers, sheets, 20, 3*time.Second, 38*time.Second)
+	time.Sleep(4 * time.Second)
+	if trouble {
+		to := netip.AddrPortFrom(w.ip(250, 2), freePort(0))
+		w.writeSettings(to)
+		w.log("settings files name %v as the address of the store", to)
+		if err := w.store.serve(to.String()); err != nil {
+			w.fail("store: %v", err)
+		}
+		w.hosts[1].signal(syscall.SIGHUP)
+		w.log("SIGHUP to %s", w.hosts[1].name)
+	}
+	time.Sleep(20 * time.Second)
+	w.store.put("op/config", configOf(7, coldPerS, services, routeOf("r-sheet", sheets, "archive", "download", 3000, 500)))
+	acknowledged := time.Now()
+	w.log("configuration 7 acknowledged: the route goes to archive")
+	time.Sleep(12 * time.Second)
+	w.mu.Lock()
+	late := 0
+	for _, r := range w.openings {
+		if r.synSent.Sub(acknowledged) > applyWithin && r.server.service == "sheet" {
+			late++
+		}
+	}
+	if late > 0 {
+		w.violation("CONFIG: %d requests sent later than %v after the acknowledgement of version 7 were run by the old service", late, applyWithin)
+	}
+	w.mu.Unlock()
+	w.result()
+}
--- a/review/.world-2/store.go
+++ b/review/.world-2/store.go
@@ -48,21 +48,34 @@
 	lapses   bool // entries expire while the store is down
 	changed  chan struct{}
 	copies   []snapshot
+	server   *http.Server
+	handler  http.Handler
 }
 
 func newStore(addr string) (*store, error) {
 	s := &store{items: map[string]item{}, beats: map[string]time.Time{}, revision: 100, since: 100, era: 1, changed: make(chan struct{})}
-	l, err := net.Listen("tcp4", addr)
-	if err != nil {
-		return nil, err
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-key", s.get)
 	mux.HandleFunc("GET /v1/kv-range", s.list)
 	mux.HandleFunc("GET /v1/kv-watch", s.watch)
-	go http.Serve(l, mux)
+	s.handler = mux
 	go s.expire()
-	return s, nil
+	return s, s.serve(addr)
+}
+
+// serve makes the store available at an address, and no longer at the one before.
+func (s *store) serve(addr string) error {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return err
+	}
+	before := s.server
+	s.server = &http.Server{Handler: s.handler}
+	go s.server.Serve(l)
+	if before != nil {
+		before.Close()
+	}
+	return nil
 }
 
 func (s *store) notify() { close(s.changed); s.changed = make(chan struct{}) }
--- a/review/.world-2/world.go
+++ b/review/.world-2/world.go
@@ -64,6 +64,7 @@
 	dir        string
 	store      *store
 	zones      []string
+	seeds      []string
 	hosts      []*host
 	servers    []*server
 	callers    []*caller
@@ -192,13 +193,30 @@
 			}
 		}
 	}
+	w.seeds = seeds
+	w.writeSettings(storeAddr)
+	return w
+}
+
+// writeSettings writes the settings file of each host, whole at once.
+func (w *world) writeSettings(store netip.AddrPort) {
 	for _, h := range w.hosts {
-		h.conf = filepath.Join(dir, h.name+".conf")
-		if err := os.WriteFile(h.conf, []byte(w.settings(h, storeAddr, seeds)), 0o644); err != nil {
+		h.conf = filepath.Join(w.dir, h.name+".conf")
+		if err := os.WriteFile(h.conf+".new", []byte(w.settings(h, store, w.seeds)), 0o644); err != nil {
+			w.fail("settings: %v", err)
+		}
+		if err := os.Rename(h.conf+".new", h.conf); err != nil {
 			w.fail("settings: %v", err)
 		}
 	}
-	return w
+}
+
+func (h *host) signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cmd != nil && h.cmd.Process != nil {
+		h.cmd.Process.Signal(s)
+	}
 }
 
 func (w *world) settings(h *host, store netip.AddrPort, seeds []string) string {
