review: a relay between a host and the store, hosts that stall, starts spread over 0.3 s

For a case that isn't shown yet: the host that reads the store is cut off from it while others stall, so that confirmations of the contents get younger on their way.

--- a/review/.world-2/cases.go
+++ b/review/.world-2/cases.go
@@ -17,6 +17,7 @@
 	cases["same-token"] = sameToken
 	cases["foreign-entry"] = foreignEntry
 	cases["store-moves"] = storeMoves
+	cases["reader-cut"] = readerCut
 }
 
 // coldPerS is the rate that the configuration states for a cold backend server.
@@ -269,3 +270,72 @@
 	w.mu.Unlock()
 	w.result()
 }
+
+// readerCut: the host that reads the store for the others is cut off from the store for some seconds, while another host stalls again
+// and again. The configuration moves a route meanwhile.
+func readerCut(record string, trouble bool) {
+	const (
+		cutFor     = 5500 * time.Millisecond
+		stallFor   = 220 * time.Millisecond
+		runFor     = 50 * time.Millisecond
+		numStalled = 3
+	)
+	w := newWorld(record, trouble, []string{"zone-a", "zone-b", "zone-c"}, 3, 2, 2)
+	services := []string{"sheet", "archive"}
+	w.store.put("op/config", configOf(3, coldPerS, services, routeOf("r-sheet", sheets, "sheet", "download", 3000, 500)))
+	for n, id := range []string{"i-3f21aa0710", "i-90bc1245d7", "i-c1774e02ab", "i-e5a0916c33", "i-77d30be519", "i-1be8840f62"} {
+		w.addServer(id, services[n/3], n%3, n, 5*time.Millisecond, time.Duration(n)*190*time.Millisecond)
+	}
+	var callers []*caller
+	for n := range 21 {
+		callers = append(callers, w.addCaller(n%3, n))
+	}
+	w.addRelays()
+	w.begin()
+	go w.shortFlows(callers, sheets, 40, 3*time.Second, 20*time.Second)
+	time.Sleep(6 * time.Second)
+	var reader *host
+	stalled := map[*host]bool{}
+	if trouble {
+		reader = w.storeReader()
+		for _, h := range w.hosts {
+			if h != reader && len(stalled) < numStalled {
+				stalled[h] = true
+				w.log("%s stalls for %v, again and again", h.name, stallFor)
+				go h.stall(stallFor, runFor, cutFor+time.Second)
+			}
+		}
+		time.Sleep(time.Second)
+		w.log("%s, which reads the store for the others, is cut off from it", reader.name)
+		reader.relay.setCut(true)
+		time.AfterFunc(cutFor, func() { reader.relay.setCut(false); w.log("%s reaches the store again", reader.name) })
+		time.Sleep(200 * time.Millisecond)
+	}
+	w.store.put("op/config", configOf(7, coldPerS, services, routeOf("r-sheet", sheets, "archive", "download", 3000, 500)))
+	acknowledged := time.Now()
+	w.log("configuration 7 acknowledged: the route goes to archive")
+	time.Sleep(9 * time.Second)
+	w.mu.Lock()
+	late, last := 0, time.Duration(0)
+	for _, r := range w.openings {
+		inTouch := r.via != reader && !stalled[r.via]
+		if after := r.synSent.Sub(acknowledged); after > applyWithin && r.server.service == "sheet" && inTouch {
+			late++
+			last = max(last, after)
+		}
+	}
+	if late > 0 {
+		w.violation("CONFIG: %d requests that other hosts took later than %v after the acknowledgement of version 7 were run by the old service, the last after %v", late, applyWithin, last)
+	}
+	w.mu.Unlock()
+	w.result()
+}
+
+// stall stops a host again and again.
+func (h *host) stall(stallFor, runFor, lasts time.Duration) {
+	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(runFor) {
+		h.signal(syscall.SIGSTOP)
+		time.Sleep(stallFor)
+		h.signal(syscall.SIGCONT)
+	}
+}
--- a/review/.world-2/world.go
+++ b/review/.world-2/world.go
@@ -33,6 +33,7 @@
 	stableWindow    = 4 * time.Second
 	restartDelay    = 300 * time.Millisecond
 	readyInterval   = 500 * time.Millisecond
+	startSpread     = 300 * time.Millisecond // all hosts start within it
 )
 
 type host struct {
@@ -42,6 +43,7 @@
 	mu         sync.Mutex
 	cmd        *exec.Cmd
 	misses     int
+	relay      *relay // to the store; nil: none
 }
 
 type run struct {
@@ -50,6 +52,7 @@
 	request string
 	synSent time.Time
 	synAt   time.Time
+	via     *host
 }
 
 type world struct {
@@ -64,6 +67,7 @@
 	dir        string
 	store      *store
 	zones      []string
+	storeAddr  netip.AddrPort
 	seeds      []string
 	hosts      []*host
 	servers    []*server
@@ -75,6 +79,7 @@
 	ending   bool
 	rotation map[string][]*host
 	synSent  map[flowID]time.Time
+	via      map[flowID]*host   // to which the opening packet was sent last
 	owner    map[flowID]*server // at which a flow opened
 	openings []run
 	stableAt time.Time // since when the core is stable again
@@ -161,7 +166,7 @@
 	return 0
 }
 
-func newWorld(record string, trouble bool, zones []string, hostsPerZone int) *world {
+func newWorld(record string, trouble bool, zones []string, hostsPerZone ...int) *world {
 	file, err := os.Create(record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -173,7 +178,7 @@
 		os.Exit(2)
 	}
 	w := &world{began: time.Now(), trouble: trouble, net: byte(20 + rand.IntN(200)), dir: dir, zones: zones, file: file, record: bufio.NewWriter(file),
-		rotation: map[string][]*host{}, synSent: map[flowID]time.Time{}, owner: map[flowID]*server{}, resetsBy: map[flowID]*server{}, runCount: map[string]int{}}
+		rotation: map[string][]*host{}, synSent: map[flowID]time.Time{}, via: map[flowID]*host{}, owner: map[flowID]*server{}, resetsBy: map[flowID]*server{}, runCount: map[string]int{}}
 	w.packetPort, w.readyPort, w.adminPort, w.serverPort = freePort(0), freePort(0), freePort(0), freePort(0)
 	w.peerPort = freePort(15)
 	stop := make(chan os.Signal, 1)
@@ -185,7 +190,7 @@
 	}
 	var seeds []string
 	for z, zone := range zones {
-		for n := range hostsPerZone {
+		for n := range hostsPerZone[z%len(hostsPerZone)] {
 			h := &host{name: fmt.Sprintf("edge-%s-%d", zone, n+1), zone: zone, addr: w.ip(1+z, 10+n)}
 			w.hosts = append(w.hosts, h)
 			if n == 0 && len(seeds) < 3 {
@@ -193,7 +198,7 @@
 			}
 		}
 	}
-	w.seeds = seeds
+	w.seeds, w.storeAddr = seeds, storeAddr
 	w.writeSettings(storeAddr)
 	return w
 }
@@ -202,7 +207,11 @@
 func (w *world) writeSettings(store netip.AddrPort) {
 	for _, h := range w.hosts {
 		h.conf = filepath.Join(w.dir, h.name+".conf")
-		if err := os.WriteFile(h.conf+".new", []byte(w.settings(h, store, w.seeds)), 0o644); err != nil {
+		to := store
+		if h.relay != nil {
+			to = h.relay.addr
+		}
+		if err := os.WriteFile(h.conf+".new", []byte(w.settings(h, to, w.seeds)), 0o644); err != nil {
 			w.fail("settings: %v", err)
 		}
 		if err := os.Rename(h.conf+".new", h.conf); err != nil {
@@ -355,6 +364,11 @@
 		return
 	}
 	h := hosts[int(hash.Sum32())%len(hosts)]
+	if p.flags&flagSYN != 0 {
+		w.mu.Lock()
+		w.via[flowID{p.src, p.dst}] = h
+		w.mu.Unlock()
+	}
 	c.conn.WriteToUDPAddrPort(p.encode(), netip.AddrPortFrom(h.addr, w.packetPort))
 }
 
@@ -366,7 +380,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.owner[id] = s
-	w.openings = append(w.openings, run{server: s, id: id, synSent: w.synSent[id], synAt: synAt})
+	w.openings = append(w.openings, run{server: s, id: id, synSent: w.synSent[id], synAt: synAt, via: w.via[id]})
 }
 
 // runs records that a server has begun to work on a request.
@@ -434,6 +448,7 @@
 func (w *world) begin() {
 	for _, h := range w.hosts {
 		go w.keep(h)
+		time.Sleep(startSpread / time.Duration(len(w.hosts)))
 	}
 	go w.route()
 	for range 100 {
