--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of review/6 to review/9 start, from the repository's root, without a network.
+# Builds the stand-ins that the scripts of review/6 to review/10 start, from the repository's root, without a network.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
